--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings, logs, command line and the platform's client.
--- /dev/null
+++ b/crates/burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! The service-level burn report.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions of the poplarreel router fleet as pure functions.
+//!
+//! Nothing here does I/O, starts a task or reads a clock. Each function that
+//! depends on the time takes it as the argument `now`, so tests and the
+//! specifications in `poplar-spec` drive the same code that the router runs.
+
+pub mod budget;
+pub mod config;
+pub mod id;
+pub mod sorted;
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! The load and experiment tool.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between routers.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router that runs on each entry host.
--- /dev/null
+++ b/crates/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Specifications of the core protocol, explored exhaustively.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for engines, services and the platform.
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shared utilities of the integration tests.
