--- /dev/null
+++ b/crates/core/src/bill.rs
@@ -0,0 +1,116 @@
+//! Bills and the rows and objects that keep them.
+//!
+//! A router puts bills into the object store in batches, each naming the batch
+//! before it, and then points its own row in the table at the newest one. That
+//! write relies on the row's version, so it fails once the row was sealed. A
+//! batch that no row leads to was never billed.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Incarnation, Name, RequestId};
+
+/// One answered request, billed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bill {
+    /// The request, and the bill's own identity.
+    pub id: RequestId,
+    /// Whose request it was.
+    pub workspace: Name,
+    /// Its class of work.
+    pub class: Name,
+    /// The budget it was paid from.
+    pub budget: Name,
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Output tokens; the price of a service call.
+    pub output: u64,
+    /// When the answer was whole, in milliseconds of Unix time.
+    pub at_ms: u64,
+    /// Until the first token, in milliseconds.
+    pub first_ms: Option<u64>,
+    /// Until the whole answer, in milliseconds.
+    pub finish_ms: u64,
+    /// Whether the class's targets were met.
+    pub met: bool,
+    /// The whole answer, kept for retries of a request with a key.
+    pub answer: Option<Answer>,
+}
+
+impl Bill {
+    /// Tokens taken off the budget.
+    pub fn tokens(&self) -> u64 {
+        self.prompt + self.output
+    }
+}
+
+/// An answer as it is given again to a retry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Text of a model's answer, or the body of a service's.
+    pub text: String,
+    /// Why a model's answer ended: `stop` or `length`.
+    pub reason: String,
+}
+
+/// A batch of bills as an object.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Batch {
+    /// Name of the batch before this one.
+    pub previous: Option<Name>,
+    /// The bills.
+    pub bills: Vec<Bill>,
+}
+
+/// Name of a batch's object; `attempt` keeps a late put off a newer one.
+pub fn batch_name(of: &Incarnation, number: u64, attempt: u64) -> String {
+    format!("bills/{of}/{number:08}-{attempt}")
+}
+
+/// Key of the row that marks a request with an idempotency key as billed.
+pub fn billed_key(id: &RequestId) -> String {
+    format!("billed/{id}")
+}
+
+/// Where the bill and the answer of a request with a key are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BilledRow {
+    /// Name of the batch that holds them.
+    pub batch: Name,
+    /// Hash of the request's body, to tell a reused key.
+    pub body: u64,
+}
+
+/// A router's stage of life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Stage {
+    /// Started, not yet acknowledged by the others.
+    Joining,
+    /// At work.
+    Active,
+    /// In a graceful shutdown.
+    Leaving,
+    /// Shut off by somebody else, or at its own planned end.
+    Sealed,
+}
+
+/// What one incarnation has durably done; key `router/<incarnation>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterRow {
+    /// Address of its peer service.
+    pub address: Name,
+    /// Address of its admin pages.
+    pub admin: Name,
+    /// Its data centre.
+    pub centre: Name,
+    /// Its stage of life.
+    pub stage: Stage,
+    /// Name of its newest batch of bills.
+    pub head: Option<Name>,
+    /// How many batches it has billed.
+    pub batches: u64,
+    /// Tokens billed by budget, in order of the budgets' names.
+    pub billed: Vec<(Name, u64)>,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! depends on the time takes it as the argument `now`, so tests and the
 //! specifications in `poplar-spec` drive the same code that the router runs.
 
+pub mod bill;
 pub mod budget;
 pub mod config;
 pub mod id;
