--- a/crates/core/src/bill.rs
+++ b/crates/core/src/bill.rs
@@ -1,9 +1,9 @@
 //! Bills and the rows and objects that keep them.
 //!
 //! A router puts bills into the object store in batches, each naming the batch
-//! before it, and then points its own row in the table at the newest one. That
-//! write relies on the row's version, so it fails once the row was sealed. A
-//! batch that no row leads to was never billed.
+//! before it, and then points its billing row in the table at the newest one.
+//! That write relies on the version of its router row, so it fails once that
+//! row was sealed. A batch that no row leads to was never billed.
 
 use serde::{Deserialize, Serialize};
 
@@ -96,8 +96,12 @@
     Sealed,
 }
 
-/// What one incarnation has durably done; key `router/<incarnation>`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// A router as the table knows it; key `router/<incarnation>`.
+///
+/// It is written at the changes of stage only. Every other write of the
+/// incarnation relies on its version, and so fails once the row is sealed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RouterRow {
     /// Address of its peer service.
     pub address: Name,
@@ -107,6 +111,17 @@
     pub centre: Name,
     /// Its stage of life.
     pub stage: Stage,
+}
+
+/// Key of an incarnation's [`BillingRow`].
+pub fn billing_key(of: &Incarnation) -> String {
+    format!("billing/{of}")
+}
+
+/// What one incarnation has durably billed; key `billing/<incarnation>`.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct BillingRow {
     /// Name of its newest batch of bills.
     pub head: Option<Name>,
     /// How many batches it has billed.
@@ -114,3 +129,23 @@
     /// Tokens billed by budget, in order of the budgets' names.
     pub billed: Vec<(Name, u64)>,
 }
+
+impl BillingRow {
+    /// The row after one more batch, `name`, of `bills`.
+    pub fn with(&self, name: Name, bills: &[Bill]) -> Self {
+        let mut next = self.clone();
+        next.head = Some(name);
+        next.batches += 1;
+        for bill in bills {
+            next.add(&bill.budget, bill.tokens());
+        }
+        next
+    }
+
+    fn add(&mut self, budget: &Name, tokens: u64) {
+        match self.billed.binary_search_by(|(b, _)| b.cmp(budget)) {
+            Ok(at) => self.billed[at].1 += tokens,
+            Err(at) => self.billed.insert(at, (budget.clone(), tokens)),
+        }
+    }
+}
