--- /dev/null
+++ b/crates/router/src/refusal.rs
@@ -0,0 +1,238 @@
+//! Refusals as callers see them.
+//!
+//! Each says whether the request ran, and where it makes sense when to come
+//! back. A refusal is sent as soon as it is known.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Serialize;
+use viz::{Response, StatusCode, header};
+
+use poplar_core::id::RequestId;
+
+/// Whether a refused request ran on a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Run {
+    /// No backend server saw it, or each said that it did not start it.
+    NotRun,
+    /// It ran, but its answer can't be given.
+    Ran,
+    /// It may have run.
+    Unknown,
+}
+
+impl Run {
+    /// The word in the JSON body.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Ran => "ran",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Code {
+    /// The body or a header is not what the interface takes.
+    Malformed,
+    /// The body is larger than the router takes.
+    TooLarge,
+    /// The body did not come in time.
+    TooSlow,
+    /// No key, or one that opens no workspace.
+    Unauthorized,
+    /// There is no such class of work.
+    UnknownClass,
+    /// The class needs an idempotency key.
+    KeyRequired,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// A request with this key is under way.
+    InProgress,
+    /// The budget has too little left.
+    Exhausted,
+    /// The platform is down and no grant is at hand.
+    NoGrant,
+    /// It can't finish within its class's target.
+    Overloaded,
+    /// No backend server offers what the class needs.
+    NoBackend,
+    /// It crashed backend servers before.
+    Poisonous,
+    /// The router is shutting down or not ready.
+    Unready,
+    /// Backend servers failed under it.
+    BackendFailed,
+    /// A call that may run once was sent and its outcome is not known.
+    OutcomeUnknown,
+    /// The platform can't record a call that may run only once.
+    NoClaim,
+}
+
+impl Code {
+    /// Stable name, HTTP status and sentence.
+    fn parts(self) -> (&'static str, StatusCode, &'static str) {
+        use StatusCode as S;
+        match self {
+            Self::Malformed => ("malformed", S::BAD_REQUEST, "The request can't be read"),
+            Self::TooLarge => ("too_large", S::PAYLOAD_TOO_LARGE, "The body is too large"),
+            Self::TooSlow => ("too_slow", S::REQUEST_TIMEOUT, "The body came too slowly"),
+            Self::Unauthorized => ("unauthorized", S::UNAUTHORIZED, "The key opens no workspace"),
+            Self::UnknownClass => ("unknown_class", S::NOT_FOUND, "There is no such class"),
+            Self::KeyRequired => ("key_required", S::BAD_REQUEST, "An Idempotency-Key is needed"),
+            Self::KeyReused => (
+                "key_reused",
+                S::UNPROCESSABLE_ENTITY,
+                "The Idempotency-Key was used with another request",
+            ),
+            Self::InProgress => ("in_progress", S::CONFLICT, "The request is under way"),
+            Self::Exhausted => ("budget_exhausted", S::PAYMENT_REQUIRED, "The budget is spent"),
+            Self::NoGrant => (
+                "no_grant",
+                S::SERVICE_UNAVAILABLE,
+                "The budget can't be drawn on now",
+            ),
+            Self::Overloaded => (
+                "overloaded",
+                S::TOO_MANY_REQUESTS,
+                "It can't finish within its target",
+            ),
+            Self::NoBackend => (
+                "no_backend",
+                S::SERVICE_UNAVAILABLE,
+                "No backend server offers it now",
+            ),
+            Self::Poisonous => (
+                "crashes_backends",
+                S::UNPROCESSABLE_ENTITY,
+                "The request crashed backend servers",
+            ),
+            Self::Unready => (
+                "unready",
+                S::SERVICE_UNAVAILABLE,
+                "The router takes no requests now",
+            ),
+            Self::BackendFailed => ("backend_failed", S::BAD_GATEWAY, "Backend servers failed"),
+            Self::OutcomeUnknown => (
+                "outcome_unknown",
+                S::BAD_GATEWAY,
+                "The call was sent and its outcome is unknown",
+            ),
+            Self::NoClaim => (
+                "no_claim",
+                S::SERVICE_UNAVAILABLE,
+                "The call can't be recorded now",
+            ),
+        }
+    }
+
+    /// The stable name.
+    pub fn name(self) -> &'static str {
+        self.parts().0
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// A refused request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub code: Code,
+    /// Whether it ran.
+    pub run: Run,
+    /// When to come back, where that makes sense.
+    pub after: Option<Duration>,
+    /// What exactly was found.
+    pub detail: String,
+}
+
+impl Refusal {
+    /// A refusal of a request that did not run.
+    pub fn new(code: Code) -> Self {
+        Self {
+            code,
+            run: Run::NotRun,
+            after: None,
+            detail: String::new(),
+        }
+    }
+
+    /// Says when to come back.
+    pub fn after(mut self, after: Duration) -> Self {
+        self.after = Some(after);
+        self
+    }
+
+    /// Says whether it ran.
+    pub fn run(mut self, run: Run) -> Self {
+        self.run = run;
+        self
+    }
+
+    /// Says what exactly was found.
+    pub fn detail(mut self, detail: impl fmt::Display) -> Self {
+        self.detail = detail.to_string();
+        self
+    }
+
+    /// The answer to the caller.
+    pub fn response(&self, id: Option<&RequestId>) -> Response {
+        let (name, status, sentence) = self.code.parts();
+        let message = match self.detail.as_str() {
+            "" => format!("{sentence}."),
+            detail => format!("{sentence}: {detail}."),
+        };
+        let body = BodyWire {
+            error: ErrorWire {
+                code: name,
+                message,
+                r#type: "poplarreel",
+                run: self.run.word(),
+                retry_after_ms: self.after.map(|d| d.as_millis() as u64),
+            },
+        };
+        let mut builder = Response::builder()
+            .status(status)
+            .header(header::CONTENT_TYPE, "application/json");
+        if let Some(after) = self.after {
+            let seconds = after.as_millis().div_ceil(1000).max(1);
+            builder = builder.header(header::RETRY_AFTER, seconds.to_string());
+        }
+        if let Some(id) = id {
+            builder = builder.header("x-request-id", id.0.as_ref());
+        }
+        let bytes = serde_json::to_vec(&body).expect("a refusal is plain data");
+        builder
+            .body(viz::Body::Full(bytes.into()))
+            .expect("the header values are printable")
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.code, self.run.word())
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct BodyWire {
+    error: ErrorWire,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorWire {
+    code: &'static str,
+    message: String,
+    r#type: &'static str,
+    run: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,184 @@
+//! Settings of the router.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use poplar_base::settings::{Faults, File};
+use poplar_core::id::Name;
+
+/// Largest settable duration; longer ones are slips of the unit.
+const LONGEST: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// Everything a router learns from its settings file.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The router's name, kept across restarts of its host.
+    pub name: Name,
+    /// Its data centre.
+    pub centre: Name,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators and the balancer connect.
+    pub admin: SocketAddr,
+    /// Where other routers connect.
+    pub peer: SocketAddr,
+    /// Lowest level of events that are logged.
+    pub level: Name,
+    /// The platform.
+    pub platform: Platform,
+    /// Limits and waits of the callers' door.
+    pub door: Door,
+    /// How budgets are drawn.
+    pub budget: Budget,
+    /// How backend servers are watched.
+    pub backends: Backends,
+    /// How a planned stop goes.
+    pub stop: Stop,
+}
+
+/// Where the platform is.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    /// Its address.
+    pub address: SocketAddr,
+    /// How long a call may take.
+    pub timeout: Duration,
+    /// How often the configuration is read.
+    pub poll: Duration,
+}
+
+/// Limits of the callers' door.
+#[derive(Debug, Clone)]
+pub struct Door {
+    /// Largest body in bytes.
+    pub body: u64,
+    /// Largest cap on output that a caller may ask for, in tokens.
+    pub cap: u64,
+    /// How long a caller may take to send a body.
+    pub patience: Duration,
+    /// Requests that may be under way at once.
+    pub open: u64,
+}
+
+/// How budgets are drawn.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    /// Spending that a grant should cover.
+    pub horizon: Duration,
+    /// Smallest draw in tokens.
+    pub least: u64,
+    /// Bound on what a killed router may leave stranded, in tokens a budget.
+    pub exposure: u64,
+    /// How long an answer's end waits for its bill before peers take copies.
+    pub bill: Duration,
+    /// How long it waits where no peer can take one either.
+    pub alone: Duration,
+}
+
+/// How backend servers are watched.
+#[derive(Debug, Clone)]
+pub struct Backends {
+    /// How often the host list is read.
+    pub hosts: Duration,
+    /// How often each backend server's load is read.
+    pub load: Duration,
+    /// Requests in flight at a backend server that reports no slots.
+    pub slots: u64,
+    /// Policy of choosing a backend server; others than `predicted` are for experiments.
+    pub policy: Name,
+}
+
+/// How a planned stop goes.
+#[derive(Debug, Clone)]
+pub struct Stop {
+    /// How long new requests are still taken while the balancer learns of it.
+    pub linger: Duration,
+    /// How long requests in flight are waited for.
+    pub drain: Duration,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Every fault of the file at once.
+    pub fn open(path: impl AsRef<Path>) -> Result<Self, Faults> {
+        let mut file = File::open(path)?;
+        let mut s = file.section("router");
+        let name = s.text("name");
+        let centre = s.text("centre");
+        let listen = s.address("listen");
+        let admin = s.address("admin");
+        let peer = s.address("peer");
+        let level = s.text_or("level", "info");
+        drop(s);
+        let settings = Self {
+            name,
+            centre,
+            listen,
+            admin,
+            peer,
+            level,
+            platform: platform(&mut file),
+            door: door(&mut file),
+            budget: budget(&mut file),
+            backends: backends(&mut file),
+            stop: stop(&mut file),
+        };
+        file.finish()?;
+        Ok(settings)
+    }
+}
+
+fn platform(file: &mut File) -> Platform {
+    let mut s = file.section("platform");
+    Platform {
+        address: s.address("address"),
+        timeout: s.duration_or("timeout", ms(10)..=LONGEST, Duration::from_secs(1)),
+        poll: s.duration_or("poll", ms(100)..=LONGEST, Duration::from_secs(1)),
+    }
+}
+
+fn door(file: &mut File) -> Door {
+    let mut s = file.section("door");
+    Door {
+        body: s.number_or("body", 1024..=1 << 28, 1 << 20),
+        cap: s.number_or("cap", 1..=1 << 20, 8192),
+        patience: s.duration_or("patience", ms(100)..=LONGEST, Duration::from_secs(10)),
+        open: s.number_or("open", 1..=1_000_000, 10_000),
+    }
+}
+
+fn budget(file: &mut File) -> Budget {
+    let mut s = file.section("budget");
+    Budget {
+        horizon: s.duration_or("horizon", ms(1000)..=LONGEST, Duration::from_secs(360)),
+        least: s.number_or("least", 1..=1 << 32, 4096),
+        exposure: s.number_or("exposure", 1..=1 << 40, 1 << 20),
+        bill: s.duration_or("bill", ms(1)..=LONGEST, ms(400)),
+        alone: s.duration_or("alone", ms(1)..=LONGEST, Duration::from_secs(2)),
+    }
+}
+
+fn backends(file: &mut File) -> Backends {
+    let mut s = file.section("backends");
+    Backends {
+        hosts: s.duration_or("hosts", ms(50)..=ms(1500), ms(500)),
+        load: s.duration_or("load", ms(20)..=Duration::from_secs(10), ms(250)),
+        slots: s.number_or("slots", 1..=100_000, 16),
+        policy: s.text_or("policy", "predicted"),
+    }
+}
+
+fn stop(file: &mut File) -> Stop {
+    let mut s = file.section("stop");
+    Stop {
+        linger: s.duration_or("linger", ms(0)..=LONGEST, Duration::from_secs(2)),
+        drain: s.duration_or("drain", ms(1)..=LONGEST, Duration::from_secs(180)),
+    }
+}
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
