Add settings, command line and logs

Every program reads one INI file, takes the same options and logs one line an event, so these stand in the base crate.

--- /dev/null
+++ b/crates/base/tests/args.rs
@@ -0,0 +1,27 @@
+//! The command line's exit codes and texts.
+
+use poplar_base::args::{Asked, Command, Failure, read};
+
+fn parse(words: &[&str]) -> Result<Asked, Failure> {
+    let command = Command::new("poplar-x", "[options]", "Does x.").value("count", "how many", "N");
+    let asked = command.parse(words.iter().map(|w| (*w).to_owned()));
+    asked.map_err(|report| report.current_context().clone())
+}
+
+#[test]
+fn help_and_version_are_printed_and_bad_options_are_usage() {
+    let Ok(Asked::Print(help)) = parse(&["--help"]) else {
+        panic!("--help prints");
+    };
+    assert!(help.contains("Usage: poplar-x [options]") && help.contains("--settings FILE"));
+    let Ok(Asked::Print(version)) = parse(&["-V"]) else {
+        panic!("--version prints");
+    };
+    assert!(version.starts_with("poplar-x 0."));
+    assert!(matches!(parse(&["--nope"]), Err(Failure::Usage(_))));
+    let Ok(Asked::Run(matches)) = parse(&["--count", "x"]) else {
+        panic!("a known option is taken");
+    };
+    let wrong = read::<u32>(&matches, "count", "a number").unwrap_err();
+    assert!(matches!(wrong.current_context(), Failure::Usage(_)));
+}
