--- /dev/null
+++ b/crates/router/src/flow/finish.rs
@@ -0,0 +1,119 @@
+//! The end of a request: its bill is made durable before the caller has the
+//! answer's last part.
+
+use std::sync::Arc;
+use std::time::{Instant, SystemTime};
+
+use poplar_core::bill::{Answer, Batch, Bill, BilledRow};
+use tokio::sync::oneshot;
+
+use crate::budget::biller::Billed;
+use crate::flow::request::Job;
+use crate::journal::unix_ms;
+use crate::state::State;
+
+/// What a finished request consumed, and when.
+#[derive(Debug, Clone)]
+pub struct Finished {
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Output tokens, or the price of a call.
+    pub output: u64,
+    /// When the first token came.
+    pub first: Option<Instant>,
+    /// When the answer was whole.
+    pub whole: Instant,
+    /// The answer, to be kept where the request has a key.
+    pub answer: Answer,
+}
+
+/// How sure it is that the request is billed once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Sure {
+    /// Its bill is durable.
+    Durable,
+    /// A peer holds a copy until the store is back.
+    Copied,
+    /// Neither the store nor a peer could take it; it waits here.
+    Alone,
+    /// An earlier run was billed, with this answer.
+    Earlier(BilledRow),
+    /// The router was sealed: it may not bill.
+    Sealed,
+}
+
+/// Makes the bill of a finished request and waits until it is safe.
+pub async fn bill(state: &Arc<State>, job: &Job, finished: &Finished) -> Sure {
+    let bill = make(job, finished);
+    let met = bill.met;
+    let free = bill.tokens() == 0;
+    let now = unix_ms(SystemTime::now());
+    state.burn.answered(&job.workspace, &job.class.name, met, now);
+    let done = state
+        .biller
+        .submit(bill.clone(), job.body, job.id.is_keyed());
+    if free && !job.id.is_keyed() {
+        // Nothing is at stake that would be worth the wait.
+        return Sure::Durable;
+    }
+    wait(state, bill, done).await
+}
+
+async fn wait(state: &Arc<State>, bill: Bill, mut done: oneshot::Receiver<Billed>) -> Sure {
+    let patience = state.settings.budget.bill;
+    if let Ok(billed) = tokio::time::timeout(patience, &mut done).await {
+        return sure(billed);
+    }
+    if state.peers.hold(state, &bill).await {
+        let state = state.clone();
+        let id = bill.id.clone();
+        tokio::spawn(async move {
+            if matches!(done.await, Ok(Billed::Mine | Billed::Earlier(_))) {
+                state.peers.held_no_more(&state, &id).await;
+            }
+        });
+        return Sure::Copied;
+    }
+    match tokio::time::timeout(state.settings.budget.alone, done).await {
+        Ok(billed) => sure(billed),
+        Err(_) => Sure::Alone,
+    }
+}
+
+fn sure(billed: Result<Billed, oneshot::error::RecvError>) -> Sure {
+    match billed {
+        Ok(Billed::Mine) => Sure::Durable,
+        Ok(Billed::Earlier(row)) => Sure::Earlier(row),
+        Ok(Billed::Sealed) | Err(_) => Sure::Sealed,
+    }
+}
+
+fn make(job: &Job, finished: &Finished) -> Bill {
+    let since = |at: Instant| at.saturating_duration_since(job.arrived);
+    let first = finished.first.map(since);
+    let whole = since(finished.whole);
+    let in_time = match (first, job.class.first) {
+        (Some(first), Some(target)) => first <= target,
+        _ => true,
+    };
+    Bill {
+        id: job.id.clone(),
+        workspace: job.workspace.clone(),
+        class: job.class.name.clone(),
+        budget: job.budget.clone(),
+        prompt: finished.prompt,
+        output: finished.output,
+        at_ms: unix_ms(SystemTime::now()),
+        first_ms: first.map(|d| d.as_millis() as u64),
+        finish_ms: whole.as_millis() as u64,
+        met: in_time && whole <= job.class.finish,
+        answer: job.id.is_keyed().then(|| finished.answer.clone()),
+    }
+}
+
+/// Reads the answer that an earlier run of a request was billed for.
+pub async fn earlier(state: &State, job: &Job, row: &BilledRow) -> Option<Bill> {
+    let object = (state.platform.get)(row.batch.to_string()).await.ok()??;
+    let batch: Batch = serde_json::from_slice(&object).ok()?;
+    batch.bills.into_iter().find(|b| b.id == job.id)
+}
--- /dev/null
+++ b/crates/router/src/flow/mod.rs
@@ -0,0 +1,7 @@
+//! The way of a request: reserve, place, run, bill.
+
+pub mod chat;
+pub mod chunk;
+pub mod finish;
+pub mod request;
+pub mod service;
--- /dev/null
+++ b/crates/router/src/state.rs
@@ -0,0 +1,216 @@
+//! Everything the tasks of one router share.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::Duration;
+
+use poplar_base::http::Client;
+use poplar_base::platform::Platform;
+use poplar_core::config::Config;
+use poplar_core::id::{Incarnation, RequestId};
+use poplar_core::sorted::SortedVec;
+use tokio::sync::Notify;
+
+use crate::backends::dispatch::Dispatch;
+use crate::budget::bank::Bank;
+use crate::budget::biller::Biller;
+use crate::burn::Burn;
+use crate::claims::Claims;
+use crate::journal::Journal;
+use crate::peers::Peers;
+use crate::settings::Settings;
+use crate::sync::lock;
+
+/// Shared tables and clients; the lock order stands in [`crate::sync`].
+#[derive(Debug)]
+pub struct State {
+    /// Settings of this process.
+    pub settings: Settings,
+    /// This life of this router.
+    pub me: Incarnation,
+    /// The platform.
+    pub platform: Platform,
+    /// Connections to backend servers.
+    pub client: Client,
+    /// Holdings of budgets.
+    pub bank: Arc<Bank>,
+    /// Bills on their way.
+    pub biller: Biller,
+    /// Backend servers, and requests queued for them.
+    pub dispatch: Arc<Dispatch>,
+    /// Calls that may run once.
+    pub claims: Claims,
+    /// The other routers.
+    pub peers: Peers,
+    /// Steps of recent requests.
+    pub journal: Journal,
+    /// Counts for the burn report.
+    pub burn: Burn,
+    /// Requests under way.
+    pub open: Open,
+    /// Woken where the configuration may have changed.
+    pub refresh: Notify,
+    config: RwLock<Arc<Config>>,
+    router: AtomicU64,
+    sealed: AtomicBool,
+    draining: AtomicBool,
+    minted: AtomicU64,
+}
+
+impl State {
+    /// Puts the shared state together.
+    pub fn new(settings: Settings, me: Incarnation, platform: Platform) -> Arc<Self> {
+        let bank = Bank::open(platform.clone(), me.clone(), settings.budget.clone());
+        let dispatch = Dispatch::open(&settings);
+        Arc::new(Self {
+            bank: Arc::new(bank),
+            biller: Biller::default(),
+            dispatch: Arc::new(dispatch),
+            claims: Claims::default(),
+            peers: Peers::default(),
+            journal: Journal::default(),
+            burn: Burn::default(),
+            open: Open::default(),
+            refresh: Notify::new(),
+            client: Client::open(),
+            config: RwLock::default(),
+            router: AtomicU64::new(0),
+            sealed: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            minted: AtomicU64::new(0),
+            settings,
+            me,
+            platform,
+        })
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Arc<Config> {
+        let config = self.config.read();
+        config.unwrap_or_else(|e| e.into_inner()).clone()
+    }
+
+    /// Puts a configuration in force where it is newer.
+    pub fn apply(&self, config: Config) -> bool {
+        let current = self.config.write();
+        let mut current = current.unwrap_or_else(|e| e.into_inner());
+        let newer = config.generation > current.generation;
+        if newer {
+            *current = Arc::new(config);
+        }
+        newer
+    }
+
+    /// Version of the own router row; 0 before it is written.
+    pub fn router(&self) -> u64 {
+        self.router.load(Ordering::Acquire)
+    }
+
+    /// Notes the version of the own router row.
+    pub fn registered(&self, version: u64) {
+        self.router.store(version, Ordering::Release);
+    }
+
+    /// Whether somebody sealed this router.
+    pub fn is_sealed(&self) -> bool {
+        self.sealed.load(Ordering::Acquire)
+    }
+
+    /// Notes that somebody sealed this router: it takes no new requests.
+    pub fn seal(&self) {
+        self.sealed.store(true, Ordering::Release);
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned stop.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Release);
+        self.refresh.notify_waiters();
+    }
+
+    /// Whether requests are served: registered, configured and not sealed.
+    pub fn serves(&self) -> bool {
+        self.router() != 0 && self.config().generation > 0 && !self.is_sealed()
+    }
+
+    /// Whether the balancer may send requests.
+    pub fn is_ready(&self) -> bool {
+        self.serves() && !self.is_draining()
+    }
+
+    /// Names a request that has no idempotency key.
+    pub fn mint(&self) -> RequestId {
+        RequestId::minted(&self.me, self.minted.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+/// Requests under way on this router.
+#[derive(Debug, Default)]
+pub struct Open {
+    keyed: Mutex<SortedVec<RequestId, ()>>,
+    count: AtomicUsize,
+    ended: Notify,
+}
+
+/// One request under way; dropped at its end.
+#[derive(Debug)]
+pub struct Entry {
+    state: Arc<State>,
+    id: RequestId,
+}
+
+impl Open {
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::Acquire)
+    }
+
+    /// Waits until none is left, `most` at the longest.
+    pub async fn wait_none(&self, most: Duration) {
+        let none = async {
+            loop {
+                let ended = self.ended.notified();
+                if self.count() == 0 {
+                    return;
+                }
+                ended.await;
+            }
+        };
+        // What is still under way after that is cut; the caller logs it.
+        let _ = tokio::time::timeout(most, none).await;
+    }
+}
+
+impl Entry {
+    /// Enters a request; `None` where one with its key is under way here.
+    pub fn enter(state: &Arc<State>, id: &RequestId) -> Option<Self> {
+        if id.is_keyed() {
+            let mut keyed = lock(&state.open.keyed);
+            if keyed.contains(id) {
+                return None;
+            }
+            keyed.insert(id.clone(), ());
+        }
+        state.open.count.fetch_add(1, Ordering::AcqRel);
+        Some(Self {
+            state: state.clone(),
+            id: id.clone(),
+        })
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let open = &self.state.open;
+        if self.id.is_keyed() {
+            lock(&open.keyed).remove(&self.id);
+        }
+        if open.count.fetch_sub(1, Ordering::AcqRel) == 1 {
+            open.ended.notify_waiters();
+        }
+    }
+}
