Add the platform's stand-in

The router's proofs need a table, an object store and a host list that fail on demand. Versions come from one commit sequence, calls take effect even when their caller has gone, and the budgets' invariants are checked at every commit from the rows alone.

--- /dev/null
+++ b/crates/standins/src/bin/fake-platform.rs
@@ -0,0 +1,31 @@
+//! Stand-in for the platform's table, object store and host list.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use poplar_standins::platform::{self, Settings};
+use poplar_standins::{options, serve};
+
+/// Options besides `--listen`.
+const OPTIONS: &[options::Spec] = &[
+    ("writes", "N", "rows and objects written a second [400]"),
+    ("reads", "N", "rows and objects read a second [2000]"),
+    ("limits", "yes|no", "whether these limits hold [yes]"),
+    ("host-lag", "TIME", "until a change of the host list shows [0ms]"),
+    ("seed", "N", "seed of jitter and lost answers [1]"),
+];
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> std::io::Result<()> {
+    let options = options::parse("fake-platform", OPTIONS);
+    let listen = options.get("listen", SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
+    let default = Settings::default();
+    let settings = Settings {
+        writes: options.get("writes", default.writes),
+        reads: options.get("reads", default.reads),
+        limits: options.yes("limits", default.limits),
+        lag: options.span("host-lag", default.lag),
+        seed: options.get("seed", default.seed),
+    };
+    let server = platform::bind(listen, &settings).await?;
+    serve::until_stopped(&server).await
+}
--- /dev/null
+++ b/crates/standins/src/door.rs
@@ -0,0 +1,86 @@
+//! What engines and services check before a call runs.
+//!
+//! A stand-in that is leaving refuses everything new. One that is fenced
+//! refuses an order whose number is lower than the highest it saw from the same
+//! router.
+
+use http::{HeaderMap, Response, StatusCode};
+use poplar_core::id::Name;
+use poplar_core::sorted::SortedVec;
+
+use crate::serve;
+
+/// Header with the router's label.
+pub const ROUTER: &str = "x-router";
+/// Header with the request's identity.
+pub const REQUEST: &str = "x-request-id";
+/// Header with the workspace's label.
+pub const WORKSPACE: &str = "x-workspace";
+/// Header with the order's fencing number.
+pub const FENCING: &str = "x-fencing-number";
+
+/// Why a call does not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The stand-in is leaving.
+    Leaving,
+    /// A newer order was seen.
+    Fenced,
+    /// Too many wait.
+    Full,
+}
+
+impl Refusal {
+    /// The answer that says so.
+    pub fn response(self) -> Response<serve::Body> {
+        match self {
+            Self::Leaving => serve::refusal(StatusCode::SERVICE_UNAVAILABLE, "leaving"),
+            Self::Fenced => serve::refusal(StatusCode::CONFLICT, "fenced"),
+            Self::Full => serve::refusal(StatusCode::TOO_MANY_REQUESTS, "full"),
+        }
+    }
+}
+
+/// Who calls, from the headers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Caller {
+    /// The request's identity.
+    pub id: Name,
+    /// The workspace's label.
+    pub workspace: Name,
+    /// The router's label, empty where it gives none.
+    pub router: Name,
+    /// The order's fencing number.
+    pub fencing: Option<u64>,
+}
+
+impl From<&HeaderMap> for Caller {
+    fn from(headers: &HeaderMap) -> Self {
+        let text = |name| serve::text(headers, name);
+        Self {
+            id: text(REQUEST).into(),
+            workspace: text(WORKSPACE).into(),
+            router: text(ROUTER).into(),
+            fencing: text(FENCING).parse().ok(),
+        }
+    }
+}
+
+/// Highest fencing numbers by router.
+#[derive(Debug, Clone, Default)]
+pub struct Fence {
+    highest: SortedVec<Name, u64>,
+}
+
+impl Fence {
+    /// Notes the order and says whether a newer one was seen before.
+    pub fn note(&mut self, caller: &Caller) -> bool {
+        let Some(number) = caller.fencing else {
+            return false;
+        };
+        let highest = self.highest.entry(caller.router.clone(), || number);
+        let stale = number < *highest;
+        *highest = number.max(*highest);
+        stale
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/mod.rs
@@ -0,0 +1,1 @@
+//! The model engine's stand-in.
--- /dev/null
+++ b/crates/standins/src/platform/hosts.rs
@@ -0,0 +1,77 @@
+//! The host list, which shows a change only after a lag.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use poplar_base::platform::wire::HostWire;
+
+/// A list and when it shows.
+#[derive(Debug, Clone)]
+struct Change {
+    due: Instant,
+    hosts: Vec<HostWire>,
+}
+
+/// The host list as it shows and the changes to come.
+#[derive(Debug, Clone, Default)]
+pub struct Hosts {
+    shown: Vec<HostWire>,
+    coming: VecDeque<Change>,
+}
+
+/// There is no host of that name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unknown;
+
+impl Hosts {
+    /// An empty list.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the list; it shows `lag` after `now`.
+    pub fn replace(&mut self, hosts: Vec<HostWire>, now: Instant, lag: Duration) {
+        // A change never overtakes an earlier one, also where the lag shrank.
+        let after = self.coming.back().map_or(now, |c| c.due);
+        let due = (now + lag).max(after);
+        self.coming.push_back(Change { due, hosts });
+    }
+
+    /// Sets the state of one host; `gone` takes it off the list.
+    ///
+    /// # Errors
+    /// [`Unknown`] where there is no such host.
+    pub fn set(
+        &mut self,
+        name: &str,
+        state: &str,
+        now: Instant,
+        lag: Duration,
+    ) -> Result<(), Unknown> {
+        let newest = self.coming.back().map_or(&self.shown, |c| &c.hosts);
+        let mut hosts = newest.clone();
+        let at = hosts.iter().position(|h| &*h.name == name);
+        let at = at.ok_or(Unknown)?;
+        if state == "gone" {
+            hosts.remove(at);
+        } else {
+            hosts[at].state = state.to_owned();
+        }
+        self.replace(hosts, now, lag);
+        Ok(())
+    }
+
+    /// Lets due changes show.
+    pub fn advance(&mut self, now: Instant) {
+        while self.coming.front().is_some_and(|c| c.due <= now) {
+            if let Some(change) = self.coming.pop_front() {
+                self.shown = change.hosts;
+            }
+        }
+    }
+
+    /// The list as it shows.
+    pub fn shown(&self) -> &[HostWire] {
+        &self.shown
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/state.rs
@@ -0,0 +1,150 @@
+//! Everything the platform keeps, behind one lock.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use poplar_base::platform::wire::{CommitWire, RowWire};
+use poplar_core::id::Name;
+use poplar_core::sorted::SortedVec;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::Settings;
+use super::control::{Counts, CountsWire, Switches};
+use super::hosts::Hosts;
+use super::limits::Bucket;
+use super::table::{Conflict, Table};
+use super::watch::{Watch, budget_of};
+
+/// What a call is charged to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Charge {
+    /// The limit on reads.
+    Read,
+    /// The limit on writes.
+    Write,
+}
+
+/// The platform's state.
+#[derive(Debug)]
+pub struct State {
+    /// The table.
+    pub table: Table,
+    /// Objects by name.
+    pub objects: SortedVec<String, Bytes>,
+    /// The host list.
+    pub hosts: Hosts,
+    /// The switches.
+    pub switches: Switches,
+    /// The counts.
+    pub counts: Counts,
+    watch: Watch,
+    reads: Bucket,
+    writes: Bucket,
+    random: StdRng,
+}
+
+impl State {
+    /// An empty platform.
+    pub fn new(settings: &Settings, now: Instant) -> Self {
+        Self {
+            table: Table::new(),
+            objects: SortedVec::new(),
+            hosts: Hosts::new(),
+            switches: Switches {
+                limits: settings.limits,
+                lag: settings.lag,
+                ..Switches::default()
+            },
+            counts: Counts::default(),
+            watch: Watch::default(),
+            reads: Bucket::new(settings.reads, now),
+            writes: Bucket::new(settings.writes, now),
+            random: StdRng::seed_from_u64(settings.seed),
+        }
+    }
+
+    /// Charges `cost` rows to a router; false where its call is refused.
+    pub fn charge(&mut self, router: &Name, charge: Charge, cost: usize, now: Instant) -> bool {
+        let bucket = match charge {
+            Charge::Read => &mut self.reads,
+            Charge::Write => &mut self.writes,
+        };
+        let passes = !self.switches.limits || bucket.take(cost.max(1), now);
+        let share = self.counts.routers.entry(router.clone(), Default::default);
+        match (passes, charge) {
+            (true, Charge::Read) => share.reads += cost as u64,
+            (true, Charge::Write) => share.writes += cost as u64,
+            (false, _) => share.refused += 1,
+        }
+        self.counts.refused += u64::from(!passes);
+        passes
+    }
+
+    /// Carries out a transaction and checks the budgets it touched.
+    ///
+    /// # Errors
+    /// As [`Table::commit`].
+    pub fn commit(&mut self, commit: CommitWire) -> Result<u64, Conflict> {
+        let rows = commit.writes.len() as u64;
+        let keys = commit.writes.iter().filter_map(|w| budget_of(&w.key));
+        let mut budgets: Vec<String> = keys.map(str::to_owned).collect();
+        budgets.sort();
+        budgets.dedup();
+        let version = self.table.commit(commit);
+        match &version {
+            Ok(version) => {
+                self.counts.commits += 1;
+                self.counts.writes += rows;
+                self.watch.check(&self.table, &budgets, *version);
+            }
+            Err(_) => self.counts.conflicts += 1,
+        }
+        version
+    }
+
+    /// Puts an object.
+    pub fn put(&mut self, name: &str, body: Bytes) {
+        self.counts.puts += 1;
+        let before = self.objects.insert(name.to_owned(), body.clone());
+        let changed = before.is_some_and(|before| before != body);
+        self.counts.changed += u64::from(changed);
+    }
+
+    /// Draws how long the next call waits before it takes effect.
+    pub fn wait(&mut self) -> Duration {
+        let jitter = self.switches.jitter;
+        let extra = match jitter.is_zero() {
+            true => Duration::ZERO,
+            false => jitter.mul_f64(self.random.random::<f64>()),
+        };
+        self.switches.delay + extra
+    }
+
+    /// Decides whether the answer of a call that took effect is lost.
+    pub fn loses(&mut self) -> bool {
+        let rate = self.switches.rate;
+        let lost = if self.switches.lose > 0 {
+            self.switches.lose -= 1;
+            true
+        } else {
+            rate > 0.0 && self.random.random::<f64>() < rate
+        };
+        self.counts.lost += u64::from(lost);
+        lost
+    }
+
+    /// The counts with the violations seen.
+    pub fn counted(&self) -> CountsWire {
+        CountsWire {
+            violations: self.watch.count,
+            violated: self.watch.first.clone(),
+            ..CountsWire::from(&self.counts)
+        }
+    }
+
+    /// All rows.
+    pub fn dump(&self) -> Vec<RowWire> {
+        self.table.scan("")
+    }
+}
--- /dev/null
+++ b/crates/standins/src/serve.rs
@@ -0,0 +1,253 @@
+//! A small HTTP/1.1 server whose handlers may cut the connection.
+//!
+//! A handler that returns [`Cut`] ends its connection without an answer, and a
+//! body that yields [`Cut`] ends it in the middle of one. The listener can be
+//! closed for a while, so that connecting is refused as by a dead process.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::future::Future;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt};
+use http::{HeaderMap, Request, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+/// Wait before the listener is bound again where that failed.
+const REBIND: Duration = Duration::from_millis(5);
+
+/// The connection ends here, without an answer or the rest of one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cut;
+
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("connection cut on purpose")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// A body that may be cut.
+pub type Body = UnsyncBoxBody<Bytes, Cut>;
+
+/// What a handler makes of a call.
+pub type Reply = Result<Response<Body>, Cut>;
+
+/// Handle of a running server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    gate: Gate,
+}
+
+impl Server {
+    /// Closes the listener; see [`Gate::close`].
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+}
+
+/// Closes a server's listener for a while.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    orders: mpsc::UnboundedSender<Duration>,
+}
+
+impl Gate {
+    /// A gate and the end that a server obeys.
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Duration>) {
+        let (orders, obeyed) = mpsc::unbounded_channel();
+        (Self { orders }, obeyed)
+    }
+
+    /// Refuses connections for `time`; calls in progress are finished.
+    pub fn close(&self, time: Duration) {
+        // A server that has ended needs no closing.
+        let _ = self.orders.send(time);
+    }
+}
+
+/// Binds `address` and serves it with `handle`, which gets a gate of its own.
+///
+/// # Errors
+/// Where the address can't be bound.
+pub async fn bind<H, F>(
+    address: SocketAddr,
+    handle: impl FnOnce(Gate) -> H,
+) -> io::Result<Server>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let (gate, obeyed) = Gate::new();
+    tokio::spawn(accept(listener, address, obeyed, handle(gate.clone())));
+    Ok(Server { address, gate })
+}
+
+async fn accept<H, F>(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    mut obeyed: mpsc::UnboundedReceiver<Duration>,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let (mut ending, mut ended) = watch::channel(());
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(connection(stream, ended.clone(), handle.clone()));
+                }
+            }
+            Some(time) = obeyed.recv() => {
+                drop(listener);
+                drop(ending);
+                (ending, ended) = watch::channel(());
+                tokio::time::sleep(time).await;
+                listener = rebind(address).await;
+            }
+        }
+    }
+}
+
+async fn rebind(address: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
+        tokio::time::sleep(REBIND).await;
+    }
+}
+
+async fn connection<H, F>(stream: TcpStream, mut ended: watch::Receiver<()>, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    // Small chunks are sent at once, as engines do.
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(handle);
+    let served = http1::Builder::new()
+        .header_read_timeout(None)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut served = pin!(served);
+    // A connection that was cut or broken off has nobody left to tell.
+    tokio::select! {
+        _ = served.as_mut() => {}
+        _ = ended.changed() => {
+            served.as_mut().graceful_shutdown();
+            let _ = served.await;
+        }
+    }
+}
+
+/// Prints where the server listens and waits for SIGTERM or SIGINT.
+///
+/// # Errors
+/// Where the line can't be printed or signals can't be watched.
+pub async fn until_stopped(server: &Server) -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut out = io::stdout();
+    writeln!(out, "listening {}", server.address)?;
+    out.flush()?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
+
+fn answer(status: StatusCode, kind: &'static str, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let kind = header::HeaderValue::from_static(kind);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// An answer of bytes.
+pub fn bytes(body: Bytes) -> Response<Body> {
+    let body = Full::new(body).map_err(|e: Infallible| match e {});
+    answer(StatusCode::OK, "application/octet-stream", body.boxed_unsync())
+}
+
+/// An answer in JSON.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(value).expect("answers are plain data");
+    let body = Full::new(Bytes::from(body)).map_err(|e: Infallible| match e {});
+    answer(status, "application/json", body.boxed_unsync())
+}
+
+/// A refusal with a code.
+pub fn refusal(status: StatusCode, code: &str) -> Response<Body> {
+    json(status, &serde_json::json!({"error": {"code": code}}))
+}
+
+/// A stream of server-sent events, which may be cut.
+pub fn events(
+    stream: impl Stream<Item = Result<Bytes, Cut>> + Send + 'static,
+) -> Response<Body> {
+    let body = StreamBody::new(stream.map(|chunk| chunk.map(Frame::data)));
+    answer(StatusCode::OK, "text/event-stream", body.boxed_unsync())
+}
+
+/// Reads a request's whole body.
+///
+/// # Errors
+/// [`Cut`] where the caller went away.
+pub async fn whole(body: Incoming) -> Result<Bytes, Cut> {
+    Ok(body.collect().await.map_err(|_| Cut)?.to_bytes())
+}
+
+/// Reads a request's body as JSON; `Err` in the inner result is the refusal.
+///
+/// # Errors
+/// [`Cut`] where the caller went away.
+pub async fn read<T: DeserializeOwned>(
+    body: Incoming,
+) -> Result<Result<T, Response<Body>>, Cut> {
+    let body = whole(body).await?;
+    Ok(serde_json::from_slice(&body).map_err(|e| malformed(&e)))
+}
+
+/// The refusal of a body that can't be read.
+pub fn malformed(why: &impl fmt::Display) -> Response<Body> {
+    let error = serde_json::json!({"code": "malformed", "message": why.to_string()});
+    json(StatusCode::BAD_REQUEST, &serde_json::json!({"error": error}))
+}
+
+/// The text of a header, empty where there is none.
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name);
+    value.and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
+
+/// A value of the query part, as it stands there.
+pub fn query<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    let pairs = query.unwrap_or_default().split('&');
+    let mut found = pairs.filter_map(|pair| pair.split_once('='));
+    found.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/standins/src/service/mod.rs
@@ -0,0 +1,1 @@
+//! The plain service's stand-in.
