Add routing, queueing and admission, thin

The router needs its decisions before anything can go through it. Routing predicts the completion on each candidate and draws among the best few; the queue takes turns between workspaces inside a priority; admission compares the queue ahead and the best forecast with the class's targets.

Not tuned yet; the figures in the constants come from no measurement.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,8 +4,11 @@
 //! depends on the time takes it as the argument `now`, so tests and the
 //! specifications in `poplar-spec` drive the same code that the router runs.
 
+pub mod admit;
 pub mod bill;
 pub mod budget;
 pub mod config;
 pub mod id;
+pub mod queue;
+pub mod route;
 pub mod sorted;
--- /dev/null
+++ b/crates/core/src/route/mod.rs
@@ -0,0 +1,256 @@
+//! Which backend server a request goes to.
+//!
+//! The router predicts when each candidate would have answered and sends the
+//! request to one of the best few, drawn at random in favour of the sooner
+//! ones. Routers don't see each other's newest choices, and without the draw
+//! all would pick the same server until the next load report. Beyond
+//! [`SCAN`] servers only a random sample of them is looked at.
+
+pub mod dice;
+pub mod limit;
+mod pace;
+mod pick;
+pub mod predict;
+pub mod server;
+
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use crate::id::Name;
+use crate::route::server::{Gate, Server};
+
+/// How many servers are looked at for one request.
+pub const SCAN: usize = 64;
+
+/// How a backend server is chosen.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// By predicted completion.
+    #[default]
+    Predicted,
+    /// Each in its turn.
+    RoundRobin,
+    /// The one with the fewest own requests in flight.
+    LeastInFlight,
+    /// The one of two random ones with fewer own requests in flight.
+    RandomOfTwo,
+}
+
+/// A request as routing sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Job<'a> {
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Output tokens that are expected; steps of a service call.
+    pub output: u32,
+    /// Servers that were tried before.
+    pub tried: &'a [Name],
+}
+
+/// The servers that offer what the request needs, and who shares them.
+#[derive(Debug, Clone, Copy)]
+pub struct Fleet<'a> {
+    /// The servers; a choice is an index into them.
+    pub servers: &'a [Server],
+    /// Live routers, this one included.
+    pub routers: u32,
+    /// How to choose.
+    pub policy: Policy,
+    /// Counts this router's choices, for taking turns.
+    pub turn: u64,
+}
+
+/// Why a server was chosen, or none.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Reason {
+    /// It was predicted to finish first.
+    Soonest,
+    /// It was drawn although another one was predicted to finish first.
+    Drawn {
+        /// How much later it was predicted to finish.
+        later: Duration,
+    },
+    /// It holds part of the prompt, and without that another one was sooner.
+    Prefix {
+        /// Prompt tokens that it holds.
+        tokens: u32,
+    },
+    /// It was ejected and is tried with one request.
+    Probe,
+    /// A policy without prediction.
+    Policy(Policy),
+    /// Every usable server is at this router's limit.
+    Full {
+        /// How many are.
+        servers: u32,
+    },
+    /// Every server was tried before.
+    Tried,
+    /// No server may be used: all are leaving, fenced or ejected.
+    Unusable {
+        /// How many are leaving.
+        leaving: u32,
+        /// How many are ejected.
+        ejected: u32,
+    },
+    /// No server offers it.
+    Unknown,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Soonest => f.write_str("predicted to finish first"),
+            Self::Drawn { later } => {
+                write!(f, "drawn, {} ms behind the soonest", later.as_millis())
+            }
+            Self::Prefix { tokens } => write!(f, "soonest, holds {tokens} tokens of the prompt"),
+            Self::Probe => f.write_str("probe of an ejected server"),
+            Self::Policy(policy) => write!(f, "policy {policy:?}"),
+            Self::Full { servers } => write!(f, "{servers} servers at their limit"),
+            Self::Tried => f.write_str("every server was tried"),
+            Self::Unusable { leaving, ejected } => {
+                write!(f, "no usable server, {leaving} leaving, {ejected} ejected")
+            }
+            Self::Unknown => f.write_str("no server offers it"),
+        }
+    }
+}
+
+/// A chosen server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// Its index in the fleet.
+    pub server: usize,
+    /// Prompt tokens that it was taken to hold.
+    pub matched: u32,
+    /// When it is predicted to answer.
+    pub forecast: predict::Forecast,
+    /// Why it was chosen.
+    pub reason: Reason,
+}
+
+/// What to do with a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// Send it.
+    Go(Choice),
+    /// Keep it queued; a server will have room.
+    Wait(Reason),
+    /// No server can take it.
+    None(Reason),
+}
+
+/// Chooses a server for `job`.
+///
+/// `matched` tells how many prompt tokens the server at an index holds, `near`
+/// lists servers to look at besides the sample, and `dice` is a random number.
+pub fn choose(
+    fleet: &Fleet<'_>,
+    job: &Job<'_>,
+    matched: impl Fn(usize) -> u32,
+    near: &[usize],
+    dice: u64,
+    now: Instant,
+) -> Outcome {
+    let mut dice = dice::Dice::new(dice);
+    let mut tally = Tally::default();
+    let usable = |at: usize, tally: &mut Tally| tally.admits(fleet, job, at);
+    let chosen = match fleet.policy {
+        Policy::Predicted => {
+            let sample = pick::sample(fleet.servers.len(), near, &mut dice);
+            let open = sample.filter(|at| usable(*at, &mut tally));
+            let rated = open.map(|at| pick::rate(fleet, job, at, matched(at), now));
+            pick::draw(rated, &mut dice)
+        }
+        plain => {
+            let at = pick::plain(fleet, plain, &mut dice, |at| usable(at, &mut tally));
+            at.map(|at| {
+                let rated = pick::rate(fleet, job, at, matched(at), now);
+                rated.chosen(Reason::Policy(plain))
+            })
+        }
+    };
+    chosen.map_or_else(|| tally.outcome(), Outcome::Go)
+}
+
+/// How soon a request could be answered, for admission.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Sight {
+    /// The soonest usable server's forecast, whether or not it has room.
+    pub best: Option<predict::Forecast>,
+    /// Whether a usable server has room.
+    pub room: bool,
+}
+
+/// Looks for the soonest answer without choosing a server.
+pub fn look(
+    fleet: &Fleet<'_>,
+    job: &Job<'_>,
+    matched: impl Fn(usize) -> u32,
+    near: &[usize],
+    dice: u64,
+    now: Instant,
+) -> Sight {
+    let mut sight = Sight::default();
+    for at in pick::sample(fleet.servers.len(), near, &mut dice::Dice::new(dice)) {
+        let server = &fleet.servers[at];
+        if server.leaving || server.fenced || server.gate == Gate::Shut {
+            continue;
+        }
+        sight.room |= limit::has_room(server, job.priority, fleet.routers);
+        let told = predict::forecast(server, job, matched(at), fleet.routers, now);
+        if sight.best.is_none_or(|best| told.finish < best.finish) {
+            sight.best = Some(told);
+        }
+    }
+    sight
+}
+
+/// Why servers were passed over.
+#[derive(Debug, Default)]
+struct Tally {
+    full: u32,
+    tried: u32,
+    leaving: u32,
+    ejected: u32,
+}
+
+impl Tally {
+    /// Whether the server at `at` may take `job`; counts it where not.
+    fn admits(&mut self, fleet: &Fleet<'_>, job: &Job<'_>, at: usize) -> bool {
+        let server = &fleet.servers[at];
+        let count = if server.leaving || server.fenced {
+            &mut self.leaving
+        } else if server.gate == Gate::Shut {
+            &mut self.ejected
+        } else if job.tried.contains(&server.name) {
+            &mut self.tried
+        } else if !limit::has_room(server, job.priority, fleet.routers) {
+            &mut self.full
+        } else {
+            return true;
+        };
+        *count += 1;
+        false
+    }
+
+    /// What that means where no server is left.
+    fn outcome(&self) -> Outcome {
+        if self.full > 0 {
+            return Outcome::Wait(Reason::Full { servers: self.full });
+        }
+        if self.tried > 0 {
+            return Outcome::None(Reason::Tried);
+        }
+        if self.leaving + self.ejected > 0 {
+            return Outcome::None(Reason::Unusable {
+                leaving: self.leaving,
+                ejected: self.ejected,
+            });
+        }
+        Outcome::None(Reason::Unknown)
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/pick.rs
@@ -0,0 +1,159 @@
+//! Drawing one server of those that may be used.
+
+use std::time::Instant;
+
+use crate::route::dice::Dice;
+use crate::route::predict::{Forecast, forecast};
+use crate::route::server::Gate;
+use crate::route::{Choice, Fleet, Job, Policy, Reason, SCAN};
+
+/// How many of the soonest servers a draw is among.
+const FEW: usize = 4;
+
+/// How sharply a draw favours the sooner servers.
+const SHARPNESS: i32 = 8;
+
+/// A server with its prediction.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Rated {
+    at: usize,
+    matched: u32,
+    forecast: Forecast,
+    /// Seconds until the whole answer if it held nothing of the prompt.
+    bare: f64,
+    probe: bool,
+}
+
+impl Rated {
+    /// Turns it into the choice.
+    pub(super) fn chosen(self, reason: Reason) -> Choice {
+        Choice {
+            server: self.at,
+            matched: self.matched,
+            forecast: self.forecast,
+            reason,
+        }
+    }
+
+    fn finish(&self) -> f64 {
+        self.forecast.finish.as_secs_f64()
+    }
+}
+
+/// Indexes to look at: all, or `near` and a random sample.
+pub(super) fn sample<'a>(
+    len: usize,
+    near: &'a [usize],
+    dice: &mut Dice,
+) -> impl Iterator<Item = usize> + use<'a> {
+    let all = len <= SCAN;
+    let (start, stride) = if all {
+        (0, 1)
+    } else {
+        (dice.below(len), 1 + dice.below(len / SCAN))
+    };
+    let near = if all { &[] } else { near };
+    let spread = (0..len.min(SCAN)).map(move |i| (start + i * stride) % len);
+    near.iter()
+        .copied()
+        .filter(move |at| *at < len)
+        .chain(spread)
+}
+
+/// Predicts for the server at `at`.
+pub(super) fn rate(
+    fleet: &Fleet<'_>,
+    job: &Job<'_>,
+    at: usize,
+    matched: u32,
+    now: Instant,
+) -> Rated {
+    let server = &fleet.servers[at];
+    let forecast = forecast(server, job, matched, fleet.routers, now);
+    Rated {
+        at,
+        matched,
+        forecast,
+        bare: forecast.finish.as_secs_f64() + server.pace.prefill(matched.min(job.prompt)),
+        probe: server.gate == Gate::Probe,
+    }
+}
+
+/// Draws two of the soonest few in favour of the sooner ones, and takes the
+/// sooner of the two.
+pub(super) fn draw(rated: impl Iterator<Item = Rated>, dice: &mut Dice) -> Option<Choice> {
+    let mut few = [None::<Rated>; FEW];
+    for one in rated {
+        if one.probe {
+            return Some(one.chosen(Reason::Probe));
+        }
+        keep(&mut few, one);
+    }
+    let soonest = few[0]?;
+    let total: f64 = few.iter().flatten().map(|r| weight(&soonest, r)).sum();
+    let mut roll = || {
+        let mut mark = dice.unit() * total;
+        let hit = few.iter().flatten().position(|r| {
+            mark -= weight(&soonest, r);
+            mark < 0.0
+        });
+        hit.unwrap_or(0)
+    };
+    let at = roll().min(roll());
+    let drawn = few[at]?;
+    let reason = if at > 0 {
+        let later = drawn.forecast.finish - soonest.forecast.finish;
+        Reason::Drawn { later }
+    } else if drawn.matched > 0 && few[1].is_some_and(|next| next.finish() < drawn.bare) {
+        Reason::Prefix {
+            tokens: drawn.matched,
+        }
+    } else {
+        Reason::Soonest
+    };
+    Some(drawn.chosen(reason))
+}
+
+/// Keeps the soonest few, in order.
+fn keep(few: &mut [Option<Rated>; FEW], mut one: Rated) {
+    for place in few {
+        match place {
+            None => {
+                *place = Some(one);
+                return;
+            }
+            Some(held) if held.at == one.at => return,
+            Some(held) if one.finish() < held.finish() => std::mem::swap(held, &mut one),
+            Some(_) => {}
+        }
+    }
+}
+
+fn weight(soonest: &Rated, one: &Rated) -> f64 {
+    (soonest.finish() / one.finish().max(f64::EPSILON)).powi(SHARPNESS)
+}
+
+/// Chooses by a policy without prediction.
+pub(super) fn plain(
+    fleet: &Fleet<'_>,
+    policy: Policy,
+    dice: &mut Dice,
+    mut usable: impl FnMut(usize) -> bool,
+) -> Option<usize> {
+    let len = fleet.servers.len();
+    let from = match policy {
+        Policy::RoundRobin => (fleet.turn % len.max(1) as u64) as usize,
+        _ => dice.below(len),
+    };
+    let mut open = (0..len).map(|i| (from + i) % len).filter(|at| usable(*at));
+    let own = |at: &usize| fleet.servers[*at].own();
+    match policy {
+        Policy::LeastInFlight => open.min_by_key(own),
+        Policy::RandomOfTwo => {
+            let open: Vec<usize> = open.collect();
+            let mut one = || open.get(dice.below(open.len())).copied();
+            one().into_iter().chain(one()).min_by_key(own)
+        }
+        _ => open.next(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/server.rs
@@ -0,0 +1,267 @@
+//! What one router knows of one backend server.
+//!
+//! Its own requests in flight are exact. The load report covers all routers
+//! but lags, so it is corrected by what this router sent and saw end since the
+//! report was taken.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::id::Name;
+use crate::route::limit::Window;
+use crate::route::pace::Pace;
+use crate::sorted::SortedVec;
+
+/// Priorities that engines honour; 0 is the most urgent.
+pub const PRIORITIES: usize = 10;
+
+/// Slots assumed until the first load report.
+const SLOTS: u32 = 8;
+
+/// Own ends that are kept to correct the next load report.
+const ENDS: usize = 256;
+
+/// Whether health lets requests through.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Gate {
+    /// Requests may be sent.
+    #[default]
+    Open,
+    /// Ejected; one request at a time may probe it.
+    Probe,
+    /// Ejected; nothing may be sent.
+    Shut,
+}
+
+/// A load report, dated when the server took it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Report {
+    /// Requests that are being served.
+    pub running: u32,
+    /// Requests that wait inside the server.
+    pub waiting: u32,
+    /// Requests that can be served at a time.
+    pub slots: u32,
+    /// Time of one step.
+    pub step: Duration,
+    /// When it was taken: the receipt less its age.
+    pub taken: Instant,
+}
+
+/// One of this router's requests at a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Flight {
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// When it was sent.
+    pub sent: Instant,
+    /// Prompt tokens that were expected to be computed.
+    pub work: u32,
+    /// Output tokens that are still expected.
+    pub left: u32,
+    /// Whether a slot was expected to be free.
+    pub direct: bool,
+    /// When its newest token came.
+    pub heard: Option<Instant>,
+}
+
+/// How a request at a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Answered whole, with this many output tokens.
+    Done(u32),
+    /// Refused as full before it ran.
+    Full,
+    /// Anything else: refused otherwise, lost or cancelled.
+    Other,
+}
+
+/// A backend server as this router sees it.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Its name.
+    pub name: Name,
+    /// Its data centre.
+    pub centre: Name,
+    /// Round trip to it.
+    pub rtt: Duration,
+    /// Whether it said, or the host list says, that it is leaving.
+    pub leaving: bool,
+    /// Whether it refused this router's fencing number.
+    pub fenced: bool,
+    /// What health allows.
+    pub gate: Gate,
+    /// Share of the limit that refusals as full have left.
+    pub(crate) window: Window,
+    /// How fast it was seen to work.
+    pub(crate) pace: Pace,
+    flights: SortedVec<u64, Flight>,
+    ranks: [u32; PRIORITIES],
+    report: Option<Report>,
+    sent: u32,
+    ended: u32,
+    ends: VecDeque<(Instant, Instant)>,
+    expect: Option<Instant>,
+}
+
+impl Server {
+    /// A server that was not heard of before.
+    pub fn new(name: Name, centre: Name, rtt: Duration) -> Self {
+        Self {
+            name,
+            centre,
+            rtt,
+            leaving: false,
+            fenced: false,
+            gate: Gate::Open,
+            window: Window::default(),
+            pace: Pace::default(),
+            flights: SortedVec::new(),
+            ranks: [0; PRIORITIES],
+            report: None,
+            sent: 0,
+            ended: 0,
+            ends: VecDeque::new(),
+            expect: None,
+        }
+    }
+
+    /// Takes a load report in; one that is older than the last is dropped.
+    pub fn reported(&mut self, report: Report) {
+        if self.report.is_some_and(|last| last.taken > report.taken) {
+            return;
+        }
+        let after = |t: Instant| t > report.taken;
+        self.sent = self.flights.iter().filter(|(_, f)| after(f.sent)).count() as u32;
+        self.ends.retain(|(_, ended)| after(*ended));
+        let known = |(sent, _): &&(Instant, Instant)| !after(*sent);
+        self.ended = self.ends.iter().filter(known).count() as u32;
+        self.report = Some(report);
+    }
+
+    /// Notes that request `id` was sent.
+    pub fn dispatched(&mut self, id: u64, flight: Flight) {
+        if self.flights.is_empty() {
+            let first = self.pace.prefill(flight.work) + self.step().as_secs_f64();
+            let grace = Duration::from_secs_f64(2.0 * first) + self.rtt;
+            self.expect = Some(flight.sent + grace);
+        }
+        self.sent += 1;
+        self.ranks[rank(flight.priority)] += 1;
+        self.flights.insert(id, flight);
+    }
+
+    /// Notes that `tokens` of request `id` came.
+    pub fn progressed(&mut self, id: u64, tokens: u32, now: Instant) {
+        let step = self.step();
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        match flight.heard {
+            Some(last) => self.pace.saw_gap(now - last, tokens, now),
+            None if flight.direct => {
+                let busy = (now - flight.sent).saturating_sub(self.rtt + step);
+                self.pace.saw_prefill(flight.work, busy);
+            }
+            None => {}
+        }
+        flight.heard = Some(now);
+        flight.left = flight.left.saturating_sub(tokens).max(1);
+        self.expect = Some(now + step * 4);
+    }
+
+    /// Notes that request `id` ended.
+    pub fn ended(&mut self, id: u64, end: End, now: Instant) {
+        let Some(flight) = self.flights.remove(&id) else {
+            return;
+        };
+        self.ranks[rank(flight.priority)] -= 1;
+        self.note_end(flight.sent, now);
+        match end {
+            End::Done(output) => {
+                self.pace.saw_output(output);
+                self.window.grow();
+            }
+            End::Full => self.window.shrink(now),
+            End::Other => {}
+        }
+        if self.flights.is_empty() {
+            self.expect = None;
+        }
+    }
+
+    fn note_end(&mut self, sent: Instant, now: Instant) {
+        if self.report.is_some_and(|r| sent <= r.taken) {
+            self.ended += 1;
+        } else {
+            self.sent = self.sent.saturating_sub(1);
+        }
+        if self.ends.len() == ENDS {
+            self.ends.pop_front();
+        }
+        self.ends.push_back((sent, now));
+    }
+
+    /// This router's requests in flight.
+    pub fn own(&self) -> u32 {
+        self.flights.len() as u32
+    }
+
+    /// This router's requests in flight, by their identity.
+    pub fn flights(&self) -> impl Iterator<Item = (&u64, &Flight)> {
+        self.flights.iter()
+    }
+
+    /// The last load report.
+    pub fn report(&self) -> Option<&Report> {
+        self.report.as_ref()
+    }
+
+    /// Requests that can be served at a time.
+    pub fn slots(&self) -> u32 {
+        self.report.map_or(SLOTS, |r| r.slots.max(1))
+    }
+
+    /// Time of one step, the slower of reported and measured.
+    pub fn step(&self) -> Duration {
+        let told = self.report.map(|r| r.step);
+        self.pace.step(told)
+    }
+
+    /// Own requests sent, less those ended, since the load report was taken.
+    pub fn drift(&self) -> f64 {
+        f64::from(self.sent) - f64::from(self.ended)
+    }
+
+    /// Own requests sent since the load report was taken.
+    pub fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    /// Requests in the server as the load report had it, and at least own ones.
+    pub fn load(&self, echo: f64) -> f64 {
+        let told = self
+            .report
+            .map_or(0.0, |r| f64::from(r.running + r.waiting));
+        (told + echo * self.drift()).max(f64::from(self.own()))
+    }
+
+    /// Share of this router's requests that are at least as urgent.
+    ///
+    /// It stands for the share of all, as reports don't break requests down.
+    pub fn share(&self, priority: u8) -> f64 {
+        let ahead: u32 = self.ranks[..=rank(priority)].iter().sum();
+        f64::from(ahead + 1) / f64::from(self.own() + 1)
+    }
+
+    /// For how long the server has been silent beyond what was expected.
+    pub fn overdue(&self, now: Instant) -> Duration {
+        self.expect
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+}
+
+/// Index of a priority; what is out of range counts as least urgent.
+fn rank(priority: u8) -> usize {
+    usize::from(priority).min(PRIORITIES - 1)
+}
--- /dev/null
+++ b/crates/core/tests/queue.rs
@@ -0,0 +1,120 @@
+//! The queue is urgent first, fair between workspaces, and never late.
+
+use std::time::{Duration, Instant};
+
+use poplar_core::queue::{Entry, Full, Queue, Reason, priority_of};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn entry(id: u64, workspace: &str, priority: u8, now: Instant) -> Entry {
+    Entry {
+        id,
+        workspace: workspace.into(),
+        priority,
+        cost: 100,
+        pushed: now,
+        latest: now + MS * 1000,
+    }
+}
+
+fn pop(queue: &mut Queue, now: Instant) -> Option<u64> {
+    queue.pop(now, |_| true).map(|p| p.entry.id)
+}
+
+#[test]
+fn the_more_urgent_class_goes_first() {
+    let now = Instant::now();
+    let mut queue = Queue::new(100);
+    queue.push(entry(1, "club", 7, now)).unwrap();
+    queue.push(entry(2, "pen", 0, now)).unwrap();
+    assert_eq!(pop(&mut queue, now), Some(2));
+    assert_eq!(pop(&mut queue, now), Some(1));
+    assert_eq!(pop(&mut queue, now), None);
+}
+
+#[test]
+fn a_rush_of_one_workspace_leaves_the_others_their_turn() {
+    let now = Instant::now();
+    let mut queue = Queue::new(1000);
+    for id in 0..100 {
+        queue.push(entry(id, "rush", 3, now)).unwrap();
+    }
+    queue.push(entry(200, "quiet", 3, now)).unwrap();
+    assert_eq!(queue.ahead(3, "quiet", 100).tokens, 100 + 200);
+    let order: Vec<u64> = (0..4).filter_map(|_| pop(&mut queue, now)).collect();
+    assert!(order[..2].contains(&200), "{order:?}");
+}
+
+#[test]
+fn turns_are_by_tokens_and_not_by_requests() {
+    let now = Instant::now();
+    let mut queue = Queue::new(1000);
+    for id in 0..50 {
+        let large = Entry {
+            cost: 400,
+            ..entry(id, "large", 3, now)
+        };
+        queue.push(large).unwrap();
+        queue.push(entry(100 + id, "small", 3, now)).unwrap();
+    }
+    let order: Vec<u64> = (0..50).filter_map(|_| pop(&mut queue, now)).collect();
+    let large = order.iter().filter(|id| **id < 50).count();
+    assert!((9..=11).contains(&large), "{large} large ones of 50");
+}
+
+#[test]
+fn what_is_about_to_be_late_goes_before_what_has_time_to_spare() {
+    let now = Instant::now();
+    let mut queue = Queue::new(100);
+    queue.push(entry(1, "club", 7, now)).unwrap();
+    let later = now + MS * 800;
+    queue.push(entry(2, "pen", 0, later)).unwrap();
+    queue.push(entry(3, "pen", 0, later)).unwrap();
+    let popped = queue.pop(later, |_| true).unwrap();
+    assert_eq!((popped.entry.id, popped.reason), (1, Reason::Due));
+
+    queue.push(entry(4, "club", 7, now)).unwrap();
+    // The urgent ones have no more time to spare now.
+    assert_eq!(pop(&mut queue, later + MS * 300), Some(2));
+}
+
+#[test]
+fn nothing_late_is_popped_and_expire_returns_it() {
+    let now = Instant::now();
+    let mut queue = Queue::new(100);
+    queue.push(entry(1, "a", 3, now)).unwrap();
+    queue.push(entry(2, "b", 3, now + MS * 10)).unwrap();
+    let later = now + MS * 1001;
+    assert_eq!(pop(&mut queue, later), Some(2));
+    let late: Vec<u64> = queue.expire(later).iter().map(|e| e.id).collect();
+    assert_eq!(late, [1]);
+    assert!(queue.is_empty() && queue.expire(later).is_empty());
+}
+
+#[test]
+fn what_cannot_be_placed_is_left_and_others_go() {
+    let now = Instant::now();
+    let mut queue = Queue::new(100);
+    queue.push(entry(1, "a", 3, now)).unwrap();
+    let ticket = queue.push(entry(2, "b", 5, now)).unwrap();
+    let placed = queue.pop(now, |e| e.priority > 3).unwrap();
+    assert_eq!(placed.entry.id, 2);
+    assert!(queue.remove(ticket).is_none());
+    assert_eq!(queue.len(), 1);
+}
+
+#[test]
+fn no_workspace_fills_the_queue() {
+    let now = Instant::now();
+    let mut queue = Queue::new(100);
+    let refused = (0..200).find_map(|id| queue.push(entry(id, "rush", 3, now)).err());
+    assert_eq!(refused, Some(Full::Workspace { queued: 50 }));
+    queue.push(entry(300, "quiet", 3, now)).unwrap();
+}
+
+#[test]
+fn priorities_follow_the_target() {
+    let of = |ms: u64| priority_of(Duration::from_millis(ms));
+    let seen = [100, 500, 501, 1000, 2000, 30_000, 600_000].map(of);
+    assert_eq!(seen, [0, 0, 1, 1, 2, 6, 9]);
+}
--- /dev/null
+++ b/crates/core/tests/route.rs
@@ -0,0 +1,206 @@
+//! Routing sends to who is predicted to finish first, within limits.
+
+use std::time::{Duration, Instant};
+
+use poplar_core::id::Name;
+use poplar_core::route::server::{End, Flight, Gate, Report, Server};
+use poplar_core::route::{Fleet, Job, Outcome, Policy, Reason, choose, limit, look};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn job() -> Job<'static> {
+    Job {
+        priority: 2,
+        prompt: 400,
+        output: 100,
+        tried: &[],
+    }
+}
+
+fn report(running: u32, waiting: u32, taken: Instant) -> Report {
+    Report {
+        running,
+        waiting,
+        slots: 8,
+        step: MS * 6,
+        taken,
+    }
+}
+
+fn flight(sent: Instant) -> Flight {
+    Flight {
+        priority: 2,
+        sent,
+        work: 400,
+        left: 100,
+        direct: true,
+        heard: None,
+    }
+}
+
+fn servers(count: usize, now: Instant) -> Vec<Server> {
+    let name = |i: usize| -> Name { format!("e{i}").into() };
+    let mut all: Vec<Server> = (0..count)
+        .map(|i| Server::new(name(i), "nbo-a".into(), MS))
+        .collect();
+    for server in &mut all {
+        server.reported(report(0, 0, now));
+    }
+    all
+}
+
+fn fleet(servers: &[Server]) -> Fleet<'_> {
+    Fleet {
+        servers,
+        routers: 1,
+        policy: Policy::Predicted,
+        turn: 0,
+    }
+}
+
+fn chosen(servers: &[Server], dice: u64, now: Instant) -> Option<usize> {
+    match choose(&fleet(servers), &job(), |_| 0, &[], dice, now) {
+        Outcome::Go(choice) => Some(choice.server),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_busy_a_slow_and_a_silent_server_are_passed_over_mostly() {
+    let now = Instant::now();
+    let mut all = servers(4, now);
+    all[0].reported(report(8, 8, now));
+    all[1].reported(Report {
+        step: MS * 60,
+        ..report(0, 0, now)
+    });
+    all[2].dispatched(1, flight(now));
+    let later = now + MS * 4000;
+    let hits = (0..1000).filter(|dice| chosen(&all, *dice, later) == Some(3));
+    assert!(hits.count() > 950);
+}
+
+#[test]
+fn equal_servers_are_all_chosen_in_turn_of_the_dice() {
+    let now = Instant::now();
+    let all = servers(4, now);
+    for at in 0..4 {
+        let hits = (0..1000).filter(|dice| chosen(&all, *dice, now) == Some(at));
+        assert!(hits.count() > 50, "server {at}");
+    }
+}
+
+#[test]
+fn a_held_prefix_wins_and_is_the_reason() {
+    let now = Instant::now();
+    let all = servers(2, now);
+    let long = Job {
+        prompt: 40_000,
+        output: 10,
+        ..job()
+    };
+    let held = |at: usize| if at == 1 { 39_000 } else { 0 };
+    let outcome = choose(&fleet(&all), &long, held, &[], 7, now);
+    let Outcome::Go(choice) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(choice.server, 1);
+    assert_eq!(choice.reason, Reason::Prefix { tokens: 39_000 });
+}
+
+#[test]
+fn nothing_goes_to_a_server_that_may_not_be_used() {
+    let now = Instant::now();
+    let mut all = servers(5, now);
+    all[0].leaving = true;
+    all[1].fenced = true;
+    all[2].gate = Gate::Shut;
+    let tried = [all[3].name.clone()];
+    let again = Job {
+        tried: &tried,
+        ..job()
+    };
+    for dice in 0..200 {
+        let outcome = choose(&fleet(&all), &again, |_| 0, &[], dice, now);
+        assert!(matches!(outcome, Outcome::Go(c) if c.server == 4));
+    }
+    all[4].leaving = true;
+    let outcome = choose(&fleet(&all), &again, |_| 0, &[], 1, now);
+    assert_eq!(outcome, Outcome::None(Reason::Tried));
+    let outcome = choose(&fleet(&all[..3]), &job(), |_| 0, &[], 1, now);
+    let reason = Reason::Unusable {
+        leaving: 2,
+        ejected: 1,
+    };
+    assert_eq!(outcome, Outcome::None(reason));
+    assert!(
+        look(&fleet(&all[..3]), &job(), |_| 0, &[], 1, now)
+            .best
+            .is_none()
+    );
+}
+
+#[test]
+fn an_ejected_server_is_probed_by_one_request_at_a_time() {
+    let now = Instant::now();
+    let mut all = servers(2, now);
+    all[0].gate = Gate::Probe;
+    let outcome = choose(&fleet(&all), &job(), |_| 0, &[], 1, now);
+    assert!(matches!(outcome, Outcome::Go(c) if c.reason == Reason::Probe));
+    all[0].dispatched(1, flight(now));
+    assert_eq!(chosen(&all, 1, now), Some(1));
+}
+
+#[test]
+fn the_load_report_is_corrected_by_own_dispatches_and_ends() {
+    let now = Instant::now();
+    let mut server = servers(1, now).remove(0);
+    for id in 0..3 {
+        server.dispatched(id, flight(now + MS * (id as u32 + 1)));
+    }
+    server.ended(0, End::Done(100), now + MS * 5);
+    assert_eq!(server.load(1.0), 2.0);
+    // Taken after the first two were sent and before the first one ended.
+    server.reported(report(5, 1, now + MS * 2));
+    assert_eq!(server.load(1.0), 6.0 + 1.0 - 1.0);
+    // An older report changes nothing.
+    server.reported(report(0, 0, now));
+    assert_eq!(server.load(1.0), 6.0);
+}
+
+#[test]
+fn refusals_as_full_narrow_the_limit_and_answers_widen_it() {
+    let now = Instant::now();
+    let mut server = servers(1, now).remove(0);
+    let before = limit::own_limit(&server, 0, 1);
+    server.dispatched(1, flight(now));
+    server.ended(1, End::Full, now);
+    let cut = limit::own_limit(&server, 0, 1);
+    assert!(cut < before, "{cut} after {before}");
+    for id in 0..100 {
+        server.dispatched(id, flight(now));
+        server.ended(id, End::Done(100), now);
+    }
+    assert_eq!(limit::own_limit(&server, 0, 1), before);
+}
+
+#[test]
+fn routers_that_act_on_one_report_over_commit_by_a_bounded_number() {
+    let now = Instant::now();
+    let routers = 9;
+    for load in [0, 3, 7, 8, 20] {
+        let mut total = load;
+        for _ in 0..routers {
+            let mut server = servers(1, now).remove(0);
+            server.reported(report(load, 0, now));
+            let mut id = 0;
+            while limit::has_room(&server, 0, routers) {
+                server.dispatched(id, flight(now + MS));
+                id += 1;
+            }
+            total += id as u32;
+        }
+        // Each may take its part of the cap of 10, rounded to one.
+        assert!(total <= load.max(10) + 2 * routers, "{load}: {total}");
+    }
+}
