Say that a prefix decided between servers that are alike

With two servers alike the one without the prefix finishes exactly when the other would without its match, so the comparison has to include equality.

--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -104,7 +104,7 @@
     let reason = if at > 0 {
         let later = drawn.forecast.finish - soonest.forecast.finish;
         Reason::Drawn { later }
-    } else if drawn.matched > 0 && few[1].is_some_and(|next| next.finish() < drawn.bare) {
+    } else if drawn.matched > 0 && few[1].is_some_and(|next| next.finish() <= drawn.bare) {
         Reason::Prefix {
             tokens: drawn.matched,
         }
