--- a/crates/core/src/bill.rs
+++ b/crates/core/src/bill.rs
@@ -100,8 +100,7 @@
 ///
 /// It is written at the changes of stage only. Every other write of the
 /// incarnation relies on its version, and so fails once the row is sealed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouterRow {
     /// Address of its peer service.
     pub address: Name,
@@ -119,8 +118,7 @@
 }
 
 /// What one incarnation has durably billed; key `billing/<incarnation>`.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BillingRow {
     /// Name of its newest batch of bills.
     pub head: Option<Name>,
--- /dev/null
+++ b/crates/router/src/admin.rs
@@ -0,0 +1,185 @@
+//! Admin pages: health, metrics and queries, on a listener of their own.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde::Serialize;
+use viz::{IntoResponse, Request, RequestExt, Response, Router, StatusCode};
+
+use poplar_core::id::Name;
+
+use crate::state::State;
+
+/// The routes of the admin pages.
+pub fn routes(state: &Arc<State>, metrics: PrometheusHandle) -> Router {
+    let ready = query(state, |state, _| {
+        if state.is_ready() {
+            "ready".into_response()
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready").into_response()
+        }
+    });
+    let metrics = query(state, move |state, _| {
+        crate::metrics::refresh(state);
+        metrics.render().into_response()
+    });
+    let drain = query(state, |state, _| {
+        state.drain();
+        "draining".into_response()
+    });
+    Router::new()
+        .get("/healthz", query(state, |_, _| "ok".into_response()))
+        .get("/readyz", ready)
+        .get("/metrics", metrics)
+        .post("/v1/drain", drain)
+        .get("/v1/status", query(state, |s, _| json(status(s))))
+        .get("/v1/budgets", query(state, |s, _| json(budgets(s))))
+        .get("/v1/backends", query(state, |s, _| json(backends(s))))
+        .get("/v1/burn", query(state, |s, _| json(s.burn.page())))
+        .get("/v1/explain/:id", query(state, explain))
+}
+
+fn query<F>(
+    state: &Arc<State>,
+    answer: F,
+) -> impl Fn(Request) -> std::future::Ready<viz::Result<Response>> + Clone + use<F>
+where
+    F: Fn(&Arc<State>, &Request) -> Response + Clone + Send + Sync + 'static,
+{
+    let state = state.clone();
+    move |request| std::future::ready(Ok(answer(&state, &request)))
+}
+
+fn json(page: impl Serialize + Send) -> Response {
+    viz::types::Json(page).into_response()
+}
+
+fn status(state: &Arc<State>) -> StatusPage {
+    let now = Instant::now();
+    StatusPage {
+        incarnation: state.me.0.clone(),
+        centre: state.settings.centre.clone(),
+        generation: state.config().generation,
+        ready: state.is_ready(),
+        draining: state.is_draining(),
+        sealed: state.is_sealed(),
+        streams: state.open.count(),
+        queued: state.dispatch.queued(),
+        bills: state.biller.waiting(),
+        peers: state.peers.page(now),
+    }
+}
+
+fn budgets(state: &Arc<State>) -> BudgetsPage {
+    let holdings = state.bank.holdings().into_iter();
+    let budgets = holdings.map(|(budget, holding)| BudgetWire {
+        budget,
+        held: holding.held,
+        spent: holding.spent,
+        reserved: holding.reserved,
+        lost: holding.lost,
+        free: holding.free(),
+    });
+    BudgetsPage {
+        budgets: budgets.collect(),
+    }
+}
+
+fn backends(state: &Arc<State>) -> BackendsPage {
+    let backends = state.dispatch.seen().into_iter().map(|seen| BackendWire {
+        name: seen.name,
+        address: seen.address.to_string(),
+        centre: seen.centre,
+        role: if seen.engine { "engine" } else { "service" },
+        serves: seen.serves,
+        leaving: seen.leaving,
+        ejected: seen.ejected,
+        in_flight: seen.flying,
+        reason: match (seen.leaving, seen.ejected) {
+            (true, _) => "leaving",
+            (_, true) => "ejected",
+            _ => "open",
+        },
+    });
+    BackendsPage {
+        backends: backends.collect(),
+    }
+}
+
+fn explain(state: &Arc<State>, request: &Request) -> Response {
+    let Ok(id) = request.param::<String>("id") else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let events = state.journal.explain(&id).into_iter();
+    json(ExplainPage {
+        events: events
+            .map(|event| EventWire {
+                at_ms: event.at_ms,
+                step: event.step,
+                reason: event.reason,
+            })
+            .collect(),
+        id,
+    })
+}
+
+#[derive(Debug, Serialize)]
+struct StatusPage {
+    incarnation: Name,
+    centre: Name,
+    generation: u64,
+    ready: bool,
+    draining: bool,
+    sealed: bool,
+    streams: usize,
+    queued: usize,
+    bills: usize,
+    peers: Vec<crate::peers::PeerWire>,
+}
+
+#[derive(Debug, Serialize)]
+struct BudgetsPage {
+    budgets: Vec<BudgetWire>,
+}
+
+#[derive(Debug, Serialize)]
+struct BudgetWire {
+    budget: Name,
+    held: u64,
+    spent: u64,
+    reserved: u64,
+    lost: u64,
+    free: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct BackendsPage {
+    backends: Vec<BackendWire>,
+}
+
+#[derive(Debug, Serialize)]
+struct BackendWire {
+    name: Name,
+    address: String,
+    centre: Name,
+    role: &'static str,
+    serves: Name,
+    leaving: bool,
+    ejected: bool,
+    in_flight: u32,
+    reason: &'static str,
+}
+
+#[derive(Debug, Serialize)]
+struct ExplainPage {
+    id: String,
+    events: Vec<EventWire>,
+}
+
+#[derive(Debug, Serialize)]
+struct EventWire {
+    at_ms: u64,
+    step: &'static str,
+    reason: String,
+}
--- /dev/null
+++ b/crates/router/src/backends/dispatch.rs
@@ -0,0 +1,321 @@
+//! Queues requests and sends each to the backend server that was chosen.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use poplar_base::platform::{Host, Role};
+use poplar_core::id::Name;
+use poplar_core::queue::Ticket;
+use poplar_core::route::server::{End, Gate, Report};
+use poplar_core::route::{Job, Policy};
+use poplar_core::sorted::SortedVec;
+
+use super::pool::{Pool, Slot};
+use crate::flow::request::Chat;
+use crate::refusal::{Code, Refusal};
+use crate::settings::Settings;
+use crate::sync::lock;
+
+/// Bytes of prompt to a token, for predictions only.
+const TOKEN_BYTES: usize = 4;
+/// When to come back where no backend server offers the model or service.
+const NONE_AFTER: Duration = Duration::from_secs(2);
+
+/// What a pool offers: a model of engines, or a service.
+type Key = (bool, Name);
+
+/// A request as dispatch sees it.
+#[derive(Debug, Clone)]
+pub struct Work {
+    /// Its class.
+    pub class: Name,
+    /// The model or service it needs.
+    pub serves: Name,
+    /// Whether model engines serve it, not plain services.
+    pub engine: bool,
+    /// Whose it is.
+    pub workspace: Name,
+    /// 0 is most urgent.
+    pub priority: u8,
+    /// The prompt; empty for service calls.
+    pub prompt: String,
+    /// Cap on output in tokens; 1 for service calls.
+    pub output: u32,
+    /// Target of the first token.
+    pub first: Option<Duration>,
+    /// Target of the whole answer.
+    pub finish: Duration,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// Servers that were tried.
+    pub tried: Vec<Name>,
+    /// Hash of its content, to know it again when it crashes servers.
+    pub print: u64,
+}
+
+impl Work {
+    /// Prompt tokens, as far as they can be told.
+    pub(super) fn tokens(&self) -> u32 {
+        self.prompt.len().div_ceil(TOKEN_BYTES) as u32
+    }
+
+    pub(super) fn job(&self, output: u32) -> Job<'_> {
+        Job {
+            priority: self.priority,
+            prompt: self.tokens(),
+            output,
+            tried: &self.tried,
+        }
+    }
+}
+
+/// How a request at a backend server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// Whole, with this many output tokens.
+    Whole(u64),
+    /// No connection was made.
+    Unreachable,
+    /// Lost after it was sent.
+    Lost,
+    /// Refused as leaving.
+    Leaving,
+    /// Refused as full.
+    Full,
+    /// Refused for its fencing number.
+    Fenced,
+    /// Cancelled by the router.
+    Cancelled,
+}
+
+/// A backend server as the admin page shows it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// Its name.
+    pub name: Name,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub centre: Name,
+    /// Whether it is a model engine.
+    pub engine: bool,
+    /// What it offers.
+    pub serves: Name,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether health keeps requests off it.
+    pub ejected: bool,
+    /// This router's requests in flight there.
+    pub flying: u32,
+}
+
+/// Pools of backend servers by what they offer.
+#[derive(Debug)]
+pub struct Dispatch {
+    pools: Mutex<SortedVec<Key, Pool>>,
+    routers: AtomicU32,
+    centre: Name,
+    policy: Policy,
+}
+
+impl Dispatch {
+    /// Opens a dispatch that knows no backend server yet.
+    pub fn open(settings: &Settings) -> Self {
+        Self {
+            pools: Mutex::default(),
+            routers: AtomicU32::new(1),
+            centre: settings.centre.clone(),
+            policy: settings.backends.policy,
+        }
+    }
+
+    /// Sets how many live routers share the backend servers.
+    pub fn shared_by(&self, routers: u32) {
+        self.routers.store(routers.max(1), Ordering::Relaxed);
+    }
+
+    fn routers(&self) -> u32 {
+        self.routers.load(Ordering::Relaxed)
+    }
+
+    /// Hash of a request's content.
+    pub fn print(&self, chat: &Chat) -> u64 {
+        xxhash_rust::xxh3::xxh3_64(chat.prompt().as_bytes())
+    }
+
+    /// Takes a new host list over.
+    pub fn listed(&self, hosts: &[Host], now: Instant) {
+        let mut pools = lock(&self.pools);
+        for host in hosts {
+            let key = (host.role == Role::Engine, host.serves.clone());
+            pools.entry(key, || Pool::new(self.policy));
+        }
+        for ((engine, serves), pool) in pools.iter_mut() {
+            let mine = |h: &&Host| (h.role == Role::Engine) == *engine && h.serves == *serves;
+            let hosts: Vec<&Host> = hosts.iter().filter(mine).collect();
+            pool.listed(&hosts, &self.centre);
+            pool.pump(self.routers(), rand::random, now);
+        }
+    }
+
+    /// Takes a load report over.
+    pub fn reported(&self, key: &Key, name: &str, report: Report, leaving: bool, now: Instant) {
+        if let Some(pool) = lock(&self.pools).get_mut(key) {
+            pool.reported(name, report, leaving);
+            pool.pump(self.routers(), rand::random, now);
+        }
+    }
+
+    /// Refuses what has waited too long, and sends what can go.
+    pub fn tick(&self, now: Instant) {
+        for (_, pool) in lock(&self.pools).iter_mut() {
+            pool.pump(self.routers(), rand::random, now);
+        }
+    }
+
+    /// Every backend server, for the admin page and for polling.
+    pub fn seen(&self) -> Vec<Seen> {
+        let mut all = Vec::new();
+        for ((engine, serves), pool) in lock(&self.pools).iter() {
+            all.extend(pool.servers().map(|(server, address)| Seen {
+                name: server.name.clone(),
+                address: *address,
+                centre: server.centre.clone(),
+                engine: *engine,
+                serves: serves.clone(),
+                leaving: server.leaving,
+                ejected: server.gate != Gate::Open,
+                flying: server.own(),
+            }));
+        }
+        all
+    }
+
+    /// Requests queued in all pools.
+    pub fn queued(&self) -> usize {
+        lock(&self.pools).iter().map(|(_, p)| p.queued()).sum()
+    }
+
+    /// Waits for the turn of `work` and chooses its server.
+    ///
+    /// # Errors
+    /// A refusal, at once, where it can't finish on time or nothing serves it.
+    pub async fn place(self: &Arc<Self>, work: Work) -> Result<Placed, Refusal> {
+        let key = (work.engine, work.serves.clone());
+        let class = work.class.clone();
+        let now = Instant::now();
+        let (ticket, receiver) = {
+            let mut pools = lock(&self.pools);
+            let Some(pool) = pools.get_mut(&key) else {
+                return Err(Refusal::new(Code::NoBackend).after(NONE_AFTER));
+            };
+            let pushed = pool.push(work, self.routers(), rand::random(), now)?;
+            pool.pump(self.routers(), rand::random, now);
+            pushed
+        };
+        let mut queued = Queued {
+            dispatch: self,
+            key: key.clone(),
+            ticket: Some(ticket),
+        };
+        let slot = receiver.await;
+        queued.ticket = None;
+        let slot = slot.map_err(|_| Refusal::new(Code::NoBackend).after(NONE_AFTER))??;
+        Ok(Placed::new(self.clone(), key, class, slot))
+    }
+
+    fn ended(&self, placed: &Placed, ended: Ended, now: Instant) {
+        let mut pools = lock(&self.pools);
+        let Some(pool) = pools.get_mut(&placed.key) else {
+            return;
+        };
+        if let Ended::Whole(output) = ended {
+            pool.learn(&placed.class, output);
+        }
+        if let Some(server) = pool.server(&placed.server) {
+            let end = match ended {
+                Ended::Whole(output) => End::Done(output as u32),
+                Ended::Full => End::Full,
+                _ => End::Other,
+            };
+            server.ended(placed.flight, end, now);
+            server.leaving |= ended == Ended::Leaving;
+            server.fenced |= ended == Ended::Fenced;
+        }
+        pool.pump(self.routers(), rand::random, now);
+    }
+}
+
+/// Takes a request off the queue where its task ends before its turn.
+struct Queued<'a> {
+    dispatch: &'a Dispatch,
+    key: Key,
+    ticket: Option<Ticket>,
+}
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket else {
+            return;
+        };
+        if let Some(pool) = lock(&self.dispatch.pools).get_mut(&self.key) {
+            pool.forget(ticket);
+        }
+    }
+}
+
+/// A request at its backend server; dropped, it counts as cancelled.
+#[derive(Debug)]
+pub struct Placed {
+    /// The server's name.
+    pub server: Name,
+    /// The server's address.
+    pub address: SocketAddr,
+    /// Why it was chosen.
+    pub reason: String,
+    dispatch: Arc<Dispatch>,
+    key: Key,
+    class: Name,
+    flight: u64,
+    over: bool,
+}
+
+impl Placed {
+    fn new(dispatch: Arc<Dispatch>, key: Key, class: Name, slot: Slot) -> Self {
+        Self {
+            server: slot.name,
+            address: slot.address,
+            reason: slot.reason,
+            dispatch,
+            key,
+            class,
+            flight: slot.flight,
+            over: false,
+        }
+    }
+
+    /// Notes that `tokens` came.
+    pub fn progressed(&self, tokens: u32, now: Instant) {
+        let mut pools = lock(&self.dispatch.pools);
+        let pool = pools.get_mut(&self.key);
+        if let Some(server) = pool.and_then(|p| p.server(&self.server)) {
+            server.progressed(self.flight, tokens, now);
+        }
+    }
+
+    /// Notes how it ended; the first word counts.
+    pub fn end(&mut self, ended: Ended, now: Instant) {
+        if !self.over {
+            self.over = true;
+            self.dispatch.clone().ended(self, ended, now);
+        }
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        self.end(Ended::Cancelled, Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/router/src/backends/pool.rs
@@ -0,0 +1,310 @@
+//! The backend servers that offer one model or service, and their queue.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use poplar_base::platform::Host;
+use poplar_core::admit::{self, Drain, Outlook, Targets, Verdict};
+use poplar_core::id::Name;
+use poplar_core::queue::{Entry, Queue, Ticket};
+use poplar_core::route::server::{End, Flight, Report, Server};
+use poplar_core::route::{self, Fleet, Outcome, Policy};
+use poplar_core::sorted::SortedVec;
+use tokio::sync::oneshot;
+
+use super::dispatch::Work;
+use crate::refusal::{Code, Refusal};
+
+/// Requests queued for one pool at the most.
+const QUEUED_MOST: usize = 4096;
+/// Round trip assumed within a data centre, and to another one.
+const NEAR: Duration = Duration::from_micros(500);
+const FAR: Duration = Duration::from_millis(3);
+/// Weight of the newest answer in a class's mean length.
+const NEWEST: f64 = 0.05;
+/// Tokens of output expected of a class that was never seen, as part of its cap.
+const UNSEEN: f64 = 0.25;
+/// When to come back after waiting in the queue was in vain.
+const EXPIRED_AFTER: Duration = Duration::from_secs(2);
+
+/// A server the request may go to.
+#[derive(Debug, Clone)]
+pub(super) struct Slot {
+    pub(super) name: Name,
+    pub(super) address: SocketAddr,
+    pub(super) flight: u64,
+    pub(super) reason: String,
+}
+
+/// A request that waits for its server.
+#[derive(Debug)]
+struct Waiter {
+    work: Work,
+    output: u32,
+    sender: oneshot::Sender<Result<Slot, Refusal>>,
+}
+
+/// Servers with their addresses, and the queue for them.
+#[derive(Debug)]
+pub(super) struct Pool {
+    servers: Vec<Server>,
+    addresses: Vec<SocketAddr>,
+    queue: Queue,
+    waiters: SortedVec<u64, Waiter>,
+    drain: Drain,
+    outputs: SortedVec<Name, f64>,
+    turn: u64,
+    next: u64,
+    policy: Policy,
+}
+
+impl Pool {
+    pub(super) fn new(policy: Policy) -> Self {
+        Self {
+            servers: Vec::new(),
+            addresses: Vec::new(),
+            queue: Queue::new(QUEUED_MOST),
+            waiters: SortedVec::new(),
+            drain: Drain::default(),
+            outputs: SortedVec::new(),
+            turn: 0,
+            next: 0,
+            policy,
+        }
+    }
+
+    /// Takes the host list over: new servers, changed ones, and gone ones.
+    pub(super) fn listed(&mut self, hosts: &[&Host], centre: &str) {
+        for host in hosts {
+            let known = self.servers.iter().position(|s| s.name == host.name);
+            let at = known.unwrap_or_else(|| {
+                let rtt = if *host.centre == *centre { NEAR } else { FAR };
+                let server = Server::new(host.name.clone(), host.centre.clone(), rtt);
+                self.servers.push(server);
+                self.addresses.push(host.address);
+                self.servers.len() - 1
+            });
+            if self.addresses[at] != host.address {
+                // The name came back on another host: nothing known holds.
+                self.addresses[at] = host.address;
+                self.servers[at].fenced = false;
+                self.servers[at].leaving = false;
+            }
+            if host.leaving {
+                self.servers[at].leaving = true;
+            }
+        }
+        let gone = |s: &Server| hosts.iter().all(|h| h.name != s.name);
+        for server in self.servers.iter_mut().filter(|s| gone(s)) {
+            server.leaving = true;
+        }
+        let mut at = 0;
+        while at < self.servers.len() {
+            if gone(&self.servers[at]) && self.servers[at].own() == 0 {
+                self.servers.remove(at);
+                self.addresses.remove(at);
+            } else {
+                at += 1;
+            }
+        }
+    }
+
+    pub(super) fn server(&mut self, name: &str) -> Option<&mut Server> {
+        self.servers.iter_mut().find(|s| *s.name == *name)
+    }
+
+    pub(super) fn servers(&self) -> impl Iterator<Item = (&Server, &SocketAddr)> {
+        self.servers.iter().zip(&self.addresses)
+    }
+
+    pub(super) fn reported(&mut self, name: &str, report: Report, leaving: bool) {
+        if let Some(server) = self.server(name) {
+            server.reported(report);
+            server.leaving |= leaving;
+        }
+    }
+
+    /// Output that an answer of this class may be expected to have.
+    fn expected(&self, class: &Name, cap: u32) -> u32 {
+        let mean = self.outputs.get(class).copied();
+        let mean = mean.unwrap_or(f64::from(cap) * UNSEEN);
+        (mean as u32).clamp(1, cap.max(1))
+    }
+
+    pub(super) fn learn(&mut self, class: &Name, output: u64) {
+        let mean = self.outputs.entry(class.clone(), || output as f64);
+        *mean += NEWEST * (output as f64 - *mean);
+    }
+
+    /// Queues a request, or refuses what can't finish on time.
+    pub(super) fn push(
+        &mut self,
+        work: Work,
+        routers: u32,
+        dice: u64,
+        now: Instant,
+    ) -> Result<(Ticket, oneshot::Receiver<Result<Slot, Refusal>>), Refusal> {
+        let output = self.expected(&work.class, work.output);
+        let latest = self.admitted(&work, output, routers, dice, now)?;
+        let (sender, receiver) = oneshot::channel();
+        let id = self.next;
+        self.next += 1;
+        let entry = Entry {
+            id,
+            workspace: work.workspace.clone(),
+            priority: work.priority,
+            cost: work.tokens().saturating_add(output),
+            pushed: now,
+            latest,
+        };
+        let ticket = self.queue.push(entry).map_err(|full| {
+            let refusal = Refusal::new(Code::Overloaded).detail(full);
+            refusal.after(EXPIRED_AFTER)
+        })?;
+        let waiter = Waiter {
+            work,
+            output,
+            sender,
+        };
+        self.waiters.insert(id, waiter);
+        Ok((ticket, receiver))
+    }
+
+    fn admitted(
+        &self,
+        work: &Work,
+        output: u32,
+        routers: u32,
+        dice: u64,
+        now: Instant,
+    ) -> Result<Instant, Refusal> {
+        let fleet = self.fleet(routers);
+        let job = work.job(output);
+        let sight = route::look(&fleet, &job, |_| 0, &[], dice, now);
+        let cost = work.tokens().saturating_add(output);
+        let outlook = Outlook {
+            ahead: self.queue.ahead(work.priority, &work.workspace, cost),
+            rate: self.drain.rate(now),
+            best: sight.best,
+            room: sight.room,
+            gone: now.saturating_duration_since(work.arrived),
+        };
+        let targets = Targets {
+            first: work.first,
+            finish: work.finish,
+        };
+        match admit::admit(targets, &outlook, dice, now) {
+            Verdict::Accept { latest, .. } => Ok(latest),
+            Verdict::Refuse {
+                code,
+                retry_after,
+                reason,
+            } => {
+                let code = match code {
+                    admit::Code::NoBackend => Code::NoBackend,
+                    admit::Code::TooLong => Code::TooLong,
+                    admit::Code::Overloaded => Code::Overloaded,
+                };
+                let mut refusal = Refusal::new(code).detail(reason);
+                refusal.after = retry_after;
+                Err(refusal)
+            }
+        }
+    }
+
+    fn fleet(&self, routers: u32) -> Fleet<'_> {
+        Fleet {
+            servers: &self.servers,
+            routers,
+            policy: self.policy,
+            turn: self.turn,
+        }
+    }
+
+    /// Sends queued requests off while servers have room for them.
+    pub(super) fn pump(&mut self, routers: u32, mut dice: impl FnMut() -> u64, now: Instant) {
+        loop {
+            let mut choice = None;
+            let fleet = Fleet {
+                servers: &self.servers,
+                routers,
+                policy: self.policy,
+                turn: self.turn,
+            };
+            let waiters = &self.waiters;
+            let popped = self.queue.pop(now, |entry| {
+                let Some(waiter) = waiters.get(&entry.id) else {
+                    return true;
+                };
+                let job = waiter.work.job(waiter.output);
+                match route::choose(&fleet, &job, |_| 0, &[], dice(), now) {
+                    Outcome::Go(chosen) => {
+                        choice = Some(chosen);
+                        true
+                    }
+                    Outcome::Wait(_) | Outcome::None(_) => false,
+                }
+            });
+            let Some(popped) = popped else {
+                break;
+            };
+            let waiter = self.waiters.remove(&popped.entry.id);
+            if let (Some(waiter), Some(choice)) = (waiter, choice) {
+                self.send(waiter, &popped.entry, &choice, now);
+            }
+        }
+        self.expire(now);
+    }
+
+    fn send(&mut self, waiter: Waiter, entry: &Entry, choice: &route::Choice, now: Instant) {
+        self.turn += 1;
+        self.drain.sent(entry.cost, now);
+        let server = &mut self.servers[choice.server];
+        let flight = Flight {
+            priority: entry.priority,
+            sent: now,
+            work: waiter.work.tokens().saturating_sub(choice.matched),
+            left: waiter.output,
+            direct: server.own() < server.slots(),
+            heard: None,
+        };
+        server.dispatched(entry.id, flight);
+        let slot = Slot {
+            name: server.name.clone(),
+            address: self.addresses[choice.server],
+            flight: entry.id,
+            reason: format!(
+                "{}, first in {} ms, whole in {} ms",
+                choice.reason,
+                choice.forecast.first.as_millis(),
+                choice.forecast.finish.as_millis()
+            ),
+        };
+        if waiter.sender.send(Ok(slot)).is_err() {
+            // The request is gone; nothing was sent.
+            self.servers[choice.server].ended(entry.id, End::Other, now);
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        for entry in self.queue.expire(now) {
+            if let Some(waiter) = self.waiters.remove(&entry.id) {
+                let refusal = Refusal::new(Code::Overloaded)
+                    .detail("it waited in the queue in vain")
+                    .after(EXPIRED_AFTER);
+                let _ = waiter.sender.send(Err(refusal));
+            }
+        }
+    }
+
+    /// Takes a request out of the queue whose task is gone.
+    pub(super) fn forget(&mut self, ticket: Ticket) {
+        if let Some(entry) = self.queue.remove(ticket) {
+            self.waiters.remove(&entry.id);
+        }
+    }
+
+    pub(super) fn queued(&self) -> usize {
+        self.queue.len()
+    }
+}
--- a/crates/router/src/budget/bank.rs
+++ b/crates/router/src/budget/bank.rs
@@ -94,7 +94,8 @@
     pub fn holdings(&self) -> Vec<(Name, Holding)> {
         let tables = lock(&self.tables);
         let all = tables.ledger.holdings();
-        all.map(|(name, holding)| (name.clone(), *holding)).collect()
+        all.map(|(name, holding)| (name.clone(), *holding))
+            .collect()
     }
 
     /// Reserves `worst` tokens, drawing more where too little is held.
@@ -166,7 +167,9 @@
         let free = tables.ledger.holding(budget).free();
         let account = tables.account(budget, now);
         let wanted = wanted(&self.settings, account.rate.per_second(now));
-        let quiet = account.refused.is_some_and(|(at, _)| now.duration_since(at) < MEMORY);
+        let quiet = account
+            .refused
+            .is_some_and(|(at, _)| now.duration_since(at) < MEMORY);
         if free > wanted / 2 || account.ahead || quiet {
             return;
         }
@@ -247,7 +250,9 @@
         let free = tables.ledger.holding(budget).free();
         let rate = tables.account(budget, now).rate.per_second(now);
         let wanted = wanted(&self.settings, rate).saturating_sub(free);
-        wanted.min(row.available() / 4).max(need.saturating_sub(free))
+        wanted
+            .min(row.available() / 4)
+            .max(need.saturating_sub(free))
     }
 
     fn commit(
@@ -269,10 +274,7 @@
     }
 
     async fn read(&self, budget: &Name, seen: &mut Seen) -> Result<(), Refused> {
-        let keys = vec![
-            rows::budget_key(budget),
-            rows::grant_key(budget, &self.me),
-        ];
+        let keys = vec![rows::budget_key(budget), rows::grant_key(budget, &self.me)];
         let found = (self.platform.read)(keys).await;
         let found = found.map_err(|_| Refused::Down)?;
         self.learn(budget, seen, &found, u64::MAX)
@@ -396,7 +398,8 @@
     /// Ends it with `used` tokens consumed, 0 where nothing ran.
     pub fn settle(mut self, used: u64) {
         self.open = false;
-        self.bank.settle(&self.budget, self.worst, used, Instant::now());
+        self.bank
+            .settle(&self.budget, self.worst, used, Instant::now());
     }
 }
 
--- a/crates/router/src/budget/biller.rs
+++ b/crates/router/src/budget/biller.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use poplar_base::platform::{Commit, Error, Platform, Row};
-use poplar_core::bill::{self, Batch, BilledRow, Bill, BillingRow};
+use poplar_core::bill::{self, Batch, Bill, BilledRow, BillingRow};
 use poplar_core::id::{Incarnation, Name};
 use poplar_core::sorted::SortedVec;
 use tokio::sync::{Notify, oneshot, watch};
--- a/crates/router/src/door/mod.rs
+++ b/crates/router/src/door/mod.rs
@@ -0,0 +1,79 @@
+//! The callers' door: HTTP with JSON and server-sent events.
+
+mod chat;
+mod intake;
+mod service;
+
+use std::sync::Arc;
+
+use serde::Serialize;
+use viz::{IntoResponse, Request, Response, Router};
+
+use poplar_core::config::Kind;
+use poplar_core::id::Name;
+
+use crate::refusal::Refusal;
+use crate::state::State;
+
+/// The routes of the door.
+pub fn routes(state: &Arc<State>) -> Router {
+    let chat = with(state, chat::handle);
+    let service = with(state, service::handle);
+    let models = with(state, models);
+    Router::new()
+        .post("/v1/chat/completions", chat)
+        .post("/v1/services/:class/*path", service)
+        .get("/v1/models", models)
+}
+
+/// Makes a handler of a function that answers with a response in any case.
+fn with<F, O>(
+    state: &Arc<State>,
+    handle: F,
+) -> impl Fn(Request) -> futures::future::BoxFuture<'static, viz::Result<Response>> + Clone + use<F, O>
+where
+    F: Fn(Arc<State>, Request) -> O + Clone + Send + Sync + 'static,
+    O: Future<Output = Response> + Send + 'static,
+{
+    let state = state.clone();
+    move |request| {
+        let answer = handle(state.clone(), request);
+        Box::pin(async move { Ok(answer.await) })
+    }
+}
+
+async fn models(state: Arc<State>, request: Request) -> Response {
+    let config = state.config();
+    if let Err(refusal) = intake::workspace(&config, &request) {
+        return refusal.response(None);
+    }
+    let models = config.classes.iter().filter(|c| c.kind == Kind::Model);
+    let data = models.map(|c| ModelWire {
+        id: c.name.clone(),
+        object: "model",
+        owned_by: "poplarreel",
+    });
+    let list = ListWire {
+        object: "list",
+        data: data.collect(),
+    };
+    viz::types::Json(list).into_response()
+}
+
+/// The answer to a refused request.
+fn refuse(refusal: &Refusal, id: Option<&poplar_core::id::RequestId>) -> Response {
+    refusal.response(id)
+}
+
+#[derive(Debug, Serialize)]
+struct ListWire {
+    object: &'static str,
+    data: Vec<ModelWire>,
+}
+
+#[derive(Debug, Serialize)]
+struct ModelWire {
+    id: Name,
+    object: &'static str,
+    owned_by: &'static str,
+}
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -21,7 +21,7 @@
 use crate::flow::chunk::{Broken, Chunk, Reader};
 use crate::flow::finish::{self, Finished, Sure};
 use crate::flow::request::{Chat, Job, Message};
-use crate::refusal::{Code, Refusal, Run};
+use crate::refusal::{Code, Execution, Refusal};
 use crate::state::{Entry, State};
 
 /// Attempts of one request at the most.
@@ -87,7 +87,10 @@
 
 /// How one attempt ended.
 enum Attempt {
-    Whole { prompt: u64, output: u64 },
+    Whole {
+        prompt: u64,
+        output: u64,
+    },
     /// Nothing ran there; another server may be tried.
     NotRun(String),
     /// It broke on the way.
@@ -97,12 +100,7 @@
 }
 
 impl Attempted {
-    fn new(
-        state: Arc<State>,
-        job: Job,
-        chat: Chat,
-        sender: mpsc::UnboundedSender<Piece>,
-    ) -> Self {
+    fn new(state: Arc<State>, job: Job, chat: Chat, sender: mpsc::UnboundedSender<Piece>) -> Self {
         Self {
             state,
             job,
@@ -177,7 +175,11 @@
     }
 
     fn gave_up(&self) -> Refusal {
-        let run = if self.ran { Run::Ran } else { Run::NotRun };
+        let run = if self.ran {
+            Execution::Ran
+        } else {
+            Execution::NotRun
+        };
         Refusal::new(Code::BackendFailed)
             .run(run)
             .after(Duration::from_secs(1))
@@ -200,7 +202,7 @@
             return Err(Refusal::new(Code::KeyReused));
         }
         let Some(bill) = finish::earlier(&self.state, &self.job, &row).await else {
-            let refusal = Refusal::new(Code::InProgress).run(Run::Ran);
+            let refusal = Refusal::new(Code::InProgress).run(Execution::Ran);
             return Err(refusal.after(Duration::from_secs(1)));
         };
         self.note("replayed", &row.batch);
@@ -220,7 +222,7 @@
         let reserved = reserve(&self.state, &self.job, worst).await;
         reserved.map_err(|refusal| {
             if self.ran {
-                refusal.run(Run::Ran)
+                refusal.run(Execution::Ran)
             } else {
                 refusal
             }
@@ -229,6 +231,7 @@
 
     async fn place(&self, print: u64) -> Result<Placed, Refusal> {
         let work = Work {
+            class: self.job.class.name.clone(),
             serves: self.job.class.serves.clone(),
             engine: true,
             workspace: self.job.workspace.clone(),
@@ -243,10 +246,17 @@
         };
         let placed = self.state.dispatch.place(work).await;
         let placed = placed.map_err(|refusal| {
-            let run = if self.ran { Run::Ran } else { Run::NotRun };
+            let run = if self.ran {
+                Execution::Ran
+            } else {
+                Execution::NotRun
+            };
             refusal.run(run)
         })?;
-        self.note("placed", format_args!("{}: {}", placed.server, placed.reason));
+        self.note(
+            "placed",
+            format_args!("{}: {}", placed.server, placed.reason),
+        );
         Ok(placed)
     }
 
@@ -319,7 +329,7 @@
             .header("x-workspace", self.job.workspace.as_ref())
             .header("x-router", self.state.settings.name.as_ref())
             .header("x-fencing-number", self.state.router())
-            .header("x-priority", self.job.priority());
+            .header("x-priority", u16::from(self.job.priority()));
         if self.tokens > 0 {
             builder = builder.header("x-resume-from", self.tokens);
         }
@@ -366,7 +376,7 @@
         self.note("finished", format_args!("{sure:?}"));
         if sure == Sure::Sealed {
             // The tokens stay counted; nobody is billed for this run.
-            return Err(Refusal::new(Code::Unready).run(Run::Ran));
+            return Err(Refusal::new(Code::Unready).run(Execution::Ran));
         }
         crate::metrics::answered(&self.job, &finished);
         let _ = self.sender.send(Piece::End {
@@ -379,11 +389,7 @@
 }
 
 /// Reserves the worst case of a job, or says why it can't.
-pub async fn reserve(
-    state: &Arc<State>,
-    job: &Job,
-    worst: u64,
-) -> Result<Reservation, Refusal> {
+pub async fn reserve(state: &Arc<State>, job: &Job, worst: u64) -> Result<Reservation, Refusal> {
     let reserved = state.bank.reserve(&job.budget, worst, state.router()).await;
     reserved.map_err(|refused| {
         let refusal = match refused {
@@ -401,10 +407,7 @@
     })
 }
 
-async fn refused(
-    response: http::Response<hyper::body::Incoming>,
-    placed: &mut Placed,
-) -> Attempt {
+async fn refused(response: http::Response<hyper::body::Incoming>, placed: &mut Placed) -> Attempt {
     let status = response.status();
     let body = tokio::time::timeout(SILENCE, response.into_body().collect()).await;
     let bytes = body.ok().and_then(Result::ok).map(|b| b.to_bytes());
--- a/crates/router/src/flow/chunk.rs
+++ b/crates/router/src/flow/chunk.rs
@@ -126,7 +126,9 @@
             return Ok(());
         }
         let (Some(seq), Some(choice)) = (event.seq, event.choices.into_iter().next()) else {
-            return Err(Broken::Malformed("a chunk without seq or choice".to_owned()));
+            return Err(Broken::Malformed(
+                "a chunk without seq or choice".to_owned(),
+            ));
         };
         let chunk = match choice.finish_reason {
             Some(reason) => Chunk::Finish(reason),
--- a/crates/router/src/flow/finish.rs
+++ b/crates/router/src/flow/finish.rs
@@ -48,7 +48,9 @@
     let met = bill.met;
     let free = bill.tokens() == 0;
     let now = unix_ms(SystemTime::now());
-    state.burn.answered(&job.workspace, &job.class.name, met, now);
+    state
+        .burn
+        .answered(&job.workspace, &job.class.name, met, now);
     let done = state
         .biller
         .submit(bill.clone(), job.body, job.id.is_keyed());
--- a/crates/router/src/flow/request.rs
+++ b/crates/router/src/flow/request.rs
@@ -14,8 +14,7 @@
 const MESSAGE_TOKENS: u64 = 8;
 
 /// One message of a chat.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
     /// Who speaks.
     pub role: String,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,25 @@
-//! The router that runs on each entry host.
+//! The router: one process on each entry host, between callers and backend
+//! servers.
+//!
+//! A request comes in at the [`door`], goes its way in [`flow`], is paid from
+//! the [`budget`], is placed by [`backends`], and is billed through the
+//! platform. Routers talk to each other in [`peers`]. The tables that they all
+//! share are in [`state`].
+
+pub mod admin;
+pub mod backends;
+pub mod budget;
+pub mod burn;
+pub mod claims;
+pub mod conf;
+pub mod door;
+pub mod flow;
+pub mod journal;
+pub mod life;
+pub mod metrics;
+pub mod peers;
+pub mod refusal;
+pub mod server;
+pub mod settings;
+pub mod state;
+pub mod sync;
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,80 @@
+//! Metrics of the router, as Prometheus text.
+
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use poplar_core::id::Name;
+
+use crate::flow::finish::Finished;
+use crate::flow::request::Job;
+use crate::refusal::Code;
+use crate::state::State;
+
+/// Upper bounds of the time histograms, in seconds.
+const SECONDS: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.56, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0,
+];
+
+/// Installs the process's recorder.
+///
+/// # Errors
+/// Where one is installed already.
+pub fn open() -> Result<PrometheusHandle, BuildError> {
+    PrometheusBuilder::new()
+        .set_buckets(&SECONDS)?
+        .install_recorder()
+}
+
+/// Counts an answered request.
+pub fn answered(job: &Job, finished: &Finished) {
+    let labels = [
+        ("workspace", job.workspace.to_string()),
+        ("class", job.class.name.to_string()),
+    ];
+    let since = |at: std::time::Instant| at.saturating_duration_since(job.arrived).as_secs_f64();
+    counter!("poplar_answers_total", &labels).increment(1);
+    counter!("poplar_tokens_total", &labels).increment(finished.prompt + finished.output);
+    histogram!("poplar_finish_seconds", &labels).record(since(finished.whole));
+    if let Some(first) = finished.first {
+        histogram!("poplar_first_token_seconds", &labels).record(since(first));
+    }
+}
+
+/// Counts a refusal.
+pub fn refused(workspace: &Name, class: &Name, code: Code) {
+    let labels = [
+        ("workspace", workspace.to_string()),
+        ("class", class.to_string()),
+        ("code", code.name().to_owned()),
+    ];
+    counter!("poplar_refusals_total", &labels).increment(1);
+}
+
+/// Counts an attempt that had to be made again.
+pub fn retried(class: &Name) {
+    counter!("poplar_retries_total", "class" => class.to_string()).increment(1);
+}
+
+/// Counts an answer that went out before its bill was durable.
+pub fn unbilled(how: &'static str) {
+    counter!("poplar_answers_before_bill_total", "how" => how).increment(1);
+}
+
+/// Brings the gauges up to date, before they are read.
+pub fn refresh(state: &State) {
+    gauge!("poplar_requests_open").set(state.open.count() as f64);
+    gauge!("poplar_requests_queued").set(state.dispatch.queued() as f64);
+    gauge!("poplar_bills_waiting").set(state.biller.waiting() as f64);
+    gauge!("poplar_generation").set(state.config().generation as f64);
+    gauge!("poplar_ready").set(f64::from(u8::from(state.is_ready())));
+    gauge!("poplar_peers").set(state.peers.live(std::time::Instant::now()) as f64);
+    for (budget, holding) in state.bank.holdings() {
+        let labels = [("budget", budget.to_string())];
+        gauge!("poplar_budget_free_tokens", &labels).set(holding.free() as f64);
+        gauge!("poplar_budget_lost_tokens", &labels).set(holding.lost as f64);
+    }
+}
+
+/// How long the upkeep of histograms waits.
+pub const UPKEEP: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/crates/router/src/peers/gossip.rs
@@ -0,0 +1,121 @@
+//! Exchanges with peers what each side knows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use poplar_core::bill::{RouterRow, Stage};
+use poplar_core::config::{Config, ConfigWire};
+use poplar_core::id::Incarnation;
+use poplar_peer::generated::{GossipRequest, Member};
+
+use super::Known;
+use crate::state::State;
+
+/// How often each peer is called.
+const EVERY: Duration = Duration::from_millis(500);
+/// How often the table is asked for routers.
+const DISCOVER: Duration = Duration::from_secs(2);
+/// Silence after which a peer that was heard of is forgotten.
+const FORGET: Duration = Duration::from_secs(600);
+
+/// Looks for other routers in the table again and again.
+pub async fn discover(state: Arc<State>) {
+    loop {
+        if let Ok(rows) = (state.platform.scan)("router/".to_owned()).await {
+            for row in rows {
+                let of = Incarnation(row.key["router/".len()..].into());
+                let Ok(Some(router)) = row.decode::<RouterRow>() else {
+                    continue;
+                };
+                meet(&state, of, &router);
+            }
+        }
+        tokio::time::sleep(DISCOVER).await;
+    }
+}
+
+fn meet(state: &State, of: Incarnation, router: &RouterRow) {
+    if router.stage == Stage::Sealed {
+        state.peers.forget(&of);
+    } else if of != state.me
+        && let Ok(address) = router.address.parse::<SocketAddr>()
+    {
+        state.peers.met(of, address);
+    }
+}
+
+/// Calls every peer again and again, and at once when something changed.
+pub async fn gossip(state: Arc<State>) {
+    loop {
+        let started = Instant::now();
+        let peers = state.peers.all();
+        join_all(peers.iter().map(|(of, known)| exchange(&state, of, known))).await;
+        let live = state.peers.live(Instant::now());
+        state.dispatch.shared_by(live as u32 + 1);
+        let rest = EVERY.saturating_sub(started.elapsed());
+        tokio::select! {
+            () = tokio::time::sleep(rest) => {}
+            () = state.refresh.notified() => {}
+        }
+    }
+}
+
+async fn exchange(state: &Arc<State>, of: &Incarnation, known: &Known) {
+    let config = state.config();
+    let behind = known.generation < config.generation;
+    let request = GossipRequest {
+        sender: Some(member(state)),
+        sightings: Vec::new(),
+        config: if behind { encode(&config) } else { Vec::new() },
+    };
+    let mut client = known.client.clone();
+    match client.gossip(request).await {
+        Ok(reply) => {
+            let reply = reply.into_inner();
+            if let Some(sender) = &reply.sender {
+                // Another life may listen where the known one did.
+                if sender.incarnation == *of.0 {
+                    state.peers.heard(sender, Instant::now());
+                }
+            }
+            learn(state, &reply.config);
+        }
+        Err(_) => {
+            let now = Instant::now();
+            let silent = |at: Instant| now.saturating_duration_since(at) > FORGET;
+            if known.heard.is_some_and(silent) {
+                state.peers.forget(of);
+            }
+        }
+    }
+}
+
+/// What this router says of itself.
+pub(super) fn member(state: &State) -> Member {
+    Member {
+        incarnation: state.me.to_string(),
+        address: state.settings.peer.to_string(),
+        centre: state.settings.centre.to_string(),
+        generation: state.config().generation,
+        draining: state.is_draining(),
+    }
+}
+
+/// The configuration as it goes to a peer.
+pub(super) fn encode(config: &Config) -> Vec<u8> {
+    serde_json::to_vec(&ConfigWire::from(config)).expect("a configuration is plain data")
+}
+
+/// Applies a configuration that came from a peer, where it is newer.
+pub(super) fn learn(state: &State, config: &[u8]) {
+    if config.is_empty() {
+        return;
+    }
+    let wire = serde_json::from_slice::<ConfigWire>(config).ok();
+    let config = wire.and_then(|wire| Config::try_from(wire).ok());
+    if let Some(config) = config {
+        crate::conf::apply(state, config, "peer");
+    }
+}
--- /dev/null
+++ b/crates/router/src/peers/service.rs
@@ -0,0 +1,112 @@
+//! The peer service of this router.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use poplar_core::bill::Bill;
+use poplar_core::id::{Incarnation, RequestId};
+use poplar_peer::generated::{
+    GiveReply, GiveRequest, GossipReply, GossipRequest, HoldReply, HoldRequest, JoinReply,
+    JoinRequest, OutcomeReply, OutcomeRequest, PromiseReply, PromiseRequest,
+};
+use poplar_peer::{Peer, PeerServer};
+use tokio::net::TcpListener;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status};
+
+use super::gossip;
+use crate::state::State;
+use crate::sync::lock;
+
+struct Service {
+    state: Arc<State>,
+}
+
+/// Binds the peer service and serves it in the background.
+///
+/// # Errors
+/// The system's, where the address can't be bound.
+pub async fn bind(state: &Arc<State>, address: SocketAddr) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    let service = PeerServer::new(Service {
+        state: state.clone(),
+    });
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    tokio::spawn(async move {
+        let served = Server::builder()
+            .add_service(service)
+            .serve_with_incoming(incoming);
+        if let Err(why) = served.await {
+            poplar_base::log::error("peer service").reason(why).write();
+        }
+    });
+    Ok(())
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn gossip(
+        &self,
+        request: Request<GossipRequest>,
+    ) -> Result<Response<GossipReply>, Status> {
+        let request = request.into_inner();
+        let state = &self.state;
+        let mut behind = false;
+        if let Some(sender) = &request.sender {
+            state.peers.heard(sender, Instant::now());
+            behind = sender.generation < state.config().generation;
+        }
+        gossip::learn(state, &request.config);
+        let config = state.config();
+        Ok(Response::new(GossipReply {
+            sender: Some(gossip::member(state)),
+            sightings: Vec::new(),
+            config: if behind {
+                gossip::encode(&config)
+            } else {
+                Vec::new()
+            },
+        }))
+    }
+
+    async fn give(&self, _request: Request<GiveRequest>) -> Result<Response<GiveReply>, Status> {
+        Ok(Response::new(GiveReply { tokens: 0 }))
+    }
+
+    async fn hold(&self, request: Request<HoldRequest>) -> Result<Response<HoldReply>, Status> {
+        let request = request.into_inner();
+        let origin = Incarnation(request.origin.as_str().into());
+        let mut held = lock(&self.state.peers.held);
+        for bill in &request.bills {
+            let bill: Bill = serde_json::from_slice(bill)
+                .map_err(|e| Status::invalid_argument(e.to_string()))?;
+            if !held.keep(&origin, bill) {
+                return Err(Status::resource_exhausted("no more copies are held"));
+            }
+        }
+        for id in &request.done {
+            held.done(&origin, &RequestId(id.as_str().into()));
+        }
+        Ok(Response::new(HoldReply {}))
+    }
+
+    async fn promise(
+        &self,
+        _request: Request<PromiseRequest>,
+    ) -> Result<Response<PromiseReply>, Status> {
+        Err(Status::unimplemented("promises"))
+    }
+
+    async fn outcome(
+        &self,
+        _request: Request<OutcomeRequest>,
+    ) -> Result<Response<OutcomeReply>, Status> {
+        Err(Status::unimplemented("outcomes"))
+    }
+
+    async fn join(&self, _request: Request<JoinRequest>) -> Result<Response<JoinReply>, Status> {
+        Err(Status::unimplemented("joins"))
+    }
+}
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -13,7 +13,7 @@
 
 /// Whether a refused request ran on a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Run {
+pub enum Execution {
     /// No backend server saw it, or each said that it did not start it.
     NotRun,
     /// It ran, but its answer can't be given.
@@ -22,7 +22,7 @@
     Unknown,
 }
 
-impl Run {
+impl Execution {
     /// The word in the JSON body.
     pub fn word(self) -> &'static str {
         match self {
@@ -58,6 +58,8 @@
     NoGrant,
     /// It can't finish within its class's target.
     Overloaded,
+    /// It can't finish within its class's target on an idle backend server.
+    TooLong,
     /// No backend server offers what the class needs.
     NoBackend,
     /// It crashed backend servers before.
@@ -80,16 +82,28 @@
             Self::Malformed => ("malformed", S::BAD_REQUEST, "The request can't be read"),
             Self::TooLarge => ("too_large", S::PAYLOAD_TOO_LARGE, "The body is too large"),
             Self::TooSlow => ("too_slow", S::REQUEST_TIMEOUT, "The body came too slowly"),
-            Self::Unauthorized => ("unauthorized", S::UNAUTHORIZED, "The key opens no workspace"),
+            Self::Unauthorized => (
+                "unauthorized",
+                S::UNAUTHORIZED,
+                "The key opens no workspace",
+            ),
             Self::UnknownClass => ("unknown_class", S::NOT_FOUND, "There is no such class"),
-            Self::KeyRequired => ("key_required", S::BAD_REQUEST, "An Idempotency-Key is needed"),
+            Self::KeyRequired => (
+                "key_required",
+                S::BAD_REQUEST,
+                "An Idempotency-Key is needed",
+            ),
             Self::KeyReused => (
                 "key_reused",
                 S::UNPROCESSABLE_ENTITY,
                 "The Idempotency-Key was used with another request",
             ),
             Self::InProgress => ("in_progress", S::CONFLICT, "The request is under way"),
-            Self::Exhausted => ("budget_exhausted", S::PAYMENT_REQUIRED, "The budget is spent"),
+            Self::Exhausted => (
+                "budget_exhausted",
+                S::PAYMENT_REQUIRED,
+                "The budget is spent",
+            ),
             Self::NoGrant => (
                 "no_grant",
                 S::SERVICE_UNAVAILABLE,
@@ -100,6 +114,11 @@
                 S::TOO_MANY_REQUESTS,
                 "It can't finish within its target",
             ),
+            Self::TooLong => (
+                "too_long",
+                S::UNPROCESSABLE_ENTITY,
+                "It can't finish within its target even without load",
+            ),
             Self::NoBackend => (
                 "no_backend",
                 S::SERVICE_UNAVAILABLE,
@@ -147,7 +166,7 @@
     /// Why.
     pub code: Code,
     /// Whether it ran.
-    pub run: Run,
+    pub run: Execution,
     /// When to come back, where that makes sense.
     pub after: Option<Duration>,
     /// What exactly was found.
@@ -159,7 +178,7 @@
     pub fn new(code: Code) -> Self {
         Self {
             code,
-            run: Run::NotRun,
+            run: Execution::NotRun,
             after: None,
             detail: String::new(),
         }
@@ -172,7 +191,7 @@
     }
 
     /// Says whether it ran.
-    pub fn run(mut self, run: Run) -> Self {
+    pub fn run(mut self, run: Execution) -> Self {
         self.run = run;
         self
     }
@@ -183,22 +202,31 @@
         self
     }
 
-    /// The answer to the caller.
-    pub fn response(&self, id: Option<&RequestId>) -> Response {
-        let (name, status, sentence) = self.code.parts();
+    fn body(&self) -> BodyWire {
+        let (code, _, sentence) = self.code.parts();
         let message = match self.detail.as_str() {
             "" => format!("{sentence}."),
             detail => format!("{sentence}: {detail}."),
         };
-        let body = BodyWire {
+        BodyWire {
             error: ErrorWire {
-                code: name,
+                code,
                 message,
                 r#type: "poplarreel",
                 run: self.run.word(),
                 retry_after_ms: self.after.map(|d| d.as_millis() as u64),
             },
-        };
+        }
+    }
+
+    /// The refusal as an event in a stream that has begun.
+    pub fn event(&self) -> impl Serialize + use<> {
+        self.body()
+    }
+
+    /// The answer to the caller.
+    pub fn response(&self, id: Option<&RequestId>) -> Response {
+        let (_, status, _) = self.code.parts();
         let mut builder = Response::builder()
             .status(status)
             .header(header::CONTENT_TYPE, "application/json");
@@ -209,7 +237,7 @@
         if let Some(id) = id {
             builder = builder.header("x-request-id", id.0.as_ref());
         }
-        let bytes = serde_json::to_vec(&body).expect("a refusal is plain data");
+        let bytes = serde_json::to_vec(&self.body()).expect("a refusal is plain data");
         builder
             .body(viz::Body::Full(bytes.into()))
             .expect("the header values are printable")
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -4,12 +4,22 @@
 use std::path::Path;
 use std::time::Duration;
 
+use poplar_base::log;
 use poplar_base::settings::{Faults, File};
 use poplar_core::id::Name;
+use poplar_core::route::Policy;
 
 /// Largest settable duration; longer ones are slips of the unit.
 const LONGEST: Duration = Duration::from_secs(24 * 60 * 60);
 
+/// Words for the policies.
+const POLICIES: [(&str, Policy); 4] = [
+    ("predicted", Policy::Predicted),
+    ("round-robin", Policy::RoundRobin),
+    ("least-in-flight", Policy::LeastInFlight),
+    ("random-of-two", Policy::RandomOfTwo),
+];
+
 /// Everything a router learns from its settings file.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -23,8 +33,8 @@
     pub admin: SocketAddr,
     /// Where other routers connect.
     pub peer: SocketAddr,
-    /// Lowest level of events that are logged.
-    pub level: Name,
+    /// How it logs.
+    pub log: log::Settings,
     /// The platform.
     pub platform: Platform,
     /// Limits and waits of the callers' door.
@@ -83,10 +93,8 @@
     pub hosts: Duration,
     /// How often each backend server's load is read.
     pub load: Duration,
-    /// Requests in flight at a backend server that reports no slots.
-    pub slots: u64,
-    /// Policy of choosing a backend server; others than `predicted` are for experiments.
-    pub policy: Name,
+    /// How a backend server is chosen; all but `predicted` are for experiments.
+    pub policy: Policy,
 }
 
 /// How a planned stop goes.
@@ -111,7 +119,6 @@
         let listen = s.address("listen");
         let admin = s.address("admin");
         let peer = s.address("peer");
-        let level = s.text_or("level", "info");
         drop(s);
         let settings = Self {
             name,
@@ -119,7 +126,7 @@
             listen,
             admin,
             peer,
-            level,
+            log: log_settings(&mut file),
             platform: platform(&mut file),
             door: door(&mut file),
             budget: budget(&mut file),
@@ -131,6 +138,11 @@
     }
 }
 
+fn log_settings(file: &mut File) -> log::Settings {
+    file.section_opt("log")
+        .map_or_else(log::Settings::default, log::Settings::read)
+}
+
 fn platform(file: &mut File) -> Platform {
     let mut s = file.section("platform");
     Platform {
@@ -166,8 +178,7 @@
     Backends {
         hosts: s.duration_or("hosts", ms(50)..=ms(1500), ms(500)),
         load: s.duration_or("load", ms(20)..=Duration::from_secs(10), ms(250)),
-        slots: s.number_or("slots", 1..=100_000, 16),
-        policy: s.text_or("policy", "predicted"),
+        policy: s.choice_or("policy", &POLICIES, Policy::Predicted),
     }
 }
 
