Add the stand-ins for engines and plain services

Proofs need backend servers that count exactly what they ran and fail on demand. The engine's answers depend on the prompt alone, so an answer resumed elsewhere must be the same byte for byte. Tried by hand over HTTP: streams, resume, cancel counts, cuts, outages, drain.

--- a/crates/standins/src/bin/fake-platform.rs
+++ b/crates/standins/src/bin/fake-platform.rs
@@ -10,7 +10,11 @@
     ("writes", "N", "rows and objects written a second [400]"),
     ("reads", "N", "rows and objects read a second [2000]"),
     ("limits", "yes|no", "whether these limits hold [yes]"),
-    ("host-lag", "TIME", "until a change of the host list shows [0ms]"),
+    (
+        "host-lag",
+        "TIME",
+        "until a change of the host list shows [0ms]",
+    ),
     ("seed", "N", "seed of jitter and lost answers [1]"),
 ];
 
--- /dev/null
+++ b/crates/standins/src/bin/fake-service.rs
@@ -0,0 +1,40 @@
+//! Stand-in for a plain service.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use poplar_standins::service::{self, Settings};
+use poplar_standins::{options, serve};
+
+/// Options besides `--listen`.
+const OPTIONS: &[options::Spec] = &[
+    (
+        "name",
+        "NAME",
+        "the host's name, for lists of processes [none]",
+    ),
+    ("service", "SERVICE", "the service it offers [service]"),
+    ("delay", "TIME", "time that a call runs [5ms]"),
+    ("slots", "N", "calls that run at once [32]"),
+    (
+        "fenced",
+        "yes|no",
+        "whether fencing numbers are checked [no]",
+    ),
+    ("load-lag", "TIME", "age of load reports [0ms]"),
+];
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> std::io::Result<()> {
+    let options = options::parse("fake-service", OPTIONS);
+    let listen = options.get("listen", SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
+    let default = Settings::default();
+    let settings = Settings {
+        service: options.get("service", default.service),
+        delay: options.span("delay", default.delay),
+        slots: options.get("slots", default.slots),
+        fenced: options.yes("fenced", default.fenced),
+        load_lag: options.span("load-lag", default.load_lag),
+    };
+    let server = service::bind(listen, &settings).await?;
+    serve::until_stopped(&server).await
+}
--- /dev/null
+++ b/crates/standins/src/engine/control.rs
@@ -0,0 +1,194 @@
+//! An engine's switches and how they are written in JSON.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// What goes wrong on the way of an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// Each chunk is so late.
+    pub late: Duration,
+    /// Each chunk is sent twice.
+    pub duplicate: bool,
+    /// Neighbouring chunks are swapped.
+    pub reorder: bool,
+    /// Before each chunk comes one of another request.
+    pub misroute: bool,
+}
+
+/// The switches as they are.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Switches {
+    /// Steps take so many times as long.
+    pub slow: f64,
+    /// Tokens until the process aborts.
+    pub die: Option<u64>,
+    /// Each entry cuts one stream, once it has had so many tokens.
+    pub cut: Vec<u64>,
+    /// What goes wrong on the way of answers.
+    pub faults: Faults,
+    /// Whether everything new is refused as `leaving`.
+    pub leaving: bool,
+    /// Whether the process ends once nothing is left to do.
+    pub drain: bool,
+    /// Wait before an arriving request is looked at.
+    pub accept: Duration,
+    /// Whether fencing numbers are checked.
+    pub fenced: bool,
+}
+
+/// One number or several.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum NumbersWire {
+    /// One.
+    One(u64),
+    /// Several.
+    Many(Vec<u64>),
+}
+
+impl From<NumbersWire> for Vec<u64> {
+    fn from(wire: NumbersWire) -> Self {
+        let all = match wire {
+            NumbersWire::One(number) => vec![number],
+            NumbersWire::Many(numbers) => numbers,
+        };
+        all.into_iter().filter(|number| *number > 0).collect()
+    }
+}
+
+/// A partial update of the switches.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SwitchesWire {
+    /// See [`Switches::slow`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub slow: Option<f64>,
+    /// Stops stepping for so many milliseconds; not kept.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub freeze_ms: Option<u64>,
+    /// See [`Switches::die`]; 0 is off.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub die_after: Option<u64>,
+    /// See [`Switches::cut`]; 0 is off.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cut_after: Option<NumbersWire>,
+    /// See [`Faults::late`], in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub late_ms: Option<u64>,
+    /// See [`Faults::duplicate`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub duplicate: Option<bool>,
+    /// See [`Faults::reorder`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub reorder: Option<bool>,
+    /// See [`Faults::misroute`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub misroute: Option<bool>,
+    /// See [`Switches::leaving`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub refuse_leaving: Option<bool>,
+    /// See [`Switches::drain`]; refuses everything new, too.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub drain: Option<bool>,
+    /// See [`Switches::accept`], in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub accept_after_ms: Option<u64>,
+    /// See [`Switches::fenced`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fenced: Option<bool>,
+    /// Closes the listener for so many milliseconds; not kept.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub refuse_connect_ms: Option<u64>,
+}
+
+impl Switches {
+    /// Everything works.
+    pub fn new(fenced: bool) -> Self {
+        Self {
+            slow: 1.0,
+            die: None,
+            cut: Vec::new(),
+            faults: Faults::default(),
+            leaving: false,
+            drain: false,
+            accept: Duration::ZERO,
+            fenced,
+        }
+    }
+
+    /// Whether everything new is refused.
+    pub fn refuses(&self) -> bool {
+        self.leaving || self.drain
+    }
+
+    /// Sets what the update names; on an error nothing is set.
+    ///
+    /// # Errors
+    /// Says which value is out of range.
+    pub fn update(&mut self, wire: SwitchesWire) -> Result<(), String> {
+        if wire
+            .slow
+            .is_some_and(|slow| !(slow > 0.0 && slow.is_finite()))
+        {
+            return Err("slow is not above 0".to_owned());
+        }
+        let faults = &mut self.faults;
+        set(&mut faults.late, wire.late_ms.map(Duration::from_millis));
+        set(&mut faults.duplicate, wire.duplicate);
+        set(&mut faults.reorder, wire.reorder);
+        set(&mut faults.misroute, wire.misroute);
+        set(&mut self.slow, wire.slow);
+        let die = wire.die_after.map(|n| (n > 0).then_some(n));
+        set(&mut self.die, die);
+        set(&mut self.cut, wire.cut_after);
+        set(&mut self.leaving, wire.refuse_leaving);
+        set(&mut self.drain, wire.drain);
+        let accept = wire.accept_after_ms.map(Duration::from_millis);
+        set(&mut self.accept, accept);
+        set(&mut self.fenced, wire.fenced);
+        Ok(())
+    }
+
+    /// Whether a stream that has had `tokens` is cut now; at most once an entry.
+    pub fn cuts(&mut self, tokens: u64) -> bool {
+        let at = self.cut.iter().position(|n| *n == tokens);
+        at.map(|at| self.cut.remove(at)).is_some()
+    }
+
+    /// Counts a token made; true where the process dies of it.
+    pub fn dies(&mut self) -> bool {
+        let Some(left) = &mut self.die else {
+            return false;
+        };
+        *left = left.saturating_sub(1);
+        *left == 0
+    }
+}
+
+fn set<T>(target: &mut T, value: Option<impl Into<T>>) {
+    if let Some(value) = value {
+        *target = value.into();
+    }
+}
+
+impl From<&Switches> for SwitchesWire {
+    fn from(switches: &Switches) -> Self {
+        Self {
+            slow: Some(switches.slow),
+            freeze_ms: None,
+            die_after: Some(switches.die.unwrap_or(0)),
+            cut_after: Some(NumbersWire::Many(switches.cut.clone())),
+            late_ms: Some(switches.faults.late.as_millis() as u64),
+            duplicate: Some(switches.faults.duplicate),
+            reorder: Some(switches.faults.reorder),
+            misroute: Some(switches.faults.misroute),
+            refuse_leaving: Some(switches.leaving),
+            drain: Some(switches.drain),
+            accept_after_ms: Some(switches.accept.as_millis() as u64),
+            fenced: Some(switches.fenced),
+            refuse_connect_ms: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/state.rs
@@ -0,0 +1,254 @@
+//! Everything an engine keeps, behind one lock.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use poplar_core::id::Name;
+use poplar_core::sorted::SortedVec;
+use tokio::sync::mpsc;
+
+use super::Settings;
+use super::batch::{Batch, Job, Limits, Output, Started, Ticket};
+use super::cache::{self, Cache};
+use super::control::Switches;
+use super::counts::Counts;
+use crate::door::{Caller, Fence, Refusal};
+use crate::load::{History, LoadWire};
+
+/// An output and when it was made.
+#[derive(Debug, Clone, Copy)]
+pub struct Made {
+    /// What was made.
+    pub output: Output,
+    /// When.
+    pub at: Instant,
+}
+
+/// Where the outputs of a submission go.
+#[derive(Debug)]
+struct Sink {
+    job: Arc<Job>,
+    sender: mpsc::UnboundedSender<Made>,
+}
+
+/// Whether the process lives on after a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It does.
+    Lives,
+    /// It crashes here.
+    Dies,
+}
+
+/// What a cancelled request used, in tokens.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Cancelled {
+    /// Whether it was there.
+    pub found: bool,
+    /// Prompt tokens over all its runs here.
+    pub prompt: u64,
+    /// Tokens made over all its runs here.
+    pub generated: u64,
+}
+
+/// The engine's state.
+#[derive(Debug)]
+pub struct State {
+    /// The switches.
+    pub switches: Switches,
+    /// The counts.
+    pub counts: Counts,
+    /// The prefix cache.
+    pub cache: Cache,
+    batch: Batch,
+    fence: Fence,
+    load: History,
+    sinks: SortedVec<Ticket, Sink>,
+    step: Duration,
+    frozen: Option<Instant>,
+}
+
+impl State {
+    /// An engine without work.
+    pub fn new(settings: &Settings, now: Instant) -> Self {
+        let limits = Limits {
+            slots: settings.slots,
+            prefill: settings.prefill,
+            waiting: settings.waiting,
+        };
+        let cache = cache::Settings {
+            blocks: settings.blocks,
+            gap: settings.gap,
+            seed: settings.seed,
+        };
+        let mut state = Self {
+            switches: Switches::new(settings.fenced),
+            counts: Counts::default(),
+            cache: Cache::new(&cache),
+            batch: Batch::new(limits),
+            fence: Fence::default(),
+            load: History::new(settings.load_lag, LoadWire::default(), now),
+            sinks: SortedVec::new(),
+            step: settings.step,
+            frozen: None,
+        };
+        state.load = History::new(settings.load_lag, state.current(), now);
+        state
+    }
+
+    /// Counts an arrival and refuses what may not run.
+    ///
+    /// # Errors
+    /// Says why it does not run.
+    pub fn arrive(&mut self, caller: &Caller) -> Result<(), Refusal> {
+        self.counts.seen(&caller.id, &caller.workspace);
+        let stale = self.fence.note(caller);
+        let totals = &mut self.counts.totals;
+        if self.switches.refuses() {
+            totals.after_leaving += 1;
+            totals.leaving += 1;
+            return Err(Refusal::Leaving);
+        }
+        if stale && self.switches.fenced {
+            totals.fenced += 1;
+            return Err(Refusal::Fenced);
+        }
+        Ok(())
+    }
+
+    /// Takes a request in.
+    ///
+    /// # Errors
+    /// [`Refusal::Full`] where too many wait.
+    pub fn submit(
+        &mut self,
+        job: Job,
+        now: Instant,
+    ) -> Result<(Ticket, mpsc::UnboundedReceiver<Made>), Refusal> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let sink = Sink {
+            job: Arc::new(job.clone()),
+            sender,
+        };
+        let Ok(ticket) = self.batch.submit(job) else {
+            self.counts.totals.full += 1;
+            return Err(Refusal::Full);
+        };
+        self.sinks.insert(ticket, sink);
+        self.report(now);
+        Ok((ticket, receiver))
+    }
+
+    /// Takes one submission out; its stream ends.
+    pub fn leave(&mut self, ticket: Ticket, now: Instant) {
+        if let Some(job) = self.batch.cancel(ticket) {
+            self.counts.cancelled(&job.id);
+        }
+        self.sinks.remove(&ticket);
+        self.report(now);
+    }
+
+    /// Takes all submissions of a request out.
+    pub fn cancel(&mut self, id: &str, now: Instant) -> Cancelled {
+        let tickets = self.batch.tickets(id);
+        for ticket in &tickets {
+            self.leave(*ticket, now);
+        }
+        let count = self.counts.request(id);
+        let usage = count.map(|c| c.usage).unwrap_or_default();
+        Cancelled {
+            found: !tickets.is_empty(),
+            prompt: usage.prompt,
+            generated: usage.generated,
+        }
+    }
+
+    /// Carries out one step and hands out what it made.
+    pub fn step(&mut self, now: Instant) -> Fate {
+        let step = self.batch.step(&mut self.cache, now);
+        self.counts.totals.steps += 1;
+        for started in &step.started {
+            self.counts.started(started);
+        }
+        if step.started.iter().any(crashes) {
+            return Fate::Dies;
+        }
+        for output in step.outputs {
+            if self.hand(output, now) == Fate::Dies {
+                return Fate::Dies;
+            }
+        }
+        self.report(now);
+        Fate::Lives
+    }
+
+    fn hand(&mut self, output: Output, now: Instant) -> Fate {
+        let Some(sink) = self.sinks.get(&output.ticket) else {
+            return Fate::Lives;
+        };
+        if output.token.is_some() {
+            self.counts.token(&sink.job);
+            if self.switches.dies() {
+                return Fate::Dies;
+            }
+        }
+        // A receiver that has gone takes its submission out by itself.
+        let _ = sink.sender.send(Made { output, at: now });
+        if output.done {
+            self.counts.finished(&sink.job.id);
+            self.sinks.remove(&output.ticket);
+        }
+        Fate::Lives
+    }
+
+    /// Stops stepping for `time`.
+    pub fn freeze(&mut self, time: Duration, now: Instant) {
+        self.frozen = Some(now + time);
+    }
+
+    /// Until when no step is taken.
+    pub fn frozen(&self) -> Option<Instant> {
+        self.frozen
+    }
+
+    /// Time of a step as it is now.
+    pub fn pace(&self) -> Duration {
+        self.step.mul_f64(self.switches.slow)
+    }
+
+    /// Whether there is nothing to do.
+    pub fn is_idle(&self) -> bool {
+        self.batch.is_idle()
+    }
+
+    /// Notes the load, to be reported after the lag.
+    pub fn report(&mut self, now: Instant) {
+        let load = self.current();
+        self.load.note(load, now);
+    }
+
+    fn current(&self) -> LoadWire {
+        LoadWire {
+            running: self.batch.running(),
+            waiting: self.batch.waiting(),
+            slots: self.batch.slots(),
+            step_us: self.pace().as_micros() as u64,
+            leaving: self.switches.refuses(),
+            age_ms: 0,
+        }
+    }
+
+    /// The load as it is reported.
+    pub fn load(&self, now: Instant) -> LoadWire {
+        self.load.report(now)
+    }
+
+    /// The identity of a request that came without one.
+    pub fn name(&self) -> Name {
+        format!("anonymous-{}", self.counts.requests().len()).into()
+    }
+}
+
+fn crashes(started: &Started) -> bool {
+    started.job.prompt.crash
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod door;
 pub mod engine;
+pub mod load;
 pub mod options;
 pub mod platform;
 pub mod serve;
--- a/crates/standins/src/platform/control.rs
+++ b/crates/standins/src/platform/control.rs
@@ -21,8 +21,7 @@
 }
 
 /// `true`, `false` or `"hang"`.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum DownWire {
     /// Refuses or works.
@@ -82,8 +81,7 @@
 }
 
 /// A partial update of the switches.
-#[derive(Debug, Clone, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct SwitchesWire {
     /// See [`Switches::table`].
@@ -190,8 +188,7 @@
 }
 
 /// What one router asked for.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
     /// Rows and objects read.
     pub reads: u64,
@@ -233,8 +230,7 @@
 }
 
 /// One router's share on the wire.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareWire {
     /// The router's label.
     pub router: Name,
@@ -244,8 +240,7 @@
 }
 
 /// The counts on the wire.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[expect(missing_docs, reason = "each is the field of Counts with its name")]
 pub struct CountsWire {
     pub reads: u64,
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -87,10 +87,7 @@
 ///
 /// # Errors
 /// Where the address can't be bound.
-pub async fn bind<H, F>(
-    address: SocketAddr,
-    handle: impl FnOnce(Gate) -> H,
-) -> io::Result<Server>
+pub async fn bind<H, F>(address: SocketAddr, handle: impl FnOnce(Gate) -> H) -> io::Result<Server>
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Reply> + Send + 'static,
@@ -191,7 +188,11 @@
 /// An answer of bytes.
 pub fn bytes(body: Bytes) -> Response<Body> {
     let body = Full::new(body).map_err(|e: Infallible| match e {});
-    answer(StatusCode::OK, "application/octet-stream", body.boxed_unsync())
+    answer(
+        StatusCode::OK,
+        "application/octet-stream",
+        body.boxed_unsync(),
+    )
 }
 
 /// An answer in JSON.
@@ -207,9 +208,7 @@
 }
 
 /// A stream of server-sent events, which may be cut.
-pub fn events(
-    stream: impl Stream<Item = Result<Bytes, Cut>> + Send + 'static,
-) -> Response<Body> {
+pub fn events(stream: impl Stream<Item = Result<Bytes, Cut>> + Send + 'static) -> Response<Body> {
     let body = StreamBody::new(stream.map(|chunk| chunk.map(Frame::data)));
     answer(StatusCode::OK, "text/event-stream", body.boxed_unsync())
 }
@@ -226,9 +225,7 @@
 ///
 /// # Errors
 /// [`Cut`] where the caller went away.
-pub async fn read<T: DeserializeOwned>(
-    body: Incoming,
-) -> Result<Result<T, Response<Body>>, Cut> {
+pub async fn read<T: DeserializeOwned>(body: Incoming) -> Result<Result<T, Response<Body>>, Cut> {
     let body = whole(body).await?;
     Ok(serde_json::from_slice(&body).map_err(|e| malformed(&e)))
 }
@@ -236,7 +233,10 @@
 /// The refusal of a body that can't be read.
 pub fn malformed(why: &impl fmt::Display) -> Response<Body> {
     let error = serde_json::json!({"code": "malformed", "message": why.to_string()});
-    json(StatusCode::BAD_REQUEST, &serde_json::json!({"error": error}))
+    json(
+        StatusCode::BAD_REQUEST,
+        &serde_json::json!({"error": error}),
+    )
 }
 
 /// The text of a header, empty where there is none.
--- a/crates/standins/src/service/mod.rs
+++ b/crates/standins/src/service/mod.rs
@@ -1,1 +1,60 @@
-//! The plain service's stand-in.
+//! The plain service's stand-in: it counts what it ran.
+
+mod calls;
+pub mod control;
+pub mod state;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Semaphore;
+
+use self::state::State;
+use crate::serve::{self, Server};
+
+/// How the stand-in starts.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The service it offers.
+    pub service: String,
+    /// Time that a call runs.
+    pub delay: Duration,
+    /// Calls that run at once.
+    pub slots: usize,
+    /// Whether fencing numbers are checked.
+    pub fenced: bool,
+    /// Age of load reports.
+    pub load_lag: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            service: "service".to_owned(),
+            delay: Duration::from_millis(5),
+            slots: 32,
+            fenced: false,
+            load_lag: Duration::ZERO,
+        }
+    }
+}
+
+/// Binds a service's stand-in.
+///
+/// # Errors
+/// Where the address can't be bound.
+pub async fn bind(address: SocketAddr, settings: &Settings) -> io::Result<Server> {
+    let state = State::new(settings, Instant::now());
+    let handler = |gate| {
+        let desk = calls::Desk {
+            state: Arc::new(Mutex::new(state)),
+            slots: Arc::new(Semaphore::new(settings.slots)),
+            service: settings.service.as_str().into(),
+            gate,
+        };
+        move |request| calls::handle(desk.clone(), request)
+    };
+    serve::bind(address, handler).await
+}
--- /dev/null
+++ b/crates/standins/src/service/state.rs
@@ -0,0 +1,117 @@
+//! Everything a service keeps, behind one lock.
+
+use std::time::Instant;
+
+use super::Settings;
+use super::control::{Counts, Switches};
+use crate::door::{Caller, Fence, Refusal};
+use crate::load::{History, LoadWire};
+
+/// The service's state.
+#[derive(Debug)]
+pub struct State {
+    /// The switches.
+    pub switches: Switches,
+    /// The counts.
+    pub counts: Counts,
+    fence: Fence,
+    load: History,
+    slots: usize,
+    running: usize,
+    waiting: usize,
+}
+
+impl State {
+    /// A service without work.
+    pub fn new(settings: &Settings, now: Instant) -> Self {
+        let mut state = Self {
+            switches: Switches {
+                delay: settings.delay,
+                drop: 0,
+                leaving: false,
+                status: 200,
+                fenced: settings.fenced,
+                accept: std::time::Duration::ZERO,
+            },
+            counts: Counts::default(),
+            fence: Fence::default(),
+            load: History::new(settings.load_lag, LoadWire::default(), now),
+            slots: settings.slots,
+            running: 0,
+            waiting: 0,
+        };
+        state.load = History::new(settings.load_lag, state.current(), now);
+        state
+    }
+
+    /// Counts an arrival and refuses what may not run.
+    ///
+    /// # Errors
+    /// Says why it does not run.
+    pub fn arrive(&mut self, caller: &Caller, now: Instant) -> Result<(), Refusal> {
+        let counts = &mut self.counts;
+        let request = counts.requests.entry(caller.id.clone(), Default::default);
+        request.seen += 1;
+        let workspace = caller.workspace.clone();
+        let workspace = counts.workspaces.entry(workspace, Default::default);
+        workspace.seen += 1;
+        let stale = self.fence.note(caller);
+        if self.switches.leaving {
+            counts.leaving += 1;
+            return Err(Refusal::Leaving);
+        }
+        if stale && self.switches.fenced {
+            counts.fenced += 1;
+            return Err(Refusal::Fenced);
+        }
+        self.waiting += 1;
+        self.report(now);
+        Ok(())
+    }
+
+    /// Starts to run a call that waited; returns how often it has run by now.
+    pub fn start(&mut self, caller: &Caller, now: Instant) -> u64 {
+        self.waiting -= 1;
+        self.running += 1;
+        self.report(now);
+        if let Some(workspace) = self.counts.workspaces.get_mut(&*caller.workspace) {
+            workspace.runs += 1;
+        }
+        let request = self.counts.requests.get_mut(&*caller.id);
+        request.map_or(0, |request| {
+            request.runs += 1;
+            request.runs
+        })
+    }
+
+    /// Ends a call; true where its answer is dropped.
+    pub fn end(&mut self, now: Instant) -> bool {
+        self.running -= 1;
+        self.report(now);
+        let drops = self.switches.drops();
+        self.counts.dropped += u64::from(drops);
+        drops
+    }
+
+    /// Notes the load, to be reported after the lag.
+    pub fn report(&mut self, now: Instant) {
+        let load = self.current();
+        self.load.note(load, now);
+    }
+
+    fn current(&self) -> LoadWire {
+        LoadWire {
+            running: self.running,
+            waiting: self.waiting,
+            slots: self.slots,
+            step_us: self.switches.delay.as_micros() as u64,
+            leaving: self.switches.leaving,
+            age_ms: 0,
+        }
+    }
+
+    /// The load as it is reported.
+    pub fn load(&self, now: Instant) -> LoadWire {
+        self.load.report(now)
+    }
+}
