--- a/crates/base/src/args.rs
+++ b/crates/base/src/args.rs
@@ -8,7 +8,8 @@
 use std::process::ExitCode;
 
 use error_stack::Report;
-use getopts::{Matches, Options, ParsingStyle};
+pub use getopts::Matches;
+use getopts::{Options, ParsingStyle};
 
 /// Exit code of a failure.
 pub const FAILURE: u8 = 1;
--- a/crates/base/src/settings/section.rs
+++ b/crates/base/src/settings/section.rs
@@ -71,7 +71,7 @@
     }
 
     /// Notes that `key` is missing, unless the whole section is.
-    fn need(&mut self, key: &str, accepted: &str) {
+    pub fn need(&mut self, key: &str, accepted: &str) {
         let entry = self.file.entries.iter().find(|e| *e.name == *self.name);
         let missing = entry.is_some_and(|e| !e.pairs.iter().any(|p| p.key == key));
         if missing {
--- /dev/null
+++ b/crates/ctl/src/chain.rs
@@ -0,0 +1,76 @@
+//! Bills as the object store keeps them: each router's chain of batches.
+
+use poplar_base::platform::{self, Platform};
+use poplar_core::bill::{Batch, Bill};
+use poplar_core::id::{Incarnation, Name};
+
+use crate::error::Result;
+use crate::fleet::Router;
+
+/// One router's bills, with what is wrong with their chain.
+#[derive(Debug, Clone, Default)]
+pub struct Chain {
+    /// Whose it is.
+    pub of: Option<Incarnation>,
+    /// Tokens billed by budget, as the router's row says.
+    pub billed: Vec<(Name, u64)>,
+    /// Batches that the row counts.
+    pub counted: u64,
+    /// Batches that were found.
+    pub found: u64,
+    /// The bills, newest batch first.
+    pub bills: Vec<Bill>,
+    /// Name of a batch that should be there and isn't, or can't be read.
+    pub broken: Option<Name>,
+}
+
+/// Reads a router's whole chain, newest batch first.
+///
+/// A chain with more batches than the row counts is cut off there, so that a
+/// chain in a ring ends too.
+///
+/// # Errors
+/// The platform's; a missing or unreadable batch is part of the chain's report.
+pub async fn read(platform: &Platform, router: &Router) -> Result<Chain> {
+    let mut chain = Chain {
+        of: Some(router.name.clone()),
+        billed: router.row.billed.clone(),
+        counted: router.row.batches,
+        ..Chain::default()
+    };
+    let mut next = router.row.head.clone();
+    while let Some(name) = next {
+        if chain.found == chain.counted {
+            chain.broken = Some(name);
+            break;
+        }
+        let Some(batch) = batch(platform, &name).await? else {
+            chain.broken = Some(name);
+            break;
+        };
+        chain.found += 1;
+        chain.bills.extend(batch.bills);
+        next = batch.previous;
+    }
+    Ok(chain)
+}
+
+async fn batch(
+    platform: &Platform,
+    name: &Name,
+) -> std::result::Result<Option<Batch>, platform::Error> {
+    let body = (platform.get)(name.to_string()).await?;
+    Ok(body.and_then(|body| serde_json::from_slice(&body).ok()))
+}
+
+/// Reads the chains of all `routers`.
+///
+/// # Errors
+/// The platform's.
+pub async fn read_all(platform: &Platform, routers: &[Router]) -> Result<Vec<Chain>> {
+    let mut chains = Vec::with_capacity(routers.len());
+    for router in routers {
+        chains.push(read(platform, router).await?);
+    }
+    Ok(chains)
+}
--- /dev/null
+++ b/crates/ctl/src/command/drain.rs
@@ -0,0 +1,25 @@
+//! Starts the graceful shutdown of a router.
+
+use serde::Serialize;
+
+use crate::error::Result;
+use crate::fleet::Fleet;
+use crate::shown::Shown;
+
+/// A router that was told to drain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct Draining {
+    draining: String,
+}
+
+/// Tells the router `name`, or the incarnation of that name, to drain.
+///
+/// # Errors
+/// No such live router, or it does not answer.
+pub async fn drain(fleet: &Fleet, name: &str) -> Result<Shown> {
+    let router = fleet.find(name).await?;
+    (fleet.admin.post)(router.row.admin.clone(), "/v1/drain".to_owned()).await?;
+    let draining = router.name.to_string();
+    let text = format!("{draining} is draining\n");
+    Ok(Shown::new(&Draining { draining }, text))
+}
--- /dev/null
+++ b/crates/ctl/src/command/mod.rs
@@ -0,0 +1,5 @@
+//! What changes something.
+
+pub mod apply;
+pub mod budget;
+pub mod drain;
--- /dev/null
+++ b/crates/ctl/src/difference.rs
@@ -0,0 +1,130 @@
+//! What differs between two configurations.
+
+use std::fmt;
+
+use poplar_core::config::{Class, Config, Kind, Workspace};
+use poplar_core::id::Name;
+use serde::Serialize;
+
+/// One difference.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Change {
+    /// `class` or `workspace`.
+    pub kind: &'static str,
+    /// Its name.
+    pub name: Name,
+    /// The field; empty where the whole entry was added or removed.
+    pub field: &'static str,
+    /// Value before; empty where there was none.
+    pub before: String,
+    /// Value after; empty where there is none.
+    pub after: String,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (kind, name) = (self.kind, &self.name);
+        match (self.field, self.before.is_empty()) {
+            ("", true) => write!(f, "+ {kind} {name}: {}", self.after),
+            ("", false) => write!(f, "- {kind} {name}: {}", self.before),
+            (field, _) => {
+                let (before, after) = (&self.before, &self.after);
+                write!(f, "~ {kind} {name}: {field} {before} -> {after}")
+            }
+        }
+    }
+}
+
+/// A class's or workspace's fields as texts.
+type Fields = Vec<(&'static str, String)>;
+
+/// Lists what changes from `before` to `after`, in order of the names.
+pub fn list(before: &Config, after: &Config) -> Vec<Change> {
+    let classes = |c: &Config| -> Vec<(Name, Fields)> {
+        let entries = c.classes.iter().map(|c| (c.name.clone(), class(c)));
+        entries.collect()
+    };
+    let workspaces = |c: &Config| -> Vec<(Name, Fields)> {
+        let entries = c.workspaces.iter();
+        let entries = entries.map(|w| (w.name.clone(), workspace(w)));
+        entries.collect()
+    };
+    let mut changes = compare("class", &classes(before), &classes(after));
+    let (before, after) = (workspaces(before), workspaces(after));
+    changes.extend(compare("workspace", &before, &after));
+    changes
+}
+
+fn compare(kind: &'static str, before: &[(Name, Fields)], after: &[(Name, Fields)]) -> Vec<Change> {
+    let mut names: Vec<&Name> = before.iter().chain(after).map(|(name, _)| name).collect();
+    names.sort();
+    names.dedup();
+    let find = |of: &[(Name, Fields)], name: &Name| -> Option<Fields> {
+        let at = of.binary_search_by(|(n, _)| n.cmp(name)).ok()?;
+        Some(of[at].1.clone())
+    };
+    let mut changes = Vec::new();
+    for name in names {
+        let (old, new) = (find(before, name), find(after, name));
+        changes.extend(entry(kind, name, old, new));
+    }
+    changes
+}
+
+fn entry(kind: &'static str, name: &Name, old: Option<Fields>, new: Option<Fields>) -> Vec<Change> {
+    let change = |field, before, after| Change {
+        kind,
+        name: name.clone(),
+        field,
+        before,
+        after,
+    };
+    match (old, new) {
+        (Some(old), Some(new)) => {
+            let pairs = old.into_iter().zip(new);
+            let differing = pairs.filter(|(old, new)| old.1 != new.1);
+            differing
+                .map(|(old, new)| change(old.0, old.1, new.1))
+                .collect()
+        }
+        (Some(old), None) => vec![change("", line(&old), String::new())],
+        (None, Some(new)) => vec![change("", String::new(), line(&new))],
+        (None, None) => Vec::new(),
+    }
+}
+
+/// The fields that say something, on one line.
+pub fn line(fields: &[(&'static str, String)]) -> String {
+    let said = fields.iter().filter(|(_, value)| value != "-");
+    let parts: Vec<String> = said
+        .map(|(field, value)| format!("{field}={value}"))
+        .collect();
+    parts.join(" ")
+}
+
+/// A class's fields as texts; `-` where one has no meaning.
+pub fn class(class: &Class) -> Fields {
+    let model = class.kind == Kind::Model;
+    let only = |wanted: bool, text: String| if wanted { text } else { "-".to_owned() };
+    let first = class.first.map(|d| format!("{d:?}"));
+    vec![
+        ("kind", if model { "model" } else { "service" }.to_owned()),
+        ("serves", class.serves.to_string()),
+        ("first", first.unwrap_or_else(|| "-".to_owned())),
+        ("finish", format!("{:?}", class.finish)),
+        ("objective", class.objective.to_string()),
+        ("repeat", only(!model, yes_no(class.repeat))),
+        ("price", only(!model, class.price.to_string())),
+        ("cap", only(model, class.cap.to_string())),
+    ]
+}
+
+/// A workspace's fields as texts; of the key's hash only a part is shown.
+pub fn workspace(workspace: &Workspace) -> Fields {
+    let shown: String = workspace.secret.chars().take(8).collect();
+    vec![("secret", format!("{shown}..."))]
+}
+
+fn yes_no(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
--- /dev/null
+++ b/crates/ctl/src/dispatch.rs
@@ -0,0 +1,231 @@
+//! From the command line to a command or a query.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use error_stack::Report;
+use poplar_base::args::{self, Asked, Command, Failure, Matches, Outcome};
+use poplar_base::settings::{self, Faults, File};
+use poplar_core::config::{Config, hash_key};
+
+use crate::classes;
+use crate::command::{apply, budget, drain};
+use crate::error::Error;
+use crate::fleet::Fleet;
+use crate::query::{bills, budgets, config, explain, routers};
+use crate::shown::Shown;
+
+/// How long a call takes at most where nothing is said.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a change is waited for where nothing is said.
+const WAIT: Duration = Duration::from_secs(4);
+/// Longest timeout and wait.
+const LONGEST: Duration = Duration::from_secs(600);
+
+const USAGE: &str = "[options] COMMAND
+
+Commands that change something:
+    apply FILE              put the classes file in force (--wait, --expect)
+    budget create NAME      create a budget (--limit)
+    budget topup NAME       add tokens once for each id (--tokens, --id, --wait)
+    drain ROUTER            start the graceful shutdown of a router
+
+Queries:
+    check FILE              list every fault of a classes file
+    show                    the configuration in the table
+    diff FILE               what apply would change
+    budget list             every budget
+    budget show NAME        one budget
+    routers                 live routers, with --all the sealed ones too
+    backends                backend servers as the routers see them
+    explain REQUEST         what the routers remember of a request
+    bills                   audit of every bill
+    secret                  the hash of the access key on stdin, for a classes file";
+
+/// The command line of the program.
+fn command() -> Command {
+    Command::new("poplar-ctl", USAGE, "The operators' command of poplarreel.")
+        .value("platform", "address of the platform", "IP:PORT")
+        .value("wait", "how long to wait, 4s by default", "TIME")
+        .value("expect", "generation that apply must replace", "N")
+        .value("limit", "a new budget's limit in tokens", "N")
+        .value("tokens", "tokens of a top-up", "N")
+        .value("id", "identity of a top-up", "ID")
+        .flag("all", "list sealed routers too")
+        .flag("json", "print JSON")
+}
+
+/// Options with a value or without, beside those for every command.
+const OPTIONS: [&str; 6] = ["wait", "expect", "limit", "tokens", "id", "all"];
+
+/// Runs the program with the words after its name.
+///
+/// # Errors
+/// What goes to stderr; it names the exit code.
+pub fn run(words: impl IntoIterator<Item = String>) -> Outcome {
+    let matches = match command().parse(words)? {
+        Asked::Print(text) => {
+            print!("{text}");
+            return Ok(());
+        }
+        Asked::Run(matches) => matches,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| Failure::failed(e.to_string()))?;
+    let shown = runtime.block_on(dispatch(&matches))?;
+    if matches.opt_present("json") {
+        println!("{:#}", shown.json);
+    } else {
+        print!("{}", shown.text);
+    }
+    shown.failed.map_or(Ok(()), |why| Err(Failure::failed(why)))
+}
+
+async fn dispatch(matches: &Matches) -> Outcome<Shown> {
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    only(matches, &words)?;
+    match words[..] {
+        ["check", file] => Ok(config::check(&read(file)?)),
+        ["secret"] => secret(),
+        [] => Err(Failure::usage("no command; try poplar-ctl --help")),
+        _ => remote(matches, &words).await,
+    }
+}
+
+async fn remote(matches: &Matches, words: &[&str]) -> Outcome<Shown> {
+    if !known(words) {
+        let words = words.join(" ");
+        let why = format!("no command {words:?}; try poplar-ctl --help");
+        return Err(Failure::usage(why));
+    }
+    let fleet = open(matches)?;
+    let deadline = Instant::now() + wait(matches)?;
+    let done = match *words {
+        ["apply", file] => {
+            let wanted = apply::Wanted {
+                config: read(file)?,
+                expect: args::read(matches, "expect", "a generation")?,
+                deadline,
+            };
+            let applied = apply::apply(&fleet, &wanted).await;
+            applied.map(|applied| apply::shown(&applied))
+        }
+        ["budget", "create", name] => {
+            let limit = need(matches, "limit")?;
+            let done = budget::create(&fleet, name, limit).await;
+            done.map(|changed| budget::shown(&changed))
+        }
+        ["budget", "topup", name] => {
+            let tokens = need(matches, "tokens")?;
+            let id = matches.opt_str("id");
+            let id = id.ok_or_else(|| Failure::usage("--id ID is missing"))?;
+            let done = budget::top_up(&fleet, name, &id, tokens, deadline).await;
+            done.map(|changed| budget::shown(&changed))
+        }
+        ["drain", router] => drain::drain(&fleet, router).await,
+        ["show"] => config::show(&fleet).await,
+        ["diff", file] => config::diff(&fleet, &read(file)?).await,
+        ["budget", "list"] => budgets::list(&fleet).await,
+        ["budget", "show", name] => budgets::show(&fleet, name).await,
+        ["routers"] => routers::routers(&fleet, matches.opt_present("all")).await,
+        ["backends"] => routers::backends(&fleet).await,
+        ["explain", request] => explain::explain(&fleet, request).await,
+        _ => bills::bills(&fleet).await,
+    };
+    done.map_err(edge)
+}
+
+/// Hashes the line on stdin, where other users of the machine can't see it.
+fn secret() -> Outcome<Shown> {
+    let mut line = String::new();
+    let read = std::io::stdin().read_line(&mut line);
+    read.map_err(|e| Failure::failed(e.to_string()))?;
+    let key = line.trim();
+    if key.is_empty() {
+        return Err(Failure::usage("no access key on stdin"));
+    }
+    let hash = hash_key(key);
+    Ok(Shown::new(&hash, format!("{hash}\n")))
+}
+
+fn known(words: &[&str]) -> bool {
+    matches!(
+        words,
+        ["show" | "routers" | "backends" | "bills"]
+            | ["apply" | "drain" | "diff" | "explain", _]
+            | ["budget", "list"]
+            | ["budget", "create" | "topup" | "show", _]
+    )
+}
+
+/// Refuses options that mean nothing to the command.
+fn only(matches: &Matches, words: &[&str]) -> Outcome {
+    let taken: &[&str] = match words {
+        ["apply", ..] => &["wait", "expect"],
+        ["budget", "create", ..] => &["limit"],
+        ["budget", "topup", ..] => &["tokens", "id", "wait"],
+        ["routers", ..] => &["all"],
+        _ => &[],
+    };
+    let stray = OPTIONS
+        .iter()
+        .find(|o| matches.opt_present(o) && !taken.contains(o));
+    let stray = stray.map(|o| Failure::usage(format!("--{o} means nothing to this command")));
+    stray.map_or(Ok(()), Err)
+}
+
+fn need(matches: &Matches, name: &str) -> Outcome<u64> {
+    let value = args::read(matches, name, "a number of tokens")?;
+    value.ok_or_else(|| Failure::usage(format!("--{name} N is missing")))
+}
+
+fn wait(matches: &Matches) -> Outcome<Duration> {
+    let Some(value) = matches.opt_str("wait") else {
+        return Ok(WAIT);
+    };
+    let wait = settings::parse_duration(&value);
+    let wait = wait.ok().filter(|wait| *wait <= LONGEST);
+    wait.ok_or_else(|| Failure::usage(format!("--wait {value:?}; accepted: 0s to 10m")))
+}
+
+fn read(file: &str) -> Outcome<Config> {
+    classes::open(file).map_err(|faults| edge(faults.into()))
+}
+
+/// Where the platform is: `--platform`, else the settings file.
+fn open(matches: &Matches) -> Outcome<Fleet> {
+    let given: Option<SocketAddr> = args::read(matches, "platform", "IP:PORT")?;
+    let (address, timeout) = match (given, matches.opt_str("settings")) {
+        (Some(address), None) => (address, TIMEOUT),
+        (None, Some(file)) => platform(&file).map_err(|faults| edge(faults.into()))?,
+        _ => {
+            let why = "either --platform IP:PORT or --settings FILE is needed";
+            return Err(Failure::usage(why));
+        }
+    };
+    Ok(Fleet::open(address, timeout))
+}
+
+/// Reads the platform's address and timeout from a settings file.
+///
+/// # Errors
+/// Every fault of the file.
+pub(crate) fn platform(file: &str) -> Result<(SocketAddr, Duration), Faults> {
+    let mut file = File::open(file)?;
+    let mut section = file.section("platform");
+    let address = section.address("address");
+    let range = Duration::from_millis(1)..=LONGEST;
+    let timeout = section.duration_or("timeout", range, TIMEOUT);
+    file.finish()?;
+    Ok((address, timeout))
+}
+
+fn edge(error: Error) -> Report<Failure> {
+    let failure = match &error {
+        Error::Faults(faults) => format!("{} faults", faults.0.len()),
+        _ => "failed".to_owned(),
+    };
+    Report::new(error).change_context(Failure::Failed(failure))
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,7 @@
+//! The operators' command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    poplar_base::args::exit(poplar_ctl::run(std::env::args().skip(1)))
+}
--- /dev/null
+++ b/crates/ctl/src/query/budgets.rs
@@ -0,0 +1,101 @@
+//! Queries of budgets.
+
+use poplar_core::bill::Stage;
+use poplar_core::budget::rows::GrantRow;
+use poplar_core::id::{Incarnation, Name};
+use poplar_core::sorted::SortedVec;
+use serde::Serialize;
+
+use crate::error::{Error, Result};
+use crate::fleet::{Budget, Fleet, Router};
+use crate::shown::{Shown, Table};
+
+/// A budget with where its tokens are, all in tokens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct State {
+    /// The budget.
+    pub budget: Name,
+    /// Prepaid in all.
+    pub limit: u64,
+    /// Billed, as the routers' rows say.
+    pub billed: u64,
+    /// Granted to live routers and not billed yet.
+    pub held: u64,
+    /// Granted to sealed routers and not billed: counted as spent.
+    pub stranded: u64,
+    /// Not granted to any router.
+    pub available: u64,
+}
+
+/// Adds up where each budget's tokens are.
+pub fn states(
+    budgets: &[Budget],
+    grants: &SortedVec<(Name, Incarnation), GrantRow>,
+    routers: &[Router],
+) -> Vec<State> {
+    let state = |budget: &Budget| {
+        let mut state = State {
+            budget: budget.name.clone(),
+            limit: budget.row.limit,
+            billed: 0,
+            held: 0,
+            stranded: 0,
+            available: budget.row.available(),
+        };
+        for router in routers {
+            add(&mut state, grants, router);
+        }
+        state
+    };
+    budgets.iter().map(state).collect()
+}
+
+fn add(state: &mut State, grants: &SortedVec<(Name, Incarnation), GrantRow>, router: &Router) {
+    let of = |pair: &&(Name, u64)| pair.0 == state.budget;
+    let billed = router.row.billed.iter().find(of).map_or(0, |pair| pair.1);
+    let grant = grants.get(&(state.budget.clone(), router.name.clone()));
+    let left = grant.map_or(0, |g| g.granted.saturating_sub(billed));
+    state.billed += billed;
+    match router.row.stage {
+        Stage::Sealed => state.stranded += left,
+        Stage::Joining | Stage::Active | Stage::Leaving => state.held += left,
+    }
+}
+
+async fn read(fleet: &Fleet) -> Result<Vec<State>> {
+    // Grants are read before the rows that bill them, so that a draw between
+    // the two reads shows as held too little and never as billed too much.
+    let grants = fleet.grants().await?;
+    let routers = fleet.routers().await?;
+    Ok(states(&fleet.budgets().await?, &grants, &routers))
+}
+
+/// Lists every budget.
+///
+/// # Errors
+/// The platform's.
+pub async fn list(fleet: &Fleet) -> Result<Shown> {
+    let states = read(fleet).await?;
+    Ok(Shown::new(&states, text(&states)))
+}
+
+/// Shows one budget.
+///
+/// # Errors
+/// No such budget, or the platform's.
+pub async fn show(fleet: &Fleet, budget: &str) -> Result<Shown> {
+    let states = read(fleet).await?;
+    let state = states.into_iter().find(|s| *s.budget == *budget);
+    let state = state.ok_or_else(|| Error::Refused(format!("there is no budget {budget}")))?;
+    Ok(Shown::new(&state, text(std::slice::from_ref(&state))))
+}
+
+fn text(states: &[State]) -> String {
+    let mut table = Table::new(["BUDGET", "LIMIT", "BILLED", "HELD", "STRANDED", "AVAILABLE"]);
+    for s in states {
+        let counts = [s.limit, s.billed, s.held, s.stranded, s.available];
+        let counts = counts.iter().map(u64::to_string);
+        table.row(std::iter::once(s.budget.to_string()).chain(counts));
+    }
+    table.text()
+}
--- /dev/null
+++ b/crates/ctl/src/query/config.rs
@@ -0,0 +1,79 @@
+//! Queries of the configuration: `check`, `show` and `diff`.
+
+use poplar_core::config::{Config, ConfigWire};
+use serde::Serialize;
+
+use crate::difference::{self, Change};
+use crate::error::Result;
+use crate::fleet::Fleet;
+use crate::shown::{Shown, Table};
+
+/// Says what a classes file that was read without faults holds.
+pub fn check(config: &Config) -> Shown {
+    let (classes, workspaces) = (config.classes.len(), config.workspaces.len());
+    let text = format!("no faults: {classes} classes, {workspaces} workspaces\n");
+    Shown::new(&ConfigWire::from(config), text)
+}
+
+/// Shows the configuration in the table.
+///
+/// # Errors
+/// The platform's.
+pub async fn show(fleet: &Fleet) -> Result<Shown> {
+    let config = fleet.config().await?.config;
+    Ok(Shown::new(&ConfigWire::from(&config), text(&config)))
+}
+
+fn text(config: &Config) -> String {
+    let mut classes = Table::new([
+        "CLASS",
+        "KIND",
+        "SERVES",
+        "FIRST",
+        "FINISH",
+        "OBJECTIVE",
+        "REPEAT",
+        "PRICE",
+        "CAP",
+    ]);
+    for class in &config.classes {
+        let fields = difference::class(class).into_iter().map(|(_, value)| value);
+        classes.row(std::iter::once(class.name.to_string()).chain(fields));
+    }
+    let mut workspaces = Table::new(["WORKSPACE", "SECRET"]);
+    for workspace in &config.workspaces {
+        let fields = difference::workspace(workspace);
+        let fields = fields.into_iter().map(|(_, value)| value);
+        workspaces.row(std::iter::once(workspace.name.to_string()).chain(fields));
+    }
+    let generation = config.generation;
+    let (classes, workspaces) = (classes.text(), workspaces.text());
+    format!("generation {generation}\n\n{classes}\n{workspaces}")
+}
+
+/// What `diff` found.
+#[derive(Debug, Serialize)]
+struct Difference {
+    generation: u64,
+    changes: Vec<Change>,
+}
+
+/// Shows what applying `file` would change.
+///
+/// # Errors
+/// The platform's.
+pub async fn diff(fleet: &Fleet, file: &Config) -> Result<Shown> {
+    let now = fleet.config().await?.config;
+    let found = Difference {
+        generation: now.generation,
+        changes: difference::list(&now, file),
+    };
+    let mut text = String::new();
+    for change in &found.changes {
+        text.push_str(&format!("{change}\n"));
+    }
+    if found.changes.is_empty() {
+        text = format!("no difference from generation {}\n", now.generation);
+    }
+    Ok(Shown::new(&found, text))
+}
--- /dev/null
+++ b/crates/ctl/src/query/routers.rs
@@ -0,0 +1,166 @@
+//! Queries of routers and of the backend servers they see.
+
+use poplar_core::bill::Stage;
+use poplar_core::id::Incarnation;
+use poplar_core::sorted::SortedVec;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::error::Result;
+use crate::fleet::Fleet;
+use crate::shown::{Shown, Table};
+
+/// A router as its row and its own page show it.
+#[derive(Debug, Serialize)]
+struct Listed {
+    incarnation: Incarnation,
+    centre: String,
+    stage: Stage,
+    /// Null where the router can't be asked.
+    status: Value,
+}
+
+/// Lists the routers that are not sealed, or all of them.
+///
+/// # Errors
+/// The platform's.
+pub async fn routers(fleet: &Fleet, all: bool) -> Result<Shown> {
+    let mut routers = fleet.routers().await?;
+    routers.retain(|r| all || r.live());
+    let pages = fleet.ask(&routers, "/v1/status").await;
+    let listed: Vec<Listed> = routers
+        .into_iter()
+        .zip(pages)
+        .map(|(router, page)| Listed {
+            centre: router.row.centre.to_string(),
+            stage: router.row.stage,
+            status: page
+                .ok()
+                .filter(|page| page["incarnation"] == *router.name.0)
+                .unwrap_or(Value::Null),
+            incarnation: router.name,
+        })
+        .collect();
+    Ok(Shown::new(&listed, table(&listed)))
+}
+
+fn table(listed: &[Listed]) -> String {
+    let mut table = Table::new([
+        "ROUTER",
+        "CENTRE",
+        "STAGE",
+        "GENERATION",
+        "READY",
+        "STREAMS",
+        "PEERS",
+    ]);
+    for router in listed {
+        let status = &router.status;
+        let peers = status["peers"].as_array().map(Vec::len);
+        table.row([
+            router.incarnation.to_string(),
+            router.centre.clone(),
+            format!("{:?}", router.stage).to_lowercase(),
+            cell(&status["generation"]),
+            cell(&status["ready"]),
+            cell(&status["streams"]),
+            peers.map_or_else(|| "-".to_owned(), |count| count.to_string()),
+        ]);
+    }
+    table.text()
+}
+
+/// A value as a table's cell.
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        Value::Bool(true) => "yes".to_owned(),
+        Value::Bool(false) => "no".to_owned(),
+        Value::String(text) if text.is_empty() => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// A backend server as the routers see it.
+#[derive(Debug, Clone, Serialize)]
+struct Backend {
+    name: String,
+    centre: String,
+    role: String,
+    serves: String,
+    leaving: bool,
+    /// Routers that send it nothing after failures.
+    ejected: u64,
+    /// Routers that see it.
+    seen: u64,
+    /// Requests in flight from all routers.
+    in_flight: u64,
+    /// Why one of them keeps away from it.
+    reason: String,
+}
+
+/// Lists the backend servers, summed over the routers that answer.
+///
+/// # Errors
+/// The platform's.
+pub async fn backends(fleet: &Fleet) -> Result<Shown> {
+    let routers = fleet.live().await?;
+    let pages = fleet.ask(&routers, "/v1/backends").await;
+    let mut sums: SortedVec<String, Backend> = SortedVec::new();
+    for page in pages.into_iter().flatten() {
+        for entry in page["backends"].as_array().into_iter().flatten() {
+            add(&mut sums, entry);
+        }
+    }
+    let listed: Vec<Backend> = sums.iter().map(|(_, backend)| backend.clone()).collect();
+    Ok(Shown::new(&listed, backend_table(&listed)))
+}
+
+fn add(sums: &mut SortedVec<String, Backend>, entry: &Value) {
+    let text = |field: &str| entry[field].as_str().unwrap_or_default().to_owned();
+    let backend = sums.entry(text("name"), || Backend {
+        name: text("name"),
+        centre: text("centre"),
+        role: text("role"),
+        serves: text("serves"),
+        leaving: false,
+        ejected: 0,
+        seen: 0,
+        in_flight: 0,
+        reason: String::new(),
+    });
+    backend.seen += 1;
+    backend.leaving |= entry["leaving"] == true;
+    backend.ejected += u64::from(entry["ejected"] == true);
+    backend.in_flight += entry["in_flight"].as_u64().unwrap_or(0);
+    if backend.reason.is_empty() {
+        backend.reason = text("reason");
+    }
+}
+
+fn backend_table(listed: &[Backend]) -> String {
+    let mut table = Table::new([
+        "BACKEND",
+        "CENTRE",
+        "ROLE",
+        "SERVES",
+        "LEAVING",
+        "EJECTED BY",
+        "IN FLIGHT",
+        "REASON",
+    ]);
+    for b in listed {
+        table.row([
+            b.name.clone(),
+            b.centre.clone(),
+            b.role.clone(),
+            b.serves.clone(),
+            cell(&Value::Bool(b.leaving)),
+            format!("{} of {}", b.ejected, b.seen),
+            b.in_flight.to_string(),
+            cell(&Value::String(b.reason.clone())),
+        ]);
+    }
+    table.text()
+}
--- /dev/null
+++ b/crates/ctl/tests/ctl/apply.rs
@@ -0,0 +1,74 @@
+//! A configuration is written once, on a condition, and its answer read back.
+
+use std::time::Instant;
+
+use crate::common::{Fate, config, fleet, router};
+use poplar_core::bill::Stage;
+use poplar_core::config::{ConfigWire, ROW};
+use poplar_ctl::command::apply::{Applied, Wanted, apply, shown};
+use poplar_ctl::error::{Error, Result};
+use poplar_ctl::fleet::Fleet;
+
+async fn run(fleet: &Fleet, finish: &str, expect: Option<u64>) -> Result<Applied> {
+    let wanted = Wanted {
+        config: config(finish),
+        expect,
+        deadline: Instant::now(),
+    };
+    apply(fleet, &wanted).await
+}
+
+#[tokio::test]
+async fn it_counts_live_routers_at_the_generation() {
+    let (fleet, state) = fleet();
+    {
+        let mut state = state.lock().unwrap();
+        state.set("router/a.1", &router("a", Stage::Active, 0));
+        state.set("router/b.1", &router("b", Stage::Joining, 0));
+        state.set("router/c.1", &router("c", Stage::Active, 0));
+        state.set("router/d.1", &router("d", Stage::Sealed, 0));
+        for (name, incarnation, generation) in [("a", "a.1", 1), ("b", "b.1", 0), ("c", "c.2", 1)] {
+            let page = serde_json::json!({"incarnation": incarnation, "generation": generation});
+            state.pages.insert(format!("{name}/v1/status"), page);
+        }
+    }
+    let applied = run(&fleet, "2s", None).await.unwrap();
+    insta::assert_snapshot!(shown(&applied).text);
+    assert!(shown(&applied).failed.is_some());
+    let again = run(&fleet, "2s", None).await.unwrap();
+    assert!(again.unchanged && again.generation == 1);
+    assert_eq!(state.lock().unwrap().commits, 1);
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_read_back_and_the_write_never_repeated() {
+    let (fleet, state) = fleet();
+    state.lock().unwrap().fates = vec![Fate::Lost, Fate::Dropped];
+    assert_eq!(run(&fleet, "2s", None).await.unwrap().generation, 1);
+    assert_eq!(state.lock().unwrap().commits, 1);
+    let unseen = run(&fleet, "3s", None).await;
+    assert!(matches!(unseen, Err(Error::Unknown(_))));
+    assert_eq!(state.lock().unwrap().commits, 2);
+}
+
+#[tokio::test]
+async fn a_racing_operator_is_shown_what_changed() {
+    let (fleet, state) = fleet();
+    run(&fleet, "2s", None).await.unwrap();
+    run(&fleet, "9s", None).await.unwrap();
+    let late = run(&fleet, "5s", Some(1)).await.unwrap_err();
+    insta::assert_snapshot!(late);
+    // Another writer comes between the read and the write.
+    let mut other = config("7s");
+    other.generation = 3;
+    let (fleet, racing) = (fleet.clone(), state.clone());
+    let inner = fleet.platform.commit.clone();
+    let mut raced = fleet.clone();
+    raced.platform.commit = std::sync::Arc::new(move |commit| {
+        racing.lock().unwrap().set(ROW, &ConfigWire::from(&other));
+        inner(commit)
+    });
+    let late = run(&raced, "5s", Some(2)).await.unwrap_err();
+    insta::assert_snapshot!(late);
+    assert_eq!(fleet.config().await.unwrap().config.generation, 3);
+}
--- /dev/null
+++ b/crates/ctl/tests/ctl/common.rs
@@ -0,0 +1,188 @@
+//! A fleet in memory, with switches for its failures.
+
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use poplar_base::platform::{Commit, Error, Platform, Row};
+use poplar_base::settings::File;
+use poplar_core::bill::{Batch, Bill, RouterRow, Stage};
+use poplar_core::config::Config;
+use poplar_core::id::RequestId;
+use poplar_core::sorted::SortedVec;
+use poplar_ctl::classes;
+use poplar_ctl::error::Error as CtlError;
+use poplar_ctl::fleet::{Admin, Fleet};
+use serde_json::Value;
+
+/// What happens to the next commits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Fate {
+    /// It takes effect and its answer is lost.
+    Lost,
+    /// It never arrives, and its caller can't know.
+    Dropped,
+    /// A router draws a token on this budget first.
+    Raced(&'static str),
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) rows: SortedVec<String, (u64, Value)>,
+    pub(crate) objects: SortedVec<String, Bytes>,
+    pub(crate) pages: SortedVec<String, Value>,
+    pub(crate) fates: Vec<Fate>,
+    pub(crate) commits: u64,
+    version: u64,
+}
+
+impl State {
+    pub(crate) fn set(&mut self, key: &str, value: &impl serde::Serialize) {
+        self.version += 1;
+        let value = serde_json::to_value(value).unwrap();
+        self.rows.insert(key.to_owned(), (self.version, value));
+    }
+
+    fn row(&self, key: &str) -> Row {
+        let (version, value) = self.rows.get(key).cloned().unwrap_or_default();
+        let key = key.to_owned();
+        Row {
+            key,
+            version,
+            value,
+        }
+    }
+
+    fn commit(&mut self, commit: Commit) -> Result<u64, Error> {
+        self.commits += 1;
+        let fate = (!self.fates.is_empty()).then(|| self.fates.remove(0));
+        match fate {
+            Some(Fate::Dropped) => return Err(Error::Unknown("timeout".into())),
+            Some(Fate::Raced(key)) => {
+                let mut value = self.row(key).value;
+                value["granted"] = (value["granted"].as_u64().unwrap() + 1).into();
+                self.set(key, &value);
+            }
+            _ => {}
+        }
+        let stale = |c: &&poplar_base::platform::Check| self.row(&c.key).version != c.version;
+        let stale: Vec<Row> = commit
+            .checks
+            .iter()
+            .filter(stale)
+            .map(|c| self.row(&c.key))
+            .collect();
+        if !stale.is_empty() {
+            return Err(Error::Conflict(stale));
+        }
+        for write in commit.writes {
+            self.set(&write.key, &write.value.unwrap());
+        }
+        match fate {
+            Some(Fate::Lost) => Err(Error::Unknown("timeout".into())),
+            _ => Ok(self.version),
+        }
+    }
+}
+
+pub(crate) type Shared = Arc<Mutex<State>>;
+
+/// A fleet over an empty state, and the state.
+pub(crate) fn fleet() -> (Fleet, Shared) {
+    let state = Shared::default();
+    let [read, scan, commit, get, page] = std::array::from_fn(|_| state.clone());
+    let platform = Platform {
+        read: Arc::new(move |keys| {
+            let state = read.lock().unwrap();
+            let rows = keys.iter().map(|key| state.row(key)).collect();
+            Box::pin(async { Ok(rows) })
+        }),
+        scan: Arc::new(move |prefix| {
+            let state = scan.lock().unwrap();
+            let keys = state.rows.iter().map(|(key, _)| key);
+            let rows = keys
+                .filter(|k| k.starts_with(&prefix))
+                .map(|k| state.row(k))
+                .collect();
+            Box::pin(async { Ok(rows) })
+        }),
+        commit: Arc::new(move |c| {
+            let done = commit.lock().unwrap().commit(c);
+            Box::pin(async { done })
+        }),
+        put: Arc::new(|_, _| Box::pin(async { Ok(()) })),
+        get: Arc::new(move |name| {
+            let found = get.lock().unwrap().objects.get(&name).cloned();
+            Box::pin(async { Ok(found) })
+        }),
+        hosts: Arc::new(|| Box::pin(async { Ok(Vec::new()) })),
+    };
+    let call: poplar_ctl::fleet::Call = Arc::new(move |address, path| {
+        let found = page
+            .lock()
+            .unwrap()
+            .pages
+            .get(&format!("{address}{path}"))
+            .cloned();
+        Box::pin(async { found.ok_or_else(|| CtlError::Admin("no connection".into())) })
+    });
+    let admin = Admin {
+        get: call.clone(),
+        post: call,
+    };
+    (Fleet { platform, admin }, state)
+}
+
+/// A router's row at admin address `admin`.
+pub(crate) fn router(admin: &str, stage: Stage, billed: u64) -> RouterRow {
+    RouterRow {
+        address: "127.0.0.1:1".into(),
+        admin: admin.into(),
+        centre: "depot-north".into(),
+        stage,
+        head: None,
+        batches: 0,
+        billed: vec![("lighting".into(), billed)],
+    }
+}
+
+/// Puts a router with bills of `tokens` each, one batch a bill.
+pub(crate) fn billing(state: &mut State, name: &str, bills: &[(&str, u64)], billed: u64) {
+    let mut row = router(name, Stage::Active, billed);
+    for (id, tokens) in bills {
+        let batch = Batch {
+            previous: row.head.clone(),
+            bills: vec![bill(id, *tokens)],
+        };
+        row.batches += 1;
+        let object = format!("bills/{name}/{:08}-0", row.batches);
+        let body = serde_json::to_vec(&batch).unwrap();
+        state.objects.insert(object.clone(), body.into());
+        row.head = Some(object.into());
+    }
+    state.set(&format!("router/{name}"), &row);
+}
+
+fn bill(id: &str, tokens: u64) -> Bill {
+    Bill {
+        id: RequestId(id.into()),
+        workspace: "lighting".into(),
+        class: "fault-note".into(),
+        budget: "lighting".into(),
+        prompt: tokens,
+        output: 0,
+        at_ms: 0,
+        first_ms: None,
+        finish_ms: 1,
+        met: true,
+        answer: None,
+    }
+}
+
+/// A configuration of one class that finishes in `finish`.
+pub(crate) fn config(finish: &str) -> Config {
+    let text = format!(
+        "[class pole-push]\nkind = service\nserves = poles\nfinish = {finish}\nrepeat = no\n\
+         [workspace lighting]\nkey = lamp\n"
+    );
+    classes::read(File::parse("classes.ini", &text).unwrap()).unwrap()
+}
--- /dev/null
+++ b/crates/ctl/tests/ctl/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the operators' command.
+
+mod apply;
+mod budget;
+mod classes;
+mod command;
+mod common;
