--- a/crates/core/src/admit/drain.rs
+++ b/crates/core/src/admit/drain.rs
@@ -1,42 +1,65 @@
-//! How fast one router's queue is being served.
+//! How fast one router's queue is served while something waits in it.
+//!
+//! Only time with a queue counts: what is sent while nothing waits tells how
+//! much was asked for, not how much could be served.
 
 use std::time::{Duration, Instant};
 
-/// Time over which the rate is averaged.
+use crate::route::server::PRIORITIES;
+
+/// Time with a queue over which the rate is averaged.
 const WINDOW: Duration = Duration::from_secs(2);
 
-/// Average rate at which entries leave a queue.
+/// Time with a queue before there is a rate.
+const ENOUGH: Duration = Duration::from_millis(250);
+
+/// Average rate at which entries leave a queue, by priority.
 #[derive(Debug, Clone, Default)]
 pub struct Drain {
-    tokens: f64,
+    /// Seconds with a queue, older ones weighing less.
+    busy: f64,
+    /// Tokens sent in them by priority, older ones weighing less.
+    tokens: [f64; PRIORITIES],
+    /// Since when something has waited.
     since: Option<Instant>,
-    last: Option<Instant>,
 }
 
 impl Drain {
     /// Takes in that an entry of `cost` tokens was sent.
-    pub fn sent(&mut self, cost: u32, now: Instant) {
-        self.tokens = self.left(now) + f64::from(cost);
-        self.since.get_or_insert(now);
-        self.last = Some(now);
+    pub fn sent(&mut self, priority: u8, cost: u32, now: Instant) {
+        if self.since.is_some() {
+            self.advance(now);
+            let at = usize::from(priority).min(PRIORITIES - 1);
+            self.tokens[at] += f64::from(cost);
+        }
     }
 
-    /// Tokens a second, once there is a measure.
-    pub fn rate(&self, now: Instant) -> Option<f64> {
-        let age = now.saturating_duration_since(self.since?);
-        let span = WINDOW.as_secs_f64() * (1.0 - decay(age));
-        let full = age >= WINDOW / 4;
-        full.then(|| self.left(now) / span)
+    /// Takes in whether something waits, after each change of the queue.
+    pub fn waits(&mut self, some: bool, now: Instant) {
+        self.advance(now);
+        self.since = some.then_some(now);
     }
 
-    /// Tokens of the window that are left of earlier ones.
-    fn left(&self, now: Instant) -> f64 {
-        let gone = self.last.map(|last| now.saturating_duration_since(last));
-        self.tokens * decay(gone.unwrap_or_default())
+    /// Tokens a second left for a priority after what is more urgent, once
+    /// there is a measure.
+    pub fn rate(&self, priority: u8) -> Option<f64> {
+        if self.busy < ENOUGH.as_secs_f64() {
+            return None;
+        }
+        let from = usize::from(priority).min(PRIORITIES - 1);
+        Some(self.tokens[from..].iter().sum::<f64>() / self.busy)
     }
-}
 
-/// What is left of a value after `gone`.
-fn decay(gone: Duration) -> f64 {
-    (-gone.as_secs_f64() / WINDOW.as_secs_f64()).exp()
+    fn advance(&mut self, now: Instant) {
+        let Some(since) = self.since else {
+            return;
+        };
+        let gone = now.saturating_duration_since(since).as_secs_f64();
+        let decay = (-gone / WINDOW.as_secs_f64()).exp();
+        self.busy = self.busy * decay + gone;
+        for tokens in &mut self.tokens {
+            *tokens *= decay;
+        }
+        self.since = Some(since.max(now));
+    }
 }
--- /dev/null
+++ b/crates/core/src/prefix/mod.rs
@@ -0,0 +1,69 @@
+//! Prompt prefixes and which backend server likely holds them.
+//!
+//! A prompt is cut into blocks whose hashes are chained, so that the hash of a
+//! block stands for all of the prompt up to its end. What a server holds is a
+//! guess: its cache events come late and with gaps, and this router adds what
+//! it sent there itself. A wrong guess costs time and nothing else.
+
+mod holders;
+mod view;
+
+pub use holders::Holders;
+pub use view::{Event, Op, View};
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Bytes of one block.
+pub const BLOCK: usize = 256;
+
+/// Chained hashes of a prompt's blocks, made as the prompt is written in.
+#[derive(Debug, Clone, Default)]
+pub struct Chain {
+    hashes: Vec<u64>,
+    block: Vec<u8>,
+    bytes: usize,
+}
+
+impl Chain {
+    /// An empty prompt.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds one message of the prompt.
+    pub fn message(&mut self, role: &str, content: &str) {
+        for part in [role, "\n", content, "\n"] {
+            self.write(part.as_bytes());
+        }
+    }
+
+    /// Adds bytes of the prompt.
+    pub fn write(&mut self, mut bytes: &[u8]) {
+        self.bytes += bytes.len();
+        while !bytes.is_empty() {
+            let room = BLOCK - self.block.len();
+            let (now, rest) = bytes.split_at(room.min(bytes.len()));
+            self.block.extend_from_slice(now);
+            bytes = rest;
+            if self.block.len() == BLOCK {
+                let hash = match self.hashes.last() {
+                    Some(last) => xxh3_64_with_seed(&self.block, *last),
+                    None => xxh3_64(&self.block),
+                };
+                self.hashes.push(hash);
+                self.block.clear();
+            }
+        }
+    }
+
+    /// Hashes of the complete blocks.
+    pub fn hashes(&self) -> &[u64] {
+        &self.hashes
+    }
+
+    /// Prompt tokens in the first `blocks` blocks of a prompt of `tokens`.
+    pub fn tokens_in(&self, blocks: usize, tokens: u32) -> u32 {
+        let share = (blocks * BLOCK) as f64 / self.bytes.max(1) as f64;
+        (f64::from(tokens) * share.min(1.0)) as u32
+    }
+}
--- a/crates/core/src/queue/lane.rs
+++ b/crates/core/src/queue/lane.rs
@@ -106,11 +106,6 @@
             .filter_map(move |((_, name), ())| first(name))
     }
 
-    /// Entries of one workspace.
-    pub(super) fn queued_by(&self, workspace: &str) -> usize {
-        self.flows.get(workspace).map_or(0, |f| f.tickets.len())
-    }
-
     /// Everything queued.
     pub(super) fn total(&self) -> Ahead {
         self.total
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -3,11 +3,13 @@
 //! Classes stand in lanes by priority, and the more urgent lane goes first.
 //! Inside a lane workspaces take turns by predicted tokens. A less urgent
 //! entry that is about to miss its time goes before more urgent ones only
-//! while those have time to spare, so bulk work neither starves nor displaces
-//! what is urgent. The queue is bounded, and no workspace may fill it.
+//! while those have time to spare or belong to a workspace that has had more
+//! than its part. So bulk work neither starves nor displaces what is urgent.
+//! The queue is bounded, and no workspace may fill it.
 
 mod entry;
 mod lane;
+mod usage;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -17,9 +19,9 @@
 pub use entry::{Entry, Ticket, priority_of};
 pub use lane::Ahead;
 
-use crate::id::Name;
 use crate::queue::entry::Slab;
 use crate::queue::lane::Lane;
+use crate::queue::usage::Usage;
 use crate::sorted::SortedVec;
 
 /// First entries of a lane that are offered for placing.
@@ -36,7 +38,8 @@
 pub enum Reason {
     /// It was its workspace's turn in the most urgent lane.
     Turn,
-    /// It was about to be late, and more urgent ones had time to spare.
+    /// It was about to be late, and more urgent ones had time to spare or came
+    /// from workspaces that have had more.
     Due,
 }
 
@@ -44,7 +47,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Turn => "its workspace's turn",
-            Self::Due => "about to be late, the more urgent had time to spare",
+            Self::Due => "about to be late, and the more urgent could wait",
         })
     }
 }
@@ -88,6 +91,7 @@
     len: usize,
     slab: Slab,
     lanes: SortedVec<u8, Lane>,
+    usage: Usage,
     timers: BinaryHeap<Reverse<(Instant, Ticket)>>,
     late: Vec<Entry>,
 }
@@ -100,6 +104,7 @@
             len: 0,
             slab: Slab::default(),
             lanes: SortedVec::new(),
+            usage: Usage::default(),
             timers: BinaryHeap::new(),
             late: Vec::new(),
         }
@@ -121,6 +126,7 @@
         let (workspace, cost) = (entry.workspace.clone(), entry.cost);
         let (priority, latest) = (entry.priority, entry.latest);
         let ticket = self.slab.insert(entry);
+        self.usage.push(&workspace);
         self.timers.push(Reverse((latest, ticket)));
         let lane = self.lanes.entry(priority, Lane::default);
         lane.push(&workspace, ticket, cost);
@@ -141,6 +147,7 @@
             .or_else(|| self.turn(can_place).map(|ticket| (ticket, Reason::Turn)))?;
         let entry = self.slab.remove(ticket)?;
         self.len -= 1;
+        self.usage.pop(&entry.workspace, entry.cost);
         if let Some(lane) = self.lanes.get_mut(&entry.priority) {
             lane.serve(&entry.workspace, entry.cost);
         }
@@ -151,6 +158,7 @@
     pub fn remove(&mut self, ticket: Ticket) -> Option<Entry> {
         let entry = self.slab.remove(ticket)?;
         self.len -= 1;
+        self.usage.pop(&entry.workspace, 0);
         if let Some(lane) = self.lanes.get_mut(&entry.priority) {
             lane.remove(&entry.workspace, ticket, entry.cost);
         }
@@ -184,8 +192,8 @@
     }
 
     /// Entries of one workspace.
-    pub fn queued_by(&self, workspace: &Name) -> usize {
-        self.lanes.iter().map(|(_, l)| l.queued_by(workspace)).sum()
+    pub fn queued_by(&self, workspace: &str) -> usize {
+        self.usage.queued(workspace)
     }
 
     /// Entries in all.
@@ -216,20 +224,25 @@
 
     /// The first entry of a lane that has to go before more urgent ones.
     fn due(&self, now: Instant) -> Option<Ticket> {
-        let mut heads = self.lanes.iter().filter_map(|(_, l)| l.heads().next());
-        let used = |ticket: Ticket| self.slab.get(ticket).map_or(0.0, |e| e.used(now));
-        let urgent = heads.next()?;
-        if used(urgent) > SPARE {
-            return None;
-        }
-        for head in heads {
-            if used(head) >= DUE {
-                return Some(head);
-            }
-            if used(head) > SPARE {
-                return None;
-            }
-        }
-        None
+        let first = |lane: &Lane| lane.heads().next();
+        let heads: Vec<(Ticket, &Entry)> = self
+            .lanes
+            .iter()
+            .filter_map(|(_, lane)| first(lane))
+            .filter_map(|ticket| self.slab.get(ticket).map(|entry| (ticket, entry)))
+            .collect();
+        let can_wait = |urgent: &Entry, due: &Entry| {
+            urgent.used(now) <= SPARE
+                || self
+                    .usage
+                    .has_more(&urgent.workspace, &due.workspace, due.cost)
+        };
+        let goes = |at: usize, due: &Entry| {
+            let mut urgent = heads[..at].iter();
+            due.used(now) >= DUE && urgent.all(|(_, urgent)| can_wait(urgent, due))
+        };
+        let mut behind = heads.iter().enumerate().skip(1);
+        let found = behind.find(|(at, (_, due))| goes(*at, due));
+        found.map(|(_, (ticket, _))| *ticket)
     }
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -45,6 +45,8 @@
     pub prompt: u32,
     /// Output tokens that are expected; steps of a service call.
     pub output: u32,
+    /// Whether it may run twice; only such requests probe ejected servers.
+    pub repeat: bool,
     /// Servers that were tried before.
     pub tried: &'a [Name],
 }
@@ -224,7 +226,7 @@
         let server = &fleet.servers[at];
         let count = if server.leaving || server.fenced {
             &mut self.leaving
-        } else if server.gate == Gate::Shut {
+        } else if server.gate == Gate::Shut || (server.gate == Gate::Probe && !job.repeat) {
             &mut self.ejected
         } else if job.tried.contains(&server.name) {
             &mut self.tried
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -13,6 +13,7 @@
         priority: 2,
         prompt: 400,
         output: 100,
+        repeat: true,
         tried: &[],
     }
 }
