Add the budget and claim protocols as pure decision functions

Changes of a grant, gifts, release, late bills and top-ups for budgets; the group's row, notes, promises and table claims for calls that may run at most once. Top-ups get a row of their own: a bounded list of identities would let an old one through again. Not yet explored by a specification.

--- /dev/null
+++ b/crates/core/src/budget/change.rs
@@ -0,0 +1,236 @@
+//! A holder's change of its own grant: draw, record of a gift, or close.
+//!
+//! A change is one transaction that relies on the versions of the budget's row,
+//! of the holder's grant and of the holder's own row. Sealing writes the last
+//! one, so a sealed holder changes nothing any more. Each change has a number,
+//! one above the grant's. After a lost answer the rows are read: if the grant
+//! carries the number the change took effect, however late that was seen.
+//! Otherwise the change is tried again under the same number, and since both
+//! tries rely on the same row at most one of them takes effect.
+//!
+//! A holder has at most one change of a budget under way.
+
+use super::ledger::Ledger;
+use super::rows::{BudgetRow, GrantRow, Seen, draw, give_back};
+use crate::id::Name;
+
+/// What a holder wants to change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Purpose {
+    /// Take tokens from the budget.
+    Draw {
+        /// Tokens wanted; fewer may be had.
+        want: u64,
+        /// Exposure to declare, as [`Ledger::declare`] returned it.
+        exposure: Option<u64>,
+    },
+    /// Move tokens that were given away to the receiver's grant.
+    Record {
+        /// Tokens that were given.
+        tokens: u64,
+    },
+    /// Return the rest and end the use of the budget.
+    Close,
+}
+
+/// The holder's own row, as far as budgets need it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Own {
+    /// Whether the holder is sealed.
+    pub sealed: bool,
+    /// Tokens of the budget that are durably billed or written off.
+    pub accounted: u64,
+}
+
+/// The rows that a change relies on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct View {
+    /// The budget's row.
+    pub budget: Seen<BudgetRow>,
+    /// The holder's grant.
+    pub grant: Seen<GrantRow>,
+    /// The holder's own row.
+    pub own: Seen<Own>,
+    /// The receiver's grant, for [`Purpose::Record`] only.
+    pub receiver: Seen<GrantRow>,
+}
+
+/// The transaction to commit: versions to rely on and rows to write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Writes {
+    /// The budget's row.
+    pub budget: Seen<BudgetRow>,
+    /// The holder's grant.
+    pub grant: Seen<GrantRow>,
+    /// The receiver's grant, where a gift is recorded.
+    pub receiver: Option<Seen<GrantRow>>,
+    /// Version of the holder's own row; the row itself is not written.
+    pub own: u64,
+}
+
+/// Why a change can't be made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// The holder is sealed, or its use of the budget has ended.
+    Sealed,
+    /// Nothing of the budget is left to grant.
+    Exhausted,
+}
+
+/// A change that took effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Applied {
+    /// What it was for.
+    pub purpose: Purpose,
+    /// Tokens that it moved.
+    pub tokens: u64,
+}
+
+/// What to do after the rows were read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Next {
+    /// Commit [`Change::writes`].
+    Commit,
+    /// It took effect.
+    Applied(Applied),
+}
+
+/// A change under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Change {
+    purpose: Purpose,
+    number: u64,
+    writes: Writes,
+}
+
+impl Change {
+    /// Starts a change from the rows as they were read.
+    ///
+    /// # Errors
+    /// Says why it can't be made; nothing needs to be committed then.
+    pub fn begin(purpose: Purpose, view: &View) -> Result<Self, Refusal> {
+        let number = view.grant.row.number + 1;
+        let writes = plan(purpose, view)?;
+        Ok(Self {
+            purpose,
+            number,
+            writes,
+        })
+    }
+
+    /// What to commit.
+    pub fn writes(&self) -> &Writes {
+        &self.writes
+    }
+
+    /// What it is for.
+    pub fn purpose(&self) -> Purpose {
+        self.purpose
+    }
+
+    /// The commit was answered as done.
+    pub fn on_committed(&self) -> Applied {
+        self.applied(&self.writes.grant.row)
+    }
+
+    /// The rows as read after a conflict or a lost answer.
+    ///
+    /// A conflict too may be the trace of an earlier try that took effect.
+    ///
+    /// # Errors
+    /// It did not take effect and never will.
+    pub fn on_rows(&mut self, view: &View) -> Result<Next, Refusal> {
+        if view.grant.row.number >= self.number {
+            return Ok(Next::Applied(self.applied(&view.grant.row)));
+        }
+        self.writes = plan(self.purpose, view)?;
+        Ok(Next::Commit)
+    }
+
+    fn applied(&self, grant: &GrantRow) -> Applied {
+        Applied {
+            purpose: self.purpose,
+            tokens: grant.last,
+        }
+    }
+}
+
+impl Applied {
+    /// Enters the change into the holder's ledger.
+    pub fn enter(&self, ledger: &mut Ledger, budget: &Name) {
+        match self.purpose {
+            Purpose::Draw { exposure, .. } => {
+                ledger.credit(budget, self.tokens);
+                ledger.allow(budget, exposure);
+            }
+            Purpose::Record { .. } => ledger.recorded(budget, self.tokens),
+            Purpose::Close => ledger.close(budget),
+        }
+    }
+}
+
+fn plan(purpose: Purpose, view: &View) -> Result<Writes, Refusal> {
+    if view.own.row.sealed || view.grant.row.closed {
+        return Err(Refusal::Sealed);
+    }
+    let (budget, grant) = (&view.budget.row, &view.grant.row);
+    match purpose {
+        Purpose::Draw { want, exposure } => {
+            if budget.available() == 0 {
+                return Err(Refusal::Exhausted);
+            }
+            let drawn = draw(budget, grant, want);
+            let grant = GrantRow {
+                exposure,
+                ..drawn.grant
+            };
+            Ok(writes(view, drawn.budget, grant, None))
+        }
+        Purpose::Record { tokens } => {
+            let (given, received) = record(grant, &view.receiver.row, tokens);
+            Ok(writes(view, *budget, given, Some(received)))
+        }
+        Purpose::Close => {
+            let rest = grant.granted.saturating_sub(view.own.row.accounted);
+            let back = give_back(budget, grant, rest);
+            let grant = GrantRow {
+                closed: true,
+                ..back.grant
+            };
+            Ok(writes(view, back.budget, grant, None))
+        }
+    }
+}
+
+fn record(from: &GrantRow, to: &GrantRow, tokens: u64) -> (GrantRow, GrantRow) {
+    let given = GrantRow {
+        number: from.number + 1,
+        last: tokens,
+        granted: from.granted.saturating_sub(tokens),
+        ..*from
+    };
+    let received = GrantRow {
+        granted: to.granted + tokens.min(from.granted),
+        ..*to
+    };
+    (given, received)
+}
+
+fn writes(view: &View, budget: BudgetRow, grant: GrantRow, to: Option<GrantRow>) -> Writes {
+    let receiver = to.map(|row| Seen {
+        version: view.receiver.version,
+        row,
+    });
+    Writes {
+        budget: Seen {
+            version: view.budget.version,
+            row: budget,
+        },
+        grant: Seen {
+            version: view.grant.version,
+            row: grant,
+        },
+        receiver,
+        own: view.own.version,
+    }
+}
--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -2,7 +2,10 @@
 //!
 //! A reservation is the worst case of a request, taken before dispatch. It is
 //! settled with what was consumed, or written off whole where that can't be
-//! known.
+//! known. Exposure is what the table doesn't know of yet: reserved, spent but
+//! not durably accounted for, and given but not recorded. It stays within the
+//! bound that the grant's row declares, so that after a crash the rest of the
+//! grant can be released.
 
 use crate::id::Name;
 use crate::sorted::SortedVec;
@@ -18,13 +21,37 @@
     pub reserved: u64,
     /// Part of `spent` that was written off: consumed or not, nobody knows.
     pub lost: u64,
+    /// Part of `spent` that is not durably accounted for.
+    pub unbilled: u64,
+    /// Given to other routers and not yet recorded in the table.
+    pub given: u64,
+    /// Bound on the exposure; `None` for no bound.
+    pub bound: Option<u64>,
 }
 
 impl Holding {
-    /// What may still be reserved or given.
+    /// What may still be reserved or given, the bound on exposure apart.
     pub fn free(&self) -> u64 {
         self.held.saturating_sub(self.spent + self.reserved)
     }
+
+    /// What the table doesn't know of yet.
+    pub fn exposure(&self) -> u64 {
+        self.reserved + self.unbilled + self.given
+    }
+
+    /// Whether the table knows of everything, so that the rest can go back.
+    pub fn idle(&self) -> bool {
+        self.exposure() == 0
+    }
+
+    /// What may be reserved or given now.
+    pub fn usable(&self) -> u64 {
+        match self.bound {
+            Some(bound) => self.free().min(bound.saturating_sub(self.exposure())),
+            None => self.free(),
+        }
+    }
 }
 
 /// Too little is free for a reservation.
@@ -32,10 +59,12 @@
 pub struct Short {
     /// Tokens that are missing.
     pub missing: u64,
+    /// Whether enough is free and only the bound on exposure stands against it.
+    pub exposed: bool,
 }
 
 /// Holdings of every budget the router has drawn on.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ledger {
     holdings: SortedVec<Name, Holding>,
 }
@@ -56,6 +85,11 @@
         self.holdings.iter()
     }
 
+    /// What the table doesn't know of `budget` yet, in tokens.
+    pub fn exposure(&self, budget: &str) -> u64 {
+        self.holding(budget).exposure()
+    }
+
     fn of(&mut self, budget: &Name) -> &mut Holding {
         self.holdings.entry(budget.clone(), Holding::default)
     }
@@ -65,10 +99,12 @@
     /// # Errors
     /// Says how much is missing; nothing is set aside then.
     pub fn reserve(&mut self, budget: &Name, worst: u64) -> Result<(), Short> {
-        let free = self.holding(budget).free();
-        if free < worst {
+        let holding = self.holding(budget);
+        let usable = holding.usable();
+        if usable < worst {
             return Err(Short {
-                missing: worst - free,
+                missing: worst - usable,
+                exposed: holding.free() >= worst,
             });
         }
         self.of(budget).reserved += worst;
@@ -82,6 +118,7 @@
         let holding = self.of(budget);
         holding.reserved = holding.reserved.saturating_sub(worst);
         holding.spent += used.min(worst);
+        holding.unbilled += used.min(worst);
     }
 
     /// Ends a reservation whose consumption can't be known.
@@ -90,16 +127,63 @@
         self.of(budget).lost += worst;
     }
 
+    /// `tokens` of what was spent or written off are durably accounted for.
+    pub fn billed(&mut self, budget: &Name, tokens: u64) {
+        let holding = self.of(budget);
+        holding.unbilled = holding.unbilled.saturating_sub(tokens);
+    }
+
     /// Adds tokens that were drawn or received.
     pub fn credit(&mut self, budget: &Name, tokens: u64) {
         self.of(budget).held += tokens;
     }
 
-    /// Takes up to `tokens` free tokens out, to give or to return them.
+    /// Takes up to `tokens` free tokens out, to return them.
     pub fn debit(&mut self, budget: &Name, tokens: u64) -> u64 {
         let holding = self.of(budget);
         let taken = tokens.min(holding.free());
         holding.held -= taken;
         taken
     }
+
+    /// Takes up to `tokens` usable tokens out, to give them to a router.
+    pub fn give(&mut self, budget: &Name, tokens: u64) -> u64 {
+        let holding = self.of(budget);
+        let taken = tokens.min(holding.usable());
+        holding.held -= taken;
+        holding.given += taken;
+        taken
+    }
+
+    /// `tokens` of what was given are recorded in the table.
+    pub fn recorded(&mut self, budget: &Name, tokens: u64) {
+        let holding = self.of(budget);
+        holding.given = holding.given.saturating_sub(tokens);
+    }
+
+    /// Chooses the exposure to declare with a draw, and keeps to it from now.
+    ///
+    /// What is in use already can't be declared away. Until the draw took
+    /// effect both the old bound and the new one hold.
+    pub fn declare(&mut self, budget: &Name, want: Option<u64>) -> Option<u64> {
+        let holding = self.of(budget);
+        let declared = want.map(|bound| bound.max(holding.exposure()));
+        holding.bound = match (holding.bound, declared) {
+            (Some(old), Some(new)) => Some(old.min(new)),
+            (old, new) => old.or(new),
+        };
+        declared
+    }
+
+    /// A declared exposure is in the table.
+    pub fn allow(&mut self, budget: &Name, declared: Option<u64>) {
+        self.of(budget).bound = declared;
+    }
+
+    /// The rest went back to the budget, and nothing of it is used any more.
+    pub fn close(&mut self, budget: &Name) {
+        let holding = self.of(budget);
+        holding.held = holding.spent;
+        holding.bound = Some(0);
+    }
 }
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -5,5 +5,9 @@
 //! and given tokens never exceed its grants. No grant expires by time, so a
 //! holder that was paused or cut off can do no harm when it goes on.
 
+pub mod change;
+pub mod ending;
+pub mod gift;
 pub mod ledger;
 pub mod rows;
+pub mod topup;
--- a/crates/core/src/budget/rows.rs
+++ b/crates/core/src/budget/rows.rs
@@ -24,15 +24,29 @@
     format!("router/{of}")
 }
 
+/// Key of the row that marks one top-up as made.
+pub fn topup_key(budget: &str, id: &Name) -> String {
+    format!("topup/{budget}/{id}")
+}
+
+/// A row with the version it was read at, 0 where there is none.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Seen<T> {
+    /// Version of the row's last write.
+    pub version: u64,
+    /// The row; its default where there is none.
+    pub row: T,
+}
+
 /// A budget as the table keeps it, in tokens.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 pub struct BudgetRow {
     /// Prepaid in all, top-ups included.
     pub limit: u64,
     /// Sum of what incarnations hold or have spent.
     pub granted: u64,
-    /// Identities of the newest top-ups, so that a repeated one is harmless.
-    pub topups: Vec<Name>,
 }
 
 impl BudgetRow {
@@ -43,22 +57,33 @@
 }
 
 /// What one incarnation has drawn of one budget, in tokens.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(default)]
 pub struct GrantRow {
-    /// Number of the last draw, return or gift that changed this row.
+    /// Number of the holder's last change of this row.
     pub number: u64,
-    /// Drawn and received, less given and returned.
+    /// Tokens that this change moved.
+    pub last: u64,
+    /// Drawn and received, less given, returned and released.
     pub granted: u64,
+    /// Bound on what the holder uses beyond its durable totals; `None` for all.
+    pub exposure: Option<u64>,
+    /// Released after the holder's end.
+    pub released: u64,
+    /// Whether the holder has ended its use of the budget itself.
+    pub closed: bool,
 }
 
-/// The rows after a draw.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// The rows after a draw or a return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Drawn {
     /// The budget's row.
     pub budget: BudgetRow,
     /// The incarnation's row.
     pub grant: GrantRow,
-    /// Tokens that were granted; 0 where nothing is available.
+    /// Tokens that were moved; 0 where nothing is available.
     pub tokens: u64,
 }
 
@@ -68,26 +93,31 @@
     Drawn {
         budget: BudgetRow {
             granted: budget.granted + tokens,
-            ..budget.clone()
+            ..*budget
         },
         grant: GrantRow {
             number: grant.number + 1,
+            last: tokens,
             granted: grant.granted + tokens,
+            ..*grant
         },
         tokens,
     }
 }
 
-/// Gives `tokens` of a grant back to its budget.
+/// Gives `tokens` of a grant back to its budget, at most all of it.
 pub fn give_back(budget: &BudgetRow, grant: &GrantRow, tokens: u64) -> Drawn {
+    let tokens = tokens.min(grant.granted);
     Drawn {
         budget: BudgetRow {
             granted: budget.granted.saturating_sub(tokens),
-            ..budget.clone()
+            ..*budget
         },
         grant: GrantRow {
             number: grant.number + 1,
-            granted: grant.granted.saturating_sub(tokens),
+            last: tokens,
+            granted: grant.granted - tokens,
+            ..*grant
         },
         tokens,
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod bill;
 pub mod budget;
+pub mod claim;
 pub mod config;
 pub mod id;
 pub mod sorted;
--- a/crates/core/src/sorted.rs
+++ b/crates/core/src/sorted.rs
@@ -1,7 +1,7 @@
 //! Sorted vectors with binary search, used in place of maps.
 
 /// A vector of entries kept in order of their key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SortedVec<K, V> {
     entries: Vec<(K, V)>,
 }
@@ -98,6 +98,12 @@
         self.entries.iter().map(|(k, v)| (k, v))
     }
 
+    /// Entries from the first one on for which `below` doesn't hold.
+    pub fn iter_from(&self, below: impl Fn(&K) -> bool) -> impl Iterator<Item = (&K, &V)> {
+        let at = self.entries.partition_point(|(k, _)| below(k));
+        self.entries[at..].iter().map(|(k, v)| (k, v))
+    }
+
     /// Entries in order of their key, values to change.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (&K, &mut V)> {
         self.entries.iter_mut().map(|(k, v)| (&*k, v))
