--- a/crates/base/src/settings/mod.rs
+++ b/crates/base/src/settings/mod.rs
@@ -174,6 +174,12 @@
         self.ask(name).then(|| Section::new(self, name))
     }
 
+    /// The section `name`; its absence stands for one without keys.
+    pub fn section_or_empty(&mut self, name: &str) -> Section<'_> {
+        self.ask(name);
+        Section::new(self, name)
+    }
+
     /// Names of the sections `[kind NAME]`, in the order of the file.
     pub fn named(&mut self, kind: &str) -> Vec<Arc<str>> {
         let prefix = format!("{kind} ");
--- a/crates/router/src/backends/dispatch.rs
+++ b/crates/router/src/backends/dispatch.rs
@@ -49,6 +49,8 @@
     pub finish: Duration,
     /// When it arrived.
     pub arrived: Instant,
+    /// Whether it may run twice.
+    pub repeat: bool,
     /// Servers that were tried.
     pub tried: Vec<Name>,
     /// Hash of its content, to know it again when it crashes servers.
@@ -66,6 +68,7 @@
             priority: self.priority,
             prompt: self.tokens(),
             output,
+            repeat: self.repeat,
             tried: &self.tried,
         }
     }
--- a/crates/router/src/backends/pool.rs
+++ b/crates/router/src/backends/pool.rs
@@ -184,7 +184,7 @@
         let cost = work.tokens().saturating_add(output);
         let outlook = Outlook {
             ahead: self.queue.ahead(work.priority, &work.workspace, cost),
-            rate: self.drain.rate(now),
+            rate: self.drain.rate(work.priority),
             best: sight.best,
             room: sight.room,
             gone: now.saturating_duration_since(work.arrived),
@@ -254,11 +254,12 @@
             }
         }
         self.expire(now);
+        self.drain.waits(!self.queue.is_empty(), now);
     }
 
     fn send(&mut self, waiter: Waiter, entry: &Entry, choice: &route::Choice, now: Instant) {
         self.turn += 1;
-        self.drain.sent(entry.cost, now);
+        self.drain.sent(entry.priority, entry.cost, now);
         let server = &mut self.servers[choice.server];
         let flight = Flight {
             priority: entry.priority,
--- a/crates/router/src/door/mod.rs
+++ b/crates/router/src/door/mod.rs
@@ -22,7 +22,7 @@
     let models = with(state, models);
     Router::new()
         .post("/v1/chat/completions", chat)
-        .post("/v1/services/:class/*path", service)
+        .post("/v1/services/:class/:path*", service)
         .get("/v1/models", models)
 }
 
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -241,6 +241,7 @@
             first: self.job.class.first,
             finish: self.job.class.finish,
             arrived: self.job.arrived,
+            repeat: true,
             tried: self.tried.clone(),
             print,
         };
--- a/crates/router/src/flow/service.rs
+++ b/crates/router/src/flow/service.rs
@@ -222,6 +222,7 @@
         first: None,
         finish: job.class.finish,
         arrived: job.arrived,
+        repeat: job.class.repeat,
         tried: tried.to_vec(),
         print: 0,
     };
--- a/crates/router/src/life.rs
+++ b/crates/router/src/life.rs
@@ -1,6 +1,7 @@
 //! A router's life: it registers, works, and ends by a graceful shutdown.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use poplar_core::bill::{RouterRow, Stage};
 use poplar_core::budget::rows::incarnation_key;
 use poplar_core::id::Incarnation;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::budget::biller::Rows;
@@ -49,25 +51,18 @@
 ///
 /// # Errors
 /// Where it can't start.
-pub async fn run(settings: Settings) -> Result<(), Error> {
+pub async fn run(mut settings: Settings) -> Result<(), Error> {
     let recorder = metrics::open().map_err(|e| Error::Metrics(e.to_string()))?;
+    let door = bind("listen", &mut settings.listen).await?;
+    let pages = bind("admin", &mut settings.admin).await?;
+    let peer = bind("peer", &mut settings.peer).await?;
+    announce(&settings);
     let me = Incarnation::new(&settings.name, rand::random());
     let platform = client::open(settings.platform.address, settings.platform.timeout);
     let state = State::new(settings, me, platform);
-    let bind = |what| move |why| Error::Bind(what, why);
-    let settings = &state.settings;
-    peers::bind(&state, settings.peer)
-        .await
-        .map_err(bind("peer"))?;
-    let admin = Server::bind(settings.admin, admin::routes(&state, recorder.clone()));
-    let admin = admin.await.map_err(bind("admin"))?;
-    let door = Server::bind(settings.listen, door::routes(&state));
-    let door = door.await.map_err(bind("listen"))?;
-    log::info("listening")
-        .with("router", &state.me)
-        .with("callers", door.address())
-        .with("admin", admin.address())
-        .write();
+    peers::spawn(&state, peer);
+    let _pages = Server::spawn(pages, admin::routes(&state, recorder.clone()));
+    let door = Server::spawn(door, door::routes(&state));
     spawn_workers(&state);
     tokio::spawn(upkeep(recorder));
     wait_for_end(&state).await?;
@@ -75,6 +70,31 @@
     Ok(())
 }
 
+/// Binds an address; port 0 is replaced by the one that was given.
+async fn bind(what: &'static str, address: &mut SocketAddr) -> Result<TcpListener, Error> {
+    let failed = |why| Error::Bind(what, why);
+    let listener = TcpListener::bind(*address).await.map_err(failed)?;
+    *address = listener.local_addr().map_err(failed)?;
+    Ok(listener)
+}
+
+/// Says on standard output where it listens, for whoever started it.
+fn announce(settings: &Settings) {
+    let Settings {
+        listen,
+        admin,
+        peer,
+        ..
+    } = settings;
+    println!("listening {listen} admin {admin} peer {peer}");
+    log::info("listening")
+        .with("router", &settings.name)
+        .with("callers", listen)
+        .with("admin", admin)
+        .with("peer", peer)
+        .write();
+}
+
 async fn upkeep(recorder: metrics_exporter_prometheus::PrometheusHandle) {
     loop {
         tokio::time::sleep(metrics::UPKEEP).await;
--- a/crates/router/src/peers/mod.rs
+++ b/crates/router/src/peers/mod.rs
@@ -21,7 +21,7 @@
 
 pub use gossip::{discover, gossip};
 pub use held::flush_orphans;
-pub use service::bind;
+pub use service::spawn;
 
 /// Silence after which a router no longer counts as live.
 const SILENT: Duration = Duration::from_secs(2);
--- a/crates/router/src/peers/service.rs
+++ b/crates/router/src/peers/service.rs
@@ -1,6 +1,5 @@
 //! The peer service of this router.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -24,12 +23,8 @@
     state: Arc<State>,
 }
 
-/// Binds the peer service and serves it in the background.
-///
-/// # Errors
-/// The system's, where the address can't be bound.
-pub async fn bind(state: &Arc<State>, address: SocketAddr) -> std::io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+/// Starts to serve peers that connect to `listener`.
+pub fn spawn(state: &Arc<State>, listener: TcpListener) {
     let service = PeerServer::new(Service {
         state: state.clone(),
     });
@@ -42,7 +37,6 @@
             poplar_base::log::error("peer service").reason(why).write();
         }
     });
-    Ok(())
 }
 
 #[tonic::async_trait]
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -3,7 +3,6 @@
 //! viz's own server ends a graceful shutdown after ten seconds; an answer may
 //! stream for longer, so the accept loop stands here.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,31 +22,16 @@
 /// A running listener.
 #[derive(Debug)]
 pub struct Server {
-    address: SocketAddr,
     stop: CancellationToken,
     task: JoinHandle<()>,
 }
 
 impl Server {
-    /// Binds `address` and starts to serve `router`.
-    ///
-    /// # Errors
-    /// The system's, where the address can't be bound.
-    pub async fn bind(address: SocketAddr, router: Router) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
+    /// Starts to serve `router` to those who connect to `listener`.
+    pub fn spawn(listener: TcpListener, router: Router) -> Self {
         let stop = CancellationToken::new();
         let task = tokio::spawn(accept(listener, router.into(), stop.clone()));
-        Ok(Self {
-            address,
-            stop,
-            task,
-        })
-    }
-
-    /// The address it listens at.
-    pub fn address(&self) -> SocketAddr {
-        self.address
+        Self { stop, task }
     }
 
     /// Stops accepting and waits until every request is answered.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -153,7 +153,7 @@
 }
 
 fn door(file: &mut File) -> Door {
-    let mut s = file.section("door");
+    let mut s = file.section_or_empty("door");
     Door {
         body: s.number_or("body", 1024..=1 << 28, 1 << 20),
         cap: s.number_or("cap", 1..=1 << 20, 8192),
@@ -163,7 +163,7 @@
 }
 
 fn budget(file: &mut File) -> Budget {
-    let mut s = file.section("budget");
+    let mut s = file.section_or_empty("budget");
     Budget {
         horizon: s.duration_or("horizon", ms(1000)..=LONGEST, Duration::from_secs(360)),
         least: s.number_or("least", 1..=1 << 32, 4096),
@@ -174,7 +174,7 @@
 }
 
 fn backends(file: &mut File) -> Backends {
-    let mut s = file.section("backends");
+    let mut s = file.section_or_empty("backends");
     Backends {
         hosts: s.duration_or("hosts", ms(50)..=ms(1500), ms(500)),
         load: s.duration_or("load", ms(20)..=Duration::from_secs(10), ms(250)),
@@ -183,7 +183,7 @@
 }
 
 fn stop(file: &mut File) -> Stop {
-    let mut s = file.section("stop");
+    let mut s = file.section_or_empty("stop");
     Stop {
         linger: s.duration_or("linger", ms(0)..=LONGEST, Duration::from_secs(2)),
         drain: s.duration_or("drain", ms(1)..=LONGEST, Duration::from_secs(180)),
