--- /dev/null
+++ b/crates/burn/src/gather.rs
@@ -0,0 +1,116 @@
+//! Gathers what the report needs from the platform and the routers.
+
+use poplar_core::bill::Bill;
+use poplar_core::id::Name;
+use poplar_core::sorted::SortedVec;
+use poplar_ctl::chain::{self, Chain};
+use poplar_ctl::error::Result;
+use poplar_ctl::fleet::{Fleet, Router};
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::report::{Answered, Input, Refused, WINDOWS};
+
+/// A router's burn page.
+#[derive(Debug, Default, Deserialize)]
+struct PageWire {
+    minutes: Vec<MinuteWire>,
+}
+
+#[derive(Debug, Deserialize)]
+struct MinuteWire {
+    minute: u64,
+    rows: Vec<RowWire>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RowWire {
+    workspace: Name,
+    class: Name,
+    refused: Vec<RefusedWire>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RefusedWire {
+    code: Name,
+    count: u64,
+    #[serde(rename = "false")]
+    wrong: u64,
+}
+
+/// Gathers the last day before `now`, in milliseconds of Unix time.
+///
+/// # Errors
+/// The platform's; a router that does not answer is part of the input.
+pub async fn gather(fleet: &Fleet, now: u64) -> Result<Input> {
+    let (_, day) = WINDOWS[WINDOWS.len() - 1];
+    let routers = fleet.routers().await?;
+    let since = now.saturating_sub(day);
+    let chains = chain::read_all(&fleet.platform, &routers, since).await?;
+    let mut input = Input {
+        config: fleet.config().await?.config,
+        answered: chains.iter().flat_map(|c| &c.bills).map(answered).collect(),
+        broken: chains.iter().filter_map(|c| c.broken.clone()).collect(),
+        // Limits only grow, so they are read after what was billed.
+        budgets: budgets(fleet, &chains).await?,
+        ..Input::default()
+    };
+    ask(fleet, routers, &mut input).await;
+    Ok(input)
+}
+
+fn answered(bill: &Bill) -> Answered {
+    Answered {
+        workspace: bill.workspace.clone(),
+        class: bill.class.clone(),
+        at: bill.at_ms,
+        met: bill.met,
+    }
+}
+
+async fn budgets(fleet: &Fleet, chains: &[Chain]) -> Result<Vec<(Name, u64, u64)>> {
+    let mut sums: SortedVec<Name, (u64, u64)> = SortedVec::new();
+    for (budget, tokens) in chains.iter().flat_map(|c| &c.billed) {
+        sums.entry(budget.clone(), || (0, 0)).1 += tokens;
+    }
+    for budget in fleet.budgets().await? {
+        sums.entry(budget.name, || (0, 0)).0 = budget.row.limit;
+    }
+    let sums = sums.iter();
+    Ok(sums
+        .map(|(name, sum)| (name.clone(), sum.0, sum.1))
+        .collect())
+}
+
+async fn ask(fleet: &Fleet, mut routers: Vec<Router>, input: &mut Input) {
+    routers.retain(Router::live);
+    let pages = fleet.ask(&routers, "/v1/burn").await;
+    for (router, page) in routers.into_iter().zip(pages) {
+        match page.ok().and_then(read) {
+            Some(page) => input.refused.extend(refused(page)),
+            None => input.silent.push(router.name),
+        }
+    }
+}
+
+fn read(page: Value) -> Option<PageWire> {
+    serde_json::from_value(page).ok()
+}
+
+fn refused(page: PageWire) -> Vec<Refused> {
+    let mut all = Vec::new();
+    for minute in page.minutes {
+        for row in minute.rows {
+            let (workspace, class) = (row.workspace, row.class);
+            all.extend(row.refused.into_iter().map(|r| Refused {
+                workspace: workspace.clone(),
+                class: class.clone(),
+                minute: minute.minute,
+                code: r.code,
+                count: r.count,
+                wrong: r.wrong,
+            }));
+        }
+    }
+    all
+}
--- /dev/null
+++ b/crates/burn/src/main.rs
@@ -0,0 +1,7 @@
+//! The service-level burn report.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    poplar_base::args::exit(poplar_burn::run(std::env::args().skip(1)))
+}
--- a/crates/ctl/src/chain.rs
+++ b/crates/ctl/src/chain.rs
@@ -24,14 +24,15 @@
     pub broken: Option<Name>,
 }
 
-/// Reads a router's whole chain, newest batch first.
+/// Reads a router's chain, newest batch first, until a batch that holds nothing
+/// since `since`, in milliseconds of Unix time; 0 reads the whole chain.
 ///
 /// A chain with more batches than the row counts is cut off there, so that a
 /// chain in a ring ends too.
 ///
 /// # Errors
 /// The platform's; a missing or unreadable batch is part of the chain's report.
-pub async fn read(platform: &Platform, router: &Router) -> Result<Chain> {
+pub async fn read(platform: &Platform, router: &Router, since: u64) -> Result<Chain> {
     let mut chain = Chain {
         of: Some(router.name.clone()),
         billed: router.row.billed.clone(),
@@ -49,7 +50,11 @@
             break;
         };
         chain.found += 1;
+        let newest = batch.bills.iter().map(|b| b.at_ms).max();
         chain.bills.extend(batch.bills);
+        if newest.is_some_and(|at| at < since) {
+            break;
+        }
         next = batch.previous;
     }
     Ok(chain)
@@ -63,14 +68,14 @@
     Ok(body.and_then(|body| serde_json::from_slice(&body).ok()))
 }
 
-/// Reads the chains of all `routers`.
+/// Reads the chains of all `routers`, as [`read`] does.
 ///
 /// # Errors
 /// The platform's.
-pub async fn read_all(platform: &Platform, routers: &[Router]) -> Result<Vec<Chain>> {
+pub async fn read_all(platform: &Platform, routers: &[Router], since: u64) -> Result<Vec<Chain>> {
     let mut chains = Vec::with_capacity(routers.len());
     for router in routers {
-        chains.push(read(platform, router).await?);
+        chains.push(read(platform, router, since).await?);
     }
     Ok(chains)
 }
--- a/crates/ctl/src/dispatch.rs
+++ b/crates/ctl/src/dispatch.rs
@@ -1,25 +1,20 @@
 //! From the command line to a command or a query.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use error_stack::Report;
 use poplar_base::args::{self, Asked, Command, Failure, Matches, Outcome};
-use poplar_base::settings::{self, Faults, File};
+use poplar_base::settings;
 use poplar_core::config::{Config, hash_key};
 
 use crate::classes;
 use crate::command::{apply, budget, drain};
-use crate::error::Error;
-use crate::fleet::Fleet;
+use crate::open::{edge, open};
 use crate::query::{bills, budgets, config, explain, routers};
 use crate::shown::Shown;
 
-/// How long a call takes at most where nothing is said.
-const TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a change is waited for where nothing is said.
 const WAIT: Duration = Duration::from_secs(4);
-/// Longest timeout and wait.
+/// Longest wait.
 const LONGEST: Duration = Duration::from_secs(600);
 
 const USAGE: &str = "[options] COMMAND
@@ -193,39 +188,3 @@
 fn read(file: &str) -> Outcome<Config> {
     classes::open(file).map_err(|faults| edge(faults.into()))
 }
-
-/// Where the platform is: `--platform`, else the settings file.
-fn open(matches: &Matches) -> Outcome<Fleet> {
-    let given: Option<SocketAddr> = args::read(matches, "platform", "IP:PORT")?;
-    let (address, timeout) = match (given, matches.opt_str("settings")) {
-        (Some(address), None) => (address, TIMEOUT),
-        (None, Some(file)) => platform(&file).map_err(|faults| edge(faults.into()))?,
-        _ => {
-            let why = "either --platform IP:PORT or --settings FILE is needed";
-            return Err(Failure::usage(why));
-        }
-    };
-    Ok(Fleet::open(address, timeout))
-}
-
-/// Reads the platform's address and timeout from a settings file.
-///
-/// # Errors
-/// Every fault of the file.
-pub(crate) fn platform(file: &str) -> Result<(SocketAddr, Duration), Faults> {
-    let mut file = File::open(file)?;
-    let mut section = file.section("platform");
-    let address = section.address("address");
-    let range = Duration::from_millis(1)..=LONGEST;
-    let timeout = section.duration_or("timeout", range, TIMEOUT);
-    file.finish()?;
-    Ok((address, timeout))
-}
-
-fn edge(error: Error) -> Report<Failure> {
-    let failure = match &error {
-        Error::Faults(faults) => format!("{} faults", faults.0.len()),
-        _ => "failed".to_owned(),
-    };
-    Report::new(error).change_context(Failure::Failed(failure))
-}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -14,6 +14,7 @@
 mod dispatch;
 pub mod error;
 pub mod fleet;
+pub mod open;
 pub mod query;
 pub mod shown;
 
--- a/crates/ctl/src/query/bills.rs
+++ b/crates/ctl/src/query/bills.rs
@@ -12,7 +12,7 @@
 /// The platform's.
 pub async fn bills(fleet: &Fleet) -> Result<Shown> {
     let routers = fleet.routers().await?;
-    let chains = chain::read_all(&fleet.platform, &routers).await?;
+    let chains = chain::read_all(&fleet.platform, &routers, 0).await?;
     // Limits only grow, so they are read last.
     let found = audit(&chains, &fleet.budgets().await?);
     let failed = (!found.clean()).then(|| "the audit found faults".to_owned());
