--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,8 +4,17 @@
 //! depends on the time takes it as the argument `now`, so tests and the
 //! specifications in `poplar-spec` drive the same code that the router runs.
 
+pub mod admit;
 pub mod bill;
 pub mod budget;
+pub mod claim;
 pub mod config;
+pub mod grant;
+pub mod health;
 pub mod id;
+pub mod poison;
+pub mod prefix;
+pub mod queue;
+pub mod retry;
+pub mod route;
 pub mod sorted;
