--- a/crates/standins/src/bin/fake-service.rs
+++ b/crates/standins/src/bin/fake-service.rs
@@ -7,11 +7,7 @@
 
 /// Options besides `--listen`.
 const OPTIONS: &[options::Spec] = &[
-    (
-        "name",
-        "NAME",
-        "the host's name, for lists of processes [none]",
-    ),
+    ("name", "NAME", "the host's name [service]"),
     ("service", "SERVICE", "the service it offers [service]"),
     ("delay", "TIME", "time that a call runs [5ms]"),
     ("slots", "N", "calls that run at once [32]"),
@@ -29,6 +25,7 @@
     let listen = options.get("listen", SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
     let default = Settings::default();
     let settings = Settings {
+        name: options.get("name", default.name),
         service: options.get("service", default.service),
         delay: options.span("delay", default.delay),
         slots: options.get("slots", default.slots),
--- a/crates/standins/src/engine/calls.rs
+++ b/crates/standins/src/engine/calls.rs
@@ -3,21 +3,21 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response};
 use hyper::body::Incoming;
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use super::Desk;
 use super::batch::Job;
-use super::cache::Op;
+use super::cache::{Event, Op};
 use super::control::SwitchesWire;
-use super::counts::CountsWire;
+use super::state::State;
 use super::streams::{self, Outputs};
 use super::text::{Message, Prompt};
-use crate::door::Caller;
-use crate::serve::{self, Body, Reply};
+use crate::door::{Caller, Refusal};
+use crate::serve::{self, Body, Malformed, Reply};
+use crate::shared::pause;
 
 /// Header with the request's priority.
 const PRIORITY: &str = "x-priority";
@@ -31,6 +31,7 @@
 /// A chat completion as it is asked for.
 #[derive(Debug, Deserialize)]
 struct ChatWire {
+    model: Option<String>,
     messages: Vec<Message>,
     #[serde(default)]
     stream: bool,
@@ -51,72 +52,84 @@
     prefix: String,
 }
 
+impl From<Event> for EventWire {
+    fn from(event: Event) -> Self {
+        Self {
+            seq: event.seq,
+            op: match event.op {
+                Op::Add => "add",
+                Op::Drop => "drop",
+            },
+            prefix: format!("{:016x}", event.block),
+        }
+    }
+}
+
 /// Answers one call.
 pub(super) async fn handle(desk: Desk, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
     let body = serve::whole(body).await?;
-    let path = head.uri.path();
-    match (&head.method, path) {
-        (&Method::POST, "/v1/chat/completions") => chat(desk, &head.headers, &body).await,
-        (&Method::POST, "/v1/cancel") => Ok(cancel(&desk, &body)),
-        (&Method::GET, "/v1/load") => Ok(ok(&desk.lock().load(Instant::now()))),
-        (&Method::GET, "/v1/cache") => Ok(cache(&desk, head.uri.query())),
-        (&Method::GET, "/control") => Ok(ok(&SwitchesWire::from(&desk.lock().switches))),
-        (&Method::POST, "/control") => Ok(control(&desk, &body)),
-        (&Method::GET, "/control/counts") => Ok(ok(&CountsWire::from(&desk.lock().counts))),
-        (&Method::GET, _) => Ok(count(&desk, path)),
-        _ => Ok(unknown()),
-    }
-}
-
-fn ok(value: &impl Serialize) -> Response<Body> {
-    serve::json(StatusCode::OK, value)
-}
-
-fn unknown() -> Response<Body> {
-    serve::refusal(StatusCode::NOT_FOUND, "unknown")
+    let answered = match (&head.method, head.uri.path()) {
+        (&Method::POST, "/v1/chat/completions") => {
+            return chat(desk, &head.headers, &body).await;
+        }
+        (&Method::POST, "/v1/cancel") => cancel(&desk, &body),
+        (&Method::POST, "/control") => control(&desk, &body),
+        (&Method::GET, path) => Ok(query(&desk, path, head.uri.query())),
+        _ => Ok(serve::unknown()),
+    };
+    Ok(answered.unwrap_or_else(|malformed| malformed.response()))
 }
 
-fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, Response<Body>> {
-    serde_json::from_slice(body).map_err(|e| serve::malformed(&e))
+fn query(desk: &Desk, path: &str, query: Option<&str>) -> Response<Body> {
+    let state = desk.state.lock();
+    match path {
+        "/v1/load" => serve::ok(&state.load(Instant::now())),
+        "/v1/cache" => cache(&state, desk.settings.cache_lag, query),
+        "/control" => serve::ok(&SwitchesWire::from(&state.switches)),
+        "/control/counts" => serve::ok(&state.counts.wire(&desk.settings.name)),
+        _ => count(&state, path),
+    }
 }
 
 async fn chat(desk: Desk, headers: &HeaderMap, body: &Bytes) -> Reply {
-    let chat: ChatWire = match parse(body) {
+    let chat: ChatWire = match serve::parse(body) {
         Ok(chat) => chat,
-        Err(refusal) => return Ok(refusal),
+        Err(malformed) => return Ok(malformed.response()),
     };
-    let accept = desk.lock().switches.accept;
-    if !accept.is_zero() {
-        tokio::time::sleep(accept).await;
-    }
+    let accept = desk.state.lock().switches.accept;
+    pause(accept).await;
     let mut caller = Caller::from(headers);
-    let submitted = {
-        let mut state = desk.lock();
-        if caller.id.is_empty() {
-            caller.id = state.name();
-        }
-        let job = job(&caller, headers, &chat);
-        match state.arrive(&caller) {
-            Ok(()) => {
-                let submitted = state.submit(job.clone(), Instant::now());
-                submitted.map(|(ticket, receiver)| (job, ticket, receiver))
-            }
-            Err(refusal) => Err(refusal),
-        }
-    };
-    let (job, ticket, receiver) = match submitted {
+    let (job, outputs) = match submit(&desk, &mut caller, headers, &chat) {
         Ok(submitted) => submitted,
         Err(refusal) => return Ok(refusal.response()),
     };
     desk.work.notify_one();
-    let outputs = Outputs::new(desk, ticket, receiver);
     match chat.stream {
         true => Ok(streams::streamed(outputs, &job)),
         false => streams::whole(outputs, &job).await,
     }
 }
 
+fn submit(
+    desk: &Desk,
+    caller: &mut Caller,
+    headers: &HeaderMap,
+    chat: &ChatWire,
+) -> Result<(Job, Outputs), Refusal> {
+    let mut state = desk.state.lock();
+    if caller.id.is_empty() {
+        caller.id = state.name();
+    }
+    state.arrive(caller)?;
+    let strange = chat.model.as_ref() != Some(&desk.settings.model);
+    state.counts.totals.strange += u64::from(strange);
+    let job = job(caller, headers, chat);
+    let (ticket, receiver) = state.submit(job.clone(), Instant::now())?;
+    drop(state);
+    Ok((job, Outputs::new(desk.clone(), ticket, receiver)))
+}
+
 fn job(caller: &Caller, headers: &HeaderMap, chat: &ChatWire) -> Job {
     Job {
         id: caller.id.clone(),
@@ -128,62 +141,45 @@
     }
 }
 
-fn cancel(desk: &Desk, body: &Bytes) -> Response<Body> {
-    let wire: CancelWire = match parse(body) {
-        Ok(wire) => wire,
-        Err(refusal) => return refusal,
-    };
-    let cancelled = desk.lock().cancel(&wire.id, Instant::now());
-    ok(&json!({
+fn cancel(desk: &Desk, body: &Bytes) -> Result<Response<Body>, Malformed> {
+    let wire: CancelWire = serve::parse(body)?;
+    let cancelled = desk.state.lock().cancel(&wire.id, Instant::now());
+    Ok(serve::ok(&json!({
         "found": cancelled.found,
         "prompt": cancelled.prompt,
         "generated": cancelled.generated,
-    }))
+    })))
 }
 
-fn cache(desk: &Desk, query: Option<&str>) -> Response<Body> {
+fn cache(state: &State, lag: Duration, query: Option<&str>) -> Response<Body> {
     let after = serve::query(query, "after").and_then(|text| text.parse().ok());
-    let lag = desk.settings.cache_lag;
-    let state = desk.lock();
     let events = state.cache.events(after.unwrap_or(0), Instant::now(), lag);
-    let wire = events.iter().map(|event| EventWire {
-        seq: event.seq,
-        op: match event.op {
-            Op::Add => "add",
-            Op::Drop => "drop",
-        },
-        prefix: format!("{:016x}", event.block),
-    });
-    ok(&json!({"events": wire.collect::<Vec<_>>()}))
+    let events: Vec<_> = events.into_iter().map(EventWire::from).collect();
+    serve::ok(&json!({"events": events}))
 }
 
-fn control(desk: &Desk, body: &Bytes) -> Response<Body> {
-    let wire: SwitchesWire = match parse(body) {
-        Ok(wire) => wire,
-        Err(refusal) => return refusal,
-    };
+fn control(desk: &Desk, body: &Bytes) -> Result<Response<Body>, Malformed> {
+    let wire: SwitchesWire = serve::parse(body)?;
+    let (closed, frozen) = (wire.refuse_connect_ms, wire.freeze_ms);
     let now = Instant::now();
-    let mut state = desk.lock();
-    if let Some(time) = wire.refuse_connect_ms {
+    let mut state = desk.state.lock();
+    state.switches.update(wire)?;
+    if let Some(time) = closed {
         desk.gate.close(Duration::from_millis(time));
     }
-    if let Some(time) = wire.freeze_ms {
+    if let Some(time) = frozen {
         state.freeze(Duration::from_millis(time), now);
     }
-    if let Err(why) = state.switches.update(wire) {
-        return serve::malformed(&why);
-    }
     state.report(now);
     desk.work.notify_one();
-    ok(&SwitchesWire::from(&state.switches))
+    Ok(serve::ok(&SwitchesWire::from(&state.switches)))
 }
 
 /// The count of one request, `GET /control/counts/<request>`.
-fn count(desk: &Desk, path: &str) -> Response<Body> {
-    let state = desk.lock();
+fn count(state: &State, path: &str) -> Response<Body> {
     let id = path.strip_prefix("/control/counts/");
     match id.and_then(|id| state.counts.request(id)) {
-        Some(count) => ok(count),
-        None => unknown(),
+        Some(count) => serve::ok(count),
+        None => serve::unknown(),
     }
 }
--- a/crates/standins/src/engine/control.rs
+++ b/crates/standins/src/engine/control.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::serve::Malformed;
+use crate::shared::{millis, set, span};
+
 /// What goes wrong on the way of an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Faults {
@@ -127,15 +130,15 @@
     ///
     /// # Errors
     /// Says which value is out of range.
-    pub fn update(&mut self, wire: SwitchesWire) -> Result<(), String> {
+    pub fn update(&mut self, wire: SwitchesWire) -> Result<(), Malformed> {
         if wire
             .slow
             .is_some_and(|slow| !(slow > 0.0 && slow.is_finite()))
         {
-            return Err("slow is not above 0".to_owned());
+            return Err(Malformed::new("slow is not above 0"));
         }
         let faults = &mut self.faults;
-        set(&mut faults.late, wire.late_ms.map(Duration::from_millis));
+        set(&mut faults.late, span(wire.late_ms));
         set(&mut faults.duplicate, wire.duplicate);
         set(&mut faults.reorder, wire.reorder);
         set(&mut faults.misroute, wire.misroute);
@@ -145,8 +148,7 @@
         set(&mut self.cut, wire.cut_after);
         set(&mut self.leaving, wire.refuse_leaving);
         set(&mut self.drain, wire.drain);
-        let accept = wire.accept_after_ms.map(Duration::from_millis);
-        set(&mut self.accept, accept);
+        set(&mut self.accept, span(wire.accept_after_ms));
         set(&mut self.fenced, wire.fenced);
         Ok(())
     }
@@ -167,12 +169,6 @@
     }
 }
 
-fn set<T>(target: &mut T, value: Option<impl Into<T>>) {
-    if let Some(value) = value {
-        *target = value.into();
-    }
-}
-
 impl From<&Switches> for SwitchesWire {
     fn from(switches: &Switches) -> Self {
         Self {
@@ -180,13 +176,13 @@
             freeze_ms: None,
             die_after: Some(switches.die.unwrap_or(0)),
             cut_after: Some(NumbersWire::Many(switches.cut.clone())),
-            late_ms: Some(switches.faults.late.as_millis() as u64),
+            late_ms: millis(switches.faults.late),
             duplicate: Some(switches.faults.duplicate),
             reorder: Some(switches.faults.reorder),
             misroute: Some(switches.faults.misroute),
             refuse_leaving: Some(switches.leaving),
             drain: Some(switches.drain),
-            accept_after_ms: Some(switches.accept.as_millis() as u64),
+            accept_after_ms: millis(switches.accept),
             fenced: Some(switches.fenced),
             refuse_connect_ms: None,
         }
--- a/crates/standins/src/engine/counts.rs
+++ b/crates/standins/src/engine/counts.rs
@@ -64,14 +64,14 @@
 /// Counts over all requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Totals {
-    /// Arrivals while the engine was leaving.
+    /// Arrivals while the engine was leaving, all refused.
     pub after_leaving: u64,
-    /// Arrivals refused as leaving.
-    pub leaving: u64,
     /// Arrivals refused as fenced.
     pub fenced: u64,
     /// Arrivals refused as full.
     pub full: u64,
+    /// Arrivals that ask for a model that the engine does not offer.
+    pub strange: u64,
     /// Prompt blocks found in the cache.
     pub cached: u64,
     /// Prompt blocks not found in the cache.
@@ -96,6 +96,8 @@
 /// All counts on the wire.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CountsWire {
+    /// The engine.
+    pub name: Name,
     /// Counts over all requests.
     pub totals: Totals,
     /// By workspace.
@@ -184,14 +186,14 @@
         });
         count.collect()
     }
-}
 
-impl From<&Counts> for CountsWire {
-    fn from(counts: &Counts) -> Self {
-        Self {
-            totals: counts.totals,
-            workspaces: counts.workspaces(),
-            requests: counts.requests().to_vec(),
+    /// The counts of the engine `name`.
+    pub fn wire(&self, name: &str) -> CountsWire {
+        CountsWire {
+            name: name.into(),
+            totals: self.totals,
+            workspaces: self.workspaces(),
+            requests: self.requests.clone(),
         }
     }
 }
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -13,13 +13,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::process;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 
 use self::state::{Fate, State};
 use crate::serve::{self, Gate, Server};
+use crate::shared::Shared;
 
 /// Steps that are made up for after the machine was busy.
 const BEHIND: u32 = 20;
@@ -78,20 +79,13 @@
 #[derive(Debug, Clone)]
 struct Desk {
     settings: Arc<Settings>,
-    state: Arc<Mutex<State>>,
+    state: Shared<State>,
     gate: Gate,
     /// Told when there is work, or a drain to notice.
     work: Arc<Notify>,
     drained: Arc<Notify>,
 }
 
-impl Desk {
-    fn lock(&self) -> MutexGuard<'_, State> {
-        // A panic elsewhere leaves plain data that is still whole.
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Handle of a running engine.
 #[derive(Debug)]
 pub struct Engine {
@@ -116,7 +110,7 @@
     let drained = Arc::new(Notify::new());
     let desk = |gate| Desk {
         settings: Arc::new(settings),
-        state: Arc::new(Mutex::new(state)),
+        state: Shared::new(state),
         gate,
         work: Arc::new(Notify::new()),
         drained: drained.clone(),
@@ -134,7 +128,7 @@
     loop {
         desk.work.notified().await;
         work(&desk).await;
-        if desk.lock().switches.drain {
+        if desk.state.lock().is_drained() {
             tokio::time::sleep(FLUSH).await;
             desk.drained.notify_one();
         }
@@ -146,7 +140,7 @@
     let mut due = Instant::now();
     loop {
         let (pace, frozen) = {
-            let state = desk.lock();
+            let state = desk.state.lock();
             if state.is_idle() {
                 return;
             }
@@ -156,7 +150,7 @@
         tokio::time::sleep_until(due.into()).await;
         let now = Instant::now();
         due = due.max(now.checked_sub(pace * BEHIND).unwrap_or(due));
-        if desk.lock().step(now) == Fate::Dies {
+        if desk.state.lock().step(now) == Fate::Dies {
             process::abort();
         }
     }
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -60,6 +60,8 @@
     pub counts: Counts,
     /// The prefix cache.
     pub cache: Cache,
+    /// Answers on their way.
+    pub open: usize,
     batch: Batch,
     fence: Fence,
     load: History,
@@ -85,6 +87,7 @@
             switches: Switches::new(settings.fenced),
             counts: Counts::default(),
             cache: Cache::new(&cache),
+            open: 0,
             batch: Batch::new(limits),
             fence: Fence::default(),
             load: History::new(settings.load_lag, LoadWire::default(), now),
@@ -106,7 +109,6 @@
         let totals = &mut self.counts.totals;
         if self.switches.refuses() {
             totals.after_leaving += 1;
-            totals.leaving += 1;
             return Err(Refusal::Leaving);
         }
         if stale && self.switches.fenced {
@@ -221,6 +223,11 @@
         self.batch.is_idle()
     }
 
+    /// Whether it was told to drain and has nothing left to do or to send.
+    pub fn is_drained(&self) -> bool {
+        self.switches.drain && self.is_idle() && self.open == 0
+    }
+
     /// Notes the load, to be reported after the lag.
     pub fn report(&mut self, now: Instant) {
         let load = self.current();
--- a/crates/standins/src/engine/streams.rs
+++ b/crates/standins/src/engine/streams.rs
@@ -1,19 +1,20 @@
 //! Answers on their way to the caller.
 
+use std::time::{Duration, Instant};
+
 use bytes::Bytes;
 use futures::{Stream, stream};
-use http::{Response, StatusCode};
+use http::Response;
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use std::time::{Duration, Instant};
-
 use super::Desk;
 use super::batch::{Job, Ticket};
 use super::chunks::Chunks;
 use super::state::Made;
 use super::text;
 use crate::serve::{self, Body, Cut};
+use crate::shared::pause;
 
 /// Time for the chunks before a cut to leave.
 const FLUSH: Duration = Duration::from_millis(2);
@@ -37,17 +38,18 @@
     /// The next output, late as the switches say; `None` after a cancel.
     async fn next(&mut self) -> Option<Made> {
         let made = self.receiver.recv().await?;
-        let late = self.desk.lock().switches.faults.late;
-        if !late.is_zero() {
-            tokio::time::sleep_until((made.at + late).into()).await;
-        }
+        let late = self.desk.state.lock().switches.faults.late;
+        let due = made.at + late;
+        pause(due.saturating_duration_since(Instant::now())).await;
         Some(made)
     }
 }
 
 impl Drop for Outputs {
     fn drop(&mut self) {
-        self.desk.lock().leave(self.ticket, Instant::now());
+        let mut state = self.desk.state.lock();
+        state.open -= 1;
+        state.leave(self.ticket, Instant::now());
         // A drain may have waited for just this.
         self.desk.work.notify_one();
     }
@@ -93,7 +95,7 @@
             };
             self.ended = made.output.done;
             self.tokens += u64::from(made.output.token.is_some());
-            let faults = self.outputs.desk.lock().switches.faults;
+            let faults = self.outputs.desk.state.lock().switches.faults;
             let sent = self.chunks.feed(made.output, faults);
             if !sent.is_empty() {
                 return Some(Ok(sent.into()));
@@ -103,7 +105,7 @@
     }
 
     fn cuts(&mut self) -> bool {
-        let mut state = self.outputs.desk.lock();
+        let mut state = self.outputs.desk.state.lock();
         let cuts = !self.ended && self.tokens > 0 && state.switches.cuts(self.tokens);
         state.counts.totals.cut += u64::from(cuts);
         self.ended |= cuts;
@@ -145,5 +147,5 @@
             "total_tokens": prompt + output,
         },
     });
-    serve::json(StatusCode::OK, &answer)
+    serve::ok(&answer)
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod platform;
 pub mod serve;
 pub mod service;
+pub mod shared;
--- /dev/null
+++ b/crates/standins/src/platform/answers.rs
@@ -0,0 +1,201 @@
+//! What the platform answers to each call.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{Method, Response, StatusCode};
+use poplar_base::platform::wire::{
+    CommitWire, CommittedWire, HostsWire, ReadWire, RowsWire, ScanWire,
+};
+use poplar_core::id::Name;
+use serde::Deserialize;
+use serde_json::json;
+
+use super::hosts::Unknown;
+use super::state::{Charge, State};
+use super::table::Conflict;
+use crate::serve::{self, Body, Malformed};
+
+/// States that a host can be set to.
+const STATES: [&str; 3] = ["live", "leaving", "gone"];
+
+/// One call, read whole.
+pub(super) struct Call {
+    pub(super) method: Method,
+    pub(super) path: String,
+    pub(super) query: Option<String>,
+    pub(super) router: Name,
+    pub(super) body: Bytes,
+}
+
+/// What a call came to, before its answer is sent or lost.
+pub(super) struct Outcome {
+    pub(super) response: Response<Body>,
+    /// Whether it wrote anything, so that its answer may get lost.
+    pub(super) effect: bool,
+}
+
+/// Why a call was not carried out.
+#[derive(Debug)]
+enum Refused {
+    Malformed(Malformed),
+    Limited,
+    Conflict(Conflict),
+    Unknown,
+}
+
+impl From<Malformed> for Refused {
+    fn from(why: Malformed) -> Self {
+        Self::Malformed(why)
+    }
+}
+
+impl From<Conflict> for Refused {
+    fn from(why: Conflict) -> Self {
+        Self::Conflict(why)
+    }
+}
+
+impl From<Unknown> for Refused {
+    fn from(_: Unknown) -> Self {
+        Self::Unknown
+    }
+}
+
+impl Refused {
+    fn response(self) -> Response<Body> {
+        match self {
+            Self::Malformed(why) => why.response(),
+            Self::Limited => serve::refusal(StatusCode::TOO_MANY_REQUESTS, "limited"),
+            Self::Conflict(Conflict { rows }) => {
+                serve::json(StatusCode::CONFLICT, &RowsWire { rows })
+            }
+            Self::Unknown => serve::unknown(),
+        }
+    }
+}
+
+type Answer = Result<Response<Body>, Refused>;
+
+/// Carries out one call.
+pub(super) fn answer(state: &mut State, call: &Call, now: Instant) -> Outcome {
+    let writes = matches!(
+        (&call.method, call.path.as_str()),
+        (&Method::POST, "/v1/table/commit") | (&Method::PUT, _)
+    );
+    let hosts = call.path.starts_with("/v1/hosts");
+    let answer = dispatch(state, call, now);
+    Outcome {
+        effect: writes && !hosts && answer.is_ok(),
+        response: answer.unwrap_or_else(Refused::response),
+    }
+}
+
+fn dispatch(state: &mut State, call: &Call, now: Instant) -> Answer {
+    if let Some(name) = call.path.strip_prefix("/v1/objects/") {
+        return match call.method {
+            Method::PUT => put(state, call, name, now),
+            Method::GET => get(state, call, name, now),
+            _ => Err(Refused::Unknown),
+        };
+    }
+    match (call.method.as_str(), call.path.as_str()) {
+        ("POST", "/v1/table/read") => read(state, call, now),
+        ("POST", "/v1/table/scan") => scan(state, call, now),
+        ("POST", "/v1/table/commit") => commit(state, call, now),
+        ("GET", "/v1/objects") => list(state, call, now),
+        ("GET", "/v1/hosts") => hosts(state, now),
+        ("PUT", "/v1/hosts") => replace(state, call, now),
+        ("POST", path) => {
+            let name = path.strip_prefix("/v1/hosts/");
+            set(state, call, name.ok_or(Refused::Unknown)?, now)
+        }
+        _ => Err(Refused::Unknown),
+    }
+}
+
+fn charge(
+    state: &mut State,
+    call: &Call,
+    charge: Charge,
+    cost: usize,
+    now: Instant,
+) -> Result<(), Refused> {
+    let passes = state.charge(&call.router, charge, cost, now);
+    passes.then_some(()).ok_or(Refused::Limited)
+}
+
+fn read(state: &mut State, call: &Call, now: Instant) -> Answer {
+    let wire: ReadWire = serve::parse(&call.body)?;
+    charge(state, call, Charge::Read, wire.keys.len(), now)?;
+    state.counts.reads += wire.keys.len() as u64;
+    let rows = wire.keys.iter().map(|key| state.table.row(key));
+    let rows = rows.collect();
+    Ok(serve::ok(&RowsWire { rows }))
+}
+
+fn scan(state: &mut State, call: &Call, now: Instant) -> Answer {
+    let wire: ScanWire = serve::parse(&call.body)?;
+    let rows = state.table.scan(&wire.prefix);
+    charge(state, call, Charge::Read, rows.len(), now)?;
+    state.counts.reads += rows.len() as u64;
+    Ok(serve::ok(&RowsWire { rows }))
+}
+
+fn commit(state: &mut State, call: &Call, now: Instant) -> Answer {
+    let wire: CommitWire = serve::parse(&call.body)?;
+    charge(state, call, Charge::Write, wire.writes.len(), now)?;
+    let version = state.commit(wire)?;
+    Ok(serve::ok(&CommittedWire { version }))
+}
+
+fn list(state: &mut State, call: &Call, now: Instant) -> Answer {
+    charge(state, call, Charge::Read, 1, now)?;
+    state.counts.gets += 1;
+    let prefix = serve::query(call.query.as_deref(), "prefix").unwrap_or_default();
+    let names = state.objects.iter().map(|(name, _)| name);
+    let names: Vec<_> = names.filter(|name| name.starts_with(prefix)).collect();
+    Ok(serve::ok(&json!({"names": names})))
+}
+
+fn put(state: &mut State, call: &Call, name: &str, now: Instant) -> Answer {
+    charge(state, call, Charge::Write, 1, now)?;
+    state.put(name, call.body.clone());
+    Ok(serve::ok(&json!({})))
+}
+
+fn get(state: &mut State, call: &Call, name: &str, now: Instant) -> Answer {
+    charge(state, call, Charge::Read, 1, now)?;
+    state.counts.gets += 1;
+    let body = state.objects.get(name).ok_or(Refused::Unknown)?;
+    Ok(serve::bytes(body.clone()))
+}
+
+fn hosts(state: &mut State, now: Instant) -> Answer {
+    state.counts.hosts += 1;
+    state.hosts.advance(now);
+    let hosts = state.hosts.shown().to_vec();
+    Ok(serve::ok(&HostsWire { hosts }))
+}
+
+fn replace(state: &mut State, call: &Call, now: Instant) -> Answer {
+    let wire: HostsWire = serve::parse(&call.body)?;
+    state.hosts.replace(wire.hosts, now, state.switches.lag);
+    Ok(serve::ok(&json!({})))
+}
+
+/// A change of one host.
+#[derive(Debug, Deserialize)]
+struct ChangeWire {
+    state: String,
+}
+
+fn set(state: &mut State, call: &Call, name: &str, now: Instant) -> Answer {
+    let wire: ChangeWire = serve::parse(&call.body)?;
+    if !STATES.contains(&wire.state.as_str()) {
+        return Err(Malformed::new("state is not live, leaving or gone").into());
+    }
+    let lag = state.switches.lag;
+    state.hosts.set(name, &wire.state, now, lag)?;
+    Ok(serve::ok(&json!({})))
+}
--- a/crates/standins/src/platform/control.rs
+++ b/crates/standins/src/platform/control.rs
@@ -1,12 +1,11 @@
-//! The platform's switches and counts, and how they are written in JSON.
+//! The platform's switches and how they are written in JSON.
 
 use std::time::Duration;
 
-use poplar_core::id::Name;
-use poplar_core::sorted::SortedVec;
 use serde::{Deserialize, Serialize};
 
-use super::watch::Violation;
+use crate::serve::Malformed;
+use crate::shared::{millis, set, span};
 
 /// Whether a service of the platform answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -41,14 +40,17 @@
 }
 
 impl TryFrom<&DownWire> for Down {
-    type Error = String;
+    type Error = Malformed;
 
-    fn try_from(wire: &DownWire) -> Result<Self, String> {
+    fn try_from(wire: &DownWire) -> Result<Self, Malformed> {
         match wire {
             DownWire::Flag(false) => Ok(Self::No),
             DownWire::Flag(true) => Ok(Self::Refuse),
             DownWire::Word(word) if word == "hang" => Ok(Self::Hang),
-            DownWire::Word(word) => Err(format!("{word:?} is not true, false or \"hang\"")),
+            DownWire::Word(word) => {
+                let reason = format!("{word:?} is not true, false or \"hang\"");
+                Err(Malformed::new(reason))
+            }
         }
     }
 }
@@ -122,10 +124,6 @@
     pub refuse_connect_ms: Option<u64>,
 }
 
-fn millis(time: Duration) -> Option<u64> {
-    Some(time.as_millis() as u64)
-}
-
 impl From<&Switches> for SwitchesWire {
     fn from(switches: &Switches) -> Self {
         Self {
@@ -145,13 +143,7 @@
     }
 }
 
-fn set<T>(target: &mut T, value: Option<impl Into<T>>) {
-    if let Some(value) = value {
-        *target = value.into();
-    }
-}
-
-fn down(target: &mut Down, wire: Option<&DownWire>) -> Result<(), String> {
+fn down(target: &mut Down, wire: Option<&DownWire>) -> Result<(), Malformed> {
     set(target, wire.map(Down::try_from).transpose()?);
     Ok(())
 }
@@ -161,18 +153,18 @@
     ///
     /// # Errors
     /// Says which value can't be read.
-    pub fn update(&mut self, wire: SwitchesWire) -> Result<(), String> {
+    pub fn update(&mut self, wire: SwitchesWire) -> Result<(), Malformed> {
         let mut next = self.clone();
         down(&mut next.table, wire.table_down.as_ref())?;
         down(&mut next.objects, wire.objects_down.as_ref())?;
         down(&mut next.hosts, wire.hosts_down.as_ref())?;
-        set(&mut next.delay, wire.delay_ms.map(Duration::from_millis));
-        set(&mut next.jitter, wire.jitter_ms.map(Duration::from_millis));
-        set(&mut next.after, wire.after_ms.map(Duration::from_millis));
+        set(&mut next.delay, span(wire.delay_ms));
+        set(&mut next.jitter, span(wire.jitter_ms));
+        set(&mut next.after, span(wire.after_ms));
         set(&mut next.lose, wire.lose_answers);
         set(&mut next.rate, wire.lose_rate);
         set(&mut next.cut, wire.cut);
-        set(&mut next.lag, wire.host_lag_ms.map(Duration::from_millis));
+        set(&mut next.lag, span(wire.host_lag_ms));
         set(&mut next.limits, wire.limits);
         *self = next;
         Ok(())
@@ -186,104 +178,3 @@
         })
     }
 }
-
-/// What one router asked for.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Share {
-    /// Rows and objects read.
-    pub reads: u64,
-    /// Rows and objects written.
-    pub writes: u64,
-    /// Calls refused for the limits.
-    pub refused: u64,
-}
-
-/// Exact counts since the start.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Rows read, also by scans.
-    pub reads: u64,
-    /// Rows written.
-    pub writes: u64,
-    /// Transactions that took effect.
-    pub commits: u64,
-    /// Transactions whose checks did not hold.
-    pub conflicts: u64,
-    /// Calls refused for the limits.
-    pub refused: u64,
-    /// Calls refused or left hanging in an outage.
-    pub down: u64,
-    /// Calls cut for their router's label.
-    pub cut: u64,
-    /// Commits and puts that took effect and were not answered.
-    pub lost: u64,
-    /// Objects put.
-    pub puts: u64,
-    /// Puts that changed an object's content.
-    pub changed: u64,
-    /// Objects read.
-    pub gets: u64,
-    /// Reads of the host list.
-    pub hosts: u64,
-    /// Shares by the router's label.
-    pub routers: SortedVec<Name, Share>,
-}
-
-/// One router's share on the wire.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ShareWire {
-    /// The router's label.
-    pub router: Name,
-    /// What it asked for.
-    #[serde(flatten)]
-    pub share: Share,
-}
-
-/// The counts on the wire.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[expect(missing_docs, reason = "each is the field of Counts with its name")]
-pub struct CountsWire {
-    pub reads: u64,
-    pub writes: u64,
-    pub commits: u64,
-    pub conflicts: u64,
-    pub refused: u64,
-    pub down: u64,
-    pub cut: u64,
-    pub lost: u64,
-    pub puts: u64,
-    pub changed: u64,
-    pub gets: u64,
-    pub hosts: u64,
-    pub routers: Vec<ShareWire>,
-    /// Commits after which a budget's invariant did not hold.
-    pub violations: u64,
-    /// The first of them with their rows.
-    pub violated: Vec<Violation>,
-}
-
-impl From<&Counts> for CountsWire {
-    fn from(counts: &Counts) -> Self {
-        let share = |(router, share): (&Name, &Share)| ShareWire {
-            router: router.clone(),
-            share: share.clone(),
-        };
-        Self {
-            reads: counts.reads,
-            writes: counts.writes,
-            commits: counts.commits,
-            conflicts: counts.conflicts,
-            refused: counts.refused,
-            down: counts.down,
-            cut: counts.cut,
-            lost: counts.lost,
-            puts: counts.puts,
-            changed: counts.changed,
-            gets: counts.gets,
-            hosts: counts.hosts,
-            routers: counts.routers.iter().map(share).collect(),
-            violations: 0,
-            violated: Vec::new(),
-        }
-    }
-}
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -1,7 +1,9 @@
 //! The platform's stand-in: table, object store and host list.
 
+mod answers;
 mod calls;
 pub mod control;
+pub mod counts;
 pub mod hosts;
 pub mod limits;
 pub mod state;
@@ -10,10 +12,10 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::serve::{self, Server};
+use crate::shared::Shared;
 
 /// How the stand-in starts.
 #[derive(Debug, Clone)]
@@ -48,8 +50,8 @@
 /// Where the address can't be bound.
 pub async fn bind(address: SocketAddr, settings: &Settings) -> io::Result<Server> {
     let state = state::State::new(settings, Instant::now());
-    let state = Arc::new(Mutex::new(state));
     let handler = |gate| {
+        let state = Shared::new(state);
         let desk = calls::Desk { state, gate };
         move |request| calls::handle(desk.clone(), request)
     };
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -10,7 +10,8 @@
 use rand::{RngExt, SeedableRng};
 
 use super::Settings;
-use super::control::{Counts, CountsWire, Switches};
+use super::control::Switches;
+use super::counts::{CountsWire, Peak, ShareWire, Shares, Totals};
 use super::hosts::Hosts;
 use super::limits::Bucket;
 use super::table::{Conflict, Table};
@@ -25,6 +26,13 @@
     Write,
 }
 
+/// The busiest seconds.
+#[derive(Debug)]
+struct Peaks {
+    reads: Peak,
+    writes: Peak,
+}
+
 /// The platform's state.
 #[derive(Debug)]
 pub struct State {
@@ -37,7 +45,9 @@
     /// The switches.
     pub switches: Switches,
     /// The counts.
-    pub counts: Counts,
+    pub counts: Totals,
+    shares: Shares,
+    peaks: Peaks,
     watch: Watch,
     reads: Bucket,
     writes: Bucket,
@@ -56,7 +66,12 @@
                 lag: settings.lag,
                 ..Switches::default()
             },
-            counts: Counts::default(),
+            counts: Totals::default(),
+            shares: Shares::new(),
+            peaks: Peaks {
+                reads: Peak::new(now),
+                writes: Peak::new(now),
+            },
             watch: Watch::default(),
             reads: Bucket::new(settings.reads, now),
             writes: Bucket::new(settings.writes, now),
@@ -66,19 +81,22 @@
 
     /// Charges `cost` rows to a router; false where its call is refused.
     pub fn charge(&mut self, router: &Name, charge: Charge, cost: usize, now: Instant) -> bool {
-        let bucket = match charge {
-            Charge::Read => &mut self.reads,
-            Charge::Write => &mut self.writes,
+        let (bucket, peak) = match charge {
+            Charge::Read => (&mut self.reads, &mut self.peaks.reads),
+            Charge::Write => (&mut self.writes, &mut self.peaks.writes),
         };
-        let passes = !self.switches.limits || bucket.take(cost.max(1), now);
-        let share = self.counts.routers.entry(router.clone(), Default::default);
-        match (passes, charge) {
-            (true, Charge::Read) => share.reads += cost as u64,
-            (true, Charge::Write) => share.writes += cost as u64,
-            (false, _) => share.refused += 1,
+        let share = self.shares.entry(router.clone(), Default::default);
+        if self.switches.limits && !bucket.take(cost.max(1), now) {
+            share.refused += 1;
+            self.counts.refused += 1;
+            return false;
+        }
+        peak.note(cost as u64, now);
+        match charge {
+            Charge::Read => share.reads += cost as u64,
+            Charge::Write => share.writes += cost as u64,
         }
-        self.counts.refused += u64::from(!passes);
-        passes
+        true
     }
 
     /// Carries out a transaction and checks the budgets it touched.
@@ -137,9 +155,12 @@
     /// The counts with the violations seen.
     pub fn counted(&self) -> CountsWire {
         CountsWire {
+            totals: self.counts,
+            peak_reads: self.peaks.reads.highest,
+            peak_writes: self.peaks.writes.highest,
+            routers: self.shares.iter().map(ShareWire::from).collect(),
             violations: self.watch.count,
             violated: self.watch.first.clone(),
-            ..CountsWire::from(&self.counts)
         }
     }
 
--- a/crates/standins/src/platform/table.rs
+++ b/crates/standins/src/platform/table.rs
@@ -1,20 +1,12 @@
 //! The transactional table, without its wire.
 
-use poplar_base::platform::wire::{CheckWire, CommitWire, RowWire};
-use poplar_core::sorted::SortedVec;
+use poplar_base::platform::wire::{CheckWire, CommitWire, RowWire, WriteWire};
 use serde_json::Value;
 
-/// A stored value with the version of its last write.
-#[derive(Debug, Clone, PartialEq)]
-struct Cell {
-    version: u64,
-    value: Value,
-}
-
 /// Rows in order of their keys, with one sequence of commits.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
-    rows: SortedVec<String, Cell>,
+    rows: Vec<RowWire>,
     sequence: u64,
 }
 
@@ -31,34 +23,35 @@
         Self::default()
     }
 
+    fn find(&self, key: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|row| row.key.as_str().cmp(key))
+    }
+
     /// The row at `key`, version 0 where there is none.
     pub fn row(&self, key: &str) -> RowWire {
-        let (version, value) = match self.rows.get(key) {
-            Some(cell) => (cell.version, cell.value.clone()),
-            None => (0, Value::Null),
-        };
-        RowWire {
-            key: key.to_owned(),
-            version,
-            value,
+        match self.find(key) {
+            Ok(at) => self.rows[at].clone(),
+            Err(_) => RowWire {
+                key: key.to_owned(),
+                version: 0,
+                value: Value::Null,
+            },
         }
     }
 
     /// Rows whose key starts with `prefix`, in order.
     pub fn scan(&self, prefix: &str) -> Vec<RowWire> {
-        let rows = self.rows.iter();
-        let found = rows.filter(|(key, _)| key.starts_with(prefix));
-        found
-            .map(|(key, cell)| RowWire {
-                key: key.clone(),
-                version: cell.version,
-                value: cell.value.clone(),
-            })
-            .collect()
+        let from = self.rows.partition_point(|row| row.key.as_str() < prefix);
+        let rows = self.rows[from..].iter();
+        let found = rows.take_while(|row| row.key.starts_with(prefix));
+        found.cloned().collect()
     }
 
     fn holds(&self, check: &CheckWire) -> bool {
-        let version = self.rows.get(check.key.as_str()).map_or(0, |c| c.version);
+        let version = match self.find(&check.key) {
+            Ok(at) => self.rows[at].version,
+            Err(_) => 0,
+        };
         version == check.version
     }
 
@@ -67,24 +60,39 @@
     /// # Errors
     /// [`Conflict`] with the checked rows.
     pub fn commit(&mut self, commit: CommitWire) -> Result<u64, Conflict> {
-        if !commit.checks.iter().all(|c| self.holds(c)) {
-            let rows = commit.checks.iter().map(|c| self.row(&c.key));
+        if !commit.checks.iter().all(|check| self.holds(check)) {
+            let rows = commit.checks.iter().map(|check| self.row(&check.key));
             return Err(Conflict {
                 rows: rows.collect(),
             });
         }
         self.sequence += 1;
-        let version = self.sequence;
         for write in commit.writes {
-            match write.value {
-                Some(value) => {
-                    self.rows.insert(write.key, Cell { version, value });
-                }
-                None => {
-                    self.rows.remove(write.key.as_str());
-                }
+            self.write(write);
+        }
+        Ok(self.sequence)
+    }
+
+    fn write(&mut self, write: WriteWire) {
+        let WriteWire { key, value } = write;
+        let version = self.sequence;
+        match (self.find(&key), value) {
+            (Ok(at), None) => {
+                self.rows.remove(at);
+            }
+            (Err(_), None) => {}
+            (Ok(at), Some(value)) => {
+                self.rows[at].version = version;
+                self.rows[at].value = value;
+            }
+            (Err(at), Some(value)) => {
+                let row = RowWire {
+                    key,
+                    version,
+                    value,
+                };
+                self.rows.insert(at, row);
             }
         }
-        Ok(version)
     }
 }
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -23,6 +23,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -204,7 +205,7 @@
 
 /// A refusal with a code.
 pub fn refusal(status: StatusCode, code: &str) -> Response<Body> {
-    json(status, &serde_json::json!({"error": {"code": code}}))
+    json(status, &json!({"error": {"code": code}}))
 }
 
 /// A stream of server-sent events, which may be cut.
@@ -221,22 +222,51 @@
     Ok(body.collect().await.map_err(|_| Cut)?.to_bytes())
 }
 
-/// Reads a request's body as JSON; `Err` in the inner result is the refusal.
+/// A body or a switch that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Malformed {
+    /// Why.
+    pub reason: String,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.reason)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+impl Malformed {
+    /// Says why.
+    pub fn new(reason: impl Into<String>) -> Self {
+        let reason = reason.into();
+        Self { reason }
+    }
+
+    /// The answer that says so.
+    pub fn response(&self) -> Response<Body> {
+        let error = json!({"code": "malformed", "message": self.reason});
+        json(StatusCode::BAD_REQUEST, &json!({"error": error}))
+    }
+}
+
+/// Reads JSON.
 ///
 /// # Errors
-/// [`Cut`] where the caller went away.
-pub async fn read<T: DeserializeOwned>(body: Incoming) -> Result<Result<T, Response<Body>>, Cut> {
-    let body = whole(body).await?;
-    Ok(serde_json::from_slice(&body).map_err(|e| malformed(&e)))
+/// Says what can't be read.
+pub fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, Malformed> {
+    serde_json::from_slice(body).map_err(|e| Malformed::new(e.to_string()))
 }
 
-/// The refusal of a body that can't be read.
-pub fn malformed(why: &impl fmt::Display) -> Response<Body> {
-    let error = serde_json::json!({"code": "malformed", "message": why.to_string()});
-    json(
-        StatusCode::BAD_REQUEST,
-        &serde_json::json!({"error": error}),
-    )
+/// The answer to a call that succeeded, in JSON.
+pub fn ok(value: &impl Serialize) -> Response<Body> {
+    json(StatusCode::OK, value)
+}
+
+/// The answer to a call that there is not.
+pub fn unknown() -> Response<Body> {
+    refusal(StatusCode::NOT_FOUND, "unknown")
 }
 
 /// The text of a header, empty where there is none.
--- a/crates/standins/src/service/calls.rs
+++ b/crates/standins/src/service/calls.rs
@@ -1,46 +1,44 @@
 //! The service's calls over HTTP.
 
-use std::sync::PoisonError;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use serde::Serialize;
+use poplar_core::id::Name;
 use serde_json::json;
 use tokio::sync::Semaphore;
 
-use super::control::{CountsWire, SwitchesWire};
+use super::control::SwitchesWire;
 use super::state::State;
 use crate::door::Caller;
-use crate::serve::{self, Body, Cut, Gate, Reply};
+use crate::serve::{self, Body, Cut, Gate, Malformed, Reply};
+use crate::shared::{Shared, pause};
 
 /// What every call needs.
 #[derive(Debug, Clone)]
 pub(super) struct Desk {
-    pub(super) state: Arc<Mutex<State>>,
+    pub(super) state: Shared<State>,
     pub(super) slots: Arc<Semaphore>,
-    pub(super) service: Arc<str>,
+    pub(super) name: Name,
+    pub(super) service: Name,
     pub(super) gate: Gate,
 }
 
-impl Desk {
-    fn lock(&self) -> MutexGuard<'_, State> {
-        // A panic elsewhere leaves plain data that is still whole.
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Answers one call.
 pub(super) async fn handle(desk: Desk, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
     let body = serve::whole(body).await?;
     match (head.method, head.uri.path()) {
-        (Method::GET, "/v1/load") => Ok(ok(&desk.lock().load(Instant::now()))),
-        (Method::GET, "/control") => Ok(ok(&SwitchesWire::from(&desk.lock().switches))),
-        (Method::POST, "/control") => Ok(control(&desk, &body)),
-        (Method::GET, "/control/counts") => Ok(ok(&CountsWire::from(&desk.lock().counts))),
+        (Method::GET, "/v1/load") => Ok(serve::ok(&desk.state.lock().load(Instant::now()))),
+        (Method::GET, "/control") => Ok(switches(&desk)),
+        (Method::POST, "/control") => {
+            Ok(control(&desk, &body).unwrap_or_else(|malformed| malformed.response()))
+        }
+        (Method::GET, "/control/counts") => {
+            Ok(serve::ok(&desk.state.lock().counts.wire(&desk.name)))
+        }
         (Method::POST, path) => {
             let path = path.to_owned();
             let caller = Caller::from(&head.headers);
@@ -48,29 +46,29 @@
             let ran = tokio::spawn(run(desk, caller, path));
             ran.await.unwrap_or(Err(Cut))
         }
-        _ => Ok(serve::refusal(StatusCode::NOT_FOUND, "unknown")),
+        _ => Ok(serve::unknown()),
     }
 }
 
-fn ok(value: &impl Serialize) -> Response<Body> {
-    serve::json(StatusCode::OK, value)
+fn switches(desk: &Desk) -> Response<Body> {
+    serve::ok(&SwitchesWire::from(&desk.state.lock().switches))
 }
 
 async fn run(desk: Desk, caller: Caller, path: String) -> Reply {
-    let accept = desk.lock().switches.accept;
+    let accept = desk.state.lock().switches.accept;
     pause(accept).await;
-    if let Err(refusal) = desk.lock().arrive(&caller, Instant::now()) {
+    if let Err(refusal) = desk.state.lock().arrive(&caller, Instant::now()) {
         return Ok(refusal.response());
     }
     let slot = desk.slots.acquire().await.map_err(|_| Cut)?;
     let (runs, delay) = {
-        let mut state = desk.lock();
+        let mut state = desk.state.lock();
         let runs = state.start(&caller, Instant::now());
         (runs, state.switches.delay)
     };
     pause(delay).await;
     drop(slot);
-    let mut state = desk.lock();
+    let mut state = desk.state.lock();
     if state.end(Instant::now()) {
         return Err(Cut);
     }
@@ -80,24 +78,14 @@
     Ok(serve::json(status, &answer))
 }
 
-async fn pause(time: Duration) {
-    if !time.is_zero() {
-        tokio::time::sleep(time).await;
-    }
-}
-
-fn control(desk: &Desk, body: &Bytes) -> Response<Body> {
-    let wire: SwitchesWire = match serde_json::from_slice(body) {
-        Ok(wire) => wire,
-        Err(why) => return serve::malformed(&why),
-    };
-    if let Some(time) = wire.refuse_connect_ms {
+fn control(desk: &Desk, body: &Bytes) -> Result<Response<Body>, Malformed> {
+    let wire: SwitchesWire = serve::parse(body)?;
+    let closed = wire.refuse_connect_ms;
+    let mut state = desk.state.lock();
+    state.switches.update(wire)?;
+    state.report(Instant::now());
+    if let Some(time) = closed {
         desk.gate.close(Duration::from_millis(time));
     }
-    let mut state = desk.lock();
-    if let Err(why) = state.switches.update(wire) {
-        return serve::malformed(&why);
-    }
-    state.report(Instant::now());
-    ok(&SwitchesWire::from(&state.switches))
+    Ok(serve::ok(&SwitchesWire::from(&state.switches)))
 }
--- a/crates/standins/src/service/mod.rs
+++ b/crates/standins/src/service/mod.rs
@@ -2,21 +2,25 @@
 
 mod calls;
 pub mod control;
+pub mod counts;
 pub mod state;
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::sync::Semaphore;
 
 use self::state::State;
 use crate::serve::{self, Server};
+use crate::shared::Shared;
 
 /// How the stand-in starts.
 #[derive(Debug, Clone)]
 pub struct Settings {
+    /// The host's name.
+    pub name: String,
     /// The service it offers.
     pub service: String,
     /// Time that a call runs.
@@ -32,6 +36,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            name: "service".to_owned(),
             service: "service".to_owned(),
             delay: Duration::from_millis(5),
             slots: 32,
@@ -49,8 +54,9 @@
     let state = State::new(settings, Instant::now());
     let handler = |gate| {
         let desk = calls::Desk {
-            state: Arc::new(Mutex::new(state)),
+            state: Shared::new(state),
             slots: Arc::new(Semaphore::new(settings.slots)),
+            name: settings.name.as_str().into(),
             service: settings.service.as_str().into(),
             gate,
         };
--- a/crates/standins/src/service/state.rs
+++ b/crates/standins/src/service/state.rs
@@ -1,9 +1,10 @@
 //! Everything a service keeps, behind one lock.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::Settings;
-use super::control::{Counts, Switches};
+use super::control::Switches;
+use super::counts::Counts;
 use crate::door::{Caller, Fence, Refusal};
 use crate::load::{History, LoadWire};
 
@@ -31,7 +32,7 @@
                 leaving: false,
                 status: 200,
                 fenced: settings.fenced,
-                accept: std::time::Duration::ZERO,
+                accept: Duration::ZERO,
             },
             counts: Counts::default(),
             fence: Fence::default(),
