--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -18,6 +18,9 @@
 /// How long an idle connection is kept.
 const IDLE: Duration = Duration::from_secs(10);
 
+/// Header that names the process a call comes from.
+pub const SENDER: &str = "x-router";
+
 /// How a call failed.
 #[derive(Debug)]
 pub enum Error {
@@ -74,6 +77,7 @@
 #[derive(Debug, Clone)]
 pub struct Client {
     pool: Pool<HttpConnector, Full<Bytes>>,
+    sender: Option<HeaderValue>,
 }
 
 impl Client {
@@ -86,14 +90,29 @@
             .pool_idle_timeout(IDLE)
             .retry_canceled_requests(false)
             .build(connector);
-        Self { pool }
+        Self { pool, sender: None }
+    }
+
+    /// Opens a client that names its process in the header [`SENDER`].
+    pub fn open_as(name: &str) -> Self {
+        Self {
+            // A name that no header can carry is left out.
+            sender: HeaderValue::from_str(name).ok(),
+            ..Self::open()
+        }
     }
 
     /// Sends a request and returns the answer's head with its body unread.
     ///
     /// # Errors
     /// [`Error::Connect`] where nothing was sent, else [`Error::Lost`].
-    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+    pub async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        if let Some(sender) = &self.sender {
+            request.headers_mut().insert(SENDER, sender.clone());
+        }
         Ok(self.pool.request(request).await?)
     }
 
--- a/crates/base/src/platform/client.rs
+++ b/crates/base/src/platform/client.rs
@@ -58,8 +58,17 @@
 
 /// Opens the platform at `address`; each call takes `timeout` at most.
 pub fn open(address: SocketAddr, timeout: Duration) -> Platform {
+    with_client(web::Client::open(), address, timeout)
+}
+
+/// Opens the platform for the process `name`.
+pub fn open_as(name: &str, address: SocketAddr, timeout: Duration) -> Platform {
+    with_client(web::Client::open_as(name), address, timeout)
+}
+
+fn with_client(client: web::Client, address: SocketAddr, timeout: Duration) -> Platform {
     let wire = Wire {
-        client: web::Client::open(),
+        client,
         base: format!("http://{address}"),
         timeout,
     };
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -328,7 +328,6 @@
             .header("content-type", "application/json")
             .header("x-request-id", self.job.id.0.as_ref())
             .header("x-workspace", self.job.workspace.as_ref())
-            .header("x-router", self.state.settings.name.as_ref())
             .header("x-fencing-number", self.state.router())
             .header("x-priority", u16::from(self.job.priority()));
         if self.tokens > 0 {
--- a/crates/router/src/flow/service.rs
+++ b/crates/router/src/flow/service.rs
@@ -289,7 +289,6 @@
         .header("content-type", content)
         .header("x-request-id", job.id.0.as_ref())
         .header("x-workspace", job.workspace.as_ref())
-        .header("x-router", state.settings.name.as_ref())
         .header("x-fencing-number", state.router())
         .header("x-idempotent", job.class.repeat.to_string())
         .body(Full::new(call.body.clone()))
--- a/crates/router/src/life.rs
+++ b/crates/router/src/life.rs
@@ -15,7 +15,7 @@
 
 use crate::budget::biller::Rows;
 use crate::server::Server;
-use crate::settings::Settings;
+use crate::settings::{Platform, Settings};
 use crate::state::State;
 use crate::{admin, backends, conf, door, metrics, peers};
 
@@ -58,7 +58,10 @@
     let peer = bind("peer", &mut settings.peer).await?;
     announce(&settings);
     let me = Incarnation::new(&settings.name, rand::random());
-    let platform = client::open(settings.platform.address, settings.platform.timeout);
+    let Platform {
+        address, timeout, ..
+    } = settings.platform;
+    let platform = client::open_as(&settings.name, address, timeout);
     let state = State::new(settings, me, platform);
     peers::spawn(&state, peer);
     let _pages = Server::spawn(pages, admin::routes(&state, recorder.clone()));
@@ -127,7 +130,7 @@
 
 fn row(state: &State, stage: Stage) -> RouterRow {
     RouterRow {
-        address: state.settings.peer.to_string().into(),
+        address: state.settings.advertised().to_string().into(),
         admin: state.settings.admin.to_string().into(),
         centre: state.settings.centre.clone(),
         stage,
--- a/crates/router/src/peers/gossip.rs
+++ b/crates/router/src/peers/gossip.rs
@@ -96,7 +96,7 @@
 pub(super) fn member(state: &State) -> Member {
     Member {
         incarnation: state.me.to_string(),
-        address: state.settings.peer.to_string(),
+        address: state.settings.advertised().to_string(),
         centre: state.settings.centre.to_string(),
         generation: state.config().generation,
         draining: state.is_draining(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -33,6 +33,8 @@
     pub admin: SocketAddr,
     /// Where other routers connect.
     pub peer: SocketAddr,
+    /// Where other routers are told to connect, if not at `peer`.
+    pub advertise: Option<SocketAddr>,
     /// How it logs.
     pub log: log::Settings,
     /// The platform.
@@ -119,6 +121,7 @@
         let listen = s.address("listen");
         let admin = s.address("admin");
         let peer = s.address("peer");
+        let advertise = s.address_opt("advertise");
         drop(s);
         let settings = Self {
             name,
@@ -126,6 +129,7 @@
             listen,
             admin,
             peer,
+            advertise,
             log: log_settings(&mut file),
             platform: platform(&mut file),
             door: door(&mut file),
@@ -136,6 +140,11 @@
         file.finish()?;
         Ok(settings)
     }
+
+    /// Where other routers connect.
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.peer)
+    }
 }
 
 fn log_settings(file: &mut File) -> log::Settings {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -72,7 +72,7 @@
             burn: Burn::default(),
             open: Open::default(),
             refresh: Notify::new(),
-            client: Client::open(),
+            client: Client::open_as(&settings.name),
             config: RwLock::default(),
             router: AtomicU64::new(0),
             sealed: AtomicBool::new(false),
