Run the checked budget protocol: draws, gifts, losses, late bills

The bank drives poplar_core::budget::change, so that a change whose answer was lost is tried under its own number until it is known what became of it. Tokens consumed for nothing are recorded with the bills. Copies of a sealed router's bills are added to its own chain, within what its grant covers.

--- a/crates/core/src/bill.rs
+++ b/crates/core/src/bill.rs
@@ -20,6 +20,9 @@
     pub class: Name,
     /// The budget it was paid from.
     pub budget: Name,
+    /// Hash of the request's body, to tell a reused key.
+    #[serde(default)]
+    pub body: u64,
     /// Prompt tokens.
     pub prompt: u64,
     /// Output tokens; the price of a service call.
@@ -61,6 +64,20 @@
     pub previous: Option<Name>,
     /// The bills.
     pub bills: Vec<Bill>,
+    /// Tokens that were lost.
+    #[serde(default)]
+    pub losses: Vec<Loss>,
+}
+
+/// Tokens that a request took off a budget without an answer to bill.
+///
+/// A backend server consumed them, or may have, in an attempt that was lost.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loss {
+    /// The budget they were taken off.
+    pub budget: Name,
+    /// How many.
+    pub tokens: u64,
 }
 
 /// Name of a batch's object; `attempt` keeps a late put off a newer one.
@@ -126,24 +143,40 @@
     pub batches: u64,
     /// Tokens billed by budget, in order of the budgets' names.
     pub billed: Vec<(Name, u64)>,
+    /// Tokens lost by budget, in order of the budgets' names.
+    #[serde(default)]
+    pub lost: Vec<(Name, u64)>,
 }
 
 impl BillingRow {
-    /// The row after one more batch, `name`, of `bills`.
-    pub fn with(&self, name: Name, bills: &[Bill]) -> Self {
+    /// The row after one more batch, `name`.
+    pub fn with(&self, name: Name, batch: &Batch) -> Self {
         let mut next = self.clone();
         next.head = Some(name);
         next.batches += 1;
-        for bill in bills {
-            next.add(&bill.budget, bill.tokens());
+        for bill in &batch.bills {
+            add(&mut next.billed, &bill.budget, bill.tokens());
+        }
+        for loss in &batch.losses {
+            add(&mut next.lost, &loss.budget, loss.tokens);
         }
         next
     }
 
-    fn add(&mut self, budget: &Name, tokens: u64) {
-        match self.billed.binary_search_by(|(b, _)| b.cmp(budget)) {
-            Ok(at) => self.billed[at].1 += tokens,
-            Err(at) => self.billed.insert(at, (budget.clone(), tokens)),
-        }
+    /// Tokens of a budget that are billed or lost.
+    pub fn accounted(&self, budget: &str) -> u64 {
+        of(&self.billed, budget) + of(&self.lost, budget)
     }
 }
+
+fn add(sums: &mut Vec<(Name, u64)>, budget: &Name, tokens: u64) {
+    match sums.binary_search_by(|(b, _)| b.cmp(budget)) {
+        Ok(at) => sums[at].1 += tokens,
+        Err(at) => sums.insert(at, (budget.clone(), tokens)),
+    }
+}
+
+fn of(sums: &[(Name, u64)], budget: &str) -> u64 {
+    let at = sums.binary_search_by(|(b, _)| (**b).cmp(budget));
+    at.map_or(0, |at| sums[at].1)
+}
--- a/crates/router/src/budget/bank.rs
+++ b/crates/router/src/budget/bank.rs
@@ -1,34 +1,45 @@
-//! Reserves tokens from what the router holds and draws more from the table.
+//! Reserves tokens from what the router holds, and sees to it that it holds
+//! enough.
+//!
+//! A reservation that finds too little draws on the table, and where the table
+//! has nothing left or can't be reached it asks the peers. Draws ahead keep the
+//! holding above a low-water mark, so that few requests wait for one.
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use poplar_base::platform::{Commit, Error, Platform, Row};
+use poplar_base::platform::Platform;
+use poplar_core::budget::gift::{Donor, Receiver};
 use poplar_core::budget::ledger::{Holding, Ledger};
-use poplar_core::budget::rows::{self, BudgetRow, Drawn, GrantRow};
+use poplar_core::grant::{self, Rate};
 use poplar_core::id::{Incarnation, Name};
 use poplar_core::sorted::SortedVec;
 use tokio::sync::Mutex as Gate;
 
-use super::rate::Rate;
+use super::biller::Biller;
+use super::draw::Seen;
+use super::reservation::Reservation;
+use crate::peers::Peers;
 use crate::settings;
 use crate::sync::lock;
 
-/// Tries of one draw against others' writes.
-const TRIES: usize = 12;
 /// How long a refusal for want of tokens is repeated without asking again.
 const MEMORY: Duration = Duration::from_millis(500);
+/// Weight of the newest request in the typical worst case.
+const NEWEST: f64 = 0.1;
 
 /// Why a reservation was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refused {
     /// There is no such budget.
     Missing,
-    /// Nothing is left to draw; `left` tokens are free here.
+    /// Nothing is left to draw.
     Exhausted {
         /// Tokens free on this router.
         left: u64,
     },
+    /// More is held, but it may not be exposed to a crash of this router.
+    Exposed,
     /// The platform can't be reached.
     Down,
     /// The router was sealed.
@@ -40,6 +51,7 @@
         match self {
             Self::Missing => f.write_str("there is no such budget"),
             Self::Exhausted { left } => write!(f, "{left} tokens are left"),
+            Self::Exposed => f.write_str("too much is under way and unbilled"),
             Self::Down => f.write_str("the platform is down"),
             Self::Sealed => f.write_str("the router was sealed"),
         }
@@ -48,45 +60,55 @@
 
 impl std::error::Error for Refused {}
 
-/// A budget's rows as last seen, changed by one draw at a time.
-#[derive(Debug, Default)]
-struct Seen {
-    budget: Option<(u64, BudgetRow)>,
-    grant: (u64, GrantRow),
-}
-
 /// What the bank knows of one budget besides the ledger's holding.
-#[derive(Debug)]
-struct Account {
-    seen: Arc<Gate<Seen>>,
-    rate: Rate,
+#[derive(Debug, Default)]
+pub(super) struct Account {
+    pub(super) seen: Arc<Gate<Seen>>,
+    pub(super) rate: Rate,
+    typical: f64,
     refused: Option<(Instant, Refused)>,
     ahead: bool,
+    /// When the last draw ahead ended, so that the next one waits a while.
+    paused: Option<Instant>,
+    /// What the table was last seen to have left.
+    pub(super) available: u64,
 }
 
 #[derive(Debug, Default)]
-struct Tables {
-    ledger: Ledger,
-    accounts: SortedVec<Name, Account>,
+pub(super) struct Tables {
+    pub(super) ledger: Ledger,
+    pub(super) accounts: SortedVec<Name, Account>,
+    pub(super) donor: Donor,
+    pub(super) receiver: Receiver,
 }
 
 /// The router's holdings and the way to more.
 #[derive(Debug)]
 pub struct Bank {
-    tables: Mutex<Tables>,
-    platform: Platform,
-    me: Incarnation,
-    settings: settings::Budget,
+    pub(super) tables: Mutex<Tables>,
+    pub(super) platform: Platform,
+    pub(super) me: Incarnation,
+    pub(super) settings: settings::Budget,
+    pub(super) peers: Arc<Peers>,
+    biller: Arc<Biller>,
 }
 
 impl Bank {
     /// Opens a bank that holds nothing.
-    pub fn open(platform: Platform, me: Incarnation, settings: settings::Budget) -> Self {
+    pub fn open(
+        platform: Platform,
+        me: Incarnation,
+        settings: settings::Budget,
+        peers: Arc<Peers>,
+        biller: Arc<Biller>,
+    ) -> Self {
         Self {
             tables: Mutex::default(),
             platform,
             me,
             settings,
+            peers,
+            biller,
         }
     }
 
@@ -108,305 +130,148 @@
         worst: u64,
         router: u64,
     ) -> Result<Reservation, Refused> {
+        let reserved = || Reservation::new(self.clone(), budget.clone(), worst);
         if self.try_reserve(budget, worst) {
             self.draw_ahead(budget, router);
-            return Ok(Reservation::new(self.clone(), budget.clone(), worst));
+            return Ok(reserved());
         }
         if let Some(refused) = self.remembered(budget, Instant::now()) {
             return Err(refused);
         }
         let seen = self.seen(budget);
         let mut seen = seen.lock().await;
+        // Who had the gate before may have drawn enough, or failed.
         if self.try_reserve(budget, worst) {
-            return Ok(Reservation::new(self.clone(), budget.clone(), worst));
+            return Ok(reserved());
+        }
+        if let Some(refused) = self.remembered(budget, Instant::now()) {
+            return Err(refused);
         }
         let drawn = self.draw(budget, &mut seen, worst, router).await;
         if self.try_reserve(budget, worst) {
-            return Ok(Reservation::new(self.clone(), budget.clone(), worst));
+            return Ok(reserved());
+        }
+        if drawn != Err(Refused::Sealed) {
+            self.ask(budget, worst, Instant::now()).await;
+        }
+        if self.try_reserve(budget, worst) {
+            return Ok(reserved());
         }
-        let left = lock(&self.tables).ledger.holding(budget).free();
-        let refused = drawn.err().unwrap_or(Refused::Exhausted { left });
+        let refused = self.why(budget, worst, drawn);
         self.remember(budget, refused, Instant::now());
         Err(refused)
     }
 
+    /// Why `worst` tokens can't be reserved after a draw that ended so.
+    fn why(&self, budget: &Name, worst: u64, drawn: Result<(), Refused>) -> Refused {
+        let holding = lock(&self.tables).ledger.holding(budget);
+        if holding.free() >= worst {
+            return Refused::Exposed;
+        }
+        let left = holding.free();
+        drawn.err().unwrap_or(Refused::Exhausted { left })
+    }
+
     fn try_reserve(&self, budget: &Name, worst: u64) -> bool {
-        lock(&self.tables).ledger.reserve(budget, worst).is_ok()
+        let mut tables = lock(&self.tables);
+        let account = tables.account(budget);
+        account.typical += NEWEST * (worst as f64 - account.typical);
+        tables.ledger.reserve(budget, worst).is_ok()
     }
 
-    fn settle(&self, budget: &Name, worst: u64, used: u64, now: Instant) {
+    /// Ends a reservation of which `used` tokens were consumed and `lost` of
+    /// these are billed to nobody.
+    pub(super) fn settle(&self, budget: &Name, worst: u64, used: u64, lost: u64, now: Instant) {
         let mut tables = lock(&self.tables);
-        tables.ledger.settle(budget, worst, used);
-        tables.account(budget, now).rate.add(used, now);
+        if lost > 0 {
+            tables.ledger.write_off(budget, lost);
+            self.biller.lose(budget, lost);
+        }
+        tables.ledger.settle(budget, worst - lost, used - lost);
+        tables.account(budget).rate.spent(used, now);
     }
 
-    fn write_off(&self, budget: &Name, worst: u64) {
-        lock(&self.tables).ledger.write_off(budget, worst);
+    /// Notes that `tokens` are durably billed or recorded as lost.
+    pub fn accounted(&self, budget: &Name, tokens: u64) {
+        lock(&self.tables).ledger.billed(budget, tokens);
     }
 
-    fn seen(&self, budget: &Name) -> Arc<Gate<Seen>> {
-        let mut tables = lock(&self.tables);
-        tables.account(budget, Instant::now()).seen.clone()
+    pub(super) fn seen(&self, budget: &Name) -> Arc<Gate<Seen>> {
+        lock(&self.tables).account(budget).seen.clone()
     }
 
     fn remembered(&self, budget: &Name, now: Instant) -> Option<Refused> {
         let mut tables = lock(&self.tables);
-        let (at, refused) = tables.account(budget, now).refused?;
+        let (at, refused) = tables.account(budget).refused?;
         (now.duration_since(at) < MEMORY).then_some(refused)
     }
 
     fn remember(&self, budget: &Name, refused: Refused, now: Instant) {
-        let mut tables = lock(&self.tables);
-        tables.account(budget, now).refused = Some((now, refused));
-    }
-
-    /// Draws in the background where little is left.
-    fn draw_ahead(self: &Arc<Self>, budget: &Name, router: u64) {
-        let now = Instant::now();
-        let mut tables = lock(&self.tables);
-        let free = tables.ledger.holding(budget).free();
-        let account = tables.account(budget, now);
-        let wanted = wanted(&self.settings, account.rate.per_second(now));
-        let quiet = account
-            .refused
-            .is_some_and(|(at, _)| now.duration_since(at) < MEMORY);
-        if free > wanted / 2 || account.ahead || quiet {
-            return;
-        }
-        account.ahead = true;
-        let seen = account.seen.clone();
-        drop(tables);
-        let bank = self.clone();
-        let budget = budget.clone();
-        tokio::spawn(async move {
-            let mut seen = seen.lock().await;
-            let drawn = bank.draw(&budget, &mut seen, 0, router).await;
-            let now = Instant::now();
-            if let Err(refused) = drawn {
-                bank.remember_ahead(&budget, refused, now);
-            }
-            lock(&bank.tables).account(&budget, now).ahead = false;
-        });
-    }
-
-    /// A failed draw ahead pauses further ones, and refuses nobody.
-    fn remember_ahead(&self, budget: &Name, refused: Refused, now: Instant) {
-        let free = lock(&self.tables).ledger.holding(budget).free();
-        if free == 0 {
-            self.remember(budget, refused, now);
-        }
-    }
-
-    async fn draw(
-        &self,
-        budget: &Name,
-        seen: &mut Seen,
-        need: u64,
-        router: u64,
-    ) -> Result<(), Refused> {
-        if seen.budget.is_none() {
-            self.read(budget, seen).await?;
-        }
-        for attempt in 0..TRIES {
-            let Some((version, row)) = seen.budget.clone() else {
-                return Err(Refused::Missing);
-            };
-            let want = self.amount(budget, &row, need, Instant::now());
-            let drawn = rows::draw(&row, &seen.grant.1, want);
-            if drawn.tokens == 0 {
-                // The row may be older than a top-up.
-                let before = seen.budget.clone();
-                self.read(budget, seen).await?;
-                if seen.budget == before {
-                    return Ok(());
-                }
-                continue;
-            }
-            let commit = self.commit(budget, version, seen.grant.0, &drawn, router);
-            match (self.platform.commit)(commit).await {
-                Ok(version) => {
-                    seen.budget = Some((version, drawn.budget));
-                    self.saw_grant(budget, seen, version, drawn.grant);
-                    return Ok(());
-                }
-                Err(Error::Conflict(found)) => self.learn(budget, seen, &found, router)?,
-                Err(Error::Down(_)) => return Err(Refused::Down),
-                Err(Error::Unknown(_) | Error::Malformed(_)) => {
-                    let number = seen.grant.1.number;
-                    self.read(budget, seen).await?;
-                    if seen.grant.1.number != number {
-                        return Ok(());
-                    }
-                }
-            }
-            pause(attempt).await;
-        }
-        Err(Refused::Down)
+        lock(&self.tables).account(budget).refused = Some((now, refused));
     }
 
-    /// How much to ask for: the spending of the horizon, less near the end.
-    fn amount(&self, budget: &Name, row: &BudgetRow, need: u64, now: Instant) -> u64 {
+    /// What the decision on draws and gifts needs to know.
+    pub(super) fn outlook(&self, budget: &Name, now: Instant) -> grant::State {
+        let routers = self.peers.live(now) as u32 + 1;
         let mut tables = lock(&self.tables);
         let free = tables.ledger.holding(budget).free();
-        let rate = tables.account(budget, now).rate.per_second(now);
-        let wanted = wanted(&self.settings, rate).saturating_sub(free);
-        wanted
-            .min(row.available() / 4)
-            .max(need.saturating_sub(free))
-    }
-
-    fn commit(
-        &self,
-        budget: &Name,
-        budget_version: u64,
-        grant_version: u64,
-        drawn: &Drawn,
-        router: u64,
-    ) -> Commit {
-        let budget_key = rows::budget_key(budget);
-        let grant_key = rows::grant_key(budget, &self.me);
-        Commit::default()
-            .check(rows::incarnation_key(&self.me), router)
-            .check(&budget_key, budget_version)
-            .check(&grant_key, grant_version)
-            .write(&budget_key, &drawn.budget)
-            .write(&grant_key, &drawn.grant)
-    }
-
-    async fn read(&self, budget: &Name, seen: &mut Seen) -> Result<(), Refused> {
-        let keys = vec![rows::budget_key(budget), rows::grant_key(budget, &self.me)];
-        let found = (self.platform.read)(keys).await;
-        let found = found.map_err(|_| Refused::Down)?;
-        self.learn(budget, seen, &found, u64::MAX)
-    }
-
-    /// Takes over rows as the table has them.
-    fn learn(
-        &self,
-        budget: &Name,
-        seen: &mut Seen,
-        found: &[Row],
-        router: u64,
-    ) -> Result<(), Refused> {
-        for row in found {
-            if row.key == rows::budget_key(budget) {
-                let value = row.decode().map_err(|_| Refused::Down)?;
-                seen.budget = value.map(|value| (row.version, value));
-            } else if row.key == rows::grant_key(budget, &self.me) {
-                let value = row.decode().map_err(|_| Refused::Down)?;
-                self.saw_grant(budget, seen, row.version, value.unwrap_or_default());
-            } else if row.key == rows::incarnation_key(&self.me) && row.version != router {
-                return Err(Refused::Sealed);
-            }
+        let account = tables.account(budget);
+        grant::State {
+            free,
+            available: account.available,
+            rate: account.rate.now(now),
+            idle: account.rate.idle(now),
+            typical: (account.typical as u64).max(self.settings.least / 4),
+            routers,
         }
-        Ok(())
     }
 
-    /// Credits what the own row shows beyond what was known: a draw whose
-    /// answer was lost.
-    fn saw_grant(&self, budget: &Name, seen: &mut Seen, version: u64, grant: GrantRow) {
-        let more = grant.granted.saturating_sub(seen.grant.1.granted);
-        if more > 0 {
-            lock(&self.tables).ledger.credit(budget, more);
-        }
-        seen.grant = (version, grant);
+    /// How much to draw for a request that needs `need`, or ahead of time.
+    pub(super) fn wanted(&self, budget: &Name, need: u64, now: Instant) -> u64 {
+        let outlook = self.outlook(budget, now);
+        let settings = self.grant_settings();
+        grant::draw(&outlook, need, &settings).map_or(0, |drawn| drawn.tokens)
     }
 
-    /// Returns everything that is free; the planned end of this router.
-    pub async fn return_all(&self, router: u64) {
-        for (budget, _) in self.holdings() {
-            let seen = self.seen(&budget);
-            let mut seen = seen.lock().await;
-            self.return_one(&budget, &mut seen, router).await;
+    fn grant_settings(&self) -> grant::Settings {
+        grant::Settings {
+            horizon: self.settings.horizon,
+            low: self.settings.horizon.mul_f64(0.8),
+            ..grant::Settings::default()
         }
     }
 
-    async fn return_one(&self, budget: &Name, seen: &mut Seen, router: u64) {
-        let tokens = lock(&self.tables).ledger.debit(budget, u64::MAX);
-        if tokens == 0 {
+    /// Draws in the background where little is left.
+    fn draw_ahead(self: &Arc<Self>, budget: &Name, router: u64) {
+        let now = Instant::now();
+        if self.wanted(budget, 0, now) == 0 || !self.begin_ahead(budget, now) {
             return;
         }
-        for attempt in 0..TRIES {
-            let Some((version, row)) = seen.budget.clone() else {
-                return;
-            };
-            let back = rows::give_back(&row, &seen.grant.1, tokens);
-            let number = back.grant.number;
-            let commit = self.commit(budget, version, seen.grant.0, &back, router);
-            let done = match (self.platform.commit)(commit).await {
-                Ok(_) => return,
-                Err(Error::Conflict(found)) => self.learn(budget, seen, &found, router),
-                Err(_) => self.read(budget, seen).await,
-            };
-            if done == Err(Refused::Sealed) || seen.grant.1.number >= number {
-                return;
-            }
-            pause(attempt).await;
-        }
-    }
-}
-
-impl Tables {
-    fn account(&mut self, budget: &Name, now: Instant) -> &mut Account {
-        self.accounts.entry(budget.clone(), || Account {
-            seen: Arc::default(),
-            rate: Rate::new(now),
-            refused: None,
-            ahead: false,
-        })
-    }
-}
-
-fn wanted(settings: &settings::Budget, rate: f64) -> u64 {
-    let horizon = settings.horizon.as_secs_f64();
-    ((rate * horizon) as u64).max(settings.least)
-}
-
-async fn pause(attempt: usize) {
-    let most = 2u64 << attempt.min(6);
-    let wait = rand::random_range(1..=most);
-    tokio::time::sleep(Duration::from_millis(wait)).await;
-}
-
-/// Tokens set aside for one request.
-///
-/// Dropped without being settled it is written off whole, since then nobody
-/// knows what the backend server consumed.
-#[derive(Debug)]
-pub struct Reservation {
-    bank: Arc<Bank>,
-    budget: Name,
-    worst: u64,
-    open: bool,
-}
-
-impl Reservation {
-    fn new(bank: Arc<Bank>, budget: Name, worst: u64) -> Self {
-        Self {
-            bank,
-            budget,
-            worst,
-            open: true,
-        }
-    }
-
-    /// Tokens set aside.
-    pub fn worst(&self) -> u64 {
-        self.worst
+        let bank = self.clone();
+        let budget = budget.clone();
+        tokio::spawn(async move {
+            let seen = bank.seen(&budget);
+            // A failure is no request's; the next one to need it will try.
+            let _ = bank.draw(&budget, &mut *seen.lock().await, 0, router).await;
+            let mut tables = lock(&bank.tables);
+            let account = tables.account(&budget);
+            account.ahead = false;
+            account.paused = Some(Instant::now());
+        });
     }
 
-    /// Ends it with `used` tokens consumed, 0 where nothing ran.
-    pub fn settle(mut self, used: u64) {
-        self.open = false;
-        self.bank
-            .settle(&self.budget, self.worst, used, Instant::now());
+    fn begin_ahead(&self, budget: &Name, now: Instant) -> bool {
+        let mut tables = lock(&self.tables);
+        let account = tables.account(budget);
+        let paused = account.paused.is_some_and(|at| now < at + MEMORY);
+        let begins = !account.ahead && !paused;
+        account.ahead |= begins;
+        begins
     }
 }
 
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        if self.open {
-            self.bank.write_off(&self.budget, self.worst);
-        }
+impl Tables {
+    pub(super) fn account(&mut self, budget: &Name) -> &mut Account {
+        self.accounts.entry(budget.clone(), Account::default)
     }
 }
--- a/crates/router/src/budget/biller.rs
+++ b/crates/router/src/budget/biller.rs
@@ -11,11 +11,12 @@
 
 use bytes::Bytes;
 use poplar_base::platform::{Commit, Error, Platform, Row};
-use poplar_core::bill::{self, Batch, Bill, BilledRow, BillingRow};
+use poplar_core::bill::{self, Batch, Bill, BilledRow, BillingRow, Loss};
 use poplar_core::id::{Incarnation, Name};
 use poplar_core::sorted::SortedVec;
 use tokio::sync::{Notify, oneshot, watch};
 
+use super::bank::Bank;
 use crate::sync::lock;
 
 /// Bills in one batch at the most.
@@ -42,7 +43,6 @@
 #[derive(Debug)]
 pub struct Pending {
     bill: Bill,
-    body: u64,
     marked: bool,
     done: oneshot::Sender<Billed>,
 }
@@ -51,6 +51,7 @@
 #[derive(Debug)]
 pub struct Biller {
     queue: Mutex<VecDeque<Pending>>,
+    losses: Mutex<Vec<Loss>>,
     wake: Notify,
     waiting: watch::Sender<usize>,
 }
@@ -68,6 +69,7 @@
     fn default() -> Self {
         Self {
             queue: Mutex::default(),
+            losses: Mutex::default(),
             wake: Notify::new(),
             waiting: watch::channel(0).0,
         }
@@ -79,20 +81,25 @@
     ///
     /// `marked` bills are marked in the table by their request's identity, so
     /// that no second one of the same request is ever made durable.
-    pub fn submit(&self, bill: Bill, body: u64, marked: bool) -> oneshot::Receiver<Billed> {
+    pub fn submit(&self, bill: Bill, marked: bool) -> oneshot::Receiver<Billed> {
         let (done, receiver) = oneshot::channel();
-        let pending = Pending {
-            bill,
-            body,
-            marked,
-            done,
-        };
+        let pending = Pending { bill, marked, done };
         lock(&self.queue).push_back(pending);
         self.waiting.send_modify(|n| *n += 1);
         self.wake.notify_one();
         receiver
     }
 
+    /// Hands over tokens that were consumed, or may have been, for nothing.
+    pub fn lose(&self, budget: &Name, tokens: u64) {
+        lock(&self.losses).push(Loss {
+            budget: budget.clone(),
+            tokens,
+        });
+        self.waiting.send_modify(|n| *n += 1);
+        self.wake.notify_one();
+    }
+
     /// How many bills are not durable yet.
     pub fn waiting(&self) -> usize {
         *self.waiting.borrow()
@@ -105,18 +112,18 @@
         let _ = waiting.wait_for(|n| *n == 0).await;
     }
 
-    /// Works until the router is sealed.
-    pub async fn run(&self, platform: &Platform, rows: Rows) {
+    /// Works until the router is sealed; tells `bank` what became durable.
+    pub async fn run(&self, platform: &Platform, bank: &Bank, rows: Rows) {
         let mut row = BillingRow::default();
         let mut version = 0;
         let mut attempt = 0;
         let mut wait = BACKOFF;
         loop {
-            while lock(&self.queue).is_empty() {
+            while self.waiting() == 0 {
                 self.wake.notified().await;
             }
             tokio::time::sleep(GATHER).await;
-            let many = lock(&self.queue).len().min(MOST);
+            let taken = self.take();
             attempt += 1;
             let state = Worker {
                 platform,
@@ -125,8 +132,9 @@
                 version,
                 attempt,
             };
-            match self.step(&state, many).await {
+            match self.step(&state, &taken).await {
                 Step::Committed(next, at) => {
+                    self.finish(bank, &taken);
                     row = next;
                     version = at;
                     wait = BACKOFF;
@@ -141,61 +149,65 @@
         }
     }
 
-    async fn step(&self, worker: &Worker<'_>, many: usize) -> Step {
-        let (bills, marks) = self.batch(many);
-        let name: Name =
-            bill::batch_name(&worker.rows.me, worker.row.batches, worker.attempt).into();
-        let next = worker.row.with(name.clone(), &bills);
+    /// What goes into the next batch; it stays queued until it is durable.
+    fn take(&self) -> Taken {
+        let queue = lock(&self.queue);
+        let many = queue.len().min(MOST);
+        let first = || queue.iter().take(many);
+        let marks = first().filter(|p| p.marked).map(|p| Mark {
+            key: bill::billed_key(&p.bill.id),
+            body: p.bill.body,
+        });
+        Taken {
+            bills: first().map(|p| p.bill.clone()).collect(),
+            marks: marks.collect(),
+            losses: lock(&self.losses).clone(),
+        }
+    }
+
+    async fn step(&self, worker: &Worker<'_>, taken: &Taken) -> Step {
+        let name = bill::batch_name(&worker.rows.me, worker.row.batches, worker.attempt);
+        let name: Name = name.into();
         let batch = Batch {
             previous: worker.row.head.clone(),
-            bills,
+            bills: taken.bills.clone(),
+            losses: taken.losses.clone(),
         };
+        let next = worker.row.with(name.clone(), &batch);
         let bytes = serde_json::to_vec(&batch).expect("bills are plain data");
         let put = (worker.platform.put)(name.to_string(), Bytes::from(bytes)).await;
         if put.is_err() {
             // A put whose answer was lost leaves an object nothing leads to.
             return Step::Failed;
         }
-        let commit = worker.commit(&next, &name, &marks);
+        let commit = worker.commit(&next, &name, &taken.marks);
         match (worker.platform.commit)(commit).await {
-            Ok(version) => {
-                self.finish(many);
-                Step::Committed(next, version)
-            }
-            Err(Error::Conflict(rows)) => self.conflict(worker, &rows, &next, many),
-            Err(Error::Unknown(_) | Error::Malformed(_)) => {
-                self.read_back(worker, &next, many).await
-            }
+            Ok(version) => Step::Committed(next, version),
+            Err(Error::Conflict(rows)) => self.conflict(worker, &rows, next),
+            Err(Error::Unknown(_) | Error::Malformed(_)) => self.read_back(worker, next).await,
             Err(Error::Down(_)) => Step::Failed,
         }
     }
 
-    fn batch(&self, many: usize) -> (Vec<Bill>, Vec<Mark>) {
-        let queue = lock(&self.queue);
-        let taken = || queue.iter().take(many);
-        let bills = taken().map(|p| p.bill.clone()).collect();
-        let marks = taken().filter(|p| p.marked).map(|p| Mark {
-            key: bill::billed_key(&p.bill.id),
-            body: p.body,
-        });
-        (bills, marks.collect())
-    }
-
-    fn finish(&self, many: usize) {
-        let done: Vec<_> = lock(&self.queue).drain(..many).collect();
+    fn finish(&self, bank: &Bank, taken: &Taken) {
+        let done: Vec<_> = lock(&self.queue).drain(..taken.bills.len()).collect();
+        lock(&self.losses).drain(..taken.losses.len());
+        for loss in &taken.losses {
+            bank.accounted(&loss.budget, loss.tokens);
+        }
         for pending in done {
+            bank.accounted(&pending.bill.budget, pending.bill.tokens());
             // A caller that is gone needs no word.
             let _ = pending.done.send(Billed::Mine);
         }
+        let many = taken.bills.len() + taken.losses.len();
         self.waiting.send_modify(|n| *n -= many);
     }
 
-    fn conflict(&self, worker: &Worker<'_>, now: &[Row], next: &BillingRow, many: usize) -> Step {
+    fn conflict(&self, worker: &Worker<'_>, now: &[Row], next: BillingRow) -> Step {
         let find = |key: &str| now.iter().find(|r| r.key == key);
-        if find(&worker.billing_key()).is_some_and(|r| is(r, next)) {
-            self.finish(many);
-            let version = find(&worker.billing_key()).map_or(0, |r| r.version);
-            return Step::Committed(next.clone(), version);
+        if let Some(row) = find(&worker.billing_key()).filter(|r| is(r, &next)) {
+            return Step::Committed(next, row.version);
         }
         if find(&worker.router_key()).is_some_and(|r| r.version != worker.rows.router) {
             return Step::Sealed;
@@ -218,22 +230,24 @@
                 return true;
             };
             let (closed, _) = oneshot::channel();
-            dropped.push((std::mem::replace(&mut pending.done, closed), row.clone()));
+            let done = std::mem::replace(&mut pending.done, closed);
+            dropped.push((done, row.clone(), pending.bill.clone()));
             false
         });
         let many = dropped.len();
-        for (done, row) in dropped {
+        for (done, row, bill) in dropped {
+            // What this run consumed is billed to nobody.
+            self.lose(&bill.budget, bill.tokens());
             let _ = done.send(Billed::Earlier(row));
         }
         self.waiting.send_modify(|n| *n -= many);
     }
 
-    async fn read_back(&self, worker: &Worker<'_>, next: &BillingRow, many: usize) -> Step {
+    async fn read_back(&self, worker: &Worker<'_>, next: BillingRow) -> Step {
         let keys = vec![worker.billing_key(), worker.router_key()];
         match (worker.platform.read)(keys).await {
-            Ok(rows) if rows.first().is_some_and(|r| is(r, next)) => {
-                self.finish(many);
-                Step::Committed(next.clone(), rows[0].version)
+            Ok(rows) if rows.first().is_some_and(|r| is(r, &next)) => {
+                Step::Committed(next, rows[0].version)
             }
             Ok(rows) if rows.get(1).is_some_and(|r| r.version != worker.rows.router) => {
                 Step::Sealed
@@ -254,6 +268,13 @@
     }
 }
 
+/// What one batch holds.
+struct Taken {
+    bills: Vec<Bill>,
+    marks: Vec<Mark>,
+    losses: Vec<Loss>,
+}
+
 struct Mark {
     key: String,
     body: u64,
--- /dev/null
+++ b/crates/router/src/budget/draw.rs
@@ -0,0 +1,336 @@
+//! Changes of the own grant in the table: draws, records of gifts, the close.
+//!
+//! The decisions are `poplar_core::budget::change`; here they are carried out
+//! and read back where an answer was lost.
+
+use std::time::{Duration, Instant};
+
+use poplar_base::platform::{Commit, Error, Row};
+use poplar_core::bill::{BillingRow, billing_key};
+use poplar_core::budget::change::{self, Change, Next, Purpose, View, Writes};
+use poplar_core::budget::rows::{self, BudgetRow, GrantRow};
+use poplar_core::id::{Incarnation, Name};
+
+use super::bank::{Bank, Refused};
+use crate::sync::lock;
+
+/// Tries of one change against others' writes.
+const TRIES: u32 = 24;
+/// Longest wait between two tries.
+const PAUSE_MOST: Duration = Duration::from_millis(100);
+
+/// A budget's rows as last seen, changed by one change at a time.
+#[derive(Debug, Default)]
+pub(super) struct Seen {
+    view: Option<View>,
+    /// A change whose outcome is not known yet.
+    open: Option<Open>,
+}
+
+/// A change that may or may not have taken effect.
+#[derive(Debug)]
+struct Open {
+    change: Change,
+    keys: Keys,
+}
+
+/// Whose rows a change touches.
+#[derive(Debug)]
+struct Keys {
+    budget: String,
+    grant: String,
+    own: String,
+    billing: String,
+    receiver: Option<String>,
+}
+
+impl Keys {
+    fn new(budget: &Name, me: &Incarnation, receiver: Option<&Incarnation>) -> Self {
+        Self {
+            budget: rows::budget_key(budget),
+            grant: rows::grant_key(budget, me),
+            own: rows::incarnation_key(me),
+            billing: billing_key(me),
+            receiver: receiver.map(|r| rows::grant_key(budget, r)),
+        }
+    }
+
+    fn all(&self) -> Vec<String> {
+        let Self {
+            budget,
+            grant,
+            own,
+            billing,
+            receiver,
+        } = self;
+        let mut all = vec![budget.clone(), grant.clone(), own.clone(), billing.clone()];
+        all.extend(receiver.clone());
+        all
+    }
+
+    fn commit(&self, writes: &Writes) -> Commit {
+        let mut commit = Commit::default()
+            .check(&self.own, writes.own)
+            .check(&self.budget, writes.budget.version)
+            .check(&self.grant, writes.grant.version)
+            .write(&self.budget, &writes.budget.row)
+            .write(&self.grant, &writes.grant.row);
+        if let (Some(key), Some(receiver)) = (&self.receiver, &writes.receiver) {
+            commit = commit
+                .check(key, receiver.version)
+                .write(key, &receiver.row);
+        }
+        commit
+    }
+}
+
+impl Bank {
+    /// Draws for a request that needs `need` tokens, or ahead of time.
+    pub(super) async fn draw(
+        &self,
+        budget: &Name,
+        seen: &mut Seen,
+        need: u64,
+        router: u64,
+    ) -> Result<(), Refused> {
+        let keys = Keys::new(budget, &self.me, None);
+        self.end_open(budget, seen, router).await?;
+        if seen.view.is_none() {
+            self.read(budget, &keys, seen, router).await?;
+        }
+        let want = self.wanted(budget, need, Instant::now());
+        if want == 0 {
+            return Ok(());
+        }
+        let bound = Some(self.settings.exposure);
+        let exposure = lock(&self.tables).ledger.declare(budget, bound);
+        let purpose = Purpose::Draw { want, exposure };
+        let drawn = self.change(budget, keys, seen, purpose, router).await;
+        if !matches!(drawn, Err(Refused::Exhausted { .. })) {
+            return drawn;
+        }
+        // The rows may be older than a top-up.
+        let keys = Keys::new(budget, &self.me, None);
+        self.read(budget, &keys, seen, router).await?;
+        self.change(budget, keys, seen, purpose, router).await
+    }
+
+    /// Records in the table what was given to other routers.
+    pub(super) async fn record_gifts(&self, budget: &Name, router: u64) -> Result<(), Refused> {
+        let seen = self.seen(budget);
+        let mut seen = seen.lock().await;
+        loop {
+            let next = lock(&self.tables)
+                .donor
+                .unrecorded(budget)
+                .map(|(to, tokens)| (to.clone(), tokens));
+            let Some((to, tokens)) = next else {
+                return Ok(());
+            };
+            let keys = Keys::new(budget, &self.me, Some(&to));
+            self.read(budget, &keys, &mut seen, router).await?;
+            let purpose = Purpose::Record { tokens };
+            self.change(budget, keys, &mut seen, purpose, router)
+                .await?;
+            lock(&self.tables).donor.recorded(budget, &to, tokens);
+        }
+    }
+
+    /// Returns what is left of every budget; the planned end of this router.
+    ///
+    /// # Errors
+    /// Where a budget could not be closed; the others are.
+    pub async fn close(&self, router: u64) -> Result<(), Refused> {
+        let mut failed = Ok(());
+        for (budget, _) in self.holdings() {
+            let closed = self.close_one(&budget, router).await;
+            failed = failed.and(closed);
+        }
+        failed
+    }
+
+    async fn close_one(&self, budget: &Name, router: u64) -> Result<(), Refused> {
+        self.record_gifts(budget, router).await?;
+        let seen = self.seen(budget);
+        let mut seen = seen.lock().await;
+        let keys = Keys::new(budget, &self.me, None);
+        self.read(budget, &keys, &mut seen, router).await?;
+        // The own total must be the newest one, and the bills are all durable.
+        self.change(budget, keys, &mut seen, Purpose::Close, router)
+            .await
+    }
+
+    /// Makes a change, after the one that is still open.
+    async fn change(
+        &self,
+        budget: &Name,
+        keys: Keys,
+        seen: &mut Seen,
+        purpose: Purpose,
+        router: u64,
+    ) -> Result<(), Refused> {
+        self.end_open(budget, seen, router).await?;
+        let view = seen.view.ok_or(Refused::Missing)?;
+        let change = Change::begin(purpose, &view).map_err(refused)?;
+        seen.open = Some(Open { change, keys });
+        self.end_open(budget, seen, router).await
+    }
+
+    /// Brings the open change to its end: a change whose answer was lost is
+    /// tried under its own number until it is known what became of it.
+    async fn end_open(&self, budget: &Name, seen: &mut Seen, router: u64) -> Result<(), Refused> {
+        let Some(Open { mut change, keys }) = seen.open.take() else {
+            return Ok(());
+        };
+        for attempt in 0..TRIES {
+            match self
+                .try_once(budget, &keys, seen, &mut change, router)
+                .await
+            {
+                Ok(Tried::Done) => return Ok(()),
+                Ok(Tried::Again) => pause(attempt).await,
+                Err(Failed::For(why)) => return Err(why),
+                Err(Failed::Now(why)) => {
+                    seen.open = Some(Open { change, keys });
+                    return Err(why);
+                }
+            }
+        }
+        seen.open = Some(Open { change, keys });
+        Err(Refused::Down)
+    }
+
+    async fn try_once(
+        &self,
+        budget: &Name,
+        keys: &Keys,
+        seen: &mut Seen,
+        change: &mut Change,
+        router: u64,
+    ) -> Result<Tried, Failed> {
+        let commit = keys.commit(change.writes());
+        match (self.platform.commit)(commit).await {
+            Ok(version) => {
+                self.enter(budget, seen, change, version);
+                return Ok(Tried::Done);
+            }
+            // An earlier try may have taken effect, so it stays open.
+            Err(Error::Down(_)) => return Err(Failed::Now(Refused::Down)),
+            Err(Error::Conflict(_) | Error::Unknown(_) | Error::Malformed(_)) => {}
+        }
+        let read = self.read(budget, keys, seen, router).await;
+        let view = read.map_err(Failed::Now)?;
+        match change.on_rows(&view) {
+            Ok(Next::Commit) => Ok(Tried::Again),
+            Ok(Next::Applied(applied)) => {
+                applied.enter(&mut lock(&self.tables).ledger, budget);
+                Ok(Tried::Done)
+            }
+            Err(why) => Err(Failed::For(refused(why))),
+        }
+    }
+
+    /// Takes over a change that was answered as done.
+    fn enter(&self, budget: &Name, seen: &mut Seen, change: &Change, version: u64) {
+        let applied = change.on_committed();
+        let writes = change.writes();
+        if let Some(view) = &mut seen.view {
+            view.budget = rows::Seen {
+                version,
+                row: writes.budget.row,
+            };
+            view.grant = rows::Seen {
+                version,
+                row: writes.grant.row,
+            };
+        }
+        let mut tables = lock(&self.tables);
+        tables.account(budget).available = writes.budget.row.available();
+        applied.enter(&mut tables.ledger, budget);
+    }
+
+    /// Reads the rows anew.
+    async fn read(
+        &self,
+        budget: &Name,
+        keys: &Keys,
+        seen: &mut Seen,
+        router: u64,
+    ) -> Result<View, Refused> {
+        let found = (self.platform.read)(keys.all()).await;
+        let found = found.map_err(|_| Refused::Down)?;
+        let mut view = View::default();
+        for row in &found {
+            self.look(budget, keys, &mut view, row, router)?;
+        }
+        seen.view = Some(view);
+        Ok(view)
+    }
+
+    fn look(
+        &self,
+        budget: &Name,
+        keys: &Keys,
+        view: &mut View,
+        row: &Row,
+        router: u64,
+    ) -> Result<(), Refused> {
+        if row.key == keys.budget {
+            let value = decode::<BudgetRow>(row)?.ok_or(Refused::Missing)?;
+            view.budget = rows::Seen {
+                version: row.version,
+                row: value,
+            };
+            lock(&self.tables).account(budget).available = value.available();
+        } else if row.key == keys.grant {
+            view.grant = grant(row)?;
+        } else if keys.receiver.as_ref() == Some(&row.key) {
+            view.receiver = grant(row)?;
+        } else if row.key == keys.own {
+            view.own.version = row.version;
+            view.own.row.sealed = row.version != router;
+        } else if row.key == keys.billing {
+            let billing = decode::<BillingRow>(row)?.unwrap_or_default();
+            view.own.row.accounted = billing.accounted(budget);
+        }
+        Ok(())
+    }
+}
+
+/// What a try of a change came to.
+enum Tried {
+    Done,
+    Again,
+}
+
+/// Why a try of a change ended it.
+enum Failed {
+    /// It can't be told now whether it took effect.
+    Now(Refused),
+    /// It did not take effect and never will.
+    For(Refused),
+}
+
+fn grant(row: &Row) -> Result<rows::Seen<GrantRow>, Refused> {
+    Ok(rows::Seen {
+        version: row.version,
+        row: decode(row)?.unwrap_or_default(),
+    })
+}
+
+fn decode<T: serde::de::DeserializeOwned>(row: &Row) -> Result<Option<T>, Refused> {
+    row.decode().map_err(|_| Refused::Down)
+}
+
+fn refused(why: change::Refusal) -> Refused {
+    match why {
+        change::Refusal::Sealed => Refused::Sealed,
+        change::Refusal::Exhausted => Refused::Exhausted { left: 0 },
+    }
+}
+
+/// Waits a random time, longer with each try, so that rivals get by.
+async fn pause(attempt: u32) {
+    let most = Duration::from_millis(2 << attempt.min(6)).min(PAUSE_MOST);
+    tokio::time::sleep(most.mul_f64(rand::random_range(0.1..1.0))).await;
+}
--- a/crates/router/src/budget/mod.rs
+++ b/crates/router/src/budget/mod.rs
@@ -1,5 +1,7 @@
-//! Budgets in the router: what it holds, draws and gives.
+//! Budgets in the router: what it holds, draws, gives and bills.
 
 pub mod bank;
 pub mod biller;
-pub mod rate;
+mod draw;
+pub mod gift;
+pub mod reservation;
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -17,7 +17,8 @@
 use tokio::sync::mpsc;
 
 use crate::backends::dispatch::{Ended, Placed, Work};
-use crate::budget::bank::{Refused, Reservation};
+use crate::budget::bank::Refused;
+use crate::budget::reservation::Reservation;
 use crate::flow::chunk::{Broken, Chunk, Reader};
 use crate::flow::finish::{self, Finished, Sure};
 use crate::flow::request::{Chat, Job, Message};
@@ -144,7 +145,7 @@
             let mut placed = match placed {
                 Ok(placed) => placed,
                 Err(refusal) => {
-                    reservation.settle(0);
+                    reservation.release();
                     return Err(refusal);
                 }
             };
@@ -155,7 +156,7 @@
                 }
                 Attempt::NotRun(why) => {
                     self.note("not run", &why);
-                    reservation.settle(0);
+                    reservation.release();
                 }
                 Attempt::Lost(why) => {
                     self.note("lost", &why);
@@ -345,7 +346,7 @@
         let answer = self.state.client.post(&url, &cancel, CANCEL_TIMEOUT).await;
         let told: Option<CancelledWire> = answer.ok().and_then(|a| a.json().ok());
         match told.filter(|t| t.found) {
-            Some(told) => reservation.settle(told.prompt + told.generated),
+            Some(told) => reservation.waste(told.prompt + told.generated),
             // Nobody knows what it consumed, so that all of it is written off.
             None => drop(reservation),
         }
@@ -397,7 +398,9 @@
             Refused::Exhausted { .. } => {
                 Refusal::new(Code::Exhausted).after(Duration::from_secs(5))
             }
-            Refused::Down => Refusal::new(Code::NoGrant).after(Duration::from_secs(2)),
+            Refused::Down | Refused::Exposed => {
+                Refusal::new(Code::NoGrant).after(Duration::from_secs(2))
+            }
             Refused::Sealed => {
                 state.seal();
                 Refusal::new(Code::Unready).after(Duration::from_secs(1))
--- a/crates/router/src/flow/finish.rs
+++ b/crates/router/src/flow/finish.rs
@@ -51,9 +51,7 @@
     state
         .burn
         .answered(&job.workspace, &job.class.name, met, now);
-    let done = state
-        .biller
-        .submit(bill.clone(), job.body, job.id.is_keyed());
+    let done = state.biller.submit(bill.clone(), job.id.is_keyed());
     if free && !job.id.is_keyed() {
         // Nothing is at stake that would be worth the wait.
         return Sure::Durable;
@@ -103,6 +101,7 @@
         workspace: job.workspace.clone(),
         class: job.class.name.clone(),
         budget: job.budget.clone(),
+        body: job.body,
         prompt: finished.prompt,
         output: finished.output,
         at_ms: unix_ms(SystemTime::now()),
--- a/crates/router/src/flow/service.rs
+++ b/crates/router/src/flow/service.rs
@@ -77,7 +77,7 @@
         Err(refusal) => {
             // What may have run is written off with the reservation.
             if refusal.run == Execution::NotRun {
-                reservation.settle(0);
+                reservation.release();
             }
             return Err(refusal);
         }
--- a/crates/router/src/life.rs
+++ b/crates/router/src/life.rs
@@ -14,6 +14,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::budget::biller::Rows;
+use crate::budget::gift;
 use crate::server::Server;
 use crate::settings::{Platform, Settings};
 use crate::state::State;
@@ -119,11 +120,12 @@
     tokio::spawn(peers::discover(state.clone()));
     tokio::spawn(peers::gossip(state.clone()));
     tokio::spawn(peers::flush_orphans(state.clone()));
+    tokio::spawn(gift::record(state.clone()));
     let rows = Rows {
         me: state.me.clone(),
         router: state.router(),
     };
-    state.biller.run(&state.platform, rows).await;
+    state.biller.run(&state.platform, &state.bank, rows).await;
     log::error("sealed").with("router", &state.me).write();
     state.seal();
 }
@@ -206,7 +208,9 @@
 
 async fn last_writes(state: &Arc<State>) {
     state.biller.flushed().await;
-    state.bank.return_all(state.router()).await;
+    if let Err(why) = state.bank.close(state.router()).await {
+        log::warn("close").reason(why).write();
+    }
     let key = incarnation_key(&state.me);
     let mine = row(state, Stage::Sealed);
     let commit = Commit::default()
--- a/crates/router/src/peers/held.rs
+++ b/crates/router/src/peers/held.rs
@@ -8,10 +8,14 @@
 use std::time::Duration;
 
 use poplar_base::log;
-use poplar_base::platform::Error;
-use poplar_core::bill::{Batch, Bill, BillingRow, RouterRow, Stage, billing_key};
-use poplar_core::budget::rows::incarnation_key;
-use poplar_core::id::{Incarnation, RequestId};
+use poplar_base::platform::{Commit, Error, Row};
+use poplar_core::bill::{
+    Batch, Bill, BilledRow, BillingRow, RouterRow, Stage, batch_name, billed_key, billing_key,
+};
+use poplar_core::budget::change::Own;
+use poplar_core::budget::ending::{self, Late};
+use poplar_core::budget::rows::{GrantRow, grant_key, incarnation_key};
+use poplar_core::id::{Incarnation, Name, RequestId};
 use poplar_core::sorted::SortedVec;
 
 use crate::state::State;
@@ -72,35 +76,115 @@
     }
 }
 
+/// The rows of a sealed origin, as its bills are added to them.
+struct Origin {
+    router: Row,
+    billing: Row,
+    row: BillingRow,
+}
+
 async fn flush(state: &Arc<State>, origin: &Incarnation) -> Result<(), Error> {
-    let row = state.platform.row(incarnation_key(origin)).await?;
-    let sealed = row
-        .decode::<RouterRow>()?
-        .is_none_or(|r| r.stage == Stage::Sealed);
-    if !sealed {
+    let Some(rows) = read_origin(state, origin).await? else {
         return Ok(());
-    }
-    let billed = billed_by(state, origin).await?;
+    };
+    let billed = billed_by(state, rows.row.head.clone()).await?;
     let bills = lock(&state.peers.held).of(origin);
+    let (known, new): (Vec<_>, Vec<_>) = bills.into_iter().partition(|b| billed.contains(&b.id));
+    forget(state, origin, &known);
+    for bill in new {
+        add(state, origin, bill).await?;
+    }
+    Ok(())
+}
+
+fn forget(state: &State, origin: &Incarnation, bills: &[Bill]) {
+    let mut held = lock(&state.peers.held);
     for bill in bills {
-        let id = bill.id.clone();
-        if !billed.contains(&id) {
-            // Whoever comes second finds the request marked as billed.
-            let done = state.biller.submit(bill, 0, true);
-            if done.await.is_err() {
-                return Ok(());
-            }
+        held.done(origin, &bill.id);
+    }
+}
+
+/// Reads the origin's rows; `None` while it is not sealed.
+async fn read_origin(state: &State, origin: &Incarnation) -> Result<Option<Origin>, Error> {
+    let keys = vec![incarnation_key(origin), billing_key(origin)];
+    let mut rows = (state.platform.read)(keys).await?.into_iter();
+    let (Some(router), Some(billing)) = (rows.next(), rows.next()) else {
+        return Err(Error::Malformed("too few rows".to_owned()));
+    };
+    let known = router.decode::<RouterRow>()?;
+    if known.is_some_and(|r| r.stage != Stage::Sealed) {
+        return Ok(None);
+    }
+    let row = billing.decode::<BillingRow>()?.unwrap_or_default();
+    Ok(Some(Origin {
+        router,
+        billing,
+        row,
+    }))
+}
+
+/// Adds one bill to the origin's own chain, where its grant covers it.
+///
+/// The request is marked as billed in the same transaction, so that of several
+/// peers with copies only one adds it.
+async fn add(state: &State, origin: &Incarnation, bill: Bill) -> Result<(), Error> {
+    let Some(rows) = read_origin(state, origin).await? else {
+        return Ok(());
+    };
+    let grant = state.platform.row(grant_key(&bill.budget, origin)).await?;
+    let own = Own {
+        sealed: true,
+        accounted: rows.row.accounted(&bill.budget),
+    };
+    let granted = grant.decode::<GrantRow>()?.unwrap_or_default();
+    if ending::late(&granted, &own, bill.tokens()) == Late::Unbilled {
+        log::error("orphaned bill")
+            .request(&bill.id)
+            .reason("the origin's grant does not cover it")
+            .write();
+        forget(state, origin, &[bill]);
+        return Ok(());
+    }
+    let id = bill.id.clone();
+    let name: Name = batch_name(origin, rows.row.batches, rand::random()).into();
+    let mark = BilledRow {
+        batch: name.clone(),
+        body: bill.body,
+    };
+    let batch = Batch {
+        previous: rows.row.head.clone(),
+        bills: vec![bill.clone()],
+        losses: Vec::new(),
+    };
+    let bytes = serde_json::to_vec(&batch).expect("bills are plain data");
+    (state.platform.put)(name.to_string(), bytes.into()).await?;
+    let commit = Commit::default()
+        .check(&rows.router.key, rows.router.version)
+        .check(&rows.billing.key, rows.billing.version)
+        .check(&grant.key, grant.version)
+        .check(billed_key(&id), 0)
+        .write(&rows.billing.key, &rows.row.with(name, &batch))
+        .write(billed_key(&id), &mark);
+    match (state.platform.commit)(commit).await {
+        Ok(_) => {
             log::info("orphaned bill").request(&id).write();
+            forget(state, origin, &[bill]);
+            Ok(())
         }
-        lock(&state.peers.held).done(origin, &id);
+        Err(Error::Conflict(found)) => {
+            let marked = |r: &Row| r.key == billed_key(&id) && r.version != 0;
+            if found.iter().any(marked) {
+                forget(state, origin, &[bill]);
+            }
+            Ok(())
+        }
+        Err(why) => Err(why),
     }
-    Ok(())
 }
 
-/// Requests that a sealed router had billed itself.
-async fn billed_by(state: &State, origin: &Incarnation) -> Result<SortedVec<RequestId, ()>, Error> {
-    let row = state.platform.row(billing_key(origin)).await?;
-    let mut next = row.decode::<BillingRow>()?.and_then(|r| r.head);
+/// Requests in the chain of batches that ends with `head`.
+async fn billed_by(state: &State, head: Option<Name>) -> Result<SortedVec<RequestId, ()>, Error> {
+    let mut next = head;
     let mut ids = SortedVec::new();
     for _ in 0..SEARCHED {
         let Some(name) = next else {
--- a/crates/router/src/peers/service.rs
+++ b/crates/router/src/peers/service.rs
@@ -65,8 +65,11 @@
         }))
     }
 
-    async fn give(&self, _request: Request<GiveRequest>) -> Result<Response<GiveReply>, Status> {
-        Ok(Response::new(GiveReply { tokens: 0 }))
+    async fn give(&self, request: Request<GiveRequest>) -> Result<Response<GiveReply>, Status> {
+        if self.state.is_sealed() {
+            return Err(Status::failed_precondition("sealed"));
+        }
+        Ok(Response::new(self.state.bank.give(request.get_ref())))
     }
 
     async fn hold(&self, request: Request<HoldRequest>) -> Result<Response<HoldReply>, Status> {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -35,13 +35,13 @@
     /// Holdings of budgets.
     pub bank: Arc<Bank>,
     /// Bills on their way.
-    pub biller: Biller,
+    pub biller: Arc<Biller>,
     /// Backend servers, and requests queued for them.
     pub dispatch: Arc<Dispatch>,
     /// Calls that may run once.
     pub claims: Claims,
     /// The other routers.
-    pub peers: Peers,
+    pub peers: Arc<Peers>,
     /// Steps of recent requests.
     pub journal: Journal,
     /// Counts for the burn report.
@@ -60,14 +60,22 @@
 impl State {
     /// Puts the shared state together.
     pub fn new(settings: Settings, me: Incarnation, platform: Platform) -> Arc<Self> {
-        let bank = Bank::open(platform.clone(), me.clone(), settings.budget.clone());
+        let peers = Arc::new(Peers::default());
+        let biller = Arc::new(Biller::default());
+        let bank = Bank::open(
+            platform.clone(),
+            me.clone(),
+            settings.budget.clone(),
+            peers.clone(),
+            biller.clone(),
+        );
         let dispatch = Dispatch::open(&settings);
         Arc::new(Self {
             bank: Arc::new(bank),
-            biller: Biller::default(),
+            biller,
             dispatch: Arc::new(dispatch),
             claims: Claims::default(),
-            peers: Peers::default(),
+            peers,
             journal: Journal::default(),
             burn: Burn::default(),
             open: Open::default(),
