--- a/crates/standins/src/engine/streams.rs
+++ b/crates/standins/src/engine/streams.rs
@@ -28,6 +28,7 @@
 
 impl Outputs {
     pub(super) fn new(desk: Desk, ticket: Ticket, receiver: mpsc::UnboundedReceiver<Made>) -> Self {
+        desk.state.lock().open += 1;
         Self {
             desk,
             ticket,
--- /dev/null
+++ b/crates/standins/tests/batch.rs
@@ -0,0 +1,203 @@
+//! The engine's batch, its prefix cache and its answers.
+
+use std::time::{Duration, Instant};
+
+use poplar_standins::engine::batch::{Batch, Full, Job, Limits, Output, Step};
+use poplar_standins::engine::cache::{Cache, Op, Settings};
+use poplar_standins::engine::text::{self, Message, Prompt};
+use poplar_standins::load::{History, LoadWire};
+use proptest::prelude::*;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+const LIMITS: Limits = Limits {
+    slots: 2,
+    prefill: 64,
+    waiting: 1,
+};
+
+fn cache(blocks: usize, gap: f64) -> Cache {
+    Cache::new(&Settings {
+        blocks,
+        gap,
+        seed: 7,
+    })
+}
+
+fn prompt(content: &str) -> Prompt {
+    let message = Message {
+        role: "user".to_owned(),
+        content: content.to_owned(),
+    };
+    Prompt::from([message].as_slice())
+}
+
+fn job(id: &str, priority: u8, content: &str) -> Job {
+    Job {
+        id: id.into(),
+        workspace: "w".into(),
+        priority,
+        prompt: prompt(content),
+        cap: 100,
+        resume: None,
+    }
+}
+
+fn ids(step: &Step) -> Vec<&str> {
+    step.started.iter().map(|s| &*s.job.id).collect()
+}
+
+#[test]
+fn enters_by_priority_then_arrival() {
+    let (mut batch, mut cache, now) = (Batch::new(LIMITS), cache(0, 0.0), Instant::now());
+    batch.submit(job("a", 5, "x [tokens=1]")).unwrap();
+    batch.submit(job("b", 5, "x [tokens=1]")).unwrap();
+    batch.submit(job("c", 0, "x [tokens=1]")).unwrap();
+    // Two fit the batch and one may wait.
+    assert_eq!(batch.submit(job("d", 0, "x")), Err(Full));
+    assert_eq!(ids(&batch.step(&mut cache, now)), ["c", "a"]);
+    assert_eq!(ids(&batch.step(&mut cache, now)), ["b"]);
+    assert!(batch.is_idle());
+}
+
+#[test]
+fn gives_each_one_token_a_step_after_its_prompt() {
+    let (mut batch, mut cache, now) = (Batch::new(LIMITS), cache(0, 0.0), Instant::now());
+    // 80 prompt tokens take two steps, and the second prompt waits for them.
+    let long = format!("{:320}", "[tokens=2]");
+    let first = batch.submit(job("a", 0, &long)).unwrap();
+    let second = batch.submit(job("b", 0, "[tokens=2]")).unwrap();
+    let token = |ticket, index, done| Output {
+        ticket,
+        token: Some(index),
+        done,
+    };
+    assert_eq!(batch.step(&mut cache, now).outputs, []);
+    let outputs = batch.step(&mut cache, now).outputs;
+    assert_eq!(outputs, [token(first, 0, false), token(second, 0, false)]);
+    let outputs = batch.step(&mut cache, now).outputs;
+    assert_eq!(outputs, [token(first, 1, true), token(second, 1, true)]);
+    assert!(batch.is_idle());
+}
+
+#[test]
+fn saves_the_work_of_a_cached_prefix() {
+    let (mut batch, mut cache, now) = (Batch::new(LIMITS), cache(8, 0.0), Instant::now());
+    let shared = format!("[tokens=1] {:500}", "scene");
+    batch.submit(job("a", 0, &shared)).unwrap();
+    assert_eq!(batch.step(&mut cache, now).outputs, []);
+    assert_eq!(batch.step(&mut cache, now).outputs.len(), 1);
+    batch.submit(job("b", 0, &format!("{shared} dim"))).unwrap();
+    let step = batch.step(&mut cache, now);
+    assert_eq!((step.started[0].hits, step.outputs.len()), (2, 1));
+}
+
+#[test]
+fn cancelling_frees_the_slot() {
+    let (mut batch, mut cache, now) = (Batch::new(LIMITS), cache(0, 0.0), Instant::now());
+    let first = batch.submit(job("a", 0, "x")).unwrap();
+    batch.submit(job("b", 0, "x")).unwrap();
+    batch.submit(job("c", 0, "x")).unwrap();
+    assert_eq!(ids(&batch.step(&mut cache, now)), ["a", "b"]);
+    assert_eq!(&*batch.cancel(first).unwrap().id, "a");
+    assert!(batch.cancel(first).is_none());
+    assert_eq!(ids(&batch.step(&mut cache, now)), ["c"]);
+}
+
+#[test]
+fn resumes_at_the_offset_and_never_goes_past_the_end() {
+    let (mut batch, mut cache, now) = (Batch::new(LIMITS), cache(0, 0.0), Instant::now());
+    let mut made = Vec::new();
+    for resume in [1, 2, 9] {
+        let resumed = Job {
+            resume: Some(resume),
+            ..job("a", 0, "x [tokens=2]")
+        };
+        batch.submit(resumed).unwrap();
+        let outputs = batch.step(&mut cache, now).outputs;
+        made.push((outputs[0].token, outputs[0].done));
+    }
+    assert_eq!(made, [(Some(1), true), (None, true), (None, true)]);
+}
+
+#[test]
+fn drops_the_least_recently_used_block() {
+    let (mut cache, now) = (cache(2, 0.0), Instant::now());
+    cache.add(&[1], now);
+    cache.add(&[2], now);
+    assert_eq!(cache.hits(&[1]), 1);
+    cache.add(&[3], now);
+    assert_eq!(cache.hits(&[2]), 0);
+    assert_eq!((cache.hits(&[1]), cache.hits(&[3]), cache.len()), (1, 1, 2));
+    let events = cache.events(2, now, Duration::ZERO);
+    let events: Vec<_> = events.iter().map(|e| (e.seq, e.op, e.block)).collect();
+    assert_eq!(events, [(3, Op::Add, 3), (4, Op::Drop, 2)]);
+}
+
+#[test]
+fn shows_events_late_and_with_gaps() {
+    let (mut cache, now, lag) = (cache(1000, 0.5), Instant::now(), Duration::from_secs(1));
+    cache.add(&(0..100).collect::<Vec<_>>(), now);
+    assert_eq!(cache.events(0, now, lag), []);
+    let shown = cache.events(0, now + lag, lag);
+    assert!(shown.is_sorted_by(|a, b| a.seq < b.seq));
+    assert!((25..75).contains(&shown.len()), "{}", shown.len());
+    assert!(shown.iter().all(|e| e.seq == e.block + 1));
+}
+
+#[test]
+fn hashes_blocks_in_a_chain() {
+    let (role, text) = ("user\n", "a".repeat(600));
+    let whole = format!("{role}{text}\n");
+    let first = xxh3_64(&whole.as_bytes()[..256]);
+    let second = xxh3_64_with_seed(&whole.as_bytes()[256..512], first);
+    let prompt = prompt(&text);
+    assert_eq!((prompt.blocks, prompt.tokens), (vec![first, second], 150));
+}
+
+#[test]
+fn reads_the_marks_of_a_prompt() {
+    assert_eq!(prompt("dim [tokens=7] it").length, 7);
+    assert!((16..128).contains(&prompt("dim it").length));
+    assert_eq!((prompt("").tokens, prompt("abcde").tokens), (1, 2));
+    assert!(prompt("a [crash]").crash && !prompt("a crash").crash);
+}
+
+#[test]
+fn reports_load_after_the_lag() {
+    let (now, lag) = (Instant::now(), Duration::from_secs(1));
+    let load = |running| LoadWire {
+        running,
+        ..LoadWire::default()
+    };
+    let mut history = History::new(lag, load(0), now);
+    history.note(load(1), now);
+    history.note(load(2), now + lag / 2);
+    assert_eq!(history.report(now).running, 0);
+    assert_eq!(history.report(now + lag).running, 1);
+    history.note(load(3), now + lag);
+    assert_eq!(history.report(now + lag).running, 1);
+    assert_eq!(history.report(now + lag * 3 / 2).running, 2);
+    let last = history.report(now + lag * 2);
+    assert_eq!((last.running, last.age_ms), (3, 1000));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn an_answer_is_its_parts(hash: u64, length in 0..100u32, cut in 0..100u32) {
+        let cut = cut.min(length);
+        let rest: String = (cut..length).map(|i| text::token(hash, i)).collect();
+        prop_assert_eq!(text::answer(hash, cut) + &rest, text::answer(hash, length));
+    }
+
+    #[test]
+    fn the_cache_stays_within_its_blocks(uses in prop::collection::vec(0..20u64, 1..200)) {
+        let (mut cache, now) = (cache(5, 0.0), Instant::now());
+        for block in uses {
+            cache.add(&[block, block + 1], now);
+            prop_assert!(cache.len() <= 5);
+            prop_assert_eq!(cache.hits(&[block, block + 1]), 2);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/engine.rs
@@ -0,0 +1,243 @@
+//! The engine's stand-in over HTTP.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Caller, GUARD, LOOPBACK, chat, code, content, events, read};
+use poplar_standins::engine::counts::{CountsWire, RequestCount};
+use poplar_standins::engine::text::{self, Message, Prompt};
+use poplar_standins::engine::{self, Settings};
+use poplar_standins::load::LoadWire;
+use serde_json::{Value, json};
+
+const CHAT: &str = "/v1/chat/completions";
+
+async fn start(settings: Settings) -> Caller {
+    let settings = Settings {
+        step: Duration::from_millis(1),
+        ..settings
+    };
+    Caller::new(
+        engine::bind(LOOPBACK, settings)
+            .await
+            .unwrap()
+            .server
+            .address,
+    )
+}
+
+fn prompt(content: &str) -> Prompt {
+    let message = Message {
+        role: "user".to_owned(),
+        content: content.to_owned(),
+    };
+    Prompt::from([message].as_slice())
+}
+
+fn seqs(events: &[Value]) -> Vec<u64> {
+    events.iter().map(|e| e["seq"].as_u64().unwrap()).collect()
+}
+
+/// Asks for a whole answer and returns its events.
+async fn ask(engine: &Caller, id: &str, content: &str) -> Vec<Value> {
+    let headers = [("x-request-id", id), ("x-workspace", "w")];
+    let answer = engine.post(CHAT, &headers, chat(content)).await.unwrap();
+    let (events, done) = events(&answer.body);
+    assert!(done);
+    events
+}
+
+#[tokio::test]
+async fn streams_a_whole_answer() {
+    let engine = start(Settings::default()).await;
+    let events = ask(&engine, "a", "light the park [tokens=3]").await;
+    assert_eq!(seqs(&events), [0, 1, 2, 3, 4]);
+    assert!(events.iter().all(|e| e["id"] == "a"));
+    let made = text::answer(prompt("light the park [tokens=3]").hash, 3);
+    assert_eq!(content(&events), made);
+    assert_eq!(events[3]["choices"][0]["finish_reason"], "stop");
+    let usage = json!({"prompt_tokens": 7, "completion_tokens": 3, "total_tokens": 10});
+    assert_eq!(events[4]["usage"], usage);
+    let counts: CountsWire = engine.get("/control/counts").await;
+    let used = counts.workspaces[0].usage;
+    assert_eq!((used.runs, used.prompt, used.generated), (1, 7, 3));
+}
+
+#[tokio::test]
+async fn answers_whole_with_the_same_text() {
+    let engine = start(Settings::default()).await;
+    let mut body = chat("light the park [tokens=9]");
+    body["stream"] = json!(false);
+    body["max_tokens"] = json!(4);
+    let answer = engine.post(CHAT, &[], body).await.unwrap();
+    let answer: Value = answer.json().unwrap();
+    let choice = &answer["choices"][0];
+    let made = text::answer(prompt("light the park [tokens=9]").hash, 4);
+    assert_eq!(choice["message"]["content"], made);
+    assert_eq!(choice["finish_reason"], "length");
+    assert_eq!(answer["usage"]["completion_tokens"], 4);
+}
+
+#[tokio::test]
+async fn a_cut_answer_goes_on_at_another_engine() {
+    let (one, two) = (
+        start(Settings::default()).await,
+        start(Settings::default()).await,
+    );
+    one.switch(json!({"cut_after": 5})).await;
+    let text = "a long plan [tokens=40]";
+    let headers = [("x-request-id", "a"), ("x-workspace", "w")];
+    let mut cut = one.open(CHAT, &headers, chat(text)).await;
+    let (first, done) = events(&read(&mut cut, usize::MAX).await);
+    assert_eq!((seqs(&first), done), (vec![0, 1, 2, 3, 4], false));
+    let headers = [("x-request-id", "a"), ("x-resume-from", "5")];
+    let answer = two.post(CHAT, &headers, chat(text)).await.unwrap();
+    let (rest, done) = events(&answer.body);
+    assert_eq!((rest[0]["seq"].as_u64(), done), (Some(5), true));
+    assert_eq!(rest.last().unwrap()["usage"]["completion_tokens"], 40);
+    let made = text::answer(prompt(text).hash, 40);
+    assert_eq!(content(&first) + &content(&rest), made);
+    let count: RequestCount = two.get("/control/counts/a").await;
+    let used = count.usage;
+    assert_eq!((used.runs, used.resumes, used.generated), (0, 1, 35));
+    assert_eq!((used.prompt, used.reprefill), (0, 6));
+    // An entry cuts one stream only.
+    assert_eq!(content(&ask(&one, "b", text).await), made);
+}
+
+#[tokio::test]
+async fn cancel_stops_and_reports_exactly() {
+    let engine = start(Settings::default()).await;
+    let headers = [("x-request-id", "a")];
+    let mut body = chat("endless [tokens=1000000]");
+    body["max_tokens"] = json!(1_000_000);
+    let mut stream = engine.open(CHAT, &headers, body).await;
+    let (received, _) = events(&read(&mut stream, 5).await);
+    let cancelled = engine.post("/v1/cancel", &[], json!({"id": "a"})).await;
+    let cancelled: Value = cancelled.unwrap().json().unwrap();
+    let generated = cancelled["generated"].as_u64().unwrap();
+    assert_eq!(
+        (&cancelled["found"], &cancelled["prompt"]),
+        (&json!(true), &json!(6))
+    );
+    assert!(generated >= received.len() as u64);
+    let load: LoadWire = engine.get("/v1/load").await;
+    assert_eq!((load.running, load.waiting), (0, 0));
+    // Whatever runs now must not add to the cancelled request's count.
+    ask(&engine, "b", "short [tokens=5]").await;
+    let count: RequestCount = engine.get("/control/counts/a").await;
+    assert_eq!((count.usage.generated, count.cancelled), (generated, 1));
+    let again = engine.post("/v1/cancel", &[], json!({"id": "a"})).await;
+    assert_eq!(again.unwrap().json::<Value>().unwrap()["found"], false);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_frees_its_slot() {
+    let engine = start(Settings {
+        slots: 1,
+        ..Settings::default()
+    })
+    .await;
+    let mut body = chat("endless [tokens=1000000]");
+    body["max_tokens"] = json!(1_000_000);
+    let mut stream = engine.open(CHAT, &[("x-request-id", "a")], body).await;
+    read(&mut stream, 1).await;
+    drop(stream);
+    let next = tokio::time::timeout(GUARD, ask(&engine, "b", "x [tokens=2]"));
+    assert_eq!(next.await.expect("the slot is free").len(), 4);
+    let count: RequestCount = engine.get("/control/counts/a").await;
+    assert_eq!((count.cancelled, count.finished), (1, 0));
+}
+
+#[tokio::test]
+async fn only_a_fenced_engine_checks_fencing_numbers() {
+    for fenced in [true, false] {
+        let engine = start(Settings {
+            fenced,
+            ..Settings::default()
+        })
+        .await;
+        let mut refused = 0;
+        for (router, number) in [("r1", "5"), ("r1", "4"), ("r2", "4"), ("r1", "5")] {
+            let headers = [("x-router", router), ("x-fencing-number", number)];
+            let answer = engine.post(CHAT, &headers, chat("x [tokens=1]")).await;
+            let answer = answer.unwrap();
+            if answer.status != 200 {
+                assert_eq!(code(&answer), (409, "fenced".to_owned()));
+                assert_eq!((router, number), ("r1", "4"));
+                refused += 1;
+            }
+        }
+        let counts: CountsWire = engine.get("/control/counts").await;
+        assert_eq!(counts.totals.fenced, refused);
+        assert_eq!(refused, u64::from(fenced));
+    }
+}
+
+#[tokio::test]
+async fn a_leaving_engine_refuses_the_new_and_finishes_the_old() {
+    let engine = start(Settings::default()).await;
+    let headers = [("x-request-id", "a")];
+    let mut old = engine.open(CHAT, &headers, chat("x [tokens=50]")).await;
+    engine.switch(json!({"refuse_leaving": true})).await;
+    let new = engine.post(CHAT, &[("x-request-id", "b")], chat("x")).await;
+    assert_eq!(code(&new.unwrap()), (503, "leaving".to_owned()));
+    let (old, done) = events(&read(&mut old, usize::MAX).await);
+    assert_eq!((old.len(), done), (52, true));
+    let counts: CountsWire = engine.get("/control/counts").await;
+    assert_eq!(counts.totals.after_leaving, 1);
+    let b: RequestCount = engine.get("/control/counts/b").await;
+    assert_eq!((b.seen, b.usage.runs, b.usage.generated), (1, 0, 0));
+    assert!(engine.get::<LoadWire>("/v1/load").await.leaving);
+}
+
+#[tokio::test]
+async fn spoils_streams_as_switched() {
+    let engine = start(Settings::default()).await;
+    let text = "x [tokens=3]";
+    engine.switch(json!({"duplicate": true})).await;
+    let twice = ask(&engine, "a", text).await;
+    assert_eq!(seqs(&twice), [0, 0, 1, 1, 2, 2, 3, 3, 4]);
+    engine
+        .switch(json!({"duplicate": false, "reorder": true}))
+        .await;
+    let swapped = ask(&engine, "b", text).await;
+    assert_eq!(seqs(&swapped), [1, 0, 3, 2, 4]);
+    engine
+        .switch(json!({"reorder": false, "misroute": true}))
+        .await;
+    let mixed = ask(&engine, "c", text).await;
+    assert_eq!(seqs(&mixed), [0, 0, 1, 1, 2, 2, 3, 3, 4]);
+    let strange = mixed.iter().filter(|e| e["id"] != "c").count();
+    assert_eq!(strange, 4);
+}
+
+#[tokio::test]
+async fn publishes_cache_events_and_counts_blocks() {
+    let engine = start(Settings::default()).await;
+    let text = format!("[tokens=1] {:300}", "scene");
+    ask(&engine, "a", &text).await;
+    ask(&engine, "b", &text).await;
+    let shown: Value = engine.get("/v1/cache?after=0").await;
+    let prefix = format!("{:016x}", prompt(&text).blocks[0]);
+    let events = json!([{"seq": 1, "op": "add", "prefix": prefix}]);
+    assert_eq!(shown["events"], events);
+    let shown: Value = engine.get("/v1/cache?after=1").await;
+    assert_eq!(shown["events"], json!([]));
+    let counts: CountsWire = engine.get("/control/counts").await;
+    assert_eq!((counts.totals.missed, counts.totals.cached), (1, 1));
+}
+
+#[tokio::test]
+async fn refuses_what_it_cannot_read() {
+    let engine = start(Settings::default()).await;
+    for (path, body) in [
+        (CHAT, json!({"messages": 1})),
+        ("/control", json!({"slowness": 2})),
+        ("/control", json!({"slow": 0})),
+    ] {
+        let answer = engine.post(path, &[], body).await.unwrap();
+        assert_eq!(code(&answer), (400, "malformed".to_owned()));
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/process.rs
@@ -0,0 +1,98 @@
+//! The stand-ins as processes.
+
+mod common;
+
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use common::{Caller, chat};
+use poplar_base::http::Error;
+use serde_json::json;
+
+const CHAT: &str = "/v1/chat/completions";
+const ENGINE: &str = env!("CARGO_BIN_EXE_fake-engine");
+const PLATFORM: &str = env!("CARGO_BIN_EXE_fake-platform");
+const SERVICE: &str = env!("CARGO_BIN_EXE_fake-service");
+
+/// A process, killed where a test ends before it.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Process {
+    fn start(program: &str, args: &[&str]) -> (Self, Caller) {
+        let mut command = Command::new(program);
+        command.args(args).stdout(Stdio::piped());
+        let mut process = Self(command.spawn().unwrap());
+        let out = process.0.stdout.take().unwrap();
+        let mut line = String::new();
+        BufReader::new(out).read_line(&mut line).unwrap();
+        let address = line.strip_prefix("listening ").unwrap().trim_end();
+        (process, Caller::new(address.parse().unwrap()))
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.0.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    fn ended(&mut self) -> ExitStatus {
+        self.0.wait().unwrap()
+    }
+}
+
+#[test]
+fn ends_at_once_when_told() {
+    for program in [ENGINE, PLATFORM, SERVICE] {
+        let (mut process, _) = Process::start(program, &["--listen", "127.0.0.1:0"]);
+        process.signal("TERM");
+        assert_eq!(process.ended().code(), Some(0), "{program}");
+    }
+}
+
+#[test]
+fn refuses_a_bad_command_line() {
+    for program in [ENGINE, PLATFORM, SERVICE] {
+        for args in [&["--listen", "nowhere"][..], &["--seeed", "1"], &["more"]] {
+            let run = Command::new(program).args(args).output().unwrap();
+            assert_eq!(run.status.code(), Some(2), "{program} {args:?}");
+            assert!(run.stdout.is_empty());
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_marked_prompt_crashes_the_engine() {
+    let (mut process, engine) = Process::start(ENGINE, &["--step", "1ms"]);
+    let answer = engine.post(CHAT, &[], chat("x [crash]")).await;
+    assert!(matches!(answer, Err(Error::Lost(_))));
+    assert_eq!(process.ended().code(), None);
+}
+
+#[tokio::test]
+async fn dies_after_so_many_tokens() {
+    let (mut process, engine) = Process::start(ENGINE, &["--step", "1ms"]);
+    engine.switch(json!({"die_after": 5})).await;
+    let whole = engine.post(CHAT, &[], chat("x [tokens=4]")).await;
+    assert_eq!(whole.unwrap().status, 200);
+    let broken = engine.post(CHAT, &[], chat("x [tokens=4]")).await;
+    assert!(matches!(broken, Err(Error::Lost(_))));
+    assert_eq!(process.ended().code(), None);
+}
+
+#[tokio::test]
+async fn a_drained_engine_ends_after_its_last_answer() {
+    let (mut process, engine) = Process::start(ENGINE, &["--step", "1ms"]);
+    let mut old = engine.open(CHAT, &[], chat("x [tokens=50]")).await;
+    engine.switch(json!({"drain": true})).await;
+    let body = common::read(&mut old, usize::MAX).await;
+    assert!(common::events(&body).1);
+    assert_eq!(process.ended().code(), Some(0));
+}
