Cancel a request for one router only, and after its end too

Two routers can run the same request, and a cancel by one stopped both. A router cancels after its stream broke, by when the engine has already let go of the run, so that it heard found: false and wrote off the whole reservation. A cancel now stops the caller's own submissions and reports what they, or the last one that ended, used.

--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -21,6 +21,8 @@
     pub id: Name,
     /// Its workspace.
     pub workspace: Name,
+    /// The router that sent it, empty where it gives no label.
+    pub router: Name,
     /// 0 is most urgent.
     pub priority: u8,
     /// Its prompt.
@@ -161,15 +163,6 @@
         Some(self.waiting.remove(at).job)
     }
 
-    /// Submissions of the request `id`.
-    pub fn tickets(&self, id: &str) -> Vec<Ticket> {
-        let running = self.running.iter().map(|r| (r.ticket, &r.job));
-        let waiting = self.waiting.iter().map(|w| (w.ticket, &w.job));
-        let all = running.chain(waiting);
-        let of = all.filter(|(_, job)| &*job.id == id);
-        of.map(|(ticket, _)| ticket).collect()
-    }
-
     /// Requests in the batch.
     pub fn running(&self) -> usize {
         self.running.len()
--- a/crates/standins/src/engine/calls.rs
+++ b/crates/standins/src/engine/calls.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response};
 use hyper::body::Incoming;
+use poplar_core::id::Name;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -41,7 +42,15 @@
 /// A request to stop another one.
 #[derive(Debug, Serialize, Deserialize)]
 struct CancelWire {
-    id: String,
+    id: Name,
+}
+
+/// What a cancelled request used, in tokens.
+#[derive(Debug, Serialize)]
+struct CancelledWire {
+    found: bool,
+    prompt: u64,
+    generated: u64,
 }
 
 /// A change of the prefix cache.
@@ -73,7 +82,7 @@
         (&Method::POST, "/v1/chat/completions") => {
             return chat(desk, &head.headers, &body).await;
         }
-        (&Method::POST, "/v1/cancel") => cancel(&desk, &body),
+        (&Method::POST, "/v1/cancel") => cancel(&desk, &head.headers, &body),
         (&Method::POST, "/control") => control(&desk, &body),
         (&Method::GET, path) => Ok(query(&desk, path, head.uri.query())),
         _ => Ok(serve::unknown()),
@@ -134,6 +143,7 @@
     Job {
         id: caller.id.clone(),
         workspace: caller.workspace.clone(),
+        router: caller.router.clone(),
         priority: serve::text(headers, PRIORITY).parse().unwrap_or(USUAL),
         prompt: Prompt::from(chat.messages.as_slice()),
         cap: chat.max_tokens.unwrap_or(CAP),
@@ -141,14 +151,17 @@
     }
 }
 
-fn cancel(desk: &Desk, body: &Bytes) -> Result<Response<Body>, Malformed> {
+fn cancel(desk: &Desk, headers: &HeaderMap, body: &Bytes) -> Result<Response<Body>, Malformed> {
     let wire: CancelWire = serve::parse(body)?;
-    let cancelled = desk.state.lock().cancel(&wire.id, Instant::now());
-    Ok(serve::ok(&json!({
-        "found": cancelled.found,
-        "prompt": cancelled.prompt,
-        "generated": cancelled.generated,
-    })))
+    let router = Caller::from(headers).router;
+    let mut state = desk.state.lock();
+    let used = state.cancel(&wire.id, &router, Instant::now());
+    let cancelled = CancelledWire {
+        found: used.is_some(),
+        prompt: used.map_or(0, |used| used.prompt),
+        generated: used.map_or(0, |used| used.generated),
+    };
+    Ok(serve::ok(&cancelled))
 }
 
 fn cache(state: &State, lag: Duration, query: Option<&str>) -> Response<Body> {
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -29,6 +29,16 @@
 struct Sink {
     job: Arc<Job>,
     sender: mpsc::UnboundedSender<Made>,
+    used: Used,
+}
+
+/// What one submission used so far, in tokens.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Used {
+    /// Prompt tokens, 0 for a resumed run.
+    pub prompt: u64,
+    /// Tokens made, also those that nobody received.
+    pub generated: u64,
 }
 
 /// Whether the process lives on after a step.
@@ -40,15 +50,13 @@
     Dies,
 }
 
-/// What a cancelled request used, in tokens.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Cancelled {
-    /// Whether it was there.
-    pub found: bool,
-    /// Prompt tokens over all its runs here.
-    pub prompt: u64,
-    /// Tokens made over all its runs here.
-    pub generated: u64,
+impl Used {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            prompt: self.prompt + other.prompt,
+            generated: self.generated + other.generated,
+        }
+    }
 }
 
 /// The engine's state.
@@ -66,6 +74,8 @@
     fence: Fence,
     load: History,
     sinks: SortedVec<Ticket, Sink>,
+    /// What the newest ended submission of a request by a router used.
+    ended: SortedVec<(Name, Name), Used>,
     step: Duration,
     frozen: Option<Instant>,
 }
@@ -92,6 +102,7 @@
             fence: Fence::default(),
             load: History::new(settings.load_lag, LoadWire::default(), now),
             sinks: SortedVec::new(),
+            ended: SortedVec::new(),
             step: settings.step,
             frozen: None,
         };
@@ -131,6 +142,7 @@
         let sink = Sink {
             job: Arc::new(job.clone()),
             sender,
+            used: Used::default(),
         };
         let Ok(ticket) = self.batch.submit(job) else {
             self.counts.totals.full += 1;
@@ -146,23 +158,31 @@
         if let Some(job) = self.batch.cancel(ticket) {
             self.counts.cancelled(&job.id);
         }
-        self.sinks.remove(&ticket);
+        self.end(ticket);
         self.report(now);
     }
 
-    /// Takes all submissions of a request out.
-    pub fn cancel(&mut self, id: &str, now: Instant) -> Cancelled {
-        let tickets = self.batch.tickets(id);
-        for ticket in &tickets {
-            self.leave(*ticket, now);
+    /// Forgets a submission but for what it used.
+    fn end(&mut self, ticket: Ticket) {
+        if let Some(Sink { job, used, .. }) = self.sinks.remove(&ticket) {
+            let key = (job.id.clone(), job.router.clone());
+            self.ended.insert(key, used);
         }
-        let count = self.counts.request(id);
-        let usage = count.map(|c| c.usage).unwrap_or_default();
-        Cancelled {
-            found: !tickets.is_empty(),
-            prompt: usage.prompt,
-            generated: usage.generated,
+    }
+
+    /// Takes a router's submissions of a request out; returns what they used.
+    ///
+    /// Where none is left, it is what the newest one used, so that a repeated
+    /// cancel is answered alike. `None` means that there never was one.
+    pub fn cancel(&mut self, id: &Name, router: &Name, now: Instant) -> Option<Used> {
+        let sinks = self.sinks.iter();
+        let of = sinks.filter(|(_, sink)| sink.job.id == *id && sink.job.router == *router);
+        let found: Vec<_> = of.map(|(ticket, sink)| (*ticket, sink.used)).collect();
+        for (ticket, _) in &found {
+            self.leave(*ticket, now);
         }
+        let sum = found.iter().map(|(_, used)| *used).reduce(Used::plus);
+        sum.or_else(|| self.ended.get(&(id.clone(), router.clone())).copied())
     }
 
     /// Carries out one step and hands out what it made.
@@ -171,6 +191,7 @@
         self.counts.totals.steps += 1;
         for started in &step.started {
             self.counts.started(started);
+            self.charge(started);
         }
         if step.started.iter().any(crashes) {
             return Fate::Dies;
@@ -184,11 +205,19 @@
         Fate::Lives
     }
 
+    fn charge(&mut self, started: &Started) {
+        let resumed = started.job.resume.is_some();
+        if let Some(sink) = self.sinks.get_mut(&started.ticket).filter(|_| !resumed) {
+            sink.used.prompt = started.job.prompt.tokens;
+        }
+    }
+
     fn hand(&mut self, output: Output, now: Instant) -> Fate {
-        let Some(sink) = self.sinks.get(&output.ticket) else {
+        let Some(sink) = self.sinks.get_mut(&output.ticket) else {
             return Fate::Lives;
         };
         if output.token.is_some() {
+            sink.used.generated += 1;
             self.counts.token(&sink.job);
             if self.switches.dies() {
                 return Fate::Dies;
@@ -198,7 +227,7 @@
         let _ = sink.sender.send(Made { output, at: now });
         if output.done {
             self.counts.finished(&sink.job.id);
-            self.sinks.remove(&output.ticket);
+            self.end(output.ticket);
         }
         Fate::Lives
     }
--- a/crates/standins/tests/batch.rs
+++ b/crates/standins/tests/batch.rs
@@ -35,6 +35,7 @@
     Job {
         id: id.into(),
         workspace: "w".into(),
+        router: "".into(),
         priority,
         prompt: prompt(content),
         cap: 100,
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -106,30 +106,57 @@
     assert_eq!(content(&ask(&one, "b", text).await), made);
 }
 
+/// Cancels as the router `router`; returns found, prompt and generated.
+async fn cancel(engine: &Caller, id: &str, router: &str) -> (bool, u64, u64) {
+    let headers = [("x-router", router)];
+    let answer = engine.post("/v1/cancel", &headers, json!({"id": id})).await;
+    let answer: Value = answer.unwrap().json().unwrap();
+    let tokens = |name: &str| answer[name].as_u64().unwrap();
+    let found = answer["found"].as_bool().unwrap();
+    (found, tokens("prompt"), tokens("generated"))
+}
+
 #[tokio::test]
 async fn cancel_stops_and_reports_exactly() {
     let engine = start(Settings::default()).await;
-    let headers = [("x-request-id", "a")];
     let mut body = chat("endless [tokens=1000000]");
     body["max_tokens"] = json!(1_000_000);
-    let mut stream = engine.open(CHAT, &headers, body).await;
-    let (received, _) = events(&read(&mut stream, 5).await);
-    let cancelled = engine.post("/v1/cancel", &[], json!({"id": "a"})).await;
-    let cancelled: Value = cancelled.unwrap().json().unwrap();
-    let generated = cancelled["generated"].as_u64().unwrap();
-    assert_eq!(
-        (&cancelled["found"], &cancelled["prompt"]),
-        (&json!(true), &json!(6))
-    );
-    assert!(generated >= received.len() as u64);
+    let mut streams = Vec::new();
+    for router in ["r1", "r2"] {
+        let headers = [("x-request-id", "a"), ("x-router", router)];
+        streams.push(engine.open(CHAT, &headers, body.clone()).await);
+    }
+    let (received, _) = events(&read(&mut streams[0], 5).await);
+    assert_eq!(cancel(&engine, "a", "r3").await, (false, 0, 0));
+    let one = cancel(&engine, "a", "r1").await;
+    assert_eq!((one.0, one.1), (true, 6));
+    assert!(one.2 >= received.len() as u64);
+    // The other router's run of the same request goes on.
+    assert_eq!(engine.get::<LoadWire>("/v1/load").await.running, 1);
+    let two = cancel(&engine, "a", "r2").await;
     let load: LoadWire = engine.get("/v1/load").await;
     assert_eq!((load.running, load.waiting), (0, 0));
     // Whatever runs now must not add to the cancelled request's count.
     ask(&engine, "b", "short [tokens=5]").await;
     let count: RequestCount = engine.get("/control/counts/a").await;
-    assert_eq!((count.usage.generated, count.cancelled), (generated, 1));
-    let again = engine.post("/v1/cancel", &[], json!({"id": "a"})).await;
-    assert_eq!(again.unwrap().json::<Value>().unwrap()["found"], false);
+    assert_eq!((count.usage.generated, count.cancelled), (one.2 + two.2, 2));
+    assert_eq!(cancel(&engine, "a", "r1").await, one);
+}
+
+#[tokio::test]
+async fn cancel_reports_what_has_ended_already() {
+    let engine = start(Settings::default()).await;
+    engine.switch(json!({"cut_after": 3})).await;
+    let headers = [("x-request-id", "a")];
+    let mut cut = engine.open(CHAT, &headers, chat("x [tokens=200]")).await;
+    read(&mut cut, usize::MAX).await;
+    let (found, prompt, generated) = cancel(&engine, "a", "").await;
+    assert!(found && prompt == 5 && generated >= 3);
+    let headers = [("x-request-id", "a"), ("x-resume-from", "3")];
+    let resumed = engine.post(CHAT, &headers, chat("x [tokens=200]"));
+    assert!(events(&resumed.await.unwrap().body).1);
+    // The newest run alone, which was resumed.
+    assert_eq!(cancel(&engine, "a", "").await, (true, 0, 197));
 }
 
 #[tokio::test]
