Decide on retries, health, poison and prefixes with the core's functions

A failure is judged by poplar_core::retry within the pool's retry budget; ejections, leaving servers and prefix views come from the core too.

--- a/crates/router/src/backends/dispatch.rs
+++ b/crates/router/src/backends/dispatch.rs
@@ -7,24 +7,26 @@
 
 use poplar_base::platform::{Host, Role};
 use poplar_core::id::Name;
+use poplar_core::prefix::{Chain, Event};
 use poplar_core::queue::Ticket;
-use poplar_core::route::server::{End, Gate, Report};
+use poplar_core::retry::{Attempt, Failure, Next};
+use poplar_core::route::server::{Gate, Report};
 use poplar_core::route::{Job, Policy};
 use poplar_core::sorted::SortedVec;
 
 use super::pool::{Pool, Slot};
-use crate::flow::request::Chat;
 use crate::refusal::{Code, Refusal};
 use crate::settings::Settings;
 use crate::sync::lock;
 
-/// Bytes of prompt to a token, for predictions only.
-const TOKEN_BYTES: usize = 4;
+/// Times the target within which an admitted request is still sent again: a
+/// late answer is better than none.
+pub const LATE: u32 = 2;
 /// When to come back where no backend server offers the model or service.
 const NONE_AFTER: Duration = Duration::from_secs(2);
 
 /// What a pool offers: a model of engines, or a service.
-type Key = (bool, Name);
+pub type Key = (bool, Name);
 
 /// A request as dispatch sees it.
 #[derive(Debug, Clone)]
@@ -39,8 +41,10 @@
     pub workspace: Name,
     /// 0 is most urgent.
     pub priority: u8,
-    /// The prompt; empty for service calls.
-    pub prompt: String,
+    /// The prompt's blocks; none for service calls.
+    pub chain: Arc<Chain>,
+    /// Prompt tokens, as far as they can be told.
+    pub prompt: u32,
     /// Cap on output in tokens; 1 for service calls.
     pub output: u32,
     /// Target of the first token.
@@ -53,14 +57,18 @@
     pub repeat: bool,
     /// Servers that were tried.
     pub tried: Vec<Name>,
-    /// Hash of its content, to know it again when it crashes servers.
-    pub print: u64,
+    /// Whether it was sent before, and so was admitted.
+    pub again: bool,
 }
 
 impl Work {
-    /// Prompt tokens, as far as they can be told.
     pub(super) fn tokens(&self) -> u32 {
-        self.prompt.len().div_ceil(TOKEN_BYTES) as u32
+        self.prompt
+    }
+
+    /// When a request that was admitted has to be sent at the latest.
+    pub(super) fn latest(&self) -> Instant {
+        self.arrived + self.finish * LATE
     }
 
     pub(super) fn job(&self, output: u32) -> Job<'_> {
@@ -79,16 +87,8 @@
 pub enum Ended {
     /// Whole, with this many output tokens.
     Whole(u64),
-    /// No connection was made.
-    Unreachable,
-    /// Lost after it was sent.
-    Lost,
-    /// Refused as leaving.
-    Leaving,
-    /// Refused as full.
-    Full,
-    /// Refused for its fencing number.
-    Fenced,
+    /// It failed there.
+    Failed(Failure),
     /// Cancelled by the router.
     Cancelled,
 }
@@ -112,6 +112,8 @@
     pub ejected: bool,
     /// This router's requests in flight there.
     pub flying: u32,
+    /// Number of its newest cache event that was taken in.
+    pub cursor: u64,
 }
 
 /// Pools of backend servers by what they offer.
@@ -143,17 +145,12 @@
         self.routers.load(Ordering::Relaxed)
     }
 
-    /// Hash of a request's content.
-    pub fn print(&self, chat: &Chat) -> u64 {
-        xxhash_rust::xxh3::xxh3_64(chat.prompt().as_bytes())
-    }
-
     /// Takes a new host list over.
     pub fn listed(&self, hosts: &[Host], now: Instant) {
         let mut pools = lock(&self.pools);
         for host in hosts {
             let key = (host.role == Role::Engine, host.serves.clone());
-            pools.entry(key, || Pool::new(self.policy));
+            pools.entry(key, || Pool::new(self.policy, now));
         }
         for ((engine, serves), pool) in pools.iter_mut() {
             let mine = |h: &&Host| (h.role == Role::Engine) == *engine && h.serves == *serves;
@@ -171,6 +168,33 @@
         }
     }
 
+    /// Takes cache events of a server over.
+    pub fn cached(&self, key: &Key, name: &str, events: impl IntoIterator<Item = Event>) {
+        if let Some(pool) = lock(&self.pools).get_mut(key) {
+            pool.cached(name, events);
+        }
+    }
+
+    /// Looks for servers that are far slower than the others.
+    pub fn compare(&self, now: Instant) {
+        for (_, pool) in lock(&self.pools).iter_mut() {
+            pool.compare(now);
+        }
+    }
+
+    /// Decides what follows a failure of a request at a server.
+    pub fn after(
+        &self,
+        placed: &Placed,
+        failure: Failure,
+        attempt: &Attempt,
+        now: Instant,
+    ) -> Next {
+        let mut pools = lock(&self.pools);
+        let pool = pools.entry(placed.key.clone(), || Pool::new(self.policy, now));
+        pool.after(failure, attempt, now)
+    }
+
     /// Refuses what has waited too long, and sends what can go.
     pub fn tick(&self, now: Instant) {
         for (_, pool) in lock(&self.pools).iter_mut() {
@@ -182,9 +206,10 @@
     pub fn seen(&self) -> Vec<Seen> {
         let mut all = Vec::new();
         for ((engine, serves), pool) in lock(&self.pools).iter() {
-            all.extend(pool.servers().map(|(server, address)| Seen {
+            all.extend(pool.servers().map(|(server, address, cursor)| Seen {
+                cursor,
                 name: server.name.clone(),
-                address: *address,
+                address,
                 centre: server.centre.clone(),
                 engine: *engine,
                 serves: serves.clone(),
@@ -237,16 +262,7 @@
         if let Ended::Whole(output) = ended {
             pool.learn(&placed.class, output);
         }
-        if let Some(server) = pool.server(&placed.server) {
-            let end = match ended {
-                Ended::Whole(output) => End::Done(output as u32),
-                Ended::Full => End::Full,
-                _ => End::Other,
-            };
-            server.ended(placed.flight, end, now);
-            server.leaving |= ended == Ended::Leaving;
-            server.fenced |= ended == Ended::Fenced;
-        }
+        pool.ended(&placed.server, placed.flight, ended, now);
         pool.pump(self.routers(), rand::random, now);
     }
 }
--- a/crates/router/src/backends/mod.rs
+++ b/crates/router/src/backends/mod.rs
@@ -1,5 +1,6 @@
 //! Backend servers: which there are, how they fare, and what goes to them.
 
+pub mod crashes;
 pub mod dispatch;
-pub mod pool;
+mod pool;
 pub mod roster;
--- a/crates/router/src/backends/pool.rs
+++ b/crates/router/src/backends/pool.rs
@@ -3,16 +3,20 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use poplar_base::log;
 use poplar_base::platform::Host;
 use poplar_core::admit::{self, Drain, Outlook, Targets, Verdict};
+use poplar_core::health::{Board, Change, Leaving};
 use poplar_core::id::Name;
+use poplar_core::prefix::{Event, Holders, View};
 use poplar_core::queue::{Entry, Queue, Ticket};
+use poplar_core::retry::{self, Attempt, Failure, Next, Refusal as Refused};
 use poplar_core::route::server::{End, Flight, Report, Server};
 use poplar_core::route::{self, Fleet, Outcome, Policy};
 use poplar_core::sorted::SortedVec;
 use tokio::sync::oneshot;
 
-use super::dispatch::Work;
+use super::dispatch::{Ended, Work};
 use crate::refusal::{Code, Refusal};
 
 /// Requests queued for one pool at the most.
@@ -24,6 +28,10 @@
 const NEWEST: f64 = 0.05;
 /// Tokens of output expected of a class that was never seen, as part of its cap.
 const UNSEEN: f64 = 0.25;
+/// Prefixes noted for the whole pool.
+const HOLDERS: usize = 1 << 14;
+/// Prefixes noted of one server.
+const CACHED: usize = 1 << 14;
 /// When to come back after waiting in the queue was in vain.
 const EXPIRED_AFTER: Duration = Duration::from_secs(2);
 
@@ -44,14 +52,27 @@
     sender: oneshot::Sender<Result<Slot, Refusal>>,
 }
 
-/// Servers with their addresses, and the queue for them.
+/// What is known of a server besides what routing needs.
+#[derive(Debug)]
+struct Node {
+    address: SocketAddr,
+    leaving: Leaving,
+    cache: View,
+}
+
+/// Servers that offer one thing, and the queue for them.
+///
+/// `servers` and `nodes` stand side by side.
 #[derive(Debug)]
 pub(super) struct Pool {
     servers: Vec<Server>,
-    addresses: Vec<SocketAddr>,
+    nodes: Vec<Node>,
+    board: Board,
+    holders: Holders,
     queue: Queue,
     waiters: SortedVec<u64, Waiter>,
     drain: Drain,
+    retries: retry::Budget,
     outputs: SortedVec<Name, f64>,
     turn: u64,
     next: u64,
@@ -59,13 +80,16 @@
 }
 
 impl Pool {
-    pub(super) fn new(policy: Policy) -> Self {
+    pub(super) fn new(policy: Policy, now: Instant) -> Self {
         Self {
             servers: Vec::new(),
-            addresses: Vec::new(),
+            nodes: Vec::new(),
+            board: Board::new(),
+            holders: Holders::new(HOLDERS),
             queue: Queue::new(QUEUED_MOST),
             waiters: SortedVec::new(),
             drain: Drain::default(),
+            retries: retry::Budget::new(now),
             outputs: SortedVec::new(),
             turn: 0,
             next: 0,
@@ -75,55 +99,129 @@
 
     /// Takes the host list over: new servers, changed ones, and gone ones.
     pub(super) fn listed(&mut self, hosts: &[&Host], centre: &str) {
+        let many = self.servers.len();
         for host in hosts {
             let known = self.servers.iter().position(|s| s.name == host.name);
-            let at = known.unwrap_or_else(|| {
-                let rtt = if *host.centre == *centre { NEAR } else { FAR };
-                let server = Server::new(host.name.clone(), host.centre.clone(), rtt);
-                self.servers.push(server);
-                self.addresses.push(host.address);
-                self.servers.len() - 1
-            });
-            if self.addresses[at] != host.address {
+            let at = known.unwrap_or_else(|| self.add(host, centre));
+            if self.nodes[at].address != host.address {
                 // The name came back on another host: nothing known holds.
-                self.addresses[at] = host.address;
+                self.nodes[at] = Node::new(host.address);
                 self.servers[at].fenced = false;
-                self.servers[at].leaving = false;
-            }
-            if host.leaving {
-                self.servers[at].leaving = true;
             }
+            self.nodes[at].leaving.listed(host.leaving);
         }
         let gone = |s: &Server| hosts.iter().all(|h| h.name != s.name);
-        for server in self.servers.iter_mut().filter(|s| gone(s)) {
-            server.leaving = true;
-        }
         let mut at = 0;
         while at < self.servers.len() {
-            if gone(&self.servers[at]) && self.servers[at].own() == 0 {
+            if !gone(&self.servers[at]) {
+                at += 1;
+            } else if self.servers[at].own() == 0 {
                 self.servers.remove(at);
-                self.addresses.remove(at);
+                self.nodes.remove(at);
             } else {
+                self.nodes[at].leaving.listed(true);
                 at += 1;
             }
         }
+        if self.servers.len() != many {
+            self.holders.reset();
+            let names = self.servers.iter().map(|s| s.name.clone());
+            self.board.set_servers(names);
+        }
+    }
+
+    fn add(&mut self, host: &Host, centre: &str) -> usize {
+        let rtt = if *host.centre == *centre { NEAR } else { FAR };
+        let server = Server::new(host.name.clone(), host.centre.clone(), rtt);
+        self.servers.push(server);
+        self.nodes.push(Node::new(host.address));
+        self.holders.reset();
+        self.board
+            .set_servers(self.servers.iter().map(|s| s.name.clone()));
+        self.servers.len() - 1
+    }
+
+    fn position(&self, name: &str) -> Option<usize> {
+        self.servers.iter().position(|s| *s.name == *name)
+    }
+
+    /// Brings what routing may use up to date.
+    fn refresh(&mut self, now: Instant) {
+        for (server, node) in self.servers.iter_mut().zip(&self.nodes) {
+            server.leaving = node.leaving.is_leaving();
+            server.gate = self.board.gate(&server.name, now);
+        }
+    }
+
+    /// Looks for servers that are far slower than the others.
+    pub(super) fn compare(&mut self, now: Instant) {
+        let used = self.servers.iter().filter(|s| s.own() > 0);
+        let steps: Vec<_> = used.map(|s| (s.name.clone(), s.step())).collect();
+        for (name, change) in self.board.compare(steps, now) {
+            log_change(&name, &change);
+        }
     }
 
     pub(super) fn server(&mut self, name: &str) -> Option<&mut Server> {
-        self.servers.iter_mut().find(|s| *s.name == *name)
+        let at = self.position(name)?;
+        Some(&mut self.servers[at])
     }
 
-    pub(super) fn servers(&self) -> impl Iterator<Item = (&Server, &SocketAddr)> {
-        self.servers.iter().zip(&self.addresses)
+    pub(super) fn servers(&self) -> impl Iterator<Item = (&Server, SocketAddr, u64)> {
+        let nodes = self.nodes.iter().map(|n| (n.address, n.cache.cursor()));
+        self.servers.iter().zip(nodes).map(|(s, (a, c))| (s, a, c))
     }
 
     pub(super) fn reported(&mut self, name: &str, report: Report, leaving: bool) {
-        if let Some(server) = self.server(name) {
-            server.reported(report);
-            server.leaving |= leaving;
+        if let Some(at) = self.position(name) {
+            self.nodes[at].leaving.said(leaving, report.taken);
+            self.servers[at].reported(report);
+        }
+    }
+
+    /// Takes cache events of a server in.
+    pub(super) fn cached(&mut self, name: &str, events: impl IntoIterator<Item = Event>) {
+        if let Some(at) = self.position(name) {
+            for event in events {
+                self.nodes[at].cache.apply(event);
+            }
         }
     }
 
+    /// Takes in how a request at a server ended.
+    pub(super) fn ended(&mut self, name: &str, flight: u64, ended: Ended, now: Instant) {
+        let Some(at) = self.position(name) else {
+            return;
+        };
+        let end = match ended {
+            Ended::Whole(output) => End::Done(output as u32),
+            Ended::Failed(Failure::Refused(Refused::Full)) => End::Full,
+            Ended::Failed(_) | Ended::Cancelled => End::Other,
+        };
+        self.servers[at].ended(flight, end, now);
+        let change = match ended {
+            Ended::Whole(_) => self.board.note(name, true, now),
+            Ended::Failed(failure) if failure.blames() => self.board.note(name, false, now),
+            Ended::Failed(Failure::Refused(Refused::Leaving)) => {
+                self.nodes[at].leaving.said(true, now);
+                None
+            }
+            Ended::Failed(Failure::Refused(Refused::Fenced)) => {
+                self.servers[at].fenced = true;
+                None
+            }
+            Ended::Failed(_) | Ended::Cancelled => None,
+        };
+        if let Some(change) = change {
+            log_change(name, &change);
+        }
+    }
+
+    /// Decides what follows a failure.
+    pub(super) fn after(&mut self, failure: Failure, attempt: &Attempt, now: Instant) -> Next {
+        retry::decide(failure, attempt, &mut self.retries, now)
+    }
+
     /// Output that an answer of this class may be expected to have.
     fn expected(&self, class: &Name, cap: u32) -> u32 {
         let mean = self.outputs.get(class).copied();
@@ -145,7 +243,13 @@
         now: Instant,
     ) -> Result<(Ticket, oneshot::Receiver<Result<Slot, Refusal>>), Refusal> {
         let output = self.expected(&work.class, work.output);
-        let latest = self.admitted(&work, output, routers, dice, now)?;
+        self.refresh(now);
+        let latest = if work.again {
+            work.latest()
+        } else {
+            self.retries.requested(now);
+            self.admitted(&work, output, routers, dice, now)?
+        };
         let (sender, receiver) = oneshot::channel();
         let id = self.next;
         self.next += 1;
@@ -180,7 +284,9 @@
     ) -> Result<Instant, Refusal> {
         let fleet = self.fleet(routers);
         let job = work.job(output);
-        let sight = route::look(&fleet, &job, |_| 0, &[], dice, now);
+        let near = self.holders.near(work.chain.hashes());
+        let matched = |at: usize| held(&self.nodes[at], work);
+        let sight = route::look(&fleet, &job, matched, &near, dice, now);
         let cost = work.tokens().saturating_add(output);
         let outlook = Outlook {
             ahead: self.queue.ahead(work.priority, &work.workspace, cost),
@@ -223,6 +329,7 @@
 
     /// Sends queued requests off while servers have room for them.
     pub(super) fn pump(&mut self, routers: u32, mut dice: impl FnMut() -> u64, now: Instant) {
+        self.refresh(now);
         loop {
             let mut choice = None;
             let fleet = Fleet {
@@ -232,12 +339,15 @@
                 turn: self.turn,
             };
             let waiters = &self.waiters;
+            let (nodes, holders) = (&self.nodes, &self.holders);
             let popped = self.queue.pop(now, |entry| {
                 let Some(waiter) = waiters.get(&entry.id) else {
                     return true;
                 };
                 let job = waiter.work.job(waiter.output);
-                match route::choose(&fleet, &job, |_| 0, &[], dice(), now) {
+                let near = holders.near(waiter.work.chain.hashes());
+                let matched = |at: usize| held(&nodes[at], &waiter.work);
+                match route::choose(&fleet, &job, matched, &near, dice(), now) {
                     Outcome::Go(chosen) => {
                         choice = Some(chosen);
                         true
@@ -260,6 +370,9 @@
     fn send(&mut self, waiter: Waiter, entry: &Entry, choice: &route::Choice, now: Instant) {
         self.turn += 1;
         self.drain.sent(entry.priority, entry.cost, now);
+        let node = &mut self.nodes[choice.server];
+        node.cache.sent(waiter.work.chain.hashes());
+        self.holders.sent(waiter.work.chain.hashes(), choice.server);
         let server = &mut self.servers[choice.server];
         let flight = Flight {
             priority: entry.priority,
@@ -272,7 +385,7 @@
         server.dispatched(entry.id, flight);
         let slot = Slot {
             name: server.name.clone(),
-            address: self.addresses[choice.server],
+            address: node.address,
             flight: entry.id,
             reason: format!(
                 "{}, first in {} ms, whole in {} ms",
@@ -309,3 +422,28 @@
         self.queue.len()
     }
 }
+
+impl Node {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            leaving: Leaving::default(),
+            cache: View::new(CACHED),
+        }
+    }
+}
+
+/// Prompt tokens of `work` that a server likely holds.
+fn held(node: &Node, work: &Work) -> u32 {
+    let blocks = node.cache.matched(work.chain.hashes());
+    work.chain.tokens_in(blocks, work.tokens())
+}
+
+fn log_change(server: &str, change: &Change) {
+    let event = match change {
+        Change::Ejected { reason, .. } => log::warn("ejected").reason(reason),
+        Change::Kept { reason } => log::warn("not ejected").reason(reason),
+        Change::Restored => log::info("restored"),
+    };
+    event.with("server", server).write();
+}
--- a/crates/router/src/backends/roster.rs
+++ b/crates/router/src/backends/roster.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
+use poplar_base::http::Error as HttpError;
 use poplar_base::log;
+use poplar_core::prefix::{Event, Op};
 use poplar_core::route::server::Report;
 use serde::Deserialize;
 
@@ -28,6 +30,33 @@
     age_ms: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct CacheWire {
+    events: Vec<EventWire>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EventWire {
+    seq: u64,
+    op: String,
+    prefix: String,
+}
+
+impl EventWire {
+    fn read(self) -> Option<Event> {
+        let op = match self.op.as_str() {
+            "add" => Op::Add,
+            "drop" => Op::Drop,
+            _ => return None,
+        };
+        Some(Event {
+            seq: self.seq,
+            op,
+            prefix: u64::from_str_radix(&self.prefix, 16).ok()?,
+        })
+    }
+}
+
 /// Reads the host list again and again.
 pub async fn watch_hosts(state: Arc<State>) {
     let mut failed = false;
@@ -47,28 +76,37 @@
     }
 }
 
-/// Reads every backend server's load again and again.
+/// Reads every backend server's load and cache events again and again.
 pub async fn watch_load(state: Arc<State>) {
     loop {
         let started = Instant::now();
         let servers = state.dispatch.seen();
-        join_all(servers.iter().map(|server| read_load(&state, server))).await;
-        let rest = state
-            .settings
-            .backends
-            .load
-            .saturating_sub(started.elapsed());
-        tokio::time::sleep(rest).await;
+        join_all(servers.iter().map(|server| poll(&state, server))).await;
+        state.dispatch.compare(Instant::now());
+        state.crashes.expire(Instant::now());
+        let every = state.settings.backends.load;
+        tokio::time::sleep(every.saturating_sub(started.elapsed())).await;
     }
 }
 
-async fn read_load(state: &State, server: &Seen) {
+async fn poll(state: &State, server: &Seen) {
+    read_load(state, server).await;
+    if server.engine {
+        read_cache(state, server).await;
+    }
+}
+
+/// Reads one server's load; a server that refuses connections is dead.
+pub async fn read_load(state: &State, server: &Seen) {
     let url = format!("http://{}/v1/load", server.address);
     let answer = state.client.get(&url, LOAD_TIMEOUT).await;
+    let now = Instant::now();
+    if matches!(answer, Err(HttpError::Connect(_))) && state.crashes.dead(&server.name, now) {
+        state.refresh.notify_waiters();
+    }
     let Ok(load) = answer.and_then(|a| a.json::<LoadWire>()) else {
         return;
     };
-    let now = Instant::now();
     let age = Duration::from_millis(load.age_ms);
     let report = Report {
         running: load.running,
@@ -82,6 +120,18 @@
     dispatch.reported(&key, &server.name, report, load.leaving, now);
 }
 
+async fn read_cache(state: &State, server: &Seen) {
+    let url = format!("http://{}/v1/cache?after={}", server.address, server.cursor);
+    let answer = state.client.get(&url, LOAD_TIMEOUT).await;
+    // Without events routing goes by what it sent itself.
+    let Ok(cache) = answer.and_then(|a| a.json::<CacheWire>()) else {
+        return;
+    };
+    let key = (server.engine, server.serves.clone());
+    let events = cache.events.into_iter().filter_map(EventWire::read);
+    state.dispatch.cached(&key, &server.name, events);
+}
+
 /// Looks at waiting requests now and then.
 pub async fn tick(state: Arc<State>) {
     loop {
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -13,24 +13,29 @@
 use poplar_base::http::Error as HttpError;
 use poplar_core::bill::Answer;
 use poplar_core::id::Name;
+use poplar_core::poison::Print;
+use poplar_core::prefix::Chain;
+use poplar_core::retry::{Attempt, Failure, Next};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
-use crate::backends::dispatch::{Ended, Placed, Work};
+use crate::backends::dispatch::{Ended, LATE, Placed, Work};
+use crate::backends::roster;
 use crate::budget::bank::Refused;
 use crate::budget::reservation::Reservation;
 use crate::flow::chunk::{Broken, Chunk, Reader};
 use crate::flow::finish::{self, Finished, Sure};
+use crate::flow::refused::{refusal_of, report_refusal};
 use crate::flow::request::{Chat, Job, Message};
 use crate::refusal::{Code, Execution, Refusal};
 use crate::state::{Entry, State};
 
-/// Attempts of one request at the most.
-const ATTEMPTS: usize = 4;
 /// How long an engine may take to say what a lost request consumed.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Silence after which a stream is taken for lost.
 const SILENCE: Duration = Duration::from_secs(10);
+/// When to come back after backend servers failed.
+const FAILED_AFTER: Duration = Duration::from_secs(1);
 
 /// What goes to the caller's side.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -61,7 +66,7 @@
     let (sender, receiver) = mpsc::unbounded_channel();
     tokio::spawn(async move {
         let _entry = entry;
-        let mut run = Attempted::new(state, job, chat, sender);
+        let mut run = Running::new(state, job, chat, sender);
         if let Err(refusal) = run.whole().await {
             run.refuse(refusal);
         }
@@ -70,10 +75,12 @@
 }
 
 /// A request with what came of it so far.
-struct Attempted {
+struct Running {
     state: Arc<State>,
     job: Job,
     chat: Chat,
+    chain: Arc<Chain>,
+    print: Print,
     sender: mpsc::UnboundedSender<Piece>,
     /// Text of the answer so far.
     text: String,
@@ -82,27 +89,28 @@
     first: Option<Instant>,
     reason: Option<String>,
     tried: Vec<Name>,
-    /// Whether a backend server may have run it.
-    ran: bool,
+    /// Sends so far.
+    sends: u32,
+    /// Sends that may have run.
+    runs: u32,
 }
 
 /// How one attempt ended.
-enum Attempt {
+enum Attempted {
     Whole {
         prompt: u64,
         output: u64,
     },
-    /// Nothing ran there; another server may be tried.
-    NotRun(String),
-    /// It broke on the way.
-    Lost(Broken),
+    Failed(Failure),
     /// The caller is gone and has no key to come back with.
     Vanished,
 }
 
-impl Attempted {
+impl Running {
     fn new(state: Arc<State>, job: Job, chat: Chat, sender: mpsc::UnboundedSender<Piece>) -> Self {
         Self {
+            chain: Arc::new(chat.chain()),
+            print: chat.print(),
             state,
             job,
             chat,
@@ -112,7 +120,8 @@
             first: None,
             reason: None,
             tried: Vec::new(),
-            ran: false,
+            sends: 0,
+            runs: 0,
         }
     }
 
@@ -120,17 +129,21 @@
         u64::from(self.chat.cap.unwrap_or(self.job.class.cap))
     }
 
+    /// Whether it ran, as far as a refusal can say.
+    fn ran(&self) -> Execution {
+        match self.runs {
+            0 => Execution::NotRun,
+            _ if self.tokens > 0 => Execution::Ran,
+            _ => Execution::Unknown,
+        }
+    }
+
     fn note(&self, step: &'static str, reason: impl std::fmt::Display) {
         self.state.journal.note(&self.job.id, step, reason);
     }
 
     fn refuse(&self, refusal: Refusal) {
-        self.note("refused", &refusal);
-        let (workspace, class) = (&self.job.workspace, &self.job.class.name);
-        crate::metrics::refused(workspace, class, refusal.code);
-        let now = crate::journal::unix_ms(std::time::SystemTime::now());
-        let burn = &self.state.burn;
-        burn.refused(workspace, class, refusal.code, false, now);
+        report_refusal(&self.state, &self.job, &refusal);
         let _ = self.sender.send(Piece::Refused(refusal));
     }
 
@@ -138,52 +151,86 @@
         if self.replay().await? {
             return Ok(());
         }
-        let print = self.state.dispatch.print(&self.chat);
-        for _ in 0..ATTEMPTS {
+        loop {
+            self.check_poison()?;
             let reservation = self.reserve().await?;
-            let placed = self.place(print).await;
-            let mut placed = match placed {
+            let mut placed = match self.place().await {
                 Ok(placed) => placed,
                 Err(refusal) => {
                     reservation.release();
                     return Err(refusal);
                 }
             };
-            match self.attempt(&mut placed).await {
-                Attempt::Whole { prompt, output } => {
+            self.sends += 1;
+            let failure = match self.attempt(&mut placed).await {
+                Attempted::Whole { prompt, output } => {
                     placed.end(Ended::Whole(output), Instant::now());
                     return self.finish(reservation, prompt, output).await;
                 }
-                Attempt::NotRun(why) => {
-                    self.note("not run", &why);
-                    reservation.release();
-                }
-                Attempt::Lost(why) => {
-                    self.note("lost", &why);
-                    self.ran = true;
-                    self.settle_lost(&placed, reservation).await;
-                    placed.end(Ended::Lost, Instant::now());
-                }
-                Attempt::Vanished => {
+                Attempted::Vanished => {
                     self.note("cancelled", "the caller is gone");
                     self.settle_lost(&placed, reservation).await;
                     return Ok(());
                 }
+                Attempted::Failed(failure) => failure,
+            };
+            self.note("failed", format_args!("{}: {failure}", placed.server));
+            placed.end(Ended::Failed(failure), Instant::now());
+            if failure.not_run() {
+                reservation.release();
+            } else {
+                self.runs += 1;
+                self.suspect(&placed, failure).await;
+                self.settle_lost(&placed, reservation).await;
             }
+            self.again(&placed, failure).await?;
             self.tried.push(placed.server.clone());
         }
-        Err(self.gave_up())
     }
 
-    fn gave_up(&self) -> Refusal {
-        let run = if self.ran {
-            Execution::Ran
-        } else {
-            Execution::NotRun
+    /// Refuses a request that crashed backend servers, here or elsewhere.
+    fn check_poison(&self) -> Result<(), Refusal> {
+        match self.state.crashes.refuses(self.print, Instant::now()) {
+            Some(why) => Err(Refusal::new(Code::Poisonous).run(self.ran()).detail(why)),
+            None => Ok(()),
+        }
+    }
+
+    /// Notes a lost connection, and looks whether the server is dead.
+    async fn suspect(&self, placed: &Placed, failure: Failure) {
+        if failure != Failure::Lost {
+            return;
+        }
+        let crashes = &self.state.crashes;
+        crashes.lost(self.print, &placed.server, Instant::now());
+        let seen = self.state.dispatch.seen();
+        if let Some(server) = seen.iter().find(|s| s.name == placed.server) {
+            roster::read_load(&self.state, server).await;
+        }
+    }
+
+    /// Waits until it may be sent again, or says why it may not.
+    async fn again(&mut self, placed: &Placed, failure: Failure) -> Result<(), Refusal> {
+        let attempt = Attempt {
+            repeat: true,
+            resumes: true,
+            received: self.tokens as u32,
+            sends: self.sends,
+            runs: self.runs,
+            latest: self.job.arrived + self.job.class.finish * LATE,
         };
-        Refusal::new(Code::BackendFailed)
-            .run(run)
-            .after(Duration::from_secs(1))
+        let dispatch = &self.state.dispatch;
+        match dispatch.after(placed, failure, &attempt, Instant::now()) {
+            Next::Send { after, .. } => {
+                crate::metrics::retried(&self.job.class.name);
+                tokio::time::sleep(after).await;
+                Ok(())
+            }
+            Next::GiveUp { reason, .. } => Err(Refusal::new(Code::BackendFailed)
+                .run(self.ran())
+                .after(FAILED_AFTER)
+                .detail(reason)),
+        }
     }
 
     /// Gives the answer of an earlier run with the same key again.
@@ -221,40 +268,28 @@
     async fn reserve(&self) -> Result<Reservation, Refusal> {
         let worst = self.chat.prompt_bound() + self.cap() - self.tokens;
         let reserved = reserve(&self.state, &self.job, worst).await;
-        reserved.map_err(|refusal| {
-            if self.ran {
-                refusal.run(Execution::Ran)
-            } else {
-                refusal
-            }
-        })
+        reserved.map_err(|refusal| refusal.run(self.ran()))
     }
 
-    async fn place(&self, print: u64) -> Result<Placed, Refusal> {
+    async fn place(&self) -> Result<Placed, Refusal> {
         let work = Work {
             class: self.job.class.name.clone(),
             serves: self.job.class.serves.clone(),
             engine: true,
             workspace: self.job.workspace.clone(),
             priority: self.job.priority(),
-            prompt: self.chat.prompt(),
+            chain: self.chain.clone(),
+            prompt: self.chat.prompt_guess(),
             output: (self.cap() - self.tokens) as u32,
             first: self.job.class.first,
             finish: self.job.class.finish,
             arrived: self.job.arrived,
             repeat: true,
             tried: self.tried.clone(),
-            print,
+            again: self.sends > 0,
         };
         let placed = self.state.dispatch.place(work).await;
-        let placed = placed.map_err(|refusal| {
-            let run = if self.ran {
-                Execution::Ran
-            } else {
-                Execution::NotRun
-            };
-            refusal.run(run)
-        })?;
+        let placed = placed.map_err(|refusal| refusal.run(self.ran()))?;
         self.note(
             "placed",
             format_args!("{}: {}", placed.server, placed.reason),
@@ -262,41 +297,39 @@
         Ok(placed)
     }
 
-    async fn attempt(&mut self, placed: &mut Placed) -> Attempt {
-        let request = match self.request(placed) {
-            Ok(request) => request,
-            Err(why) => return Attempt::NotRun(why),
+    async fn attempt(&mut self, placed: &mut Placed) -> Attempted {
+        let Ok(request) = self.request(placed) else {
+            return Attempted::Failed(Failure::Connect);
         };
         let sent = tokio::time::timeout(SILENCE, self.state.client.send(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
-            Ok(Err(HttpError::Connect(why))) => {
-                placed.end(Ended::Unreachable, Instant::now());
-                return Attempt::NotRun(why);
-            }
-            Ok(Err(why)) => return Attempt::Lost(Broken::Lost(why.to_string())),
-            Err(_) => return Attempt::Lost(Broken::Lost("silent".to_owned())),
+            Ok(Err(HttpError::Connect(_))) => return Attempted::Failed(Failure::Connect),
+            Ok(Err(_)) => return Attempted::Failed(Failure::Lost),
+            Err(_) => return Attempted::Failed(Failure::Timeout),
         };
         if response.status() != StatusCode::OK {
-            return refused(response, placed).await;
+            return Attempted::Failed(refused(response).await);
         }
         let id = self.job.id.clone();
         let mut reader = Reader::open(response.into_body(), &id.0, self.tokens);
         loop {
-            let chunks = match tokio::time::timeout(SILENCE, reader.next()).await {
+            let chunks = tokio::select! {
+                chunks = tokio::time::timeout(SILENCE, reader.next()) => chunks,
+                () = self.sender.closed(), if !id.is_keyed() => return Attempted::Vanished,
+            };
+            let chunks = match chunks {
                 Ok(Ok(chunks)) => chunks,
-                Ok(Err(broken)) => return Attempt::Lost(broken),
-                Err(_) => return Attempt::Lost(Broken::Lost("silent".to_owned())),
+                Ok(Err(Broken::Lost(_))) => return Attempted::Failed(Failure::Lost),
+                Ok(Err(Broken::Malformed(_))) => return Attempted::Failed(Failure::Garbled),
+                Err(_) => return Attempted::Failed(Failure::Timeout),
             };
             let now = Instant::now();
             for chunk in chunks {
                 if let Some((prompt, output)) = self.take(chunk, placed, now) {
-                    return Attempt::Whole { prompt, output };
+                    return Attempted::Whole { prompt, output };
                 }
             }
-            if self.sender.is_closed() && !self.job.id.is_keyed() {
-                return Attempt::Vanished;
-            }
         }
     }
 
@@ -410,20 +443,11 @@
     })
 }
 
-async fn refused(response: http::Response<hyper::body::Incoming>, placed: &mut Placed) -> Attempt {
-    let status = response.status();
+/// What an engine's answer without a stream means.
+async fn refused(response: http::Response<hyper::body::Incoming>) -> Failure {
     let body = tokio::time::timeout(SILENCE, response.into_body().collect()).await;
     let bytes = body.ok().and_then(Result::ok).map(|b| b.to_bytes());
-    let code = bytes.and_then(|b| serde_json::from_slice::<RefusedWire>(&b).ok());
-    let code = code.map_or_else(String::new, |r| r.error.code);
-    let ended = match code.as_str() {
-        "leaving" => Ended::Leaving,
-        "full" => Ended::Full,
-        "fenced" => Ended::Fenced,
-        _ => return Attempt::Lost(Broken::Malformed(format!("status {status}"))),
-    };
-    placed.end(ended, Instant::now());
-    Attempt::NotRun(code)
+    bytes.map_or(Failure::Lost, |bytes| refusal_of(&bytes))
 }
 
 #[derive(Debug, Serialize)]
@@ -445,13 +469,3 @@
     prompt: u64,
     generated: u64,
 }
-
-#[derive(Debug, Deserialize)]
-struct RefusedWire {
-    error: CodeWire,
-}
-
-#[derive(Debug, Deserialize)]
-struct CodeWire {
-    code: String,
-}
--- a/crates/router/src/flow/mod.rs
+++ b/crates/router/src/flow/mod.rs
@@ -3,5 +3,6 @@
 pub mod chat;
 pub mod chunk;
 pub mod finish;
+mod refused;
 pub mod request;
 pub mod service;
--- /dev/null
+++ b/crates/router/src/flow/refused.rs
@@ -0,0 +1,47 @@
+//! Refusals: those of backend servers, and how the router's own are reported.
+
+use poplar_core::retry::{Failure, Refusal as Refused};
+use serde::Deserialize;
+
+use crate::flow::request::Job;
+use crate::journal::unix_ms;
+use crate::refusal::Refusal;
+use crate::state::State;
+
+#[derive(Debug, Deserialize)]
+struct RefusedWire {
+    error: CodeWire,
+}
+
+#[derive(Debug, Deserialize)]
+struct CodeWire {
+    code: String,
+}
+
+/// What a backend server's body without an answer means.
+pub(super) fn refusal_of(body: &[u8]) -> Failure {
+    let wire = serde_json::from_slice::<RefusedWire>(body);
+    let code = wire.map_or_else(|_| String::new(), |w| w.error.code);
+    match code.as_str() {
+        "leaving" => Failure::Refused(Refused::Leaving),
+        "full" => Failure::Refused(Refused::Full),
+        "fenced" => Failure::Refused(Refused::Fenced),
+        _ => Failure::Fault,
+    }
+}
+
+/// Counts and notes a refusal.
+pub(super) fn report_refusal(state: &State, job: &Job, refusal: &Refusal) {
+    state.journal.note(&job.id, "refused", refusal);
+    let (workspace, class) = (&job.workspace, &job.class.name);
+    crate::metrics::refused(workspace, class, refusal.code);
+    let now = unix_ms(std::time::SystemTime::now());
+    let burn = &state.burn;
+    burn.refused(workspace, class, refusal.code, false, now);
+    poplar_base::log::debug("refused")
+        .request(&job.id)
+        .workspace(workspace)
+        .class(class)
+        .reason(refusal)
+        .write();
+}
--- a/crates/router/src/flow/request.rs
+++ b/crates/router/src/flow/request.rs
@@ -7,12 +7,17 @@
 
 use poplar_core::config::Class;
 use poplar_core::id::{Name, RequestId};
+use poplar_core::poison::Print;
+use poplar_core::prefix::Chain;
 
 use crate::refusal::{Code, Refusal};
 
 /// Tokens that a message may cost beyond its bytes.
 const MESSAGE_TOKENS: u64 = 8;
 
+/// Bytes of prompt to a token, for predictions only.
+const TOKEN_BYTES: usize = 4;
+
 /// One message of a chat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
@@ -80,16 +85,31 @@
         })
     }
 
-    /// The text that engines hash by blocks and cache.
-    pub fn prompt(&self) -> String {
-        let mut text = String::new();
+    /// The prompt's blocks, as engines hash and cache them.
+    pub fn chain(&self) -> Chain {
+        let mut chain = Chain::new();
         for message in &self.messages {
-            text.push_str(&message.role);
-            text.push('\n');
-            text.push_str(&message.content);
-            text.push('\n');
+            chain.message(&message.role, &message.content);
         }
-        text
+        chain
+    }
+
+    /// What the request is known by when it crashes backend servers.
+    pub fn print(&self) -> Print {
+        let mut prompt = Vec::new();
+        for message in &self.messages {
+            for part in [&message.role, &message.content] {
+                prompt.extend_from_slice(&(part.len() as u64).to_le_bytes());
+                prompt.extend_from_slice(part.as_bytes());
+            }
+        }
+        Print::new(&self.model, &prompt)
+    }
+
+    /// The prompt's tokens as predictions take them.
+    pub fn prompt_guess(&self) -> u32 {
+        let bytes: usize = self.messages.iter().map(|m| m.content.len()).sum();
+        bytes.div_ceil(TOKEN_BYTES) as u32
     }
 
     /// An upper bound on the prompt's tokens: no token is shorter than a byte.
--- a/crates/router/src/flow/service.rs
+++ b/crates/router/src/flow/service.rs
@@ -4,31 +4,29 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::Request;
 use http_body_util::Full;
 use poplar_base::http::Error as HttpError;
 use poplar_core::bill::{Answer, BilledRow, billed_key};
 use poplar_core::id::Name;
-use serde::Deserialize;
+use poplar_core::retry::{Attempt, Failure, Next};
 
-use crate::backends::dispatch::{Ended, Placed, Work};
+use crate::backends::dispatch::{Ended, LATE, Placed, Work};
 use crate::claims::{self, Claimed};
 use crate::flow::chat::reserve;
 use crate::flow::finish::{self, Finished, Sure};
+use crate::flow::refused::{refusal_of, report_refusal};
 use crate::flow::request::{Call, Job};
 use crate::refusal::{Code, Execution, Refusal};
 use crate::state::{Entry, State};
 
-/// Attempts of one call at the most.
-const ATTEMPTS: usize = 4;
 /// Longest wait for a service's answer beyond the class's target.
 const GRACE: Duration = Duration::from_secs(2);
 
 /// How one attempt ended.
-enum Attempt {
+enum Attempted {
     Answered(Answer),
-    NotRun(String),
-    Lost(String),
+    Failed(Failure),
 }
 
 /// Runs a call in a task of its own, so that it ends though its caller is gone.
@@ -45,7 +43,7 @@
         let _entry = entry;
         let outcome = run(&state, &job, &call).await;
         if let Err(refusal) = &outcome {
-            note_refusal(&state, &job, refusal);
+            report_refusal(&state, &job, refusal);
         }
         outcome
     });
@@ -53,25 +51,12 @@
     task.await.map_err(gone)?
 }
 
-fn note_refusal(state: &State, job: &Job, refusal: &Refusal) {
-    state.journal.note(&job.id, "refused", refusal);
-    let (workspace, class) = (&job.workspace, &job.class.name);
-    crate::metrics::refused(workspace, class, refusal.code);
-    let now = crate::journal::unix_ms(std::time::SystemTime::now());
-    let burn = &state.burn;
-    burn.refused(workspace, class, refusal.code, false, now);
-}
-
 async fn run(state: &Arc<State>, job: &Job, call: &Call) -> Result<Answer, Refusal> {
     if let Some(answer) = replay(state, job).await? {
         return Ok(answer);
     }
     let reservation = reserve(state, job, job.class.price).await?;
-    let ran = if job.class.repeat {
-        repeat(state, job, call).await
-    } else {
-        once(state, job, call).await
-    };
+    let ran = send(state, job, call).await;
     let answer = match ran {
         Ok(answer) => answer,
         Err(refusal) => {
@@ -123,68 +108,83 @@
     Ok(Some(answer))
 }
 
-/// A call that may be sent again until it is answered.
-async fn repeat(state: &Arc<State>, job: &Job, call: &Call) -> Result<Answer, Refusal> {
+/// Sends a call until it is answered, or may not be sent again.
+async fn send(state: &Arc<State>, job: &Job, call: &Call) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
-    let mut ran = false;
-    for _ in 0..ATTEMPTS {
-        let mut placed = place(state, job, &tried).await.map_err(|refusal| {
-            let run = if ran {
-                Execution::Unknown
-            } else {
-                Execution::NotRun
-            };
-            refusal.run(run)
-        })?;
-        match attempt(state, job, call, &mut placed).await {
-            Attempt::Answered(answer) => return Ok(answer),
-            Attempt::NotRun(why) => state.journal.note(&job.id, "not run", why),
-            Attempt::Lost(why) => {
-                ran = true;
-                state.journal.note(&job.id, "lost", why);
+    let (mut sends, mut runs) = (0, 0);
+    let mut is_claimed = false;
+    loop {
+        // A server is found before the claim, so that a refusal for want of
+        // one leaves nothing claimed.
+        let placed = place(state, job, &tried).await;
+        let mut placed = match placed {
+            Ok(placed) => placed,
+            Err(refusal) => return Err(unsent(state, job, is_claimed, runs, refusal).await),
+        };
+        if !job.class.repeat && !is_claimed {
+            claimed(state, job).await?;
+            is_claimed = true;
+        }
+        sends += 1;
+        let failure = match attempt(state, job, call, &placed).await {
+            Attempted::Answered(answer) => {
+                placed.end(Ended::Whole(1), Instant::now());
+                return Ok(answer);
+            }
+            Attempted::Failed(failure) => failure,
+        };
+        let why = format!("{}: {failure}", placed.server);
+        state.journal.note(&job.id, "failed", why);
+        placed.end(Ended::Failed(failure), Instant::now());
+        runs += u32::from(!failure.not_run());
+        let attempt = Attempt {
+            repeat: job.class.repeat,
+            resumes: false,
+            received: 0,
+            sends,
+            runs,
+            latest: job.arrived + job.class.finish * LATE,
+        };
+        let next = state
+            .dispatch
+            .after(&placed, failure, &attempt, Instant::now());
+        match next {
+            Next::Send { after, .. } => {
+                crate::metrics::retried(&job.class.name);
+                tokio::time::sleep(after).await;
+            }
+            Next::GiveUp { reason, .. } => {
+                let code = if job.class.repeat || runs == 0 {
+                    Code::BackendFailed
+                } else {
+                    Code::OutcomeUnknown
+                };
+                let refusal = Refusal::new(code).detail(reason);
+                return Err(unsent(state, job, is_claimed, runs, refusal).await);
             }
         }
-        crate::metrics::retried(&job.class.name);
         tried.push(placed.server.clone());
     }
-    let run = if ran {
-        Execution::Unknown
-    } else {
-        Execution::NotRun
-    };
-    Err(Refusal::new(Code::BackendFailed)
-        .run(run)
-        .after(Duration::from_secs(1)))
 }
 
-/// A call that is sent at most once in all.
-async fn once(state: &Arc<State>, job: &Job, call: &Call) -> Result<Answer, Refusal> {
-    // A server is found before the claim, so that a refusal for want of one
-    // leaves nothing claimed.
-    let mut placed = place(state, job, &[]).await?;
-    claimed(state, job).await?;
-    let mut tried = Vec::new();
-    for _ in 0..ATTEMPTS {
-        match attempt(state, job, call, &mut placed).await {
-            Attempt::Answered(answer) => return Ok(answer),
-            Attempt::Lost(why) => {
-                state.journal.note(&job.id, "lost", why);
-                return Err(Refusal::new(Code::OutcomeUnknown).run(Execution::Unknown));
-            }
-            Attempt::NotRun(why) => state.journal.note(&job.id, "not run", why),
-        }
-        // Nothing ran there, and the claim is still ours alone.
-        tried.push(placed.server.clone());
-        placed = match place(state, job, &tried).await {
-            Ok(placed) => placed,
-            Err(refusal) => {
-                claims::abandon(state, &job.id).await;
-                return Err(refusal);
-            }
-        };
+/// The refusal of a call that is not sent any more.
+///
+/// Where nothing ran, its claim is given up, so that a retry may claim it.
+async fn unsent(
+    state: &State,
+    job: &Job,
+    is_claimed: bool,
+    runs: u32,
+    refusal: Refusal,
+) -> Refusal {
+    if runs > 0 {
+        return refusal.run(Execution::Unknown);
+    }
+    if is_claimed {
+        claims::abandon(state, &job.id).await;
     }
-    claims::abandon(state, &job.id).await;
-    Err(Refusal::new(Code::BackendFailed).after(Duration::from_secs(1)))
+    let after = refusal.after.unwrap_or(Duration::from_secs(1));
+    refusal.after(after)
 }
 
 async fn claimed(state: &Arc<State>, job: &Job) -> Result<(), Refusal> {
@@ -217,14 +217,15 @@
         engine: false,
         workspace: job.workspace.clone(),
         priority: job.priority(),
-        prompt: String::new(),
+        chain: Arc::default(),
+        prompt: 0,
         output: 1,
         first: None,
         finish: job.class.finish,
         arrived: job.arrived,
         repeat: job.class.repeat,
         tried: tried.to_vec(),
-        print: 0,
+        again: !tried.is_empty(),
     };
     let placed = state.dispatch.place(work).await?;
     let why = format!("{}: {}", placed.server, placed.reason);
@@ -232,52 +233,26 @@
     Ok(placed)
 }
 
-async fn attempt(state: &State, job: &Job, call: &Call, placed: &mut Placed) -> Attempt {
-    let request = match request(state, job, call, placed) {
-        Ok(request) => request,
-        Err(why) => return Attempt::NotRun(why),
+async fn attempt(state: &State, job: &Job, call: &Call, placed: &Placed) -> Attempted {
+    let Ok(request) = request(state, job, call, placed) else {
+        return Attempted::Failed(Failure::Connect);
     };
     let patience = job.class.finish + GRACE;
-    let answer = state.client.call(request, patience).await;
-    let now = Instant::now();
-    let answer = match answer {
+    let answer = match state.client.call(request, patience).await {
         Ok(answer) => answer,
-        Err(HttpError::Connect(why)) => {
-            placed.end(Ended::Unreachable, now);
-            return Attempt::NotRun(why);
-        }
-        Err(why) => {
-            placed.end(Ended::Lost, now);
-            return Attempt::Lost(why.to_string());
-        }
+        Err(HttpError::Connect(_)) => return Attempted::Failed(Failure::Connect),
+        Err(_) => return Attempted::Failed(Failure::Lost),
     };
-    let refused = matches!(
-        answer.status,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS
-    );
-    let code = refused.then(|| answer.json::<RefusedWire>().ok()).flatten();
-    if let Some(ended) = code.as_ref().and_then(|r| not_run(&r.error.code)) {
-        placed.end(ended, now);
-        return Attempt::NotRun(format!("{ended:?}"));
+    if let Failure::Refused(why) = refusal_of(&answer.body) {
+        return Attempted::Failed(Failure::Refused(why));
     }
-    placed.end(Ended::Whole(1), now);
-    Attempt::Answered(Answer {
+    Attempted::Answered(Answer {
         status: answer.status.as_u16(),
         text: String::from_utf8_lossy(&answer.body).into_owned(),
         reason: String::new(),
     })
 }
 
-/// How a refusal ended a flight, where it says that the call did not run.
-fn not_run(code: &str) -> Option<Ended> {
-    match code {
-        "leaving" => Some(Ended::Leaving),
-        "full" => Some(Ended::Full),
-        "fenced" => Some(Ended::Fenced),
-        _ => None,
-    }
-}
-
 fn request(
     state: &State,
     job: &Job,
@@ -294,13 +269,3 @@
         .body(Full::new(call.body.clone()))
         .map_err(|e| e.to_string())
 }
-
-#[derive(Debug, Deserialize)]
-struct RefusedWire {
-    error: CodeWire,
-}
-
-#[derive(Debug, Deserialize)]
-struct CodeWire {
-    code: String,
-}
--- a/crates/router/src/peers/gossip.rs
+++ b/crates/router/src/peers/gossip.rs
@@ -67,7 +67,7 @@
     let behind = known.generation < config.generation;
     let request = GossipRequest {
         sender: Some(member(state)),
-        sightings: Vec::new(),
+        sightings: state.crashes.told(Instant::now()),
         config: if behind { encode(&config) } else { Vec::new() },
     };
     let mut client = known.client.clone();
@@ -80,6 +80,7 @@
                     state.peers.heard(sender, Instant::now());
                 }
             }
+            state.crashes.hear(reply.sightings, Instant::now());
             learn(state, &reply.config);
         }
         Err(_) => {
--- a/crates/router/src/peers/service.rs
+++ b/crates/router/src/peers/service.rs
@@ -52,11 +52,12 @@
             state.peers.heard(sender, Instant::now());
             behind = sender.generation < state.config().generation;
         }
+        state.crashes.hear(request.sightings, Instant::now());
         gossip::learn(state, &request.config);
         let config = state.config();
         Ok(Response::new(GossipReply {
             sender: Some(gossip::member(state)),
-            sightings: Vec::new(),
+            sightings: state.crashes.told(Instant::now()),
             config: if behind {
                 gossip::encode(&config)
             } else {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -11,6 +11,7 @@
 use poplar_core::sorted::SortedVec;
 use tokio::sync::Notify;
 
+use crate::backends::crashes::Crashes;
 use crate::backends::dispatch::Dispatch;
 use crate::budget::bank::Bank;
 use crate::budget::biller::Biller;
@@ -38,6 +39,8 @@
     pub biller: Arc<Biller>,
     /// Backend servers, and requests queued for them.
     pub dispatch: Arc<Dispatch>,
+    /// Requests that crashed backend servers.
+    pub crashes: Crashes,
     /// Calls that may run once.
     pub claims: Claims,
     /// The other routers.
@@ -74,6 +77,7 @@
             bank: Arc::new(bank),
             biller,
             dispatch: Arc::new(dispatch),
+            crashes: Crashes::open(&me),
             claims: Claims::default(),
             peers,
             journal: Journal::default(),
