Follow the core's billing and top-up rows; add seal and release

A router's bills now hang on billing/<incarnation>, and each top-up has a row of its own, so poplar-ctl reads and writes those, with the core's own transitions. seal shuts a dead router off; release gives back what the core says it can't have used, on the operator's word (--gone) or where a later incarnation has its peer address.

--- a/crates/ctl/src/chain.rs
+++ b/crates/ctl/src/chain.rs
@@ -35,11 +35,11 @@
 pub async fn read(platform: &Platform, router: &Router, since: u64) -> Result<Chain> {
     let mut chain = Chain {
         of: Some(router.name.clone()),
-        billed: router.row.billed.clone(),
-        counted: router.row.batches,
+        billed: router.billing.billed.clone(),
+        counted: router.billing.batches,
         ..Chain::default()
     };
-    let mut next = router.row.head.clone();
+    let mut next = router.billing.head.clone();
     while let Some(name) = next {
         if chain.found == chain.counted {
             chain.broken = Some(name);
--- a/crates/ctl/src/classes.rs
+++ b/crates/ctl/src/classes.rs
@@ -23,7 +23,7 @@
 /// Longest name in bytes.
 const NAME: usize = 64;
 /// What a name looks like.
-const NAME_FORM: &str = "1 to 64 lower-case letters, digits, hyphens";
+pub const NAME_FORM: &str = "1 to 64 lower-case letters, digits, hyphens";
 /// What a secret looks like.
 const SECRET_FORM: &str = "SHA-256 of the access key, 64 lower-case hex digits";
 
@@ -58,10 +58,14 @@
     Ok(config)
 }
 
-fn check_name(file: &mut File, kind: &str, name: &str) {
+/// Whether `name` can be a class's, a workspace's or a budget's.
+pub fn is_name(name: &str) -> bool {
     let plain = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
-    let right = (1..=NAME).contains(&name.len()) && name.bytes().all(plain);
-    if !right {
+    (1..=NAME).contains(&name.len()) && name.bytes().all(plain)
+}
+
+fn check_name(file: &mut File, kind: &str, name: &str) {
+    if !is_name(name) {
         file.refuse(&format!("{kind} {name}"), "", "bad name", NAME_FORM);
     }
 }
--- a/crates/ctl/src/command/budget.rs
+++ b/crates/ctl/src/command/budget.rs
@@ -1,13 +1,14 @@
 //! Creates budgets and tops them up.
 //!
 //! Routers draw on a budget's row all the time, so a top-up often loses a race
-//! and is tried again. It carries an identity that the row keeps, so that
-//! trying again after a lost answer can't count it twice.
+//! and is tried again. Its identity has a row of its own, so that trying again
+//! after a lost answer can't count it twice.
 
 use std::time::{Duration, Instant};
 
-use poplar_base::platform::{self, Commit};
-use poplar_core::budget::rows::{BudgetRow, budget_key};
+use poplar_base::platform::{self, Commit, Row};
+use poplar_core::budget::rows::{BudgetRow, Seen, budget_key, topup_key};
+use poplar_core::budget::topup::{self, TopUp, TopUpRow};
 use poplar_core::id::Name;
 use serde::Serialize;
 
@@ -15,11 +16,9 @@
 use crate::fleet::Fleet;
 use crate::shown::Shown;
 
-/// Identities of top-ups that a row keeps; an older one would count again.
-const KEPT: usize = 256;
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(20);
-/// Identity of the limit that a budget was created with.
+/// Identity of the top-up that creates a budget.
 const CREATED: &str = "create";
 
 /// What a command on a budget did.
@@ -35,71 +34,37 @@
     pub repeated: bool,
 }
 
-fn changed(budget: &str, row: &BudgetRow, repeated: bool) -> Changed {
-    Changed {
-        budget: budget.into(),
-        limit: row.limit,
-        available: row.available(),
-        repeated,
-    }
+/// A top-up that is wanted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Wanted {
+    budget: Name,
+    id: Name,
+    tokens: u64,
+    /// Whether the budget has to be there before.
+    exists: bool,
 }
 
 /// Creates `budget` with `limit` tokens.
 ///
 /// # Errors
-/// [`Error::Refused`] where there is one with another limit or with top-ups.
-pub async fn create(fleet: &Fleet, budget: &str, limit: u64) -> Result<Changed> {
-    let key = budget_key(budget);
-    let row = BudgetRow {
-        limit,
-        granted: 0,
-        topups: vec![CREATED.into()],
-    };
-    let commit = Commit::default().check(&*key, 0).write(&*key, &row);
-    let lost = match (fleet.platform.commit)(commit).await {
-        Ok(_) => return Ok(changed(budget, &row, false)),
-        Err(platform::Error::Conflict(_)) => false,
-        Err(platform::Error::Unknown(_) | platform::Error::Malformed(_)) => true,
-        Err(error) => return Err(error.into()),
+/// [`Error::Refused`] where it exists and was not created with this limit,
+/// [`Error::Unknown`] where it can't be told by `deadline` whether it was made.
+pub async fn create(fleet: &Fleet, budget: &str, limit: u64, deadline: Instant) -> Result<Changed> {
+    let wanted = Wanted {
+        budget: budget.into(),
+        id: CREATED.into(),
+        tokens: limit,
+        exists: false,
     };
-    let there = fleet.platform.row(&*key).await;
-    let there = there.map_err(|e| Error::Unknown(e.to_string()))?;
-    match there.decode::<BudgetRow>()? {
-        Some(now) if now.limit == limit && now.topups == row.topups => {
-            Ok(changed(budget, &now, !lost))
-        }
-        Some(now) => Err(Error::Refused(format!(
-            "budget {budget} exists with a limit of {} tokens; use topup",
-            now.limit
-        ))),
-        None => Err(Error::Unknown("the answer was lost".to_owned())),
-    }
-}
-
-/// The row after the top-up `id`; `None` where it has counted already.
-///
-/// # Errors
-/// [`Error::Refused`] where the limit would not fit.
-pub fn topped_up(row: &BudgetRow, id: &str, tokens: u64) -> Result<Option<BudgetRow>> {
-    if row.topups.iter().any(|known| **known == *id) {
-        return Ok(None);
-    }
-    let limit = row.limit.checked_add(tokens);
-    let limit = limit.ok_or_else(|| Error::Refused("the limit would not fit".to_owned()))?;
-    let mut topups = row.topups.clone();
-    topups.push(id.into());
-    topups.drain(..topups.len().saturating_sub(KEPT));
-    Ok(Some(BudgetRow {
-        limit,
-        granted: row.granted,
-        topups,
-    }))
+    carry_out(fleet, &wanted, deadline).await
 }
 
 /// Adds `tokens` to `budget` once, however often `id` is given.
 ///
 /// # Errors
-/// [`Error::Unknown`] where it can't be told by `deadline` whether it counted.
+/// [`Error::Refused`] where there is no such budget, or `id` was used for
+/// another amount; [`Error::Unknown`] where it can't be told by `deadline`
+/// whether it counted.
 pub async fn top_up(
     fleet: &Fleet,
     budget: &str,
@@ -107,43 +72,65 @@
     tokens: u64,
     deadline: Instant,
 ) -> Result<Changed> {
-    let key = budget_key(budget);
-    let mut tried = false;
+    let wanted = Wanted {
+        budget: budget.into(),
+        id: id.into(),
+        tokens,
+        exists: true,
+    };
+    carry_out(fleet, &wanted, deadline).await
+}
+
+async fn carry_out(fleet: &Fleet, wanted: &Wanted, deadline: Instant) -> Result<Changed> {
+    let mut lost = false;
+    let changed = |row: &BudgetRow, repeated| Changed {
+        budget: wanted.budget.clone(),
+        limit: row.limit,
+        available: row.available(),
+        repeated,
+    };
     loop {
-        let failure = match step(fleet, &key, id, tokens).await {
-            Ok(Step::Done(row)) => return Ok(changed(budget, &row, false)),
-            Ok(Step::Counted(row)) => return Ok(changed(budget, &row, !tried)),
+        let failure = match step(fleet, wanted).await {
+            Ok(Step::Done(row)) => return Ok(changed(&row, false)),
+            Ok(Step::Made(row)) => return Ok(changed(&row, !lost)),
             Ok(Step::Raced) => "other writers were always first".to_owned(),
             Err(Error::Platform(error)) => {
-                tried |= matches!(error, platform::Error::Unknown(_));
+                lost |= !matches!(error, platform::Error::Down(_));
                 error.to_string()
             }
             Err(error) => return Err(error),
         };
         if Instant::now() >= deadline {
-            return Err(Error::Unknown(format!("{failure}; use the same --id")));
+            return Err(Error::Unknown(failure));
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-/// What one try of a top-up came to.
+/// What one try came to.
 enum Step {
     Done(BudgetRow),
-    Counted(BudgetRow),
+    Made(BudgetRow),
     Raced,
 }
 
-async fn step(fleet: &Fleet, key: &str, id: &str, tokens: u64) -> Result<Step> {
-    let row = fleet.platform.row(key).await?;
-    let Some(now) = row.decode::<BudgetRow>()? else {
-        let why = format!("there is no {key}; use budget create");
-        return Err(Error::Refused(why));
+async fn step(fleet: &Fleet, wanted: &Wanted) -> Result<Step> {
+    let (budget, mark) = (
+        budget_key(&wanted.budget),
+        topup_key(&wanted.budget, &wanted.id),
+    );
+    let rows = (fleet.platform.read)(vec![budget.clone(), mark.clone()]).await?;
+    let (now, known) = (seen::<BudgetRow>(&rows, 0)?, seen::<TopUpRow>(&rows, 1)?);
+    let (next, made) = match topup::top_up(&now, &known, checked(wanted, &now, &known)?) {
+        TopUp::Made => return Ok(Step::Made(now.row)),
+        TopUp::Differs { made } => return Err(differs(wanted, made)),
+        TopUp::Write { budget, mark } => (budget, mark),
     };
-    let Some(next) = topped_up(&now, id, tokens)? else {
-        return Ok(Step::Counted(now));
-    };
-    let commit = Commit::default().check(key, row.version).write(key, &next);
+    let commit = Commit::default()
+        .check(&budget, now.version)
+        .check(&mark, known.version)
+        .write(&budget, &next)
+        .write(&mark, &made);
     match (fleet.platform.commit)(commit).await {
         Ok(_) => Ok(Step::Done(next)),
         Err(platform::Error::Conflict(_)) => Ok(Step::Raced),
@@ -151,6 +138,41 @@
     }
 }
 
+fn seen<T: serde::de::DeserializeOwned + Default>(rows: &[Row], at: usize) -> Result<Seen<T>> {
+    let missing = || platform::Error::Malformed("no row in the answer".to_owned());
+    let row = rows.get(at).ok_or_else(missing)?;
+    Ok(Seen {
+        version: row.version,
+        row: row.decode()?.unwrap_or_default(),
+    })
+}
+
+/// The tokens to add, once it is sure that they may be added.
+fn checked(wanted: &Wanted, now: &Seen<BudgetRow>, known: &Seen<TopUpRow>) -> Result<u64> {
+    let name = &wanted.budget;
+    let refuse = |why: String| Err(Error::Refused(why));
+    let exists = now.version != 0;
+    if known.version == 0 && wanted.exists && !exists {
+        return refuse(format!("there is no budget {name}; use budget create"));
+    }
+    if known.version == 0 && !wanted.exists && exists {
+        return refuse(format!("there is a budget {name}; use budget topup"));
+    }
+    if now.row.limit.checked_add(wanted.tokens).is_none() {
+        return refuse("the limit would not fit".to_owned());
+    }
+    Ok(wanted.tokens)
+}
+
+fn differs(wanted: &Wanted, made: u64) -> Error {
+    let (name, id) = (&wanted.budget, &wanted.id);
+    Error::Refused(if wanted.exists {
+        format!("top-up {id} of {name} was made with {made} tokens")
+    } else {
+        format!("budget {name} was created with {made} tokens; use budget topup")
+    })
+}
+
 /// The report of a command on a budget.
 pub fn shown(changed: &Changed) -> Shown {
     let Changed {
--- a/crates/ctl/src/dispatch.rs
+++ b/crates/ctl/src/dispatch.rs
@@ -7,7 +7,7 @@
 use poplar_core::config::{Config, hash_key};
 
 use crate::classes;
-use crate::command::{apply, budget, drain};
+use crate::command::{apply, budget, drain, ending};
 use crate::open::{edge, open};
 use crate::query::{bills, budgets, config, explain, routers};
 use crate::shown::Shown;
@@ -17,13 +17,21 @@
 /// Longest wait.
 const LONGEST: Duration = Duration::from_secs(600);
 
+/// Longest identity of a top-up in bytes.
+const ID: usize = 128;
+/// What an identity looks like.
+const ID_FORM: &str = "1 to 128 printable ASCII characters without blanks";
+
 const USAGE: &str = "[options] COMMAND
 
 Commands that change something:
     apply FILE              put the classes file in force (--wait, --expect)
-    budget create NAME      create a budget (--limit)
+    budget create NAME      create a budget (--limit, --wait)
     budget topup NAME       add tokens once for each id (--tokens, --id, --wait)
     drain ROUTER            start the graceful shutdown of a router
+    seal INCARNATION        shut a dead router off (--wait)
+    release INCARNATION     give back what a sealed router can't have used
+                            (--gone, --wait)
 
 Queries:
     check FILE              list every fault of a classes file
@@ -46,12 +54,13 @@
         .value("limit", "a new budget's limit in tokens", "N")
         .value("tokens", "tokens of a top-up", "N")
         .value("id", "identity of a top-up", "ID")
+        .flag("gone", "the process of the sealed router has ended")
         .flag("all", "list sealed routers too")
         .flag("json", "print JSON")
 }
 
 /// Options with a value or without, beside those for every command.
-const OPTIONS: [&str; 6] = ["wait", "expect", "limit", "tokens", "id", "all"];
+const OPTIONS: [&str; 7] = ["wait", "expect", "limit", "tokens", "id", "gone", "all"];
 
 /// Runs the program with the words after its name.
 ///
@@ -108,18 +117,25 @@
             applied.map(|applied| apply::shown(&applied))
         }
         ["budget", "create", name] => {
+            name_of(name)?;
             let limit = need(matches, "limit")?;
-            let done = budget::create(&fleet, name, limit).await;
+            let done = budget::create(&fleet, name, limit, deadline).await;
             done.map(|changed| budget::shown(&changed))
         }
         ["budget", "topup", name] => {
             let tokens = need(matches, "tokens")?;
             let id = matches.opt_str("id");
-            let id = id.ok_or_else(|| Failure::usage("--id ID is missing"))?;
+            let id = id.filter(|id| is_id(id));
+            let id = id.ok_or_else(|| Failure::usage(format!("--id; accepted: {ID_FORM}")))?;
             let done = budget::top_up(&fleet, name, &id, tokens, deadline).await;
             done.map(|changed| budget::shown(&changed))
         }
         ["drain", router] => drain::drain(&fleet, router).await,
+        ["seal", of] => ending::seal(&fleet, of, deadline).await,
+        ["release", of] => {
+            let gone = matches.opt_present("gone");
+            ending::release(&fleet, of, gone, deadline).await
+        }
         ["show"] => config::show(&fleet).await,
         ["diff", file] => config::diff(&fleet, &read(file)?).await,
         ["budget", "list"] => budgets::list(&fleet).await,
@@ -149,7 +165,10 @@
     matches!(
         words,
         ["show" | "routers" | "backends" | "bills"]
-            | ["apply" | "drain" | "diff" | "explain", _]
+            | [
+                "apply" | "drain" | "seal" | "release" | "diff" | "explain",
+                _
+            ]
             | ["budget", "list"]
             | ["budget", "create" | "topup" | "show", _]
     )
@@ -159,7 +178,9 @@
 fn only(matches: &Matches, words: &[&str]) -> Outcome {
     let taken: &[&str] = match words {
         ["apply", ..] => &["wait", "expect"],
-        ["budget", "create", ..] => &["limit"],
+        ["budget", "create", ..] => &["limit", "wait"],
+        ["seal", ..] => &["wait"],
+        ["release", ..] => &["gone", "wait"],
         ["budget", "topup", ..] => &["tokens", "id", "wait"],
         ["routers", ..] => &["all"],
         _ => &[],
@@ -171,6 +192,20 @@
     stray.map_or(Ok(()), Err)
 }
 
+fn name_of(budget: &str) -> Outcome {
+    if classes::is_name(budget) {
+        return Ok(());
+    }
+    let accepted = classes::NAME_FORM;
+    Err(Failure::usage(format!(
+        "budget {budget:?}; accepted: {accepted}"
+    )))
+}
+
+fn is_id(id: &str) -> bool {
+    (1..=ID).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic())
+}
+
 fn need(matches: &Matches, name: &str) -> Outcome<u64> {
     let value = args::read(matches, name, "a number of tokens")?;
     value.ok_or_else(|| Failure::usage(format!("--{name} N is missing")))
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -8,7 +8,7 @@
 use futures::future::{BoxFuture, join_all};
 use poplar_base::http::Client;
 use poplar_base::platform::{Platform, client};
-use poplar_core::bill::{RouterRow, Stage};
+use poplar_core::bill::{BillingRow, RouterRow, Stage};
 use poplar_core::budget::rows::{BudgetRow, GrantRow};
 use poplar_core::config::{Config, ConfigWire, ROW};
 use poplar_core::id::{Incarnation, Name};
@@ -78,6 +78,10 @@
     pub name: Incarnation,
     /// Its row.
     pub row: RouterRow,
+    /// Version of its row.
+    pub version: u64,
+    /// What it has billed.
+    pub billing: BillingRow,
 }
 
 impl Router {
@@ -129,20 +133,36 @@
     /// The platform's.
     pub async fn routers(&self) -> Result<Vec<Router>> {
         let rows = (self.platform.scan)("router/".to_owned()).await?;
+        let billings = self.billings().await?;
         let mut routers = Vec::with_capacity(rows.len());
         for row in rows {
             let Some(read) = row.decode::<RouterRow>()? else {
                 continue;
             };
-            let name = row.key.trim_start_matches("router/");
+            let name = row.key.trim_start_matches("router/").into();
+            let billing = billings.get(&name).cloned().unwrap_or_default();
             routers.push(Router {
-                name: Incarnation(name.into()),
+                name: Incarnation(name),
                 row: read,
+                version: row.version,
+                billing,
             });
         }
         Ok(routers)
     }
 
+    async fn billings(&self) -> Result<SortedVec<Name, BillingRow>> {
+        let rows = (self.platform.scan)("billing/".to_owned()).await?;
+        let mut billings = SortedVec::new();
+        for row in rows {
+            let name = row.key.trim_start_matches("billing/").into();
+            if let Some(read) = row.decode()? {
+                billings.insert(name, read);
+            }
+        }
+        Ok(billings)
+    }
+
     /// Routers that are not sealed.
     ///
     /// # Errors
--- a/crates/ctl/src/query/budgets.rs
+++ b/crates/ctl/src/query/budgets.rs
@@ -52,7 +52,12 @@
 
 fn add(state: &mut State, grants: &SortedVec<(Name, Incarnation), GrantRow>, router: &Router) {
     let of = |pair: &&(Name, u64)| pair.0 == state.budget;
-    let billed = router.row.billed.iter().find(of).map_or(0, |pair| pair.1);
+    let billed = router
+        .billing
+        .billed
+        .iter()
+        .find(of)
+        .map_or(0, |pair| pair.1);
     let grant = grants.get(&(state.budget.clone(), router.name.clone()));
     let left = grant.map_or(0, |g| g.granted.saturating_sub(billed));
     state.billed += billed;
--- a/crates/ctl/tests/ctl/apply.rs
+++ b/crates/ctl/tests/ctl/apply.rs
@@ -23,10 +23,10 @@
     let (fleet, state) = fleet();
     {
         let mut state = state.lock().unwrap();
-        state.set("router/a.1", &router("a", Stage::Active, 0));
-        state.set("router/b.1", &router("b", Stage::Joining, 0));
-        state.set("router/c.1", &router("c", Stage::Active, 0));
-        state.set("router/d.1", &router("d", Stage::Sealed, 0));
+        router(&mut state, "a.1", "a", Stage::Active, 0);
+        router(&mut state, "b.1", "b", Stage::Joining, 0);
+        router(&mut state, "c.1", "c", Stage::Active, 0);
+        router(&mut state, "d.1", "d", Stage::Sealed, 0);
         for (name, incarnation, generation) in [("a", "a.1", 1), ("b", "b.1", 0), ("c", "c.2", 1)] {
             let page = serde_json::json!({"incarnation": incarnation, "generation": generation});
             state.pages.insert(format!("{name}/v1/status"), page);
--- a/crates/ctl/tests/ctl/common.rs
+++ b/crates/ctl/tests/ctl/common.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use poplar_base::platform::{Commit, Error, Platform, Row};
 use poplar_base::settings::File;
-use poplar_core::bill::{Batch, Bill, RouterRow, Stage};
+use poplar_core::bill::{Batch, Bill, BillingRow, RouterRow, Stage};
 use poplar_core::config::Config;
 use poplar_core::id::RequestId;
 use poplar_core::sorted::SortedVec;
@@ -132,22 +132,26 @@
     (Fleet { platform, admin }, state)
 }
 
-/// A router's row at admin address `admin`.
-pub(crate) fn router(admin: &str, stage: Stage, billed: u64) -> RouterRow {
-    RouterRow {
-        address: "127.0.0.1:1".into(),
+/// Puts a router with admin address `admin` that billed so many tokens.
+pub(crate) fn router(state: &mut State, name: &str, admin: &str, stage: Stage, billed: u64) {
+    let row = RouterRow {
+        address: format!("{admin}:peer").into(),
         admin: admin.into(),
         centre: "depot-north".into(),
         stage,
-        head: None,
-        batches: 0,
+    };
+    let billing = BillingRow {
         billed: vec![("lighting".into(), billed)],
-    }
+        ..BillingRow::default()
+    };
+    state.set(&format!("router/{name}"), &row);
+    state.set(&format!("billing/{name}"), &billing);
 }
 
 /// Puts a router with bills of `tokens` each, one batch a bill.
 pub(crate) fn billing(state: &mut State, name: &str, bills: &[(&str, u64)], billed: u64) {
-    let mut row = router(name, Stage::Active, billed);
+    router(state, name, name, Stage::Active, 0);
+    let mut row = BillingRow::default();
     for (id, tokens) in bills {
         let batch = Batch {
             previous: row.head.clone(),
@@ -159,7 +163,8 @@
         state.objects.insert(object.clone(), body.into());
         row.head = Some(object.into());
     }
-    state.set(&format!("router/{name}"), &row);
+    row.billed = vec![("lighting".into(), billed)];
+    state.set(&format!("billing/{name}"), &row);
 }
 
 fn bill(id: &str, tokens: u64) -> Bill {
