Key grants by incarnation first

One scan then finds all that a dead incarnation holds, however many budgets there are, and a budget whose name begins with another's is not mixed up.

--- a/crates/core/src/budget/rows.rs
+++ b/crates/core/src/budget/rows.rs
@@ -1,7 +1,7 @@
 //! Rows of the platform's table that keep budgets, and their transitions.
 //!
 //! `budget/<budget>` holds the prepaid limit and the sum of grants.
-//! `grant/<budget>/<incarnation>` holds what one incarnation has drawn. A draw
+//! `grant/<incarnation>/<budget>` holds what one incarnation has drawn. A draw
 //! changes both in one transaction and carries a draw number, so that a lost
 //! answer is read back and never repeated blindly.
 
@@ -14,9 +14,10 @@
     format!("budget/{budget}")
 }
 
-/// Key of an incarnation's grant of a budget.
+/// Key of an incarnation's grant of a budget; an incarnation's grants stand
+/// together, so that what a dead one holds is found by one scan.
 pub fn grant_key(budget: &str, of: &Incarnation) -> String {
-    format!("grant/{budget}/{of}")
+    format!("grant/{of}/{budget}")
 }
 
 /// Key of an incarnation's own row.
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -200,7 +200,7 @@
         for row in rows {
             let path = row.key.trim_start_matches("grant/");
             let split = path.split_once('/');
-            if let (Some((budget, of)), Some(read)) = (split, row.decode()?) {
+            if let (Some((of, budget)), Some(read)) = (split, row.decode()?) {
                 grants.insert((budget.into(), Incarnation(of.into())), read);
             }
         }
--- a/crates/ctl/tests/ctl/budget.rs
+++ b/crates/ctl/tests/ctl/budget.rs
@@ -80,7 +80,7 @@
                 exposure: Some(100),
                 ..GrantRow::default()
             };
-            state.set(&format!("grant/lighting/{of}"), &grant);
+            state.set(&format!("grant/{of}/lighting"), &grant);
         }
     }
     (fleet, state)
--- a/crates/ctl/tests/ctl/common.rs
+++ b/crates/ctl/tests/ctl/common.rs
@@ -156,6 +156,7 @@
         let batch = Batch {
             previous: row.head.clone(),
             bills: vec![bill(id, *tokens)],
+            losses: Vec::new(),
         };
         row.batches += 1;
         let object = format!("bills/{name}/{:08}-0", row.batches);
@@ -173,6 +174,7 @@
         workspace: "lighting".into(),
         class: "fault-note".into(),
         budget: "lighting".into(),
+        body: 0,
         prompt: tokens,
         output: 0,
         at_ms: 0,
--- a/crates/standins/src/platform/watch.rs
+++ b/crates/standins/src/platform/watch.rs
@@ -41,7 +41,7 @@
         return Some(budget);
     }
     let grant = key.strip_prefix("grant/")?;
-    grant.rsplit_once('/').map(|(budget, _)| budget)
+    grant.split_once('/').map(|(_, budget)| budget)
 }
 
 impl Watch {
@@ -49,7 +49,8 @@
     pub fn check(&mut self, table: &Table, budgets: &[String], version: u64) {
         for budget in budgets {
             let row = table.row(&format!("budget/{budget}"));
-            let grants = table.scan(&format!("grant/{budget}/"));
+            let mut grants = table.scan("grant/");
+            grants.retain(|row| budget_of(&row.key) == Some(budget.as_str()));
             if let Err(reason) = sound(&row, &grants) {
                 self.count += 1;
                 if self.first.len() < KEPT {
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -123,16 +123,16 @@
     let budget = |limit: u64, granted: u64| json!({"limit": limit, "granted": granted});
     let grant = |granted: u64| json!({"number": 1, "granted": granted});
     let sound = write("budget/w", budget(10, 7))
-        .write("grant/w/r1.1", &grant(3))
-        .write("grant/w/r2.1", &grant(4));
+        .write("grant/r1.1/w", &grant(3))
+        .write("grant/r2.1/w", &grant(4));
     state.commit(wire(sound)).unwrap();
     state.commit(wire(write("budget/v", budget(5, 0)))).unwrap();
     assert_eq!(state.counted().violations, 0);
     let over = write("budget/w", budget(6, 7));
     state.commit(wire(over)).unwrap();
-    let uneven = write("budget/w", budget(10, 7)).write("grant/w/r2.1", &grant(5));
+    let uneven = write("budget/w", budget(10, 7)).write("grant/r2.1/w", &grant(5));
     state.commit(wire(uneven)).unwrap();
-    state.commit(wire(write("grant/x/r1.1", grant(1)))).unwrap();
+    state.commit(wire(write("grant/r1.1/x", grant(1)))).unwrap();
     let seen = state.counted();
     assert_eq!(seen.violations, 3);
     let reasons: Vec<_> = seen.violated.iter().map(|v| &*v.reason).collect();
