Explore budgets exhaustively with the real decision functions

Two things were found that way and mended: a gift that is passed on before it is recorded can be recorded only in part, and a bill must not be begun anew from a row that shows an earlier try. A late bill needs no check against the grant, since consumption never exceeds the rows.

--- a/crates/core/src/budget/change.rs
+++ b/crates/core/src/budget/change.rs
@@ -1,7 +1,7 @@
 //! A holder's change of its own grant: draw, record of a gift, or close.
 //!
-//! A change is one transaction that relies on the versions of the budget's row,
-//! of the holder's grant and of the holder's own row. Sealing writes the last
+//! A change is one transaction that relies on the versions of the rows it writes
+//! and of the holder's own row. Sealing writes the last
 //! one, so a sealed holder changes nothing any more. Each change has a number,
 //! one above the grant's. After a lost answer the rows are read: if the grant
 //! carries the number the change took effect, however late that was seen.
@@ -25,6 +25,9 @@
         exposure: Option<u64>,
     },
     /// Move tokens that were given away to the receiver's grant.
+    ///
+    /// Where the donor gave what it had been given itself, and that is not
+    /// recorded yet, only a part is moved.
     Record {
         /// Tokens that were given.
         tokens: u64,
@@ -58,8 +61,8 @@
 /// The transaction to commit: versions to rely on and rows to write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Writes {
-    /// The budget's row.
-    pub budget: Seen<BudgetRow>,
+    /// The budget's row, unless a gift is recorded.
+    pub budget: Option<Seen<BudgetRow>>,
     /// The holder's grant.
     pub grant: Seen<GrantRow>,
     /// The receiver's grant, where a gift is recorded.
@@ -75,6 +78,8 @@
     Sealed,
     /// Nothing of the budget is left to grant.
     Exhausted,
+    /// The donor's own grant is empty until gifts to it are recorded.
+    Uncovered,
 }
 
 /// A change that took effect.
@@ -184,11 +189,15 @@
                 exposure,
                 ..drawn.grant
             };
-            Ok(writes(view, drawn.budget, grant, None))
+            Ok(writes(view, Some(drawn.budget), grant, None))
         }
         Purpose::Record { tokens } => {
+            if grant.granted == 0 {
+                return Err(Refusal::Uncovered);
+            }
+            let tokens = tokens.min(grant.granted);
             let (given, received) = record(grant, &view.receiver.row, tokens);
-            Ok(writes(view, *budget, given, Some(received)))
+            Ok(writes(view, None, given, Some(received)))
         }
         Purpose::Close => {
             let rest = grant.granted.saturating_sub(view.own.row.accounted);
@@ -197,7 +206,7 @@
                 closed: true,
                 ..back.grant
             };
-            Ok(writes(view, back.budget, grant, None))
+            Ok(writes(view, Some(back.budget), grant, None))
         }
     }
 }
@@ -206,31 +215,35 @@
     let given = GrantRow {
         number: from.number + 1,
         last: tokens,
-        granted: from.granted.saturating_sub(tokens),
+        granted: from.granted - tokens,
         ..*from
     };
     let received = GrantRow {
-        granted: to.granted + tokens.min(from.granted),
+        granted: to.granted + tokens,
         ..*to
     };
     (given, received)
 }
 
-fn writes(view: &View, budget: BudgetRow, grant: GrantRow, to: Option<GrantRow>) -> Writes {
-    let receiver = to.map(|row| Seen {
-        version: view.receiver.version,
-        row,
-    });
+fn writes(
+    view: &View,
+    budget: Option<BudgetRow>,
+    grant: GrantRow,
+    receiver: Option<GrantRow>,
+) -> Writes {
     Writes {
-        budget: Seen {
+        budget: budget.map(|row| Seen {
             version: view.budget.version,
-            row: budget,
-        },
+            row,
+        }),
         grant: Seen {
             version: view.grant.version,
             row: grant,
         },
-        receiver,
+        receiver: receiver.map(|row| Seen {
+            version: view.receiver.version,
+            row,
+        }),
         own: view.own.version,
     }
 }
--- a/crates/core/src/budget/ending.rs
+++ b/crates/core/src/budget/ending.rs
@@ -91,31 +91,12 @@
     })
 }
 
-/// What becomes of a bill that a peer holds for a dead origin.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Late {
-    /// Bill it, with the origin's new durable total.
-    Bill {
-        /// Tokens accounted for afterwards.
-        accounted: u64,
-    },
-    /// Record it as not billed: the origin's grant does not cover it.
-    Unbilled,
-    /// Leave it: the origin is not sealed and bills itself.
-    Wait,
-}
-
-/// Decides on a late bill of `tokens`.
+/// Totals of a sealed origin after a late bill that a peer holds.
 ///
-/// The commit relies on the versions of the origin's own row and of its grant
-/// and inserts the row that marks the request as billed.
-pub fn late(grant: &GrantRow, own: &Own, tokens: u64) -> Late {
-    if !own.sealed {
-        return Late::Wait;
-    }
-    let accounted = own.accounted + tokens;
-    if accounted > grant.granted {
-        return Late::Unbilled;
-    }
-    Late::Bill { accounted }
+/// `None` where the origin is not sealed and bills itself. The commit relies on
+/// the version of the origin's own row and inserts the row that marks the
+/// request as billed. What was consumed is always within the rows, so a late
+/// bill needs no check against the grant.
+pub fn late(own: &Own, tokens: u64) -> Option<u64> {
+    own.sealed.then(|| own.accounted + tokens)
 }
--- /dev/null
+++ b/crates/spec/src/budget/mod.rs
@@ -0,0 +1,348 @@
+//! Budgets: draw, spend, gift, seal, release, return, top-up.
+//!
+//! Three incarnations share one budget. The third may start at any time, so it
+//! stands both for a third router and for a restart of one that crashed. Every
+//! request costs [`WORST`] tokens at most. Within the bounds any commit may
+//! lose its answer, take effect late or not at all; any message may come late,
+//! twice or never; routers crash, and are sealed while they run or after.
+
+mod check;
+mod step;
+mod table;
+
+use std::sync::LazyLock;
+
+use poplar_core::budget::change::Change;
+use poplar_core::budget::gift::{Ask, Donor, Gift, Receiver};
+use poplar_core::budget::ledger::Ledger;
+use poplar_core::id::{Incarnation, Name};
+
+use crate::explore::{Explored, explore};
+use table::{Delayed, Table};
+
+/// Incarnations in the model.
+const LIVES: usize = 3;
+
+/// Worst case of a request, in tokens.
+const WORST: u64 = 2;
+
+/// The budget's name.
+static BUDGET: LazyLock<Name> = LazyLock::new(|| "b".into());
+
+/// Names of the incarnations.
+static NAMES: LazyLock<[Incarnation; LIVES]> =
+    LazyLock::new(|| ["a", "b", "c"].map(|name| Incarnation(name.into())));
+
+/// A fault put into the model, which the search must find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Fault {
+    /// After a lost answer a draw is begun anew instead of read back.
+    BlindRepeat,
+    /// A lost answer is taken for success.
+    CreditUnsure,
+    /// A draw does not check the versions of the rows.
+    UncheckedDraw,
+    /// A receiver credits a gift each time it comes.
+    GiftTwice,
+    /// A donor keeps what it gives.
+    GiftKept,
+    /// A donor answers a repeated ask with new tokens.
+    GiftAnew,
+    /// An incarnation's grant is released though it may still run.
+    ReleaseUnproved,
+    /// The bound on exposure is not kept.
+    ExposureIgnored,
+    /// A smaller exposure is declared before the ledger keeps to it.
+    ExposureUnheld,
+    /// A bill does not check its own row, so a sealed router still bills.
+    UncheckedBill,
+    /// A bill is begun anew without a look at what the own row shows.
+    UnreadBill,
+    /// A late bill does not look for the mark of an earlier one.
+    LateUnmarked,
+    /// A repeated top-up is made again.
+    TopUpTwice,
+}
+
+/// How much of everything the search goes through.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Incarnations that run from the start.
+    pub routers: usize,
+    /// Whether one more may start later.
+    pub restart: bool,
+    /// Prepaid tokens at the start.
+    pub limit: u64,
+    /// Tokens of the one top-up.
+    pub topup: u64,
+    /// How often it is sent.
+    pub topups: u8,
+    /// Tokens wanted by a draw.
+    pub want: u64,
+    /// Draws in all.
+    pub draws: u8,
+    /// Exposures that a draw may declare.
+    pub exposures: &'static [Option<u64>],
+    /// Requests in all.
+    pub requests: usize,
+    /// Commits that lose their answer.
+    pub losses: u8,
+    /// Asks for a gift.
+    pub asks: u8,
+    /// Messages that come twice.
+    pub doubles: u8,
+    /// Crashes.
+    pub crashes: u8,
+    /// Seals.
+    pub seals: u8,
+    /// Whether routers may stop as planned.
+    pub stops: bool,
+}
+
+/// What is left of the bounded steps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Left {
+    topups: u8,
+    draws: u8,
+    losses: u8,
+    asks: u8,
+    doubles: u8,
+    crashes: u8,
+    seals: u8,
+}
+
+impl Left {
+    fn new(bounds: &Bounds) -> Self {
+        Self {
+            topups: bounds.topups,
+            draws: bounds.draws,
+            losses: bounds.losses,
+            asks: bounds.asks,
+            doubles: bounds.doubles,
+            crashes: bounds.crashes,
+            seals: bounds.seals,
+        }
+    }
+}
+
+/// The bounds of an exploration and the fault put into it.
+#[derive(Debug, Clone, Copy)]
+struct Cx {
+    bounds: Bounds,
+    fault: Option<Fault>,
+}
+
+impl Cx {
+    fn has(&self, fault: Fault) -> bool {
+        self.fault == Some(fault)
+    }
+}
+
+/// A request, by the incarnation that ran it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Request {
+    Fresh,
+    Running(usize),
+    Settled(usize, u64),
+    Lost(usize),
+}
+
+/// How a router stands to its change of the grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Phase {
+    Ready,
+    Unsure,
+}
+
+/// A router's memory.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Router {
+    ledger: Ledger,
+    donor: Donor,
+    receiver: Receiver,
+    change: Option<(Change, Phase)>,
+    flush: Option<u8>,
+    known: u8,
+    closing: bool,
+}
+
+/// An incarnation's life.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Life {
+    Unborn,
+    Up(Box<Router>),
+    Gone,
+}
+
+/// A message between routers.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Mail {
+    Ask(usize, Ask),
+    Gift(usize, Gift),
+}
+
+/// A state of the model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct World {
+    table: Table,
+    lives: [Life; LIVES],
+    requests: Vec<Request>,
+    mail: Vec<Mail>,
+    delayed: Vec<Delayed>,
+    left: Left,
+    /// Whether something failed that may cost tokens.
+    harmed: bool,
+}
+
+impl World {
+    fn new(bounds: Bounds) -> Self {
+        let life = |at| {
+            if at < bounds.routers {
+                Life::Up(Box::default())
+            } else {
+                Life::Unborn
+            }
+        };
+        Self {
+            table: Table::new(bounds.limit, bounds.requests),
+            lives: std::array::from_fn(life),
+            requests: vec![Request::Fresh; bounds.requests],
+            mail: Vec::new(),
+            delayed: Vec::new(),
+            left: Left::new(&bounds),
+            harmed: false,
+        }
+    }
+
+    fn router(&mut self, at: usize) -> Option<&mut Router> {
+        match &mut self.lives[at] {
+            Life::Up(router) => Some(router),
+            Life::Unborn | Life::Gone => None,
+        }
+    }
+
+    fn routers(&self) -> impl Iterator<Item = (usize, &Router)> {
+        let all = self.lives.iter().enumerate();
+        all.filter_map(|(at, life)| match life {
+            Life::Up(router) => Some((at, &**router)),
+            Life::Unborn | Life::Gone => None,
+        })
+    }
+}
+
+/// Explores budgets within `bounds`, with a fault where one is given.
+pub fn run(bounds: Bounds, fault: Option<Fault>) -> Explored {
+    let cx = Cx { bounds, fault };
+    let broken = |world: &World| check::broken(world, bounds).next();
+    explore(World::new(bounds), |world| step::next(world, cx), broken)
+}
+
+/// Looks for a state that breaks just one invariant.
+pub fn hunt(bounds: Bounds, fault: Fault, invariant: &str) -> Explored {
+    let cx = Cx {
+        bounds,
+        fault: Some(fault),
+    };
+    let broken = |world: &World| {
+        let mut all = check::broken(world, bounds);
+        all.find(|name| *name == invariant)
+    };
+    explore(World::new(bounds), |world| step::next(world, cx), broken)
+}
+
+/// The bounds that are explored, by what they look into.
+pub fn suite() -> Vec<(&'static str, Bounds)> {
+    let base = Bounds {
+        routers: 2,
+        restart: false,
+        limit: 4,
+        topup: 0,
+        topups: 0,
+        want: 2,
+        draws: 2,
+        exposures: &[None],
+        requests: 2,
+        losses: 0,
+        asks: 0,
+        doubles: 0,
+        crashes: 0,
+        seals: 0,
+        stops: false,
+    };
+    vec![
+        (
+            "draw",
+            Bounds {
+                restart: true,
+                limit: 3,
+                topup: 2,
+                topups: 2,
+                draws: 3,
+                losses: 2,
+                ..base
+            },
+        ),
+        (
+            "gift",
+            Bounds {
+                asks: 2,
+                doubles: 1,
+                losses: 1,
+                requests: 1,
+                draws: 1,
+                stops: true,
+                ..base
+            },
+        ),
+        (
+            "end",
+            Bounds {
+                restart: true,
+                want: 4,
+                exposures: &[Some(2)],
+                requests: 3,
+                losses: 2,
+                crashes: 1,
+                seals: 1,
+                ..base
+            },
+        ),
+        (
+            "exposure",
+            Bounds {
+                limit: 6,
+                want: 4,
+                draws: 3,
+                exposures: &[Some(2), Some(4)],
+                requests: 2,
+                losses: 1,
+                crashes: 1,
+                seals: 1,
+                ..base
+            },
+        ),
+        (
+            "gift and end",
+            Bounds {
+                want: 4,
+                exposures: &[Some(2)],
+                asks: 1,
+                doubles: 1,
+                crashes: 1,
+                seals: 1,
+                requests: 3,
+                ..base
+            },
+        ),
+        (
+            "chain of gifts",
+            Bounds {
+                routers: 3,
+                draws: 1,
+                requests: 1,
+                asks: 2,
+                ..base
+            },
+        ),
+    ]
+}
