Claim by promises while the table is down; give answers of copies again

Calls that may run once no longer stop with the table: every member of the group promises the key first. The decisions are poplar_core::claim's. A retry finds the answer also in bills that wait here or are held for a peer, and a hung table delays a keyed request by 150 ms at the most.

--- a/crates/router/src/budget/bank.rs
+++ b/crates/router/src/budget/bank.rs
@@ -70,8 +70,8 @@
     ahead: bool,
     /// When the last draw ahead ended, so that the next one waits a while.
     paused: Option<Instant>,
-    /// What the table was last seen to have left.
-    pub(super) available: u64,
+    /// What the table was last seen to have left; `None` if it never was.
+    pub(super) available: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -218,7 +218,7 @@
         let account = tables.account(budget);
         grant::State {
             free,
-            available: account.available,
+            available: account.available.unwrap_or(0),
             rate: account.rate.now(now),
             idle: account.rate.idle(now),
             typical: (account.typical as u64).max(self.settings.least / 4),
@@ -242,9 +242,11 @@
     }
 
     /// Draws in the background where little is left.
-    fn draw_ahead(self: &Arc<Self>, budget: &Name, router: u64) {
+    pub(super) fn draw_ahead(self: &Arc<Self>, budget: &Name, router: u64) {
         let now = Instant::now();
-        if self.wanted(budget, 0, now) == 0 || !self.begin_ahead(budget, now) {
+        let unseen = lock(&self.tables).account(budget).available.is_none();
+        let wanted = unseen || self.wanted(budget, 0, now) > 0;
+        if !wanted || !self.begin_ahead(budget, now) {
             return;
         }
         let bank = self.clone();
--- a/crates/router/src/budget/biller.rs
+++ b/crates/router/src/budget/biller.rs
@@ -7,12 +7,13 @@
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use poplar_base::platform::{Commit, Error, Platform, Row};
 use poplar_core::bill::{self, Batch, Bill, BilledRow, BillingRow, Loss};
-use poplar_core::id::{Incarnation, Name};
+use poplar_core::id::{Incarnation, Name, RequestId};
 use poplar_core::sorted::SortedVec;
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -54,6 +55,7 @@
     losses: Mutex<Vec<Loss>>,
     wake: Notify,
     waiting: watch::Sender<usize>,
+    failing: AtomicBool,
 }
 
 /// What the worker must know of the router's rows.
@@ -72,6 +74,7 @@
             losses: Mutex::default(),
             wake: Notify::new(),
             waiting: watch::channel(0).0,
+            failing: AtomicBool::new(false),
         }
     }
 }
@@ -105,6 +108,18 @@
         *self.waiting.borrow()
     }
 
+    /// Whether the store did not take the last batch.
+    pub fn is_failing(&self) -> bool {
+        self.failing.load(Ordering::Relaxed)
+    }
+
+    /// The bill of a request that is not durable yet.
+    pub fn waiting_bill(&self, id: &RequestId) -> Option<Bill> {
+        let queue = lock(&self.queue);
+        let found = queue.iter().find(|p| p.bill.id == *id);
+        found.map(|p| p.bill.clone())
+    }
+
     /// Waits until every bill handed over is durable.
     pub async fn flushed(&self) {
         let mut waiting = self.waiting.subscribe();
@@ -138,9 +153,11 @@
                     row = next;
                     version = at;
                     wait = BACKOFF;
+                    self.failing.store(false, Ordering::Relaxed);
                 }
                 Step::Again => wait = BACKOFF,
                 Step::Failed => {
+                    self.failing.store(true, Ordering::Relaxed);
                     tokio::time::sleep(jittered(wait)).await;
                     wait = (wait * 2).min(BACKOFF_MOST);
                 }
--- a/crates/router/src/budget/draw.rs
+++ b/crates/router/src/budget/draw.rs
@@ -7,7 +7,7 @@
 
 use poplar_base::platform::{Commit, Error, Row};
 use poplar_core::bill::{BillingRow, billing_key};
-use poplar_core::budget::change::{self, Change, Next, Purpose, View, Writes};
+use poplar_core::budget::change::{self, Applied, Change, Next, Purpose, View, Writes};
 use poplar_core::budget::rows::{self, BudgetRow, GrantRow};
 use poplar_core::id::{Incarnation, Name};
 
@@ -41,7 +41,7 @@
     grant: String,
     own: String,
     billing: String,
-    receiver: Option<String>,
+    receiver: Option<(Incarnation, String)>,
 }
 
 impl Keys {
@@ -51,7 +51,7 @@
             grant: rows::grant_key(budget, me),
             own: rows::incarnation_key(me),
             billing: billing_key(me),
-            receiver: receiver.map(|r| rows::grant_key(budget, r)),
+            receiver: receiver.map(|r| (r.clone(), rows::grant_key(budget, r))),
         }
     }
 
@@ -64,18 +64,21 @@
             receiver,
         } = self;
         let mut all = vec![budget.clone(), grant.clone(), own.clone(), billing.clone()];
-        all.extend(receiver.clone());
+        all.extend(receiver.iter().map(|(_, key)| key.clone()));
         all
     }
 
     fn commit(&self, writes: &Writes) -> Commit {
         let mut commit = Commit::default()
             .check(&self.own, writes.own)
-            .check(&self.budget, writes.budget.version)
             .check(&self.grant, writes.grant.version)
-            .write(&self.budget, &writes.budget.row)
             .write(&self.grant, &writes.grant.row);
-        if let (Some(key), Some(receiver)) = (&self.receiver, &writes.receiver) {
+        if let Some(budget) = &writes.budget {
+            commit = commit
+                .check(&self.budget, budget.version)
+                .write(&self.budget, &budget.row);
+        }
+        if let (Some((_, key)), Some(receiver)) = (&self.receiver, &writes.receiver) {
             commit = commit
                 .check(key, receiver.version)
                 .write(key, &receiver.row);
@@ -132,7 +135,6 @@
             let purpose = Purpose::Record { tokens };
             self.change(budget, keys, &mut seen, purpose, router)
                 .await?;
-            lock(&self.tables).donor.recorded(budget, &to, tokens);
         }
     }
 
@@ -211,7 +213,8 @@
         let commit = keys.commit(change.writes());
         match (self.platform.commit)(commit).await {
             Ok(version) => {
-                self.enter(budget, seen, change, version);
+                let applied = self.enter(budget, seen, change, version);
+                self.done(budget, keys, &applied);
                 return Ok(Tried::Done);
             }
             // An earlier try may have taken effect, so it stays open.
@@ -223,7 +226,7 @@
         match change.on_rows(&view) {
             Ok(Next::Commit) => Ok(Tried::Again),
             Ok(Next::Applied(applied)) => {
-                applied.enter(&mut lock(&self.tables).ledger, budget);
+                self.done(budget, keys, &applied);
                 Ok(Tried::Done)
             }
             Err(why) => Err(Failed::For(refused(why))),
@@ -231,22 +234,36 @@
     }
 
     /// Takes over a change that was answered as done.
-    fn enter(&self, budget: &Name, seen: &mut Seen, change: &Change, version: u64) {
+    fn enter(&self, budget: &Name, seen: &mut Seen, change: &Change, version: u64) -> Applied {
         let applied = change.on_committed();
         let writes = change.writes();
         if let Some(view) = &mut seen.view {
-            view.budget = rows::Seen {
-                version,
-                row: writes.budget.row,
-            };
+            if let Some(budget) = writes.budget {
+                view.budget = rows::Seen {
+                    version,
+                    row: budget.row,
+                };
+            }
             view.grant = rows::Seen {
                 version,
                 row: writes.grant.row,
             };
         }
+        if let Some(row) = writes.budget.map(|b| b.row) {
+            lock(&self.tables).account(budget).available = Some(row.available());
+        }
+        applied
+    }
+
+    /// Enters a change that took effect into the ledger, and into the record
+    /// of gifts.
+    fn done(&self, budget: &Name, keys: &Keys, applied: &Applied) {
         let mut tables = lock(&self.tables);
-        tables.account(budget).available = writes.budget.row.available();
         applied.enter(&mut tables.ledger, budget);
+        if let (Purpose::Record { .. }, Some((to, _))) = (applied.purpose, &keys.receiver) {
+            // Only a part is moved where the own grant covers no more yet.
+            tables.donor.recorded(budget, to, applied.tokens);
+        }
     }
 
     /// Reads the rows anew.
@@ -281,10 +298,14 @@
                 version: row.version,
                 row: value,
             };
-            lock(&self.tables).account(budget).available = value.available();
+            lock(&self.tables).account(budget).available = Some(value.available());
         } else if row.key == keys.grant {
             view.grant = grant(row)?;
-        } else if keys.receiver.as_ref() == Some(&row.key) {
+        } else if keys
+            .receiver
+            .as_ref()
+            .is_some_and(|(_, key)| *key == row.key)
+        {
             view.receiver = grant(row)?;
         } else if row.key == keys.own {
             view.own.version = row.version;
@@ -325,7 +346,7 @@
 fn refused(why: change::Refusal) -> Refused {
     match why {
         change::Refusal::Sealed => Refused::Sealed,
-        change::Refusal::Exhausted => Refused::Exhausted { left: 0 },
+        change::Refusal::Exhausted | change::Refusal::Uncovered => Refused::Exhausted { left: 0 },
     }
 }
 
--- a/crates/router/src/budget/mod.rs
+++ b/crates/router/src/budget/mod.rs
@@ -5,3 +5,4 @@
 mod draw;
 pub mod gift;
 pub mod reservation;
+pub mod warm;
--- /dev/null
+++ b/crates/router/src/claims/group.rs
@@ -0,0 +1,190 @@
+//! The group of routers that promise claims to one another.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use poplar_base::log;
+use poplar_base::platform::{Commit, Error, Row};
+use poplar_core::bill::{RouterRow, Stage as Life};
+use poplar_core::budget::rows::incarnation_key;
+use poplar_core::claim::group::{self, GroupRow};
+use poplar_core::claim::table::ClaimRow;
+use poplar_core::id::{Incarnation, RequestId};
+use poplar_peer::generated::JoinRequest;
+
+use super::wire;
+use crate::state::State;
+use crate::sync::lock;
+
+/// How often membership is looked after.
+const EVERY: Duration = Duration::from_secs(1);
+/// Prefix of the claims' keys.
+const CLAIMS: &str = "claim/";
+
+/// Joins the group, and keeps to it until the router ends.
+pub async fn keep(state: Arc<State>) {
+    let mut failed = false;
+    loop {
+        match step(&state).await {
+            Ok(()) => failed = false,
+            Err(why) if !failed => {
+                log::warn("group").reason(why).write();
+                failed = true;
+            }
+            Err(_) => {}
+        }
+        let mine = lock(&state.claims.notes).is_active();
+        let wait = if mine { EVERY } else { EVERY / 5 };
+        tokio::time::sleep(wait).await;
+    }
+}
+
+async fn read(state: &State) -> Result<(u64, GroupRow), Error> {
+    let row = state.platform.row(group::ROW).await?;
+    Ok((row.version, row.decode()?.unwrap_or_default()))
+}
+
+async fn step(state: &State) -> Result<(), Error> {
+    let (version, row) = read(state).await?;
+    lock(&state.claims.notes).learn(&row);
+    if !row.has(&state.me) {
+        return join(state, version, &row).await;
+    }
+    if !row.is_active(&state.me) {
+        return activate(state, version, &row).await;
+    }
+    if lock(&state.claims.notes).is_scanning() {
+        return scan(state, &row).await;
+    }
+    seal_out(state, version, &row).await
+}
+
+/// Writes the group's row, relying on the own row too.
+async fn write(state: &State, version: u64, next: &GroupRow) -> Result<(), Error> {
+    let commit = Commit::default()
+        .check(incarnation_key(&state.me), state.router())
+        .check(group::ROW, version)
+        .write(group::ROW, next);
+    (state.platform.commit)(commit).await?;
+    Ok(())
+}
+
+async fn join(state: &State, version: u64, row: &GroupRow) -> Result<(), Error> {
+    if state.is_draining() || state.is_sealed() {
+        return Ok(());
+    }
+    match row.join(&state.me) {
+        Ok(next) => write(state, version, &next).await,
+        Err(_) => Ok(()),
+    }
+}
+
+/// Becomes active once an active member acknowledged the set.
+async fn activate(state: &State, version: u64, row: &GroupRow) -> Result<(), Error> {
+    let acker = acknowledged(state, row).await;
+    let Ok(next) = row.activate(&state.me, acker.as_ref()) else {
+        return Ok(());
+    };
+    write(state, version, &next).await?;
+    lock(&state.claims.notes).learn(&next);
+    log::info("group").with("epoch", next.epoch).write();
+    Ok(())
+}
+
+/// Asks active members in turn to acknowledge the set and hand over.
+async fn acknowledged(state: &State, row: &GroupRow) -> Option<Incarnation> {
+    let request = JoinRequest {
+        group: serde_json::to_vec(row).expect("the group is plain data"),
+    };
+    for of in row.others(&state.me).filter(|of| row.is_active(of)) {
+        let Some(mut known) = state.peers.known(of) else {
+            continue;
+        };
+        let Ok(reply) = known.client.join(request.clone()).await else {
+            continue;
+        };
+        let reply = reply.into_inner();
+        if !reply.acknowledged {
+            continue;
+        }
+        if let Some(handover) = wire::read_handover(reply, Instant::now()) {
+            lock(&state.claims.notes).take_over(&handover);
+            return Some(of.clone());
+        }
+    }
+    None
+}
+
+/// Takes sealed routers out of the group, one a step.
+async fn seal_out(state: &State, version: u64, row: &GroupRow) -> Result<(), Error> {
+    let others: Vec<_> = row.others(&state.me).cloned().collect();
+    let keys = others.iter().map(incarnation_key).collect();
+    let rows = (state.platform.read)(keys).await?;
+    let sealed = |(_, row): &(&Incarnation, &Row)| {
+        let router = row.decode::<RouterRow>();
+        router.is_ok_and(|r| r.is_none_or(|r| r.stage == Life::Sealed))
+    };
+    let Some((dead, own)) = others.iter().zip(&rows).find(sealed) else {
+        return Ok(());
+    };
+    let Ok(next) = row.seal(&state.me, dead, None) else {
+        return Ok(());
+    };
+    lock(&state.claims.notes).sealing();
+    let commit = Commit::default()
+        .check(incarnation_key(&state.me), state.router())
+        .check(&own.key, own.version)
+        .check(group::ROW, version)
+        .write(group::ROW, &next);
+    // Whether it took effect is seen from the row in the next step.
+    (state.platform.commit)(commit).await?;
+    log::info("group").with("sealed", dead).write();
+    Ok(())
+}
+
+/// Reads the claims of members that ended, before promising anything again.
+async fn scan(state: &State, row: &GroupRow) -> Result<(), Error> {
+    let rows = (state.platform.scan)(CLAIMS.to_owned()).await?;
+    let mut claims = Vec::new();
+    for found in rows {
+        if let Some(claim) = found.decode::<ClaimRow>()? {
+            let id = RequestId(found.key[CLAIMS.len()..].into());
+            claims.push((id, claim));
+        }
+    }
+    let now = Instant::now();
+    lock(&state.claims.notes).scanned(row, claims, now);
+    Ok(())
+}
+
+/// Acknowledges a set with a joiner in it; `None` where it can't.
+pub(crate) fn acknowledge(state: &State, group: &[u8]) -> Option<poplar_peer::generated::Handover> {
+    let row: GroupRow = serde_json::from_slice(group).ok()?;
+    let handover = lock(&state.claims.notes).acknowledge(&row)?;
+    Some(wire::handover(&handover, Instant::now()))
+}
+
+/// Leaves the group: an active member takes the notes over first.
+///
+/// Returns the row without this router and its version, for the transaction
+/// that seals it; `None` where it was no member or nobody could take over.
+pub async fn leave(state: &State) -> Option<(u64, GroupRow)> {
+    let (version, row) = read(state).await.ok()?;
+    let handover = {
+        let mut notes = lock(&state.claims.notes);
+        notes.end();
+        notes.hand_over()
+    };
+    let request = wire::handover(&handover, Instant::now());
+    for of in row.others(&state.me).filter(|of| row.is_active(of)) {
+        let Some(mut known) = state.peers.known(of) else {
+            continue;
+        };
+        if known.client.inherit(request.clone()).await.is_ok() {
+            let next = row.leave(&state.me, Some(of)).ok()?;
+            return Some((version, next));
+        }
+    }
+    let next = row.leave(&state.me, None).ok()?;
+    Some((version, next))
+}
--- /dev/null
+++ b/crates/router/src/claims/table.rs
@@ -0,0 +1,109 @@
+//! Claims as rows of the table.
+
+use std::time::Duration;
+
+use poplar_base::platform::{Commit, Error};
+use poplar_core::bill::{RouterRow, Stage as Life};
+use poplar_core::budget::rows::{Seen, incarnation_key};
+use poplar_core::claim::table::{self, ClaimRow, Next, Stage};
+use poplar_core::claim::{Attempt, claim_key};
+use poplar_core::id::{Incarnation, RequestId};
+
+use super::Asked;
+use crate::state::State;
+
+/// Tries of one claim against others' writes and lost answers.
+const TRIES: usize = 4;
+/// Wait between them.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Claims a call by inserting its row.
+pub(super) async fn claim(state: &State, id: &RequestId, attempt: &Attempt) -> Asked {
+    // Most keys are new, so the first try does not read.
+    let mut row = Seen {
+        version: 0,
+        row: None,
+    };
+    for _ in 0..TRIES {
+        let next = match table::claim(attempt, &row, state.is_sealed()) {
+            Next::Won => return Asked::Won,
+            Next::Lost(lost) => {
+                let live = |of: &Incarnation| {
+                    *of != state.me && state.peers.is_live(of, std::time::Instant::now())
+                };
+                return Asked::Lost(lost.verdict(live));
+            }
+            Next::Write(next) => next,
+        };
+        match write(state, id, &next).await {
+            Ok(_) => return Asked::Won,
+            Err(Error::Down(_)) => return Asked::Down,
+            Err(Error::Conflict(_) | Error::Unknown(_) | Error::Malformed(_)) => {}
+        }
+        match read(state, id).await {
+            Ok(found) => row = found,
+            Err(_) => return Asked::Down,
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    Asked::Down
+}
+
+/// Writes a claim's row, relying on the version read and the own row.
+pub(super) async fn write(
+    state: &State,
+    id: &RequestId,
+    next: &Seen<ClaimRow>,
+) -> Result<u64, Error> {
+    let key = claim_key(id);
+    let commit = Commit::default()
+        .check(incarnation_key(&state.me), state.router())
+        .check(&key, next.version)
+        .write(&key, &next.row);
+    (state.platform.commit)(commit).await
+}
+
+/// Reads a claim's row, and first whether this router was sealed.
+pub(super) async fn read(state: &State, id: &RequestId) -> Result<Seen<Option<ClaimRow>>, Error> {
+    let keys = vec![incarnation_key(&state.me), claim_key(id)];
+    let rows = (state.platform.read)(keys).await?;
+    let [own, claim] = &rows[..] else {
+        return Err(Error::Malformed("too few rows".to_owned()));
+    };
+    if own.version != state.router() {
+        state.seal();
+    }
+    Ok(Seen {
+        version: claim.version,
+        row: claim.decode()?,
+    })
+}
+
+/// Brings an own attempt's row to `stage`; true once that is settled.
+pub(super) async fn settle(
+    state: &State,
+    id: &RequestId,
+    attempt: &Attempt,
+    stage: Stage,
+) -> Result<bool, Error> {
+    let found = read(state, id).await?;
+    let next = match stage {
+        Stage::Claimed => table::on_behalf(attempt, &found),
+        _ => table::finish(attempt, &found, stage),
+    };
+    let Some(next) = next else {
+        return Ok(true);
+    };
+    match write(state, id, &next).await {
+        Ok(_) => Ok(true),
+        Err(Error::Conflict(_)) => Ok(false),
+        Err(why) => Err(why),
+    }
+}
+
+/// Whether an incarnation's own row is in force, not sealed or missing.
+pub(super) async fn is_unsealed(state: &State, of: &Incarnation) -> Result<bool, Error> {
+    let row = state.platform.row(incarnation_key(of)).await?;
+    let row = row.decode::<RouterRow>()?;
+    Ok(row.is_some_and(|r| r.stage != Life::Sealed))
+}
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -26,6 +26,7 @@
 use crate::flow::chunk::{Broken, Chunk, Reader};
 use crate::flow::finish::{self, Finished, Sure};
 use crate::flow::refused::{refusal_of, report_refusal};
+use crate::flow::replay;
 use crate::flow::request::{Chat, Job, Message};
 use crate::refusal::{Code, Execution, Refusal};
 use crate::state::{Entry, State};
@@ -235,30 +236,13 @@
 
     /// Gives the answer of an earlier run with the same key again.
     async fn replay(&mut self) -> Result<bool, Refusal> {
-        if !self.job.id.is_keyed() {
-            return Ok(false);
-        }
-        let key = poplar_core::bill::billed_key(&self.job.id);
-        // While the table is down the run goes on; the bill's mark tells later.
-        let Ok(row) = self.state.platform.row(key).await else {
-            return Ok(false);
-        };
-        let Ok(Some(row)) = row.decode::<poplar_core::bill::BilledRow>() else {
+        let Some(bill) = replay::earlier(&self.state, &self.job).await? else {
             return Ok(false);
         };
-        if row.body != self.job.body {
-            return Err(Refusal::new(Code::KeyReused));
-        }
-        let Some(bill) = finish::earlier(&self.state, &self.job, &row).await else {
-            let refusal = Refusal::new(Code::InProgress).run(Execution::Ran);
-            return Err(refusal.after(Duration::from_secs(1)));
-        };
-        self.note("replayed", &row.batch);
-        let answer = bill.answer.clone();
-        let (text, reason) = answer.map_or_else(Default::default, |a| (a.text, a.reason));
-        let _ = self.sender.send(Piece::Text(text));
+        let answer = bill.answer.unwrap_or_default();
+        let _ = self.sender.send(Piece::Text(answer.text));
         let _ = self.sender.send(Piece::End {
-            reason,
+            reason: answer.reason,
             prompt: bill.prompt,
             output: bill.output,
         });
--- a/crates/router/src/flow/finish.rs
+++ b/crates/router/src/flow/finish.rs
@@ -2,9 +2,9 @@
 //! answer's last part.
 
 use std::sync::Arc;
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
-use poplar_core::bill::{Answer, Batch, Bill, BilledRow};
+use poplar_core::bill::{Answer, Bill, BilledRow};
 use tokio::sync::oneshot;
 
 use crate::budget::biller::Billed;
@@ -60,7 +60,12 @@
 }
 
 async fn wait(state: &Arc<State>, bill: Bill, mut done: oneshot::Receiver<Billed>) -> Sure {
-    let patience = state.settings.budget.bill;
+    // While the store is known to fail the copies are made at once.
+    let patience = if state.biller.is_failing() {
+        Duration::ZERO
+    } else {
+        state.settings.budget.bill
+    };
     if let Ok(billed) = tokio::time::timeout(patience, &mut done).await {
         return sure(billed);
     }
@@ -111,10 +116,3 @@
         answer: job.id.is_keyed().then(|| finished.answer.clone()),
     }
 }
-
-/// Reads the answer that an earlier run of a request was billed for.
-pub async fn earlier(state: &State, job: &Job, row: &BilledRow) -> Option<Bill> {
-    let object = (state.platform.get)(row.batch.to_string()).await.ok()??;
-    let batch: Batch = serde_json::from_slice(&object).ok()?;
-    batch.bills.into_iter().find(|b| b.id == job.id)
-}
--- a/crates/router/src/flow/mod.rs
+++ b/crates/router/src/flow/mod.rs
@@ -4,5 +4,6 @@
 pub mod chunk;
 pub mod finish;
 mod refused;
+mod replay;
 pub mod request;
 pub mod service;
--- /dev/null
+++ b/crates/router/src/flow/replay.rs
@@ -0,0 +1,69 @@
+//! Answers of earlier runs, given again to a retry with the same key.
+
+use std::time::Duration;
+
+use poplar_base::platform::Error;
+use poplar_core::bill::{Batch, Bill, BilledRow, billed_key};
+
+use crate::flow::request::Job;
+use crate::refusal::{Code, Execution, Refusal};
+use crate::state::State;
+
+/// How long the store may take to tell of an earlier run. After that the
+/// request goes on; its bill's mark tells later, and a call that may run once
+/// still needs its claim.
+const PATIENCE: Duration = Duration::from_millis(150);
+/// When to come back for an answer that can't be read now.
+const UNREAD_AFTER: Duration = Duration::from_secs(1);
+
+/// The bill of an earlier run of a request, with its answer.
+///
+/// # Errors
+/// The key was used with another body, or the answer can't be read now.
+pub(super) async fn earlier(state: &State, job: &Job) -> Result<Option<Bill>, Refusal> {
+    if !job.id.is_keyed() {
+        return Ok(None);
+    }
+    let near = state.biller.waiting_bill(&job.id);
+    let near = near.or_else(|| state.peers.held_bill(&job.id));
+    let bill = match near {
+        Some(bill) => Some(bill),
+        None => stored(state, job).await?,
+    };
+    if bill.as_ref().is_some_and(|b| b.body != job.body) {
+        return Err(Refusal::new(Code::KeyReused));
+    }
+    if bill.is_some() {
+        state
+            .journal
+            .note(&job.id, "replayed", "an earlier run was billed");
+    }
+    Ok(bill)
+}
+
+async fn stored(state: &State, job: &Job) -> Result<Option<Bill>, Refusal> {
+    let read = tokio::time::timeout(PATIENCE, state.platform.row(billed_key(&job.id))).await;
+    let row = read.ok().and_then(Result::ok);
+    let Some(Ok(Some(row))) = row.map(|r| r.decode::<BilledRow>()) else {
+        return Ok(None);
+    };
+    if row.body != job.body {
+        return Err(Refusal::new(Code::KeyReused));
+    }
+    match read_bill(state, job, &row).await {
+        Ok(Some(bill)) => Ok(Some(bill)),
+        Ok(None) | Err(_) => Err(Refusal::new(Code::InProgress)
+            .run(Execution::Ran)
+            .after(UNREAD_AFTER)),
+    }
+}
+
+async fn read_bill(state: &State, job: &Job, row: &BilledRow) -> Result<Option<Bill>, Error> {
+    let object = (state.platform.get)(row.batch.to_string()).await?;
+    let Some(object) = object else {
+        return Ok(None);
+    };
+    let batch: Batch =
+        serde_json::from_slice(&object).map_err(|e| Error::Malformed(e.to_string()))?;
+    Ok(batch.bills.into_iter().find(|b| b.id == job.id))
+}
--- a/crates/router/src/flow/service.rs
+++ b/crates/router/src/flow/service.rs
@@ -7,21 +7,25 @@
 use http::Request;
 use http_body_util::Full;
 use poplar_base::http::Error as HttpError;
-use poplar_core::bill::{Answer, BilledRow, billed_key};
+use poplar_core::bill::Answer;
+use poplar_core::claim::{Attempt as ClaimAttempt, Reason, Verdict};
 use poplar_core::id::Name;
 use poplar_core::retry::{Attempt, Failure, Next};
 
 use crate::backends::dispatch::{Ended, LATE, Placed, Work};
-use crate::claims::{self, Claimed};
+use crate::claims;
 use crate::flow::chat::reserve;
 use crate::flow::finish::{self, Finished, Sure};
 use crate::flow::refused::{refusal_of, report_refusal};
+use crate::flow::replay;
 use crate::flow::request::{Call, Job};
 use crate::refusal::{Code, Execution, Refusal};
 use crate::state::{Entry, State};
 
 /// Longest wait for a service's answer beyond the class's target.
 const GRACE: Duration = Duration::from_secs(2);
+/// When to come back after a call was not claimed or not sent.
+const CLAIM_AFTER: Duration = Duration::from_secs(1);
 
 /// How one attempt ended.
 enum Attempted {
@@ -52,8 +56,8 @@
 }
 
 async fn run(state: &Arc<State>, job: &Job, call: &Call) -> Result<Answer, Refusal> {
-    if let Some(answer) = replay(state, job).await? {
-        return Ok(answer);
+    if let Some(bill) = replay::earlier(state, job).await? {
+        return Ok(bill.answer.unwrap_or_default());
     }
     let reservation = reserve(state, job, job.class.price).await?;
     let ran = send(state, job, call).await;
@@ -86,44 +90,22 @@
     Ok(answer)
 }
 
-async fn replay(state: &Arc<State>, job: &Job) -> Result<Option<Answer>, Refusal> {
-    if !job.id.is_keyed() {
-        return Ok(None);
-    }
-    let Ok(row) = state.platform.row(billed_key(&job.id)).await else {
-        return Ok(None);
-    };
-    let Ok(Some(row)) = row.decode::<BilledRow>() else {
-        return Ok(None);
-    };
-    if row.body != job.body {
-        return Err(Refusal::new(Code::KeyReused));
-    }
-    let bill = finish::earlier(state, job, &row).await;
-    let answer = bill.and_then(|b| b.answer).ok_or_else(|| {
-        let refusal = Refusal::new(Code::InProgress).run(Execution::Ran);
-        refusal.after(Duration::from_secs(1))
-    })?;
-    state.journal.note(&job.id, "replayed", &row.batch);
-    Ok(Some(answer))
-}
-
 /// Sends a call until it is answered, or may not be sent again.
 async fn send(state: &Arc<State>, job: &Job, call: &Call) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
     let (mut sends, mut runs) = (0, 0);
-    let mut is_claimed = false;
+    let mut claim = None;
     loop {
         // A server is found before the claim, so that a refusal for want of
         // one leaves nothing claimed.
         let placed = place(state, job, &tried).await;
         let mut placed = match placed {
             Ok(placed) => placed,
-            Err(refusal) => return Err(unsent(state, job, is_claimed, runs, refusal).await),
+            Err(refusal) => return Err(unsent(state, job, claim, runs, refusal).await),
         };
-        if !job.class.repeat && !is_claimed {
-            claimed(state, job).await?;
-            is_claimed = true;
+        if !job.class.repeat && claim.is_none() {
+            let claimed = claims::claim(state, &job.id).await;
+            claim = Some(claimed.map_err(|verdict| unclaimed(&verdict))?);
         }
         sends += 1;
         let failure = match attempt(state, job, call, &placed).await {
@@ -160,7 +142,7 @@
                     Code::OutcomeUnknown
                 };
                 let refusal = Refusal::new(code).detail(reason);
-                return Err(unsent(state, job, is_claimed, runs, refusal).await);
+                return Err(unsent(state, job, claim, runs, refusal).await);
             }
         }
         tried.push(placed.server.clone());
@@ -173,41 +155,39 @@
 async fn unsent(
     state: &State,
     job: &Job,
-    is_claimed: bool,
+    claim: Option<ClaimAttempt>,
     runs: u32,
     refusal: Refusal,
 ) -> Refusal {
     if runs > 0 {
+        if let Some(attempt) = claim {
+            claims::unknown(state, &job.id, &attempt);
+        }
         return refusal.run(Execution::Unknown);
     }
-    if is_claimed {
-        claims::abandon(state, &job.id).await;
+    if let Some(attempt) = claim {
+        claims::abandon(state, &job.id, &attempt).await;
     }
-    let after = refusal.after.unwrap_or(Duration::from_secs(1));
+    let after = refusal.after.unwrap_or(CLAIM_AFTER);
     refusal.after(after)
 }
 
-async fn claimed(state: &Arc<State>, job: &Job) -> Result<(), Refusal> {
-    match claims::claim(state, &job.id, job.body).await {
-        Claimed::Ours => Ok(()),
-        Claimed::Taken(row) if row.body != job.body => Err(Refusal::new(Code::KeyReused)),
-        Claimed::Taken(row) => Err(taken(state, &row)),
-        Claimed::Down => Err(Refusal::new(Code::NoClaim).after(Duration::from_secs(2))),
-        // The row may be ours, but nothing was sent, and nothing will be.
-        Claimed::Unknown => Err(Refusal::new(Code::NoClaim).after(Duration::from_secs(2))),
-        Claimed::Sealed => {
-            state.seal();
-            Err(Refusal::new(Code::Unready).after(Duration::from_secs(1)))
-        }
-    }
-}
-
-fn taken(state: &State, row: &claims::ClaimRow) -> Refusal {
-    if state.peers.is_live(&row.claimant, Instant::now()) {
-        let refusal = Refusal::new(Code::InProgress).run(Execution::Unknown);
-        return refusal.after(Duration::from_secs(1));
+/// The refusal of a call whose claim was not had.
+fn unclaimed(verdict: &Verdict) -> Refusal {
+    let (code, run) = match verdict {
+        Verdict::InProgress(_) => (Code::InProgress, Execution::Unknown),
+        // Its answer is on its way to the store.
+        Verdict::Ran(_) => (Code::InProgress, Execution::Ran),
+        Verdict::Unknown(_) => (Code::OutcomeUnknown, Execution::Unknown),
+        Verdict::NotRun(Reason::Sealed) => (Code::Unready, Execution::NotRun),
+        Verdict::NotRun(_) => (Code::NoClaim, Execution::NotRun),
+    };
+    let refusal = Refusal::new(code).run(run);
+    match verdict {
+        Verdict::Unknown(_) => refusal,
+        Verdict::NotRun(why) => refusal.after(CLAIM_AFTER).detail(format_args!("{why:?}")),
+        _ => refusal.after(CLAIM_AFTER),
     }
-    Refusal::new(Code::OutcomeUnknown).run(Execution::Unknown)
 }
 
 async fn place(state: &Arc<State>, job: &Job, tried: &[Name]) -> Result<Placed, Refusal> {
--- a/crates/router/src/life.rs
+++ b/crates/router/src/life.rs
@@ -9,19 +9,24 @@
 use poplar_base::platform::{Commit, Error as PlatformError, client};
 use poplar_core::bill::{RouterRow, Stage};
 use poplar_core::budget::rows::incarnation_key;
+use poplar_core::claim::group;
 use poplar_core::id::Incarnation;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::budget::biller::Rows;
-use crate::budget::gift;
+use crate::budget::{gift, warm};
 use crate::server::Server;
 use crate::settings::{Platform, Settings};
 use crate::state::State;
-use crate::{admin, backends, conf, door, metrics, peers};
+use crate::{admin, backends, claims, conf, door, metrics, peers};
 
 /// Wait between tries to register.
 const REGISTER_WAIT: Duration = Duration::from_millis(500);
+/// Tries to leave the group against others' changes of it.
+const SEAL_TRIES: usize = 10;
+/// Wait between them.
+const SEAL_WAIT: Duration = Duration::from_millis(50);
 /// How long the last bills and returns may take at the end.
 const LAST_WRITES: Duration = Duration::from_secs(10);
 
@@ -121,6 +126,9 @@
     tokio::spawn(peers::gossip(state.clone()));
     tokio::spawn(peers::flush_orphans(state.clone()));
     tokio::spawn(gift::record(state.clone()));
+    tokio::spawn(warm::keep(state.clone()));
+    tokio::spawn(claims::group::keep(state.clone()));
+    tokio::spawn(claims::flush::flush(state.clone()));
     let rows = Rows {
         me: state.me.clone(),
         router: state.router(),
@@ -211,12 +219,24 @@
     if let Err(why) = state.bank.close(state.router()).await {
         log::warn("close").reason(why).write();
     }
+    for _ in 0..SEAL_TRIES {
+        match seal(state).await {
+            Ok(_) => return,
+            Err(why) => log::warn("seal").reason(why).write(),
+        }
+        tokio::time::sleep(SEAL_WAIT).await;
+    }
+}
+
+/// Seals the own row, and leaves the group in the same transaction.
+async fn seal(state: &State) -> Result<u64, PlatformError> {
     let key = incarnation_key(&state.me);
     let mine = row(state, Stage::Sealed);
-    let commit = Commit::default()
+    let mut commit = Commit::default()
         .check(&key, state.router())
         .write(&key, &mine);
-    if let Err(why) = (state.platform.commit)(commit).await {
-        log::warn("seal").reason(why).write();
+    if let Some((version, group)) = claims::group::leave(state).await {
+        commit = commit.check(group::ROW, version).write(group::ROW, &group);
     }
+    (state.platform.commit)(commit).await
 }
--- a/crates/router/src/peers/held.rs
+++ b/crates/router/src/peers/held.rs
@@ -12,9 +12,7 @@
 use poplar_core::bill::{
     Batch, Bill, BilledRow, BillingRow, RouterRow, Stage, batch_name, billed_key, billing_key,
 };
-use poplar_core::budget::change::Own;
-use poplar_core::budget::ending::{self, Late};
-use poplar_core::budget::rows::{GrantRow, grant_key, incarnation_key};
+use poplar_core::budget::rows::incarnation_key;
 use poplar_core::id::{Incarnation, Name, RequestId};
 use poplar_core::sorted::SortedVec;
 
@@ -49,6 +47,12 @@
         self.copies.remove(&(origin.clone(), id.clone()));
     }
 
+    /// The copy of a request's bill.
+    pub(super) fn bill(&self, id: &RequestId) -> Option<Bill> {
+        let found = self.copies.iter().find(|((_, of), _)| of == id);
+        found.map(|(_, bill)| bill.clone())
+    }
+
     fn origins(&self) -> Vec<Incarnation> {
         let mut origins: Vec<_> = self.copies.iter().map(|((o, _), _)| o.clone()).collect();
         origins.dedup();
@@ -123,7 +127,7 @@
     }))
 }
 
-/// Adds one bill to the origin's own chain, where its grant covers it.
+/// Adds one bill to the origin's own chain.
 ///
 /// The request is marked as billed in the same transaction, so that of several
 /// peers with copies only one adds it.
@@ -131,20 +135,6 @@
     let Some(rows) = read_origin(state, origin).await? else {
         return Ok(());
     };
-    let grant = state.platform.row(grant_key(&bill.budget, origin)).await?;
-    let own = Own {
-        sealed: true,
-        accounted: rows.row.accounted(&bill.budget),
-    };
-    let granted = grant.decode::<GrantRow>()?.unwrap_or_default();
-    if ending::late(&granted, &own, bill.tokens()) == Late::Unbilled {
-        log::error("orphaned bill")
-            .request(&bill.id)
-            .reason("the origin's grant does not cover it")
-            .write();
-        forget(state, origin, &[bill]);
-        return Ok(());
-    }
     let id = bill.id.clone();
     let name: Name = batch_name(origin, rows.row.batches, rand::random()).into();
     let mark = BilledRow {
@@ -161,7 +151,6 @@
     let commit = Commit::default()
         .check(&rows.router.key, rows.router.version)
         .check(&rows.billing.key, rows.billing.version)
-        .check(&grant.key, grant.version)
         .check(billed_key(&id), 0)
         .write(&rows.billing.key, &rows.row.with(name, &batch))
         .write(billed_key(&id), &mark);
--- a/crates/router/src/peers/mod.rs
+++ b/crates/router/src/peers/mod.rs
@@ -136,6 +136,11 @@
         }
     }
 
+    /// How to reach a router, where it is known.
+    pub(crate) fn known(&self, of: &Incarnation) -> Option<Known> {
+        lock(&self.known).get(of).cloned()
+    }
+
     pub(crate) fn all(&self) -> Vec<(Incarnation, Known)> {
         let known = lock(&self.known);
         known.iter().map(|(i, k)| (i.clone(), k.clone())).collect()
@@ -162,6 +167,11 @@
         held
     }
 
+    /// The copy of a request's bill, where one is held here.
+    pub fn held_bill(&self, id: &RequestId) -> Option<Bill> {
+        lock(&self.held).bill(id)
+    }
+
     /// Tells peers that a bill is durable and needs no copy any more.
     pub async fn held_no_more(&self, state: &State, id: &RequestId) {
         let request = HoldRequest {
--- a/crates/router/src/peers/service.rs
+++ b/crates/router/src/peers/service.rs
@@ -6,8 +6,8 @@
 use poplar_core::bill::Bill;
 use poplar_core::id::{Incarnation, RequestId};
 use poplar_peer::generated::{
-    GiveReply, GiveRequest, GossipReply, GossipRequest, HoldReply, HoldRequest, JoinReply,
-    JoinRequest, OutcomeReply, OutcomeRequest, PromiseReply, PromiseRequest,
+    Attempt, GiveReply, GiveRequest, GossipReply, GossipRequest, Handover, HoldReply, HoldRequest,
+    InheritReply, JoinRequest, OutcomeReply, PromiseReply, PromiseRequest, ReleaseReply,
 };
 use poplar_peer::{Peer, PeerServer};
 use tokio::net::TcpListener;
@@ -16,6 +16,7 @@
 use tonic::{Request, Response, Status};
 
 use super::gossip;
+use crate::claims;
 use crate::state::State;
 use crate::sync::lock;
 
@@ -92,19 +93,40 @@
 
     async fn promise(
         &self,
-        _request: Request<PromiseRequest>,
+        request: Request<PromiseRequest>,
     ) -> Result<Response<PromiseReply>, Status> {
-        Err(Status::unimplemented("promises"))
+        let request = request.into_inner();
+        let id = request.attempt.as_ref().map(|a| a.request.as_str().into());
+        let promise = claims::answer(&self.state, request);
+        match (id, promise) {
+            (Some(id), Some(promise)) => {
+                let reply = claims::wire::promise(&RequestId(id), &promise);
+                Ok(Response::new(reply))
+            }
+            _ => Err(Status::invalid_argument("no attempt")),
+        }
     }
 
-    async fn outcome(
-        &self,
-        _request: Request<OutcomeRequest>,
-    ) -> Result<Response<OutcomeReply>, Status> {
-        Err(Status::unimplemented("outcomes"))
+    async fn release(&self, request: Request<Attempt>) -> Result<Response<ReleaseReply>, Status> {
+        claims::released(&self.state, request.into_inner());
+        Ok(Response::new(ReleaseReply {}))
     }
 
-    async fn join(&self, _request: Request<JoinRequest>) -> Result<Response<JoinReply>, Status> {
-        Err(Status::unimplemented("joins"))
+    async fn outcome(&self, request: Request<Attempt>) -> Result<Response<OutcomeReply>, Status> {
+        let abandoned = claims::gave_up(&self.state, request.into_inner());
+        Ok(Response::new(OutcomeReply { abandoned }))
+    }
+
+    async fn join(&self, request: Request<JoinRequest>) -> Result<Response<Handover>, Status> {
+        let handover = claims::group::acknowledge(&self.state, &request.get_ref().group);
+        Ok(Response::new(handover.unwrap_or_default()))
+    }
+
+    async fn inherit(&self, request: Request<Handover>) -> Result<Response<InheritReply>, Status> {
+        if claims::inherit(&self.state, request.into_inner()) {
+            Ok(Response::new(InheritReply {}))
+        } else {
+            Err(Status::failed_precondition("not active"))
+        }
     }
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -78,7 +78,7 @@
             biller,
             dispatch: Arc::new(dispatch),
             crashes: Crashes::open(&me),
-            claims: Claims::default(),
+            claims: Claims::open(&me),
             peers,
             journal: Journal::default(),
             burn: Burn::default(),
