--- a/crates/base/src/platform/wire.rs
+++ b/crates/base/src/platform/wire.rs
@@ -14,21 +14,24 @@
 use super::{Check, Commit, Host, Role, Row, Write};
 
 /// Keys to read.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ReadWire {
     /// Keys in the order of the answer.
     pub keys: Vec<String>,
 }
 
 /// A prefix to read.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ScanWire {
     /// What the keys start with.
     pub prefix: String,
 }
 
 /// A row.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct RowWire {
     /// The row's key.
     pub key: String,
@@ -39,14 +42,16 @@
 }
 
 /// Rows of an answer, or of a conflict.
-#[derive(Debug, Default, Serialize, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct RowsWire {
     /// The rows.
     pub rows: Vec<RowWire>,
 }
 
 /// A version relied on.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct CheckWire {
     /// The row's key.
     pub key: String,
@@ -55,7 +60,8 @@
 }
 
 /// A row to write.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct WriteWire {
     /// The row's key.
     pub key: String,
@@ -64,7 +70,8 @@
 }
 
 /// A transaction.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct CommitWire {
     /// What must hold.
     pub checks: Vec<CheckWire>,
@@ -73,14 +80,16 @@
 }
 
 /// A transaction's outcome.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct CommittedWire {
     /// The version of every row it wrote.
     pub version: u64,
 }
 
 /// A backend server in the host list.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct HostWire {
     /// Its name.
     pub name: Arc<str>,
@@ -100,7 +109,8 @@
 }
 
 /// The host list.
-#[derive(Debug, Default, Serialize, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct HostsWire {
     /// The hosts.
     pub hosts: Vec<HostWire>,
--- a/crates/burn/src/gather.rs
+++ b/crates/burn/src/gather.rs
@@ -12,25 +12,29 @@
 use crate::report::{Answered, Input, Refused, WINDOWS};
 
 /// A router's burn page.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct PageWire {
     minutes: Vec<MinuteWire>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct MinuteWire {
     minute: u64,
     rows: Vec<RowWire>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct RowWire {
     workspace: Name,
     class: Name,
     refused: Vec<RefusedWire>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct RefusedWire {
     code: Name,
     count: u64,
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -54,7 +54,8 @@
 }
 
 /// What a budget holds and what was billed, in tokens.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Spent {
     /// The budget.
     pub budget: Name,
@@ -84,7 +85,8 @@
 }
 
 /// Counts within a window.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Window {
     /// The window's name.
     pub window: &'static str,
@@ -101,7 +103,8 @@
 }
 
 /// A class's counts for a workspace, or for all of them.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Row {
     /// The class.
     pub class: Name,
@@ -116,7 +119,8 @@
 }
 
 /// Refusals of a class and workspace over the day by their code.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Reason {
     /// The class.
     pub class: Name,
@@ -131,7 +135,8 @@
 }
 
 /// The report.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Report {
     /// As of when, in milliseconds of Unix time.
     pub at_ms: u64,
--- a/crates/core/src/bill.rs
+++ b/crates/core/src/bill.rs
@@ -10,7 +10,8 @@
 use crate::id::{Incarnation, Name, RequestId};
 
 /// One answered request, billed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Bill {
     /// The request, and the bill's own identity.
     pub id: RequestId,
@@ -47,7 +48,8 @@
 }
 
 /// An answer as it is given again to a retry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
@@ -58,7 +60,8 @@
 }
 
 /// A batch of bills as an object.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Batch {
     /// Name of the batch before this one.
     pub previous: Option<Name>,
@@ -72,7 +75,8 @@
 /// Tokens that a request took off a budget without an answer to bill.
 ///
 /// A backend server consumed them, or may have, in an attempt that was lost.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Loss {
     /// The budget they were taken off.
     pub budget: Name,
@@ -91,7 +95,8 @@
 }
 
 /// Where the bill and the answer of a request with a key are.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BilledRow {
     /// Name of the batch that holds them.
     pub batch: Name,
@@ -100,7 +105,8 @@
 }
 
 /// A router's stage of life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Stage {
     /// Started, not yet acknowledged by the others.
@@ -117,7 +123,8 @@
 ///
 /// It is written at the changes of stage only. Every other write of the
 /// incarnation relies on its version, and so fails once the row is sealed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RouterRow {
     /// Address of its peer service.
     pub address: Name,
@@ -135,7 +142,8 @@
 }
 
 /// What one incarnation has durably billed; key `billing/<incarnation>`.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BillingRow {
     /// Name of its newest batch of bills.
     pub head: Option<Name>,
--- a/crates/core/src/budget/rows.rs
+++ b/crates/core/src/budget/rows.rs
@@ -40,9 +40,8 @@
 }
 
 /// A budget as the table keeps it, in tokens.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct BudgetRow {
     /// Prepaid in all, top-ups included.
     pub limit: u64,
@@ -58,9 +57,8 @@
 }
 
 /// What one incarnation has drawn of one budget, in tokens.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct GrantRow {
     /// Number of the holder's last change of this row.
--- a/crates/core/src/budget/topup.rs
+++ b/crates/core/src/budget/topup.rs
@@ -9,7 +9,8 @@
 use super::rows::{BudgetRow, Seen};
 
 /// Marks one top-up as made.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct TopUpRow {
     /// Tokens that it added.
     pub tokens: u64,
--- a/crates/core/src/claim/group.rs
+++ b/crates/core/src/claim/group.rs
@@ -20,7 +20,8 @@
 pub const ROW: &str = "group";
 
 /// A member.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// Which incarnation.
     pub incarnation: Incarnation,
@@ -29,7 +30,8 @@
 }
 
 /// The group's row.
-#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct GroupRow {
     /// Grows by one with each change of who is a member.
     pub epoch: u64,
--- a/crates/core/src/claim/mod.rs
+++ b/crates/core/src/claim/mod.rs
@@ -27,7 +27,8 @@
 }
 
 /// One attempt of one incarnation; never used for two requests or twice.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Attempt {
     /// Who attempts.
     pub claimant: Incarnation,
--- a/crates/core/src/claim/table.rs
+++ b/crates/core/src/claim/table.rs
@@ -12,7 +12,8 @@
 use crate::id::Incarnation;
 
 /// How far a claim is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Stage {
     /// The attempt may run at any time, or has.
@@ -26,7 +27,8 @@
 }
 
 /// A claim's row.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRow {
     /// The attempt that holds it.
     pub attempt: Attempt,
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -99,7 +99,8 @@
 }
 
 /// A class as it stands in the table. Times are in milliseconds.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClassWire {
     name: Name,
     kind: String,
@@ -113,14 +114,16 @@
 }
 
 /// A workspace as it stands in the table.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkspaceWire {
     name: Name,
     secret: Name,
 }
 
 /// The configuration as it stands in the table and goes between routers.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigWire {
     generation: u64,
     classes: Vec<ClassWire>,
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -13,7 +13,8 @@
 pub type Name = Arc<str>;
 
 /// One life of one router process: `<router>.<random hex>`.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Incarnation(pub Name);
 
@@ -39,7 +40,8 @@
 ///
 /// With an idempotency key it is derived from workspace and key, so that a
 /// retry at another router has the same one.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestId(pub Name);
 
--- a/crates/ctl/src/audit.rs
+++ b/crates/ctl/src/audit.rs
@@ -8,7 +8,8 @@
 use crate::fleet::Budget;
 
 /// What the audit counted for a budget, in tokens.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Spent {
     /// The budget.
     pub budget: Name,
@@ -23,7 +24,8 @@
 }
 
 /// What the audit found.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Audit {
     /// Bills in all.
     pub bills: u64,
--- a/crates/ctl/src/command/apply.rs
+++ b/crates/ctl/src/command/apply.rs
@@ -22,7 +22,8 @@
 const POLL: Duration = Duration::from_millis(100);
 
 /// How far a router has come.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Progress {
     /// The router.
     pub incarnation: Incarnation,
@@ -31,7 +32,8 @@
 }
 
 /// What `apply` did.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Applied {
     /// The generation of the configuration.
     pub generation: u64,
--- a/crates/ctl/src/command/budget.rs
+++ b/crates/ctl/src/command/budget.rs
@@ -22,7 +22,8 @@
 const CREATED: &str = "create";
 
 /// What a command on a budget did.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Changed {
     /// The budget.
     pub budget: Name,
--- a/crates/ctl/src/command/drain.rs
+++ b/crates/ctl/src/command/drain.rs
@@ -7,7 +7,8 @@
 use crate::shown::Shown;
 
 /// A router that was told to drain.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 struct Draining {
     draining: String,
 }
--- a/crates/ctl/src/command/ending.rs
+++ b/crates/ctl/src/command/ending.rs
@@ -22,7 +22,8 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// A router that was sealed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 struct Sealed {
     sealed: Incarnation,
 }
@@ -67,7 +68,8 @@
 }
 
 /// What became of one grant.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Release {
     /// The budget.
     pub budget: Name,
--- a/crates/ctl/src/difference.rs
+++ b/crates/ctl/src/difference.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 
 /// One difference.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Change {
     /// `class` or `workspace`.
     pub kind: &'static str,
--- a/crates/ctl/src/query/budgets.rs
+++ b/crates/ctl/src/query/budgets.rs
@@ -11,7 +11,8 @@
 use crate::shown::{Shown, Table};
 
 /// A budget with where its tokens are, all in tokens.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct State {
     /// The budget.
     pub budget: Name,
--- a/crates/ctl/src/query/config.rs
+++ b/crates/ctl/src/query/config.rs
@@ -52,7 +52,8 @@
 }
 
 /// What `diff` found.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Difference {
     generation: u64,
     changes: Vec<Change>,
--- a/crates/ctl/src/query/explain.rs
+++ b/crates/ctl/src/query/explain.rs
@@ -9,7 +9,8 @@
 use crate::shown::Shown;
 
 /// One step of a request.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Step {
     at_ms: u64,
     router: Incarnation,
@@ -18,7 +19,8 @@
 }
 
 /// What is known of a request.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Explained {
     id: String,
     steps: Vec<Step>,
--- a/crates/ctl/src/query/routers.rs
+++ b/crates/ctl/src/query/routers.rs
@@ -11,7 +11,8 @@
 use crate::shown::{Shown, Table};
 
 /// A router as its row and its own page show it.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Listed {
     incarnation: Incarnation,
     centre: String,
@@ -83,7 +84,8 @@
 }
 
 /// A backend server as the routers see it.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Backend {
     name: String,
     centre: String,
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -124,7 +124,8 @@
     })
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct StatusPage {
     incarnation: Name,
     centre: Name,
@@ -138,12 +139,14 @@
     peers: Vec<crate::peers::PeerWire>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct BudgetsPage {
     budgets: Vec<BudgetWire>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct BudgetWire {
     budget: Name,
     held: u64,
@@ -153,12 +156,14 @@
     free: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct BackendsPage {
     backends: Vec<BackendWire>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct BackendWire {
     name: Name,
     address: String,
@@ -171,13 +176,15 @@
     reason: &'static str,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ExplainPage {
     id: String,
     events: Vec<EventWire>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct EventWire {
     at_ms: u64,
     step: &'static str,
--- a/crates/router/src/backends/roster.rs
+++ b/crates/router/src/backends/roster.rs
@@ -18,7 +18,8 @@
 /// How often waiting requests are looked at where nothing else happens.
 const TICK: Duration = Duration::from_millis(20);
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct LoadWire {
     running: u32,
     waiting: u32,
@@ -30,12 +31,14 @@
     age_ms: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct CacheWire {
     events: Vec<EventWire>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct EventWire {
     seq: u64,
     op: String,
--- a/crates/router/src/budget/biller.rs
+++ b/crates/router/src/budget/biller.rs
@@ -7,7 +7,6 @@
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -55,7 +54,7 @@
     losses: Mutex<Vec<Loss>>,
     wake: Notify,
     waiting: watch::Sender<usize>,
-    failing: AtomicBool,
+    failing: watch::Sender<bool>,
 }
 
 /// What the worker must know of the router's rows.
@@ -74,7 +73,7 @@
             losses: Mutex::default(),
             wake: Notify::new(),
             waiting: watch::channel(0).0,
-            failing: AtomicBool::new(false),
+            failing: watch::channel(false).0,
         }
     }
 }
@@ -108,9 +107,12 @@
         *self.waiting.borrow()
     }
 
-    /// Whether the store did not take the last batch.
-    pub fn is_failing(&self) -> bool {
-        self.failing.load(Ordering::Relaxed)
+    /// Waits until the store did not take a batch, at once where it did not
+    /// take the last one.
+    pub async fn fails(&self) {
+        let mut failing = self.failing.subscribe();
+        // The sender lives as long as self does.
+        let _ = failing.wait_for(|failing| *failing).await;
     }
 
     /// The bill of a request that is not durable yet.
@@ -153,11 +155,11 @@
                     row = next;
                     version = at;
                     wait = BACKOFF;
-                    self.failing.store(false, Ordering::Relaxed);
+                    self.failing.send_replace(false);
                 }
                 Step::Again => wait = BACKOFF,
                 Step::Failed => {
-                    self.failing.store(true, Ordering::Relaxed);
+                    self.failing.send_replace(true);
                     tokio::time::sleep(jittered(wait)).await;
                     wait = (wait * 2).min(BACKOFF_MOST);
                 }
--- a/crates/router/src/burn.rs
+++ b/crates/router/src/burn.rs
@@ -105,18 +105,21 @@
 }
 
 /// The burn page.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct BurnPage {
     minutes: Vec<MinuteWire>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct MinuteWire {
     minute: u64,
     rows: Vec<RowWire>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct RowWire {
     workspace: Name,
     class: Name,
@@ -125,7 +128,8 @@
     refused: Vec<RefusedWire>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct RefusedWire {
     code: &'static str,
     count: u64,
--- a/crates/router/src/door/chat.rs
+++ b/crates/router/src/door/chat.rs
@@ -242,7 +242,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ChunkWire<'a> {
     id: &'a str,
     object: &'static str,
@@ -253,20 +254,23 @@
     usage: Option<UsageWire>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ChunkChoiceWire<'a> {
     index: u32,
     delta: DeltaWire<'a>,
     finish_reason: Option<&'a str>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct DeltaWire<'a> {
     #[serde(skip_serializing_if = "Option::is_none")]
     content: Option<&'a str>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WholeWire {
     id: Name,
     object: &'static str,
@@ -276,20 +280,23 @@
     usage: UsageWire,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WholeChoiceWire {
     index: u32,
     message: MessageWire,
     finish_reason: String,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct MessageWire {
     role: &'static str,
     content: String,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct UsageWire {
     prompt_tokens: u64,
     completion_tokens: u64,
--- a/crates/router/src/door/mod.rs
+++ b/crates/router/src/door/mod.rs
@@ -65,13 +65,15 @@
     refusal.response(id)
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ListWire {
     object: &'static str,
     data: Vec<ModelWire>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ModelWire {
     id: Name,
     object: &'static str,
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -434,7 +434,8 @@
     bytes.map_or(Failure::Lost, |bytes| refusal_of(&bytes))
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct EngineWire<'a> {
     model: &'a str,
     messages: &'a [Message],
@@ -442,12 +443,14 @@
     stream: bool,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct CancelWire {
     id: Name,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct CancelledWire {
     found: bool,
     prompt: u64,
--- a/crates/router/src/flow/chunk.rs
+++ b/crates/router/src/flow/chunk.rs
@@ -52,7 +52,8 @@
 
 impl std::error::Error for Broken {}
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct EventWire {
     id: String,
     #[serde(default)]
@@ -62,19 +63,22 @@
     usage: Option<UsageWire>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ChoiceWire {
     #[serde(default)]
     delta: DeltaWire,
     finish_reason: Option<String>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct DeltaWire {
     content: Option<String>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct UsageWire {
     prompt_tokens: u64,
     completion_tokens: u64,
--- a/crates/router/src/flow/finish.rs
+++ b/crates/router/src/flow/finish.rs
@@ -2,7 +2,7 @@
 //! answer's last part.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Instant, SystemTime};
 
 use poplar_core::bill::{Answer, Bill, BilledRow};
 use tokio::sync::oneshot;
@@ -60,14 +60,12 @@
 }
 
 async fn wait(state: &Arc<State>, bill: Bill, mut done: oneshot::Receiver<Billed>) -> Sure {
-    // While the store is known to fail the copies are made at once.
-    let patience = if state.biller.is_failing() {
-        Duration::ZERO
-    } else {
-        state.settings.budget.bill
-    };
-    if let Ok(billed) = tokio::time::timeout(patience, &mut done).await {
-        return sure(billed);
+    tokio::select! {
+        biased;
+        billed = &mut done => return sure(billed),
+        // Once the store is known to fail the copies are made at once.
+        () = state.biller.fails() => {}
+        () = tokio::time::sleep(state.settings.budget.bill) => {}
     }
     if state.peers.hold(state, &bill).await {
         let state = state.clone();
--- a/crates/router/src/flow/refused.rs
+++ b/crates/router/src/flow/refused.rs
@@ -8,12 +8,14 @@
 use crate::refusal::Refusal;
 use crate::state::State;
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct RefusedWire {
     error: CodeWire,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct CodeWire {
     code: String,
 }
--- a/crates/router/src/flow/request.rs
+++ b/crates/router/src/flow/request.rs
@@ -19,7 +19,8 @@
 const TOKEN_BYTES: usize = 4;
 
 /// One message of a chat.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Message {
     /// Who speaks.
     pub role: String,
@@ -27,7 +28,8 @@
     pub content: String,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ChatWire {
     model: String,
     messages: Vec<Message>,
@@ -39,7 +41,8 @@
     stream_options: Option<OptionsWire>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct OptionsWire {
     #[serde(default)]
     include_usage: bool,
--- a/crates/router/src/peers/mod.rs
+++ b/crates/router/src/peers/mod.rs
@@ -50,7 +50,8 @@
 }
 
 /// A peer as the admin page shows it.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct PeerWire {
     incarnation: Name,
     address: String,
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -250,12 +250,14 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct BodyWire {
     error: ErrorWire,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ErrorWire {
     code: &'static str,
     message: String,
--- a/crates/standins/src/engine/calls.rs
+++ b/crates/standins/src/engine/calls.rs
@@ -30,7 +30,8 @@
 const CAP: u32 = 4096;
 
 /// A chat completion as it is asked for.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ChatWire {
     model: Option<String>,
     messages: Vec<Message>,
@@ -40,13 +41,15 @@
 }
 
 /// A request to stop another one.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct CancelWire {
     id: Name,
 }
 
 /// What a cancelled request used, in tokens.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct CancelledWire {
     found: bool,
     prompt: u64,
@@ -54,7 +57,8 @@
 }
 
 /// A change of the prefix cache.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct EventWire {
     seq: u64,
     op: &'static str,
--- a/crates/standins/src/engine/control.rs
+++ b/crates/standins/src/engine/control.rs
@@ -42,7 +42,8 @@
 }
 
 /// One number or several.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum NumbersWire {
     /// One.
@@ -62,7 +63,8 @@
 }
 
 /// A partial update of the switches.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct SwitchesWire {
     /// See [`Switches::slow`].
--- a/crates/standins/src/engine/counts.rs
+++ b/crates/standins/src/engine/counts.rs
@@ -7,7 +7,8 @@
 use super::batch::{Job, Started};
 
 /// What was used of an engine, in tokens but for `runs` and `resumes`.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Usage {
     /// Times that a run started from the first token.
     pub runs: u64,
@@ -34,7 +35,8 @@
 }
 
 /// What one request came to at this engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestCount {
     /// The request.
     pub id: Name,
@@ -52,7 +54,8 @@
 }
 
 /// What one workspace used.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkspaceCount {
     /// The workspace.
     pub workspace: Name,
@@ -62,7 +65,8 @@
 }
 
 /// Counts over all requests.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Totals {
     /// Arrivals while the engine was leaving, all refused.
     pub after_leaving: u64,
@@ -94,7 +98,8 @@
 }
 
 /// All counts on the wire.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct CountsWire {
     /// The engine.
     pub name: Name,
--- a/crates/standins/src/engine/text.rs
+++ b/crates/standins/src/engine/text.rs
@@ -30,7 +30,8 @@
 ];
 
 /// A message of a prompt.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Message {
     /// Who speaks.
     pub role: String,
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A load report on the wire.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadWire {
     /// Requests that run.
     pub running: usize,
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -185,7 +185,8 @@
 }
 
 /// A change of one host.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ChangeWire {
     state: String,
 }
--- a/crates/standins/src/platform/control.rs
+++ b/crates/standins/src/platform/control.rs
@@ -20,7 +20,8 @@
 }
 
 /// `true`, `false` or `"hang"`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum DownWire {
     /// Refuses or works.
@@ -83,7 +84,8 @@
 }
 
 /// A partial update of the switches.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct SwitchesWire {
     /// See [`Switches::table`].
--- a/crates/standins/src/platform/counts.rs
+++ b/crates/standins/src/platform/counts.rs
@@ -42,7 +42,8 @@
 }
 
 /// What one router asked for.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Share {
     /// Rows and objects read.
     pub reads: u64,
@@ -53,7 +54,8 @@
 }
 
 /// Exact counts since the start.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Totals {
     /// Rows read, also by scans.
     pub reads: u64,
@@ -82,7 +84,8 @@
 }
 
 /// One router's share on the wire.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ShareWire {
     /// The router's label.
     pub router: Name,
@@ -101,7 +104,8 @@
 }
 
 /// The counts on the wire.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct CountsWire {
     /// Counts over all routers.
     #[serde(flatten)]
--- a/crates/standins/src/platform/watch.rs
+++ b/crates/standins/src/platform/watch.rs
@@ -14,7 +14,8 @@
 const KEPT: usize = 8;
 
 /// A commit that broke an invariant.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Violation {
     /// The budget.
     pub budget: String,
--- a/crates/standins/src/service/control.rs
+++ b/crates/standins/src/service/control.rs
@@ -25,7 +25,8 @@
 }
 
 /// A partial update of the switches.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct SwitchesWire {
     /// See [`Switches::delay`], in milliseconds.
--- a/crates/standins/src/service/counts.rs
+++ b/crates/standins/src/service/counts.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What one request came to at this service.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Calls {
     /// Times that it arrived, also where it was refused.
     pub seen: u64,
@@ -29,7 +30,8 @@
 }
 
 /// The calls of one request or workspace.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CallsWire {
     /// The request's or workspace's name.
     pub name: Name,
@@ -39,7 +41,8 @@
 }
 
 /// The counts on the wire.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CountsWire {
     /// The service's host.
     pub name: Name,
