Add the load tool

poplar-load sends the requests of a deployment at times computed beforehand from a seed, as a well-written client would: over ready routers, honouring Retry-After, under the same idempotency key, bounded in count and time. A rush is a second stream of arrivals, so that the other workspaces' arrivals are the same with it and without it.

--- a/crates/base/src/args.rs
+++ b/crates/base/src/args.rs
@@ -74,11 +74,18 @@
     /// `usage` follows the name in the first line of the help text, `about`
     /// stands below it.
     pub fn new(name: &'static str, usage: &str, about: &str) -> Self {
+        let mut command = Self::plain(name, usage, about);
+        let options = &mut command.options;
+        options.optopt("s", "settings", "read the settings in FILE", "FILE");
+        command
+    }
+
+    /// As [`Command::new`], for a program without a settings file.
+    pub fn plain(name: &'static str, usage: &str, about: &str) -> Self {
         let mut options = Options::new();
         options.parsing_style(ParsingStyle::FloatingFrees);
         options.optflag("h", "help", "print this help");
         options.optflag("V", "version", "print the version");
-        options.optopt("s", "settings", "read the settings in FILE", "FILE");
         let brief = format!("{about}\n\nUsage: {name} {usage}");
         Self {
             name,
@@ -114,7 +121,7 @@
         let read = self.options.parse(words);
         let matches = read.map_err(|e| Failure::usage(format!("{e}; try {} --help", self.name)))?;
         if matches.opt_present("help") {
-            return Ok(Asked::Print(self.options.usage(&self.brief)));
+            return Ok(Asked::Print(self.options.usage(&self.brief) + "\n"));
         }
         if matches.opt_present("version") {
             let version = env!("CARGO_PKG_VERSION");
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,7 @@
+//! The load and experiment tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    poplar_base::args::exit(poplar_load::run(std::env::args().skip(1)))
+}
--- /dev/null
+++ b/crates/load/src/options.rs
@@ -0,0 +1,250 @@
+//! What a run is asked for.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use poplar_base::args::{self, Command, Failure, Matches, Outcome};
+use poplar_base::settings::parse_duration;
+
+use crate::balancer::{self, Target};
+use crate::mix::{self, Mix, Work};
+use crate::retry::Policy;
+use crate::schedule::{Plan, Rush};
+
+/// Most arrivals a second.
+const RATE: f64 = 50_000.0;
+/// Longest run.
+const DURATION: Duration = Duration::from_secs(3600);
+/// Most requests under way.
+const STREAMS: usize = 20_000;
+/// Most attempts at a request.
+const ATTEMPTS: u32 = 20;
+/// Distinct prompts of a class and workspace when answers are compared.
+const VERIFIED: u64 = 8;
+
+const USAGE: &str = "--mix NAME --target IP:PORT[,IP:PORT] [options]
+       poplar-load --plot FILE.svg RESULT.json...";
+
+const ABOUT: &str = "Sends requests of a deployment at times computed from a seed, and prints one
+JSON result. A target is a router's address for callers, then its admin
+address, whose /readyz the balancer follows.";
+
+/// The command line of the program.
+pub fn command() -> Command {
+    Command::plain("poplar-load", USAGE, ABOUT)
+        .value("mix", "waiharakeke or nairobi", "NAME")
+        .values(
+            "target",
+            "a router; several are given one by one",
+            "ADDRESSES",
+        )
+        .value("name", "name of the run in the result", "NAME")
+        .value("seed", "seed of the arrivals [1]", "N")
+        .value("rate", "arrivals a second [20]", "N")
+        .value("duration", "how long requests arrive [10s]", "TIME")
+        .value(
+            "skip",
+            "leave arrivals before this out of the result [0s]",
+            "TIME",
+        )
+        .value(
+            "streams",
+            "most requests under way; more are shed [2000]",
+            "N",
+        )
+        .value("attempts", "most attempts at a request [4]", "N")
+        .value("patience", "until a caller gives up [150s]", "TIME")
+        .value(
+            "rush",
+            "a workspace sends more: as council,10,5s,15s",
+            "NAME,TIMES,FROM,UNTIL",
+        )
+        .value(
+            "prefix",
+            "bytes that prompts of a workspace and class share",
+            "N",
+        )
+        .value("prompts", "distinct prompts of a workspace and class", "N")
+        .value("only", "leave only these classes", "CLASS,...")
+        .values("key", "access key of a workspace [trial-NAME]", "NAME=KEY")
+        .value("classes", "take targets from a classes file", "FILE")
+        .value(
+            "platform",
+            "ask for overspend and false refusals",
+            "IP:PORT",
+        )
+        .value(
+            "run",
+            "beginning of idempotency keys [from the time]",
+            "TEXT",
+        )
+        .value(
+            "direct",
+            "targets are engines of this model, for comparison",
+            "MODEL",
+        )
+        .flag(
+            "unkeyed",
+            "no idempotency key where a request may be repeated",
+        )
+        .flag("verify", "compare answers to the same prompt")
+        .value("plot", "draw results side by side into FILE", "FILE")
+}
+
+/// What a run is asked for.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name of the run.
+    pub name: String,
+    /// The mix.
+    pub mix: Mix,
+    /// The routers.
+    pub targets: Vec<Target>,
+    /// The arrivals.
+    pub plan: Plan,
+    /// Arrivals before this are left out of the result.
+    pub skip: Duration,
+    /// Most requests under way.
+    pub streams: usize,
+    /// How often requests are sent again.
+    pub policy: Policy,
+    /// The platform, where it is asked.
+    pub platform: Option<SocketAddr>,
+    /// Beginning of idempotency keys.
+    pub run: String,
+    /// Whether repeatable requests carry a key too.
+    pub keyed: bool,
+    /// Model of the engines, where they are called without a router.
+    pub direct: Option<String>,
+    /// Whether answers to the same prompt are compared.
+    pub verify: bool,
+}
+
+/// Reads the options of a run; `run` names it where the caller doesn't.
+///
+/// # Errors
+/// [`Failure::Usage`] for values that can't be read or are out of range.
+pub fn read(matches: &Matches, run: &str) -> Outcome<Options> {
+    let mix = mix(matches)?;
+    let targets = targets(matches)?;
+    let verify = matches.opt_present("verify");
+    let prompts = args::read(matches, "prompts", "a whole number")?;
+    let default = if verify { VERIFIED } else { 0 };
+    let plan = Plan {
+        seed: args::read(matches, "seed", "a whole number")?.unwrap_or(1),
+        rate: bounded(matches, "rate", 20.0, 0.001, RATE)?,
+        duration: span(matches, "duration", Duration::from_secs(10))?,
+        rush: rush(matches, &mix)?,
+        prompts: prompts.unwrap_or(default),
+    };
+    let policy = Policy {
+        attempts: bounded(matches, "attempts", 4, 1, ATTEMPTS)?,
+        patience: span(matches, "patience", Duration::from_secs(150))?,
+    };
+    Ok(Options {
+        name: matches
+            .opt_str("name")
+            .unwrap_or_else(|| mix.name.to_owned()),
+        skip: span(matches, "skip", Duration::ZERO)?,
+        streams: bounded(matches, "streams", 2000, 1, STREAMS)?,
+        platform: args::read(matches, "platform", "IP:PORT")?,
+        run: matches.opt_str("run").unwrap_or_else(|| run.to_owned()),
+        keyed: !matches.opt_present("unkeyed"),
+        direct: matches.opt_str("direct"),
+        mix,
+        targets,
+        plan,
+        policy,
+        verify,
+    })
+}
+
+fn mix(matches: &Matches) -> Outcome<Mix> {
+    let name = matches.opt_str("mix").unwrap_or_default();
+    let found = mix::find(&name);
+    let why = format!("--mix {name:?}; accepted: {}", mix::NAMES);
+    let mut mix = found.ok_or_else(|| Failure::usage(why))?;
+    if let Some(only) = matches.opt_str("only") {
+        let names: Vec<String> = only.split(',').map(str::to_owned).collect();
+        mix.only(&names);
+        if mix.items.len() != names.len() {
+            return Err(Failure::usage(format!(
+                "--only {only:?} names no such classes"
+            )));
+        }
+    }
+    if let Some(bytes) = args::read(matches, "prefix", "a number of bytes")? {
+        mix.prefixed(bytes);
+    }
+    if matches.opt_present("direct") {
+        mix.items.retain(|i| matches!(i.work, Work::Chat(_)));
+    }
+    for text in matches.opt_strs("key") {
+        let split = text.split_once('=');
+        let place = split.and_then(|(name, key)| Some((mix.sender(name)?, key)));
+        let why = "--key; accepted: NAME=KEY of a workspace in the mix";
+        let (at, key) = place.ok_or_else(|| Failure::usage(why))?;
+        key.clone_into(&mut mix.senders[at].key);
+    }
+    if let Some(file) = matches.opt_str("classes") {
+        let config = poplar_ctl::classes::open(file);
+        mix.retarget(&config.map_err(|faults| poplar_ctl::open::edge(faults.into()))?);
+    }
+    Ok(mix)
+}
+
+fn targets(matches: &Matches) -> Outcome<Vec<Target>> {
+    let given = matches.opt_strs("target");
+    if given.is_empty() {
+        return Err(Failure::usage("--target IP:PORT is missing"));
+    }
+    let read = given.iter().map(|text| balancer::parse(text));
+    let read: Result<Vec<Target>, String> = read.collect();
+    read.map_err(|why| Failure::usage(format!("--target: {why}")))
+}
+
+fn rush(matches: &Matches, mix: &Mix) -> Outcome<Option<Rush>> {
+    let Some(text) = matches.opt_str("rush") else {
+        return Ok(None);
+    };
+    let read = parse_rush(&text).filter(|rush| mix.sender(&rush.workspace).is_some());
+    let why = format!("--rush {text:?}; accepted: WORKSPACE,TIMES,FROM,UNTIL as council,10,5s,15s");
+    read.map(Some).ok_or_else(|| Failure::usage(why))
+}
+
+fn parse_rush(text: &str) -> Option<Rush> {
+    let parts: Vec<&str> = text.split(',').collect();
+    let [workspace, times, from, until] = parts[..] else {
+        return None;
+    };
+    let rush = Rush {
+        workspace: workspace.to_owned(),
+        times: times.parse().ok().filter(|t| (1.0..=1000.0).contains(t))?,
+        from: parse_duration(from).ok()?,
+        until: parse_duration(until).ok()?,
+    };
+    (rush.from < rush.until).then_some(rush)
+}
+
+fn bounded<T>(matches: &Matches, name: &str, default: T, least: T, most: T) -> Outcome<T>
+where
+    T: std::str::FromStr + PartialOrd + std::fmt::Display + Copy,
+{
+    let accepted = format!("a number from {least} to {most}");
+    let value = args::read(matches, name, &accepted)?.unwrap_or(default);
+    if value >= least && value <= most {
+        Ok(value)
+    } else {
+        let why = format!("--{name} {value}; accepted: {accepted}");
+        Err(Failure::usage(why))
+    }
+}
+
+fn span(matches: &Matches, name: &str, default: Duration) -> Outcome<Duration> {
+    let Some(text) = matches.opt_str(name) else {
+        return Ok(default);
+    };
+    let read = parse_duration(&text).ok().filter(|d| *d <= DURATION);
+    let why = format!("--{name} {text:?}; accepted: a whole number with ms, s, m or h, at most 1h");
+    read.ok_or_else(|| Failure::usage(why))
+}
--- /dev/null
+++ b/crates/load/tests/command.rs
@@ -0,0 +1,26 @@
+//! The program's exit codes.
+
+use std::process::Command;
+
+fn code(words: &[&str]) -> i32 {
+    let program = env!("CARGO_BIN_EXE_poplar-load");
+    let output = Command::new(program).args(words).output().unwrap();
+    output.status.code().unwrap()
+}
+
+#[test]
+fn bad_options_are_usage_and_an_unreached_router_is_a_result() {
+    let right = ["--mix", "nairobi", "--target", "127.0.0.1:1"];
+    let with = |more: &[&'static str]| code(&[&right[..], more].concat());
+    assert_eq!(code(&["--help"]), 0);
+    assert_eq!(code(&["--mix", "nairobi"]), 2);
+    assert_eq!(code(&["--mix", "elsewhere", "--target", "127.0.0.1:1"]), 2);
+    assert_eq!(with(&["--rate", "0"]), 2);
+    assert_eq!(with(&["--rate", "NaN"]), 2);
+    assert_eq!(with(&["--duration", "2h"]), 2);
+    assert_eq!(with(&["--rush", "nobody,10,1s,2s"]), 2);
+    assert_eq!(with(&["--rush", "teams,10,2s,1s"]), 2);
+    assert_eq!(with(&["--only", "festival-plan"]), 2);
+    assert_eq!(code(&["--plot", "x.svg"]), 2);
+    assert_eq!(with(&["--duration", "100ms", "--attempts", "1"]), 0);
+}
