--- a/crates/router/src/peers/service.rs
+++ b/crates/router/src/peers/service.rs
@@ -52,11 +52,12 @@
             state.peers.heard(sender, Instant::now());
             behind = sender.generation < state.config().generation;
         }
+        state.crashes.hear(request.sightings, Instant::now());
         gossip::learn(state, &request.config);
         let config = state.config();
         Ok(Response::new(GossipReply {
             sender: Some(gossip::member(state)),
-            sightings: Vec::new(),
+            sightings: state.crashes.told(Instant::now()),
             config: if behind {
                 gossip::encode(&config)
             } else {
@@ -65,8 +66,11 @@
         }))
     }
 
-    async fn give(&self, _request: Request<GiveRequest>) -> Result<Response<GiveReply>, Status> {
-        Ok(Response::new(GiveReply { tokens: 0 }))
+    async fn give(&self, request: Request<GiveRequest>) -> Result<Response<GiveReply>, Status> {
+        if self.state.is_sealed() {
+            return Err(Status::failed_precondition("sealed"));
+        }
+        Ok(Response::new(self.state.bank.give(request.get_ref())))
     }
 
     async fn hold(&self, request: Request<HoldRequest>) -> Result<Response<HoldReply>, Status> {
