--- a/crates/load/tests/caller.rs
+++ b/crates/load/tests/caller.rs
@@ -93,11 +93,11 @@
     assert!(parse("localhost:1").is_err());
 }
 
-fn answered(text: &str, finish: Duration) -> End {
+fn answered(text: &str, first: u64, finish: u64) -> End {
     End::Answered(Answer {
-        first: Some(finish / 2),
+        first: Some(Duration::from_millis(first)),
         gaps: vec![5_000],
-        finish,
+        finish: Duration::from_millis(finish),
         text: text.to_owned(),
         counted: true,
     })
@@ -132,9 +132,9 @@
             refusals: vec![refusal.clone(); refusals],
         });
     };
-    add(answered("a", Duration::from_secs(1)), 1, 0);
-    add(answered("a", Duration::from_secs(1)), 2, 1);
-    add(answered("b", Duration::from_secs(11)), 1, 0);
+    add(answered("a", 500, 1_000), 1, 0);
+    add(answered("a", 600, 1_000), 2, 1);
+    add(answered("b", 500, 11_000), 1, 0);
     add(End::Failed(Failure::Refused(refusal.clone())), 3, 3);
     add(End::Failed(Failure::Lost), 1, 0);
     add(End::Shed, 0, 0);
