Count lost tokens in budgets, audit and burn report

The core's billing row now keeps losses beside bills: tokens that a request took off a budget without an answer to bill. Budgets show them, the audit checks their sums, overspend counts them, and release takes them as accounted for. Seen to fail with the losses' check and their part of the overspend left out.

--- a/crates/burn/src/gather.rs
+++ b/crates/burn/src/gather.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::report::{Answered, Input, Refused, WINDOWS};
+use crate::report::{Answered, Input, Refused, Spending, WINDOWS};
 
 /// A router's burn page.
 #[derive(Debug, Default, Deserialize)]
@@ -68,18 +68,25 @@
     }
 }
 
-async fn budgets(fleet: &Fleet, chains: &[Chain]) -> Result<Vec<(Name, u64, u64)>> {
-    let mut sums: SortedVec<Name, (u64, u64)> = SortedVec::new();
-    for (budget, tokens) in chains.iter().flat_map(|c| &c.billed) {
-        sums.entry(budget.clone(), || (0, 0)).1 += tokens;
+async fn budgets(fleet: &Fleet, chains: &[Chain]) -> Result<Vec<Spending>> {
+    let mut sums: SortedVec<Name, Spending> = SortedVec::new();
+    let empty = |budget: &Name| Spending {
+        budget: budget.clone(),
+        ..Spending::default()
+    };
+    for row in chains.iter().map(|c| &c.row) {
+        for (budget, tokens) in &row.billed {
+            sums.entry(budget.clone(), || empty(budget)).billed += tokens;
+        }
+        for (budget, tokens) in &row.lost {
+            sums.entry(budget.clone(), || empty(budget)).lost += tokens;
+        }
     }
     for budget in fleet.budgets().await? {
-        sums.entry(budget.name, || (0, 0)).0 = budget.row.limit;
+        let name = budget.name;
+        sums.entry(name.clone(), || empty(&name)).limit = budget.row.limit;
     }
-    let sums = sums.iter();
-    Ok(sums
-        .map(|(name, sum)| (name.clone(), sum.0, sum.1))
-        .collect())
+    Ok(sums.iter().map(|(_, spending)| spending.clone()).collect())
 }
 
 async fn ask(fleet: &Fleet, mut routers: Vec<Router>, input: &mut Input) {
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -53,17 +53,24 @@
     pub wrong: u64,
 }
 
-/// What a budget holds and what was billed, in tokens.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct Spent {
+/// What a budget holds and what was taken off it, in tokens.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Spending {
     /// The budget.
     pub budget: Name,
     /// Prepaid in all.
     pub limit: u64,
     /// Billed in all.
     pub billed: u64,
-    /// Billed over the limit; must be 0.
-    pub overspend: u64,
+    /// Taken off without an answer to bill.
+    pub lost: u64,
+}
+
+impl Spending {
+    /// Tokens taken off over the limit; must be 0.
+    pub fn overspend(&self) -> u64 {
+        (self.billed + self.lost).saturating_sub(self.limit)
+    }
 }
 
 /// What was gathered.
@@ -75,8 +82,8 @@
     pub answered: Vec<Answered>,
     /// Refusals of the last day, in any order.
     pub refused: Vec<Refused>,
-    /// Every budget: its name, limit, and tokens billed.
-    pub budgets: Vec<(Name, u64, u64)>,
+    /// Every budget.
+    pub budgets: Vec<Spending>,
     /// Live routers whose page could not be read.
     pub silent: Vec<Incarnation>,
     /// Chains of bills that break off.
@@ -140,7 +147,7 @@
     /// Refusals by reason.
     pub refusals: Vec<Reason>,
     /// Every budget.
-    pub budgets: Vec<Spent>,
+    pub budgets: Vec<Spending>,
     /// Overspend of all budgets, in tokens.
     pub overspend: u64,
     /// False refusals of the day.
@@ -166,29 +173,19 @@
 pub fn report(input: &Input, now: u64) -> Report {
     let tallies = tally(input, now);
     let refusals = reasons(input, now);
-    let budgets: Vec<Spent> = input.budgets.iter().map(spent).collect();
     let row = |(key, counts): (&(Name, Name), &_)| row(&input.config, key, counts);
     Report {
         at_ms: now,
         rows: tallies.iter().map(row).collect(),
-        overspend: budgets.iter().map(|b| b.overspend).sum(),
+        overspend: input.budgets.iter().map(Spending::overspend).sum(),
         false_refusals: refusals.iter().map(|r| r.false_refusals).sum(),
         refusals,
-        budgets,
+        budgets: input.budgets.clone(),
         silent: input.silent.clone(),
         broken: input.broken.clone(),
     }
 }
 
-fn spent((budget, limit, billed): &(Name, u64, u64)) -> Spent {
-    Spent {
-        budget: budget.clone(),
-        limit: *limit,
-        billed: *billed,
-        overspend: billed.saturating_sub(*limit),
-    }
-}
-
 /// Whether something that ended at `end` is within `window` before `now`.
 fn within(end: u64, now: u64, window: u64) -> bool {
     end > now.saturating_sub(window)
--- a/crates/burn/src/text.rs
+++ b/crates/burn/src/text.rs
@@ -84,13 +84,14 @@
 }
 
 fn budgets(report: &Report) -> String {
-    let mut table = Table::new(["BUDGET", "LIMIT", "BILLED", "OVERSPEND"]);
+    let mut table = Table::new(["BUDGET", "LIMIT", "BILLED", "LOST", "OVERSPEND"]);
     for spent in &report.budgets {
         table.row([
             spent.budget.to_string(),
             spent.limit.to_string(),
             spent.billed.to_string(),
-            spent.overspend.to_string(),
+            spent.lost.to_string(),
+            spent.overspend().to_string(),
         ]);
     }
     table.text()
--- a/crates/burn/tests/report.rs
+++ b/crates/burn/tests/report.rs
@@ -3,7 +3,7 @@
 use std::process::Command;
 
 use poplar_base::settings::File;
-use poplar_burn::report::{Answered, Input, Refused, Report, burn, report};
+use poplar_burn::report::{Answered, Input, Refused, Report, Spending, burn, report};
 use poplar_burn::{picture, text};
 use poplar_core::id::Incarnation;
 use poplar_ctl::classes;
@@ -32,6 +32,15 @@
     }
 }
 
+fn spending(budget: &str, limit: u64, billed: u64, lost: u64) -> Spending {
+    Spending {
+        budget: budget.into(),
+        limit,
+        billed,
+        lost,
+    }
+}
+
 fn input() -> Input {
     let text = "[class plan]\nkind = model\nserves = s\nfirst = 1s\nfinish = 9s\ncap = 9\n\
                 objective = 0.99\n\
@@ -58,7 +67,7 @@
             refused("plan", 0, "overloaded", 4, 0),
             refused("plan", 25 * 60 * MINUTE, "overloaded", 9, 9),
         ],
-        budgets: vec![("council".into(), 100, 90), ("crew".into(), 10, 12)],
+        budgets: vec![spending("council", 100, 90, 10), spending("crew", 10, 9, 3)],
         silent: vec![Incarnation("north.1".into())],
         broken: vec!["bills/north.1/00000001-0".into()],
     }
--- a/crates/ctl/src/audit.rs
+++ b/crates/ctl/src/audit.rs
@@ -16,9 +16,11 @@
     pub limit: u64,
     /// Sum of its bills.
     pub billed: u64,
-    /// Sum of what the routers' rows say.
+    /// Taken off without an answer to bill.
+    pub lost: u64,
+    /// Billed and lost, as the routers' rows say.
     pub rows: u64,
-    /// Billed over the limit, by the larger of the two sums.
+    /// Taken off over the limit, by the larger of the two sums.
     pub overspend: u64,
 }
 
@@ -60,63 +62,87 @@
     }
 }
 
-/// Sums of a chain's bills by budget.
-fn sums(chain: &Chain) -> SortedVec<Name, u64> {
+/// Sums of `parts`, tokens by budget.
+fn sums<'a>(parts: impl Iterator<Item = (&'a Name, u64)>) -> SortedVec<Name, u64> {
     let mut sums = SortedVec::new();
-    for bill in &chain.bills {
-        *sums.entry(bill.budget.clone(), || 0) += bill.tokens();
+    for (budget, tokens) in parts {
+        *sums.entry(budget.clone(), || 0) += tokens;
     }
     sums
 }
 
+fn bills(chain: &Chain) -> impl Iterator<Item = (&Name, u64)> {
+    chain.bills.iter().map(|b| (&b.budget, b.tokens()))
+}
+
+fn losses(chain: &Chain) -> impl Iterator<Item = (&Name, u64)> {
+    chain.losses.iter().map(|l| (&l.budget, l.tokens))
+}
+
 fn check_chain(chain: &Chain, faults: &mut Vec<String>) {
     let of = chain.of.as_ref().map_or("?", |of| &of.0);
     if let Some(name) = &chain.broken {
         faults.push(format!("{of}: the chain breaks at {name}"));
     }
-    if chain.found != chain.counted {
-        let (found, counted) = (chain.found, chain.counted);
+    let (found, counted) = (chain.found, chain.row.batches);
+    if found != counted {
         faults.push(format!("{of}: {found} batches found, {counted} counted"));
     }
-    let sums = sums(chain);
-    let rows: SortedVec<Name, u64> = chain.billed.iter().cloned().collect();
-    let names: SortedVec<Name, ()> = sums
-        .iter()
-        .chain(rows.iter())
-        .map(|(name, _)| (name.clone(), ()))
-        .collect();
-    for (budget, ()) in names.iter() {
-        let sum = sums.get(budget).copied().unwrap_or(0);
-        let row = rows.get(budget).copied().unwrap_or(0);
-        if sum != row {
-            faults.push(format!(
-                "{of}: bills of {budget} sum to {sum}, its row says {row}"
-            ));
+    let rows = &chain.row;
+    for (what, parts, row) in [
+        ("bills", sums(bills(chain)), &rows.billed),
+        ("losses", sums(losses(chain)), &rows.lost),
+    ] {
+        let row: SortedVec<Name, u64> = row.iter().cloned().collect();
+        for budget in names(&parts, &row) {
+            let sum = parts.get(&budget).copied().unwrap_or(0);
+            let said = row.get(&budget).copied().unwrap_or(0);
+            if sum != said {
+                faults.push(format!(
+                    "{of}: {what} of {budget} sum to {sum}, its row says {said}"
+                ));
+            }
         }
     }
 }
 
+/// Names in either, in order.
+fn names(one: &SortedVec<Name, u64>, other: &SortedVec<Name, u64>) -> Vec<Name> {
+    let all = one.iter().chain(other.iter());
+    let mut names: Vec<Name> = all.map(|(name, _)| name.clone()).collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
 fn spent(chains: &[Chain], budgets: &[Budget]) -> Vec<Spent> {
     let mut all: SortedVec<Name, Spent> = SortedVec::new();
     let empty = |budget: &Name| Spent {
         budget: budget.clone(),
         limit: 0,
         billed: 0,
+        lost: 0,
         rows: 0,
         overspend: 0,
     };
     for budget in budgets {
         all.entry(budget.name.clone(), || empty(&budget.name)).limit = budget.row.limit;
     }
-    for bill in chains.iter().flat_map(|c| &c.bills) {
-        all.entry(bill.budget.clone(), || empty(&bill.budget))
-            .billed += bill.tokens();
+    for (budget, tokens) in chains.iter().flat_map(bills) {
+        all.entry(budget.clone(), || empty(budget)).billed += tokens;
     }
-    for (budget, tokens) in chains.iter().flat_map(|c| &c.billed) {
-        all.entry(budget.clone(), || empty(budget)).rows += tokens;
+    for (budget, tokens) in chains.iter().flat_map(losses) {
+        all.entry(budget.clone(), || empty(budget)).lost += tokens;
+    }
+    for row in chains.iter().map(|c| &c.row) {
+        for (budget, tokens) in row.billed.iter().chain(&row.lost) {
+            all.entry(budget.clone(), || empty(budget)).rows += tokens;
+        }
     }
     let close = |spent: &Spent| Spent {
-        overspend: spent.billed.max(spent.rows).saturating_sub(spent.limit),
+        overspend: (spent.billed + spent.lost)
+            .max(spent.rows)
+            .saturating_sub(spent.limit),
         ..spent.clone()
     };
     all.iter().map(|(_, spent)| close(spent)).collect()
--- a/crates/ctl/src/chain.rs
+++ b/crates/ctl/src/chain.rs
@@ -1,7 +1,7 @@
 //! Bills as the object store keeps them: each router's chain of batches.
 
 use poplar_base::platform::{self, Platform};
-use poplar_core::bill::{Batch, Bill};
+use poplar_core::bill::{Batch, Bill, BillingRow, Loss};
 use poplar_core::id::{Incarnation, Name};
 
 use crate::error::Result;
@@ -12,14 +12,14 @@
 pub struct Chain {
     /// Whose it is.
     pub of: Option<Incarnation>,
-    /// Tokens billed by budget, as the router's row says.
-    pub billed: Vec<(Name, u64)>,
-    /// Batches that the row counts.
-    pub counted: u64,
+    /// What the router's row says.
+    pub row: BillingRow,
     /// Batches that were found.
     pub found: u64,
     /// The bills, newest batch first.
     pub bills: Vec<Bill>,
+    /// Tokens that were lost.
+    pub losses: Vec<Loss>,
     /// Name of a batch that should be there and isn't, or can't be read.
     pub broken: Option<Name>,
 }
@@ -35,13 +35,12 @@
 pub async fn read(platform: &Platform, router: &Router, since: u64) -> Result<Chain> {
     let mut chain = Chain {
         of: Some(router.name.clone()),
-        billed: router.billing.billed.clone(),
-        counted: router.billing.batches,
+        row: router.billing.clone(),
         ..Chain::default()
     };
     let mut next = router.billing.head.clone();
     while let Some(name) = next {
-        if chain.found == chain.counted {
+        if chain.found == chain.row.batches {
             chain.broken = Some(name);
             break;
         }
@@ -52,6 +51,7 @@
         chain.found += 1;
         let newest = batch.bills.iter().map(|b| b.at_ms).max();
         chain.bills.extend(batch.bills);
+        chain.losses.extend(batch.losses);
         if newest.is_some_and(|at| at < since) {
             break;
         }
--- a/crates/ctl/src/command/ending.rs
+++ b/crates/ctl/src/command/ending.rs
@@ -181,10 +181,9 @@
 fn own(router: &Row, billing: &Row, budget: &Name) -> Result<Own> {
     let row = router.decode::<RouterRow>()?;
     let billing: BillingRow = billing.decode()?.unwrap_or_default();
-    let billed = billing.billed.iter().find(|(name, _)| name == budget);
     Ok(Own {
         sealed: row.is_some_and(|r| r.stage == Stage::Sealed),
-        accounted: billed.map_or(0, |(_, tokens)| *tokens),
+        accounted: billing.accounted(budget),
     })
 }
 
--- a/crates/ctl/src/query/bills.rs
+++ b/crates/ctl/src/query/bills.rs
@@ -20,12 +20,13 @@
 }
 
 fn text(audit: &Audit) -> String {
-    let mut table = Table::new(["BUDGET", "LIMIT", "BILLED", "OVERSPEND"]);
+    let mut table = Table::new(["BUDGET", "LIMIT", "BILLED", "LOST", "OVERSPEND"]);
     for spent in &audit.budgets {
         table.row([
             spent.budget.to_string(),
             spent.limit.to_string(),
             spent.billed.to_string(),
+            spent.lost.to_string(),
             spent.overspend.to_string(),
         ]);
     }
--- a/crates/ctl/src/query/budgets.rs
+++ b/crates/ctl/src/query/budgets.rs
@@ -19,9 +19,11 @@
     pub limit: u64,
     /// Billed, as the routers' rows say.
     pub billed: u64,
-    /// Granted to live routers and not billed yet.
+    /// Taken off without an answer to bill, as the routers' rows say.
+    pub lost: u64,
+    /// Granted to live routers and not taken off yet.
     pub held: u64,
-    /// Granted to sealed routers and not billed: counted as spent.
+    /// Granted to sealed routers and not taken off: counted as spent.
     pub stranded: u64,
     /// Not granted to any router.
     pub available: u64,
@@ -38,6 +40,7 @@
             budget: budget.name.clone(),
             limit: budget.row.limit,
             billed: 0,
+            lost: 0,
             held: 0,
             stranded: 0,
             available: budget.row.available(),
@@ -51,16 +54,15 @@
 }
 
 fn add(state: &mut State, grants: &SortedVec<(Name, Incarnation), GrantRow>, router: &Router) {
-    let of = |pair: &&(Name, u64)| pair.0 == state.budget;
-    let billed = router
-        .billing
-        .billed
-        .iter()
-        .find(of)
-        .map_or(0, |pair| pair.1);
+    let sum = |sums: &[(Name, u64)]| {
+        let found = sums.iter().find(|(name, _)| *name == state.budget);
+        found.map_or(0, |(_, tokens)| *tokens)
+    };
+    let (billed, lost) = (sum(&router.billing.billed), sum(&router.billing.lost));
     let grant = grants.get(&(state.budget.clone(), router.name.clone()));
-    let left = grant.map_or(0, |g| g.granted.saturating_sub(billed));
+    let left = grant.map_or(0, |g| g.granted.saturating_sub(billed + lost));
     state.billed += billed;
+    state.lost += lost;
     match router.row.stage {
         Stage::Sealed => state.stranded += left,
         Stage::Joining | Stage::Active | Stage::Leaving => state.held += left,
@@ -96,9 +98,17 @@
 }
 
 fn text(states: &[State]) -> String {
-    let mut table = Table::new(["BUDGET", "LIMIT", "BILLED", "HELD", "STRANDED", "AVAILABLE"]);
+    let mut table = Table::new([
+        "BUDGET",
+        "LIMIT",
+        "BILLED",
+        "LOST",
+        "HELD",
+        "STRANDED",
+        "AVAILABLE",
+    ]);
     for s in states {
-        let counts = [s.limit, s.billed, s.held, s.stranded, s.available];
+        let counts = [s.limit, s.billed, s.lost, s.held, s.stranded, s.available];
         let counts = counts.iter().map(u64::to_string);
         table.row(std::iter::once(s.budget.to_string()).chain(counts));
     }
--- a/crates/ctl/tests/ctl/common.rs
+++ b/crates/ctl/tests/ctl/common.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use poplar_base::platform::{Commit, Error, Platform, Row};
 use poplar_base::settings::File;
-use poplar_core::bill::{Batch, Bill, BillingRow, RouterRow, Stage};
+use poplar_core::bill::{Batch, Bill, BillingRow, Loss, RouterRow, Stage};
 use poplar_core::config::Config;
 use poplar_core::id::RequestId;
 use poplar_core::sorted::SortedVec;
@@ -156,6 +156,10 @@
         let batch = Batch {
             previous: row.head.clone(),
             bills: vec![bill(id, *tokens)],
+            losses: vec![Loss {
+                budget: "lighting".into(),
+                tokens: 1,
+            }],
         };
         row.batches += 1;
         let object = format!("bills/{name}/{:08}-0", row.batches);
@@ -164,6 +168,7 @@
         row.head = Some(object.into());
     }
     row.billed = vec![("lighting".into(), billed)];
+    row.lost = vec![("lighting".into(), bills.len() as u64)];
     state.set(&format!("billing/{name}"), &row);
 }
 
@@ -173,6 +178,7 @@
         workspace: "lighting".into(),
         class: "fault-note".into(),
         budget: "lighting".into(),
+        body: 0,
         prompt: tokens,
         output: 0,
         at_ms: 0,
