--- a/crates/burn/tests/report.rs
+++ b/crates/burn/tests/report.rs
@@ -107,15 +107,20 @@
 }
 
 #[test]
-fn the_sample_settings_are_read() {
-    let settings = concat!(env!("CARGO_MANIFEST_DIR"), "/../../config/poplar-burn.ini");
-    let program = env!("CARGO_BIN_EXE_poplar-burn");
-    let output = Command::new(program)
-        .args(["--settings", settings])
-        .output()
-        .unwrap();
-    // Nothing listens at the sample's address.
-    let text = String::from_utf8(output.stderr).unwrap();
-    assert!(text.contains("platform is down"), "{text}");
-    assert_eq!(output.status.code(), Some(1));
+fn the_commands_on_the_page_read_the_sample_settings() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+    let page = std::fs::read_to_string(format!("{root}/docs/operators/burn.md")).unwrap();
+    let lines = page.lines().filter(|l| l.starts_with("poplar-burn "));
+    let mut count = 0;
+    for line in lines {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_poplar-burn"));
+        command.args(line.split_whitespace().skip(1));
+        let output = command.current_dir(root).output().unwrap();
+        // Nothing listens at the sample's address.
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert!(text.contains("platform is down"), "{line}: {text}");
+        assert_eq!(output.status.code(), Some(1));
+        count += 1;
+    }
+    assert_eq!(count, 3);
 }
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -5,3 +5,4 @@
 mod classes;
 mod command;
 mod common;
+mod page;
--- a/crates/load/tests/command.rs
+++ b/crates/load/tests/command.rs
@@ -2,6 +2,9 @@
 
 use std::process::Command;
 
+use poplar_base::args::Asked;
+use poplar_load::options;
+
 fn code(words: &[&str]) -> i32 {
     let program = env!("CARGO_BIN_EXE_poplar-load");
     let output = Command::new(program).args(words).output().unwrap();
@@ -24,3 +27,20 @@
     assert_eq!(code(&["--plot", "x.svg"]), 2);
     assert_eq!(with(&["--duration", "100ms", "--attempts", "1"]), 0);
 }
+
+#[test]
+fn the_commands_on_the_page_are_taken() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/developers/load.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    let lines = page.lines().filter(|l| l.starts_with("poplar-load --"));
+    let mut count = 0;
+    for line in lines {
+        let words = line.split_whitespace().skip(1).map(str::to_owned);
+        let Ok(Asked::Run(matches)) = options::command().parse(words) else {
+            panic!("{line}");
+        };
+        assert!(matches.opt_present("plot") || options::read(&matches, "test").is_ok());
+        count += 1;
+    }
+    assert_eq!(count, 5);
+}
