--- a/crates/ctl/tests/ctl/common.rs
+++ b/crates/ctl/tests/ctl/common.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use poplar_base::platform::{Commit, Error, Platform, Row};
 use poplar_base::settings::File;
-use poplar_core::bill::{Batch, Bill, BillingRow, RouterRow, Stage};
+use poplar_core::bill::{Batch, Bill, BillingRow, Loss, RouterRow, Stage};
 use poplar_core::config::Config;
 use poplar_core::id::RequestId;
 use poplar_core::sorted::SortedVec;
@@ -156,7 +156,14 @@
         let batch = Batch {
             previous: row.head.clone(),
             bills: vec![bill(id, *tokens)],
+<<<<<<< HEAD
             losses: Vec::new(),
+=======
+            losses: vec![Loss {
+                budget: "lighting".into(),
+                tokens: 1,
+            }],
+>>>>>>> tools
         };
         row.batches += 1;
         let object = format!("bills/{name}/{:08}-0", row.batches);
@@ -165,6 +172,7 @@
         row.head = Some(object.into());
     }
     row.billed = vec![("lighting".into(), billed)];
+    row.lost = vec![("lighting".into(), bills.len() as u64)];
     state.set(&format!("billing/{name}"), &row);
 }
 
