--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -53,17 +53,10 @@
     pub wrong: u64,
 }
 
-<<<<<<< HEAD
-/// What a budget holds and what was billed, in tokens.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize)]
-pub struct Spent {
-=======
 /// What a budget holds and what was taken off it, in tokens.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize)]
 pub struct Spending {
->>>>>>> tools
     /// The budget.
     pub budget: Name,
     /// Prepaid in all.
--- a/crates/ctl/tests/ctl/common.rs
+++ b/crates/ctl/tests/ctl/common.rs
@@ -156,14 +156,10 @@
         let batch = Batch {
             previous: row.head.clone(),
             bills: vec![bill(id, *tokens)],
-<<<<<<< HEAD
-            losses: Vec::new(),
-=======
             losses: vec![Loss {
                 budget: "lighting".into(),
                 tokens: 1,
             }],
->>>>>>> tools
         };
         row.batches += 1;
         let object = format!("bills/{name}/{:08}-0", row.batches);
