--- /dev/null
+++ b/tests/tests/scenarios.rs
@@ -0,0 +1,39 @@
+//! Runs the script files, each as a test of its own.
+
+use std::path::Path;
+
+use poplar_tests::script;
+
+fn run(file: &str) {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    let path = folder.join(format!("{file}.txt"));
+    assert!(path.exists(), "there is no {}", path.display());
+    datadriven::walk(&path.display().to_string(), script::run);
+}
+
+/// Declares a test for each script file.
+macro_rules! scenarios {
+    ($($name:ident)*) => {
+        $(
+            #[test]
+            fn $name() {
+                run(stringify!($name));
+            }
+        )*
+
+        #[test]
+        fn every_file_is_run() {
+            let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+            let declared = [$(stringify!($name)),*];
+            for entry in std::fs::read_dir(folder).expect("a folder of scenarios") {
+                let name = entry.expect("a file").file_name();
+                let name = name.to_string_lossy().replace(".txt", "");
+                assert!(declared.contains(&&*name), "{name} is not declared");
+            }
+        }
+    };
+}
+
+scenarios! {
+    answers_whole
+}
