--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use poplar_base::platform::wire::{CheckWire, CommitWire, RowWire, RowsWire, WriteWire};
-use poplar_core::budget::rows::{BudgetRow, GrantRow};
+use poplar_core::budget::rows::BudgetRow;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
@@ -35,8 +35,6 @@
     pub name: String,
     /// Its row.
     pub row: BudgetRow,
-    /// Its grants by incarnation.
-    pub grants: Vec<(String, GrantRow)>,
 }
 
 impl Platform {
@@ -74,15 +72,9 @@
             let Some(name) = row.key.strip_prefix("budget/") else {
                 continue;
             };
-            let prefix = format!("grant/{name}/");
-            let grants = rows.iter().filter_map(|r| {
-                let of = r.key.strip_prefix(&prefix)?;
-                Some(decode(r).map(|grant| (of.to_owned(), grant)))
-            });
             budgets.push(Budget {
                 name: name.to_owned(),
                 row: decode(row)?,
-                grants: grants.collect::<Result<_>>()?,
             });
         }
         Ok(budgets)
