--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -178,12 +178,14 @@
     Outcome::Wrong(format!("{} {text}", answer.status))
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct RefusedWire {
     error: ErrorWire,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ErrorWire {
     code: String,
     run: String,
