Test queries and gathering; set quiet workspaces apart in the load tool

The burn report reads a chain an hour further back than its window, since a bill may become durable late.

--- a/crates/ctl/src/chain.rs
+++ b/crates/ctl/src/chain.rs
@@ -7,6 +7,9 @@
 use crate::error::Result;
 use crate::fleet::Router;
 
+/// How much later than its answer a bill may become durable, in milliseconds.
+const LATE: u64 = 3_600_000;
+
 /// One router's bills, with what is wrong with their chain.
 #[derive(Debug, Clone, Default)]
 pub struct Chain {
@@ -52,7 +55,7 @@
         let newest = batch.bills.iter().map(|b| b.at_ms).max();
         chain.bills.extend(batch.bills);
         chain.losses.extend(batch.losses);
-        if newest.is_some_and(|at| at < since) {
+        if newest.is_some_and(|at| at + LATE < since) {
             break;
         }
         next = batch.previous;
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -6,3 +6,4 @@
 mod command;
 mod common;
 mod page;
+mod query;
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -90,7 +90,7 @@
 pub struct Row {
     /// The class.
     pub class: String,
-    /// The workspace; `*` for all of the class.
+    /// The workspace; `*` for all of the class, `(quiet)` for all but a rushing one.
     pub workspace: String,
     /// Counts.
     #[serde(flatten)]
--- a/crates/load/src/runner.rs
+++ b/crates/load/src/runner.rs
@@ -70,7 +70,9 @@
         direct: options.direct.clone(),
     });
     let (sender, receiver) = mpsc::channel(QUEUE);
-    let tally = Tally::new(&options.mix, options.verify);
+    let rush = options.plan.rush.as_ref();
+    let rushing = rush.and_then(|rush| options.mix.sender(&rush.workspace));
+    let tally = Tally::new(&options.mix, options.verify, rushing);
     let counting = tokio::spawn(count(receiver, tally, options.skip));
     dispatch(arrivals, shared, options.streams, sender).await;
     counting.await.expect("counting does not panic")
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -19,6 +19,19 @@
 const COMPARED: usize = 100_000;
 /// Stands for every workspace of a class.
 pub const ALL: &str = "*";
+/// Stands for every workspace of a class but the one that rushes.
+pub const QUIET: &str = "(quiet)";
+
+/// Whose requests a cell counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Whose {
+    /// Every workspace's.
+    All,
+    /// Those of all but the rushing one.
+    Quiet,
+    /// Those of the workspace at this place.
+    One(usize),
+}
 
 /// A histogram of times in microseconds.
 pub type Times = Histogram<u64>;
@@ -106,7 +119,8 @@
 pub struct Tally {
     items: Vec<Item>,
     senders: Vec<String>,
-    cells: SortedVec<(usize, Option<usize>), Cell>,
+    rushing: Option<usize>,
+    cells: SortedVec<(usize, Whose), Cell>,
     verify: bool,
     answers: SortedVec<(usize, usize, u64), u64>,
     /// Answers that were compared with an earlier one to the same prompt.
@@ -121,10 +135,13 @@
 
 impl Tally {
     /// An empty tally; `verify` compares answers to the same prompt.
-    pub fn new(mix: &Mix, verify: bool) -> Self {
+    ///
+    /// `rushing` is the place of the workspace that rushes.
+    pub fn new(mix: &Mix, verify: bool, rushing: Option<usize>) -> Self {
         Self {
             items: mix.items.clone(),
             senders: mix.senders.iter().map(|s| s.name.clone()).collect(),
+            rushing,
             cells: SortedVec::new(),
             verify,
             answers: SortedVec::new(),
@@ -139,8 +156,10 @@
     pub fn add(&mut self, outcome: &Outcome) {
         let (item, sender) = (outcome.arrival.item, outcome.arrival.sender);
         let targets = self.items[item].targets;
-        for cell in [None, Some(sender)] {
-            let cell = self.cells.entry((item, cell), Cell::new);
+        let quiet = self.rushing.filter(|rushing| *rushing != sender);
+        let quiet = quiet.map(|_| Whose::Quiet);
+        for whose in [Whose::All, Whose::One(sender)].into_iter().chain(quiet) {
+            let cell = self.cells.entry((item, whose), Cell::new);
             cell.add(outcome, targets);
         }
         if outcome.attempts > 0 {
@@ -169,7 +188,7 @@
         let sums = self
             .cells
             .iter()
-            .filter(|((_, sender), _)| sender.is_none());
+            .filter(|((_, whose), _)| *whose == Whose::All);
         sums.fold(Totals::default(), |sum, (_, cell)| sum.plus(&cell.totals))
     }
 
@@ -181,11 +200,15 @@
             .collect()
     }
 
-    fn row(&self, key: &(usize, Option<usize>), cell: &Cell) -> Row {
-        let sender = key.1.map(|at| self.senders[at].clone());
+    fn row(&self, key: &(usize, Whose), cell: &Cell) -> Row {
+        let workspace = match key.1 {
+            Whose::All => ALL,
+            Whose::Quiet => QUIET,
+            Whose::One(at) => &self.senders[at],
+        };
         Row {
             class: self.items[key.0].class.to_owned(),
-            workspace: sender.unwrap_or_else(|| ALL.to_owned()),
+            workspace: workspace.to_owned(),
             totals: cell.totals.clone(),
             first: (&cell.first).into(),
             gap: (&cell.gap).into(),
--- a/crates/load/tests/caller.rs
+++ b/crates/load/tests/caller.rs
@@ -104,7 +104,7 @@
 }
 
 /// A tally with answers on and off target, refusals, and one that differs.
-fn tallied() -> Tally {
+fn tallied(rushing: Option<usize>) -> Tally {
     let mix = mix::find("nairobi").unwrap();
     let plan = Plan {
         seed: 1,
@@ -122,7 +122,7 @@
         run: "not_run".into(),
         wait: None,
     };
-    let mut tally = Tally::new(&mix, true);
+    let mut tally = Tally::new(&mix, true, rushing);
     let mut add = |end: End, attempts, refusals: usize| {
         tally.add(&Outcome {
             arrival: chat.clone(),
@@ -143,11 +143,24 @@
 
 #[test]
 fn a_tally_counts_each_end_once_and_compares_answers() {
-    let tally = tallied();
+    let tally = tallied(None);
     assert_eq!((tally.compared, tally.differing), (2, 1));
     insta::assert_snapshot!(serde_json::to_string_pretty(&tally.rows()).unwrap());
 }
 
+#[test]
+fn a_rush_sets_the_quiet_workspaces_apart() {
+    let mix = mix::find("nairobi").unwrap();
+    let sender = mix.sender("start-pen").unwrap();
+    let names = |rushing| -> Vec<String> {
+        let rows = tallied(Some(rushing)).rows();
+        rows.into_iter().map(|row| row.workspace).collect()
+    };
+    assert_eq!(names(sender), ["*", "start-pen"]);
+    assert_eq!(names(sender + 1), ["*", "(quiet)", "start-pen"]);
+    assert_eq!(tallied(Some(sender + 1)).totals().offered, 6);
+}
+
 async fn run(words: &[&str]) -> Whole {
     let words = words.iter().map(|w| (*w).to_owned());
     let Ok(poplar_base::args::Asked::Run(matches)) = options::command().parse(words) else {
