--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -54,7 +54,8 @@
 }
 
 /// What a budget holds and what was taken off it, in tokens.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Spending {
     /// The budget.
     pub budget: Name,
@@ -91,7 +92,8 @@
 }
 
 /// Counts within a window.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Window {
     /// The window's name.
     pub window: &'static str,
@@ -108,7 +110,8 @@
 }
 
 /// A class's counts for a workspace, or for all of them.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Row {
     /// The class.
     pub class: Name,
@@ -123,7 +126,8 @@
 }
 
 /// Refusals of a class and workspace over the day by their code.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Reason {
     /// The class.
     pub class: Name,
@@ -138,7 +142,8 @@
 }
 
 /// The report.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Report {
     /// As of when, in milliseconds of Unix time.
     pub at_ms: u64,
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -5,7 +5,8 @@
 use crate::tally::Times;
 
 /// Counts of requests.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Totals {
     /// Requests that arrived.
     pub offered: u64,
@@ -42,7 +43,8 @@
 }
 
 /// Refusals of one code.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refusals {
     /// The code.
     pub code: String,
@@ -55,7 +57,8 @@
 }
 
 /// Percentiles of times, in milliseconds.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Percentiles {
     /// How many were measured.
     pub count: u64,
@@ -86,7 +89,8 @@
 }
 
 /// What became of the requests of a class and workspace.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// The class.
     pub class: String,
@@ -106,7 +110,8 @@
 }
 
 /// What the platform and the routers say after the run.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Ledger {
     /// Tokens billed over the limits.
     pub overspend: u64,
@@ -117,7 +122,8 @@
 }
 
 /// The result of a run.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Outcome {
     /// Name of the run, for plots.
     pub name: String,
--- a/crates/load/src/prompt.rs
+++ b/crates/load/src/prompt.rs
@@ -15,7 +15,8 @@
 ];
 
 /// A message of a chat request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Message {
     /// Who speaks.
     pub role: &'static str,
@@ -24,13 +25,15 @@
 }
 
 /// What the last event of an answer holds.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 struct StreamOptions {
     include_usage: bool,
 }
 
 /// A chat request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 struct ChatWire<'a> {
     model: &'a str,
     messages: Vec<Message>,
@@ -40,7 +43,8 @@
 }
 
 /// A call of a plain service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 struct CallWire {
     workspace: String,
     number: u64,
--- a/crates/load/src/stream.rs
+++ b/crates/load/src/stream.rs
@@ -9,7 +9,8 @@
 use crate::retry::Refusal;
 
 /// An event of an answer.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct EventWire {
     #[serde(default)]
     choices: Vec<ChoiceWire>,
@@ -17,25 +18,29 @@
     error: Option<ErrorWire>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ChoiceWire {
     #[serde(default)]
     delta: DeltaWire,
     finish_reason: Option<String>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct DeltaWire {
     content: Option<String>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct UsageWire {
     completion_tokens: u64,
 }
 
 /// The error of a refusal, in an event or a body.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub struct ErrorWire {
     code: Name,
     #[serde(default)]
@@ -45,7 +50,8 @@
 }
 
 /// The body of a refusal.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub struct RefusalWire {
     /// What was refused.
     pub error: ErrorWire,
--- a/crates/router/src/budget/biller.rs
+++ b/crates/router/src/budget/biller.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use poplar_base::platform::{Commit, Error, Platform, Row};
 use poplar_core::bill::{self, Batch, Bill, BilledRow, BillingRow, Loss};
-use poplar_core::id::{Incarnation, Name};
+use poplar_core::id::{Incarnation, Name, RequestId};
 use poplar_core::sorted::SortedVec;
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -54,6 +54,7 @@
     losses: Mutex<Vec<Loss>>,
     wake: Notify,
     waiting: watch::Sender<usize>,
+    failing: watch::Sender<bool>,
 }
 
 /// What the worker must know of the router's rows.
@@ -72,6 +73,7 @@
             losses: Mutex::default(),
             wake: Notify::new(),
             waiting: watch::channel(0).0,
+            failing: watch::channel(false).0,
         }
     }
 }
@@ -105,6 +107,21 @@
         *self.waiting.borrow()
     }
 
+    /// Waits until the store did not take a batch, at once where it did not
+    /// take the last one.
+    pub async fn fails(&self) {
+        let mut failing = self.failing.subscribe();
+        // The sender lives as long as self does.
+        let _ = failing.wait_for(|failing| *failing).await;
+    }
+
+    /// The bill of a request that is not durable yet.
+    pub fn waiting_bill(&self, id: &RequestId) -> Option<Bill> {
+        let queue = lock(&self.queue);
+        let found = queue.iter().find(|p| p.bill.id == *id);
+        found.map(|p| p.bill.clone())
+    }
+
     /// Waits until every bill handed over is durable.
     pub async fn flushed(&self) {
         let mut waiting = self.waiting.subscribe();
@@ -138,9 +155,11 @@
                     row = next;
                     version = at;
                     wait = BACKOFF;
+                    self.failing.send_replace(false);
                 }
                 Step::Again => wait = BACKOFF,
                 Step::Failed => {
+                    self.failing.send_replace(true);
                     tokio::time::sleep(jittered(wait)).await;
                     wait = (wait * 2).min(BACKOFF_MOST);
                 }
