--- a/crates/core/src/prefix/view.rs
+++ b/crates/core/src/prefix/view.rs
@@ -98,9 +98,13 @@
 
     /// How many of the prompt's first blocks are likely held.
     ///
-    /// A held block implies the ones before it, so this is a binary search.
+    /// Servers may drop a prompt's first block before its last one, so the
+    /// blocks are looked up in their order; on most servers the first is missing.
     pub fn matched(&self, chain: &[u64]) -> usize {
-        chain.partition_point(|prefix| self.held.contains(prefix))
+        let held = chain
+            .iter()
+            .take_while(|prefix| self.held.contains(*prefix));
+        held.count()
     }
 
     /// How many prefixes are thought held.
