--- a/crates/core/examples/herd.rs
+++ b/crates/core/examples/herd.rs
@@ -1,14 +1,14 @@
-//! Routing policies side by side, in virtual time.
+//! Routing policies side by side, in virtual time of one millisecond a turn.
 //!
 //! Nine routers that don't see each other's choices send to twenty engines
 //! whose load reports lag. The routers' decisions are those of the product;
-//! engines and arrivals are a small fake. Prints one table.
+//! engines and arrivals are a small fake. Prints one table; the argument is the
+//! number of seeds.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use poplar_core::admit::{self, Drain, Outlook, Targets, Verdict};
+use poplar_core::admit::{Drain, Outlook, Targets, Verdict, admit};
 use poplar_core::id::Name;
 use poplar_core::queue::{Entry, Queue, priority_of};
 use poplar_core::route::dice::Dice;
@@ -18,59 +18,60 @@
 const ROUTERS: usize = 9;
 const ENGINES: usize = 20;
 const SLOTS: usize = 16;
-const STEP: Duration = Duration::from_millis(6);
+const STEP: u64 = 6;
 const PREFILL: u32 = 2048;
 const WORKSPACES: usize = 10;
-const LENGTH: Duration = Duration::from_secs(60);
-const WARMUP: Duration = Duration::from_secs(10);
-const POLL: Duration = Duration::from_millis(250);
-const LAG: Duration = Duration::from_millis(200);
-const SEED: u64 = 1;
+const LENGTH: u64 = 60_000;
+const WARMUP: u64 = 10_000;
+const POLL: u64 = 250;
+const LAG: u64 = 200;
+const MS: Duration = Duration::from_millis(1);
 
-/// Share of arrivals, targets in ms, and tokens of prompt and mean output.
-const CLASSES: [(f64, u64, u64, u32, u32); 4] = [
-    (0.30, 200, 500, 100, 15),
-    (0.55, 500, 3_000, 600, 120),
-    (0.10, 3_000, 20_000, 3_000, 400),
-    (0.05, 60_000, 180_000, 1_000, 800),
+/// A class: share of arrivals, targets in ms, prompt and mean output in tokens.
+struct Class(f64, u64, u64, u32, u32);
+
+const CLASSES: [Class; 4] = [
+    Class(0.30, 200, 500, 100, 15),
+    Class(0.55, 500, 3_000, 600, 120),
+    Class(0.10, 3_000, 20_000, 3_000, 400),
+    Class(0.05, 60_000, 180_000, 1_000, 800),
 ];
 
-#[derive(Debug, Clone, Copy)]
-struct Scenario {
-    name: &'static str,
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    Quiet,
+    Rush,
+    Slow,
+}
+
+#[derive(Clone, Copy)]
+struct Setup {
     load: f64,
-    rush: bool,
-    slow: bool,
+    trouble: Trouble,
+    policy: Policy,
+    /// Whether the router has queue, admission and limits.
+    managed: bool,
 }
 
-#[derive(Debug, Clone)]
 struct Request {
     class: usize,
     workspace: usize,
+    priority: u8,
     router: usize,
-    arrived: Instant,
+    arrived: u64,
     output: u32,
     made: u32,
     work: u32,
-    first: Option<Duration>,
-    finish: Option<Duration>,
+    first: Option<u64>,
+    finish: Option<u64>,
     refused: bool,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Arrive,
-    Step(usize),
-    Poll,
-    Tick,
-}
-
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct Engine {
     running: Vec<usize>,
     waiting: VecDeque<usize>,
-    reports: VecDeque<Report>,
-    awake: bool,
+    loads: VecDeque<(usize, usize)>,
 }
 
 struct Router {
@@ -82,99 +83,123 @@
 }
 
 struct World {
-    scenario: Scenario,
-    policy: Policy,
-    limits: u32,
+    setup: Setup,
+    start: Instant,
+    time: u64,
     dice: Dice,
     names: Vec<Name>,
     requests: Vec<Request>,
     engines: Vec<Engine>,
     routers: Vec<Router>,
-    events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
-    count: u64,
 }
 
 fn targets(class: usize) -> Targets {
-    Targets {
-        first: Some(Duration::from_millis(CLASSES[class].1)),
-        finish: Duration::from_millis(CLASSES[class].2),
-    }
+    let first = Some(MS * CLASSES[class].1 as u32);
+    let finish = MS * CLASSES[class].2 as u32;
+    Targets { first, finish }
 }
 
-fn job(class: usize, output: f64) -> Job<'static> {
+fn job(class: usize, router: &Router) -> Job<'static> {
     Job {
         priority: priority_of(targets(class).finish),
         prompt: CLASSES[class].3,
-        output: output as u32,
+        output: router.expected[class] as u32,
         repeat: true,
         tried: &[],
     }
 }
 
-fn router(now: Instant) -> Router {
+fn fleet(router: &Router, policy: Policy) -> Fleet<'_> {
+    Fleet {
+        servers: &router.servers,
+        routers: ROUTERS as u32,
+        policy,
+        turn: router.turn,
+    }
+}
+
+fn router(salt: usize) -> Router {
     let server = |i: usize| {
-        let name: Name = format!("engine-{i}").into();
-        let mut server = Server::new(name, "nbo-a".into(), Duration::from_millis(1));
-        server.reported(Report {
-            running: 0,
-            waiting: 0,
-            slots: SLOTS as u32,
-            step: STEP,
-            taken: now,
-        });
+        let mut server = Server::new(format!("engine-{i}").into(), "nbo-a".into(), MS);
+        server.salt = (salt * ENGINES + i) as u64;
         server
     };
     Router {
         servers: (0..ENGINES).map(server).collect(),
         queue: Queue::new(4096),
         drain: Drain::default(),
-        expected: CLASSES.map(|c| f64::from(c.4)),
+        expected: std::array::from_fn(|i| f64::from(CLASSES[i].4)),
         turn: 0,
     }
 }
 
 impl World {
-    fn at(&mut self, when: Instant, event: Event) {
-        self.count += 1;
-        self.events.push(Reverse((when, self.count, event)));
+    fn new(setup: Setup, seed: u64, start: Instant) -> Self {
+        Self {
+            setup,
+            start,
+            time: 0,
+            dice: Dice::new(seed),
+            names: (0..WORKSPACES).map(|i| format!("w{i}").into()).collect(),
+            requests: Vec::new(),
+            engines: (0..ENGINES).map(|_| Engine::default()).collect(),
+            routers: (0..ROUTERS).map(router).collect(),
+        }
     }
 
-    fn step_of(&self, engine: usize) -> Duration {
-        let slow = self.scenario.slow && engine == 0;
-        if slow { STEP * 5 } else { STEP }
+    fn now(&self) -> Instant {
+        self.start + MS * self.time as u32
     }
 
-    /// Time until the next arrival of the whole fleet.
-    fn gap(&mut self) -> Duration {
-        let steps = |c: &(f64, u64, u64, u32, u32)| c.0 * f64::from(c.4 + 1 + c.3 / PREFILL);
-        let mean: f64 = CLASSES.iter().map(steps).sum::<f64>() * STEP.as_secs_f64();
-        let rate = (ENGINES * SLOTS) as f64 / mean * self.scenario.load;
-        let rush = if self.scenario.rush { 1.9 } else { 1.0 };
-        Duration::from_secs_f64(-(1.0 - self.dice.unit()).ln() / rate / rush)
+    fn exponential(&mut self) -> f64 {
+        -(1.0 - self.dice.unit()).ln()
     }
 
-    fn arrive(&mut self, now: Instant) {
+    /// Lets everything happen; `own` is what one workspace sends of the load.
+    fn run(&mut self) {
+        let steps = |c: &Class| c.0 * f64::from(c.4 + 1 + c.3 / PREFILL);
+        let mean = CLASSES.iter().map(steps).sum::<f64>() * STEP as f64;
+        let rate = (ENGINES * SLOTS) as f64 / mean * self.setup.load;
+        // A rush adds nine times a tenth to what all send.
+        let rush = if self.setup.trouble == Trouble::Rush {
+            0.9
+        } else {
+            0.0
+        };
+        let mut next = 0.0;
+        while self.time < LENGTH {
+            while next <= self.time as f64 {
+                next += self.exponential() / (rate * (1.0 + rush));
+                let rushes = self.dice.unit() < rush / (1.0 + rush);
+                let any = self.dice.below(WORKSPACES);
+                self.arrive(if rushes { 0 } else { any });
+            }
+            (0..ENGINES).for_each(|at| self.step(at));
+            for at in 0..ROUTERS {
+                if (self.time + at as u64 * 27).is_multiple_of(POLL) {
+                    self.poll(at);
+                }
+                self.dispatch(at);
+            }
+            self.time += 1;
+        }
+    }
+
+    fn arrive(&mut self, workspace: usize) {
         let mut share = self.dice.unit();
-        let class = CLASSES.iter().position(|c| {
+        let mut falls = |c: &Class| {
             share -= c.0;
             share < 0.0
-        });
-        let class = class.unwrap_or(0);
-        // A rush adds nine times a tenth to what all send.
-        let extra = self.scenario.rush && self.dice.unit() < 0.9 / 1.9;
-        let workspace = if extra {
-            0
-        } else {
-            self.dice.below(WORKSPACES)
         };
-        let router = self.dice.below(ROUTERS);
-        let output = -(1.0 - self.dice.unit()).ln() * f64::from(CLASSES[class].4);
+        let class = CLASSES.iter().position(&mut falls).unwrap_or(0);
+        let output = self.exponential() * f64::from(CLASSES[class].4);
         let id = self.requests.len();
         self.requests.push(Request {
             class,
             workspace,
-            router,
-            arrived: now,
+            priority: 0,
+            router: self.dice.below(ROUTERS),
+            arrived: self.time,
             output: (output as u32).clamp(1, 4 * CLASSES[class].4),
             made: 0,
             work: CLASSES[class].3,
@@ -182,29 +207,26 @@
             finish: None,
             refused: false,
         });
-        let gap = self.gap();
-        self.at(now + gap, Event::Arrive);
-        if self.policy == Policy::Predicted || self.limits > 1 {
-            self.admit(id, now);
-            self.dispatch(router, now);
-        } else {
-            self.send(id, now);
+        match self.setup.managed {
+            true => self.admit(id),
+            false => self.send(id),
         }
     }
 
-    fn admit(&mut self, id: usize, now: Instant) {
-        let (class, workspace) = (self.requests[id].class, self.requests[id].workspace);
-        let dice = self.dice.roll();
-        let router = &mut self.routers[self.requests[id].router];
-        let job = job(class, router.expected[class]);
-        let fleet = Fleet {
-            servers: &router.servers,
-            routers: self.limits,
-            policy: self.policy,
-            turn: router.turn,
-        };
-        let sight = look(&fleet, &job, |_| 0, &[], dice, now);
-        let workspace = &self.names[workspace];
+    fn admit(&mut self, id: usize) {
+        let (now, dice) = (self.now(), self.dice.roll());
+        let request = &mut self.requests[id];
+        let router = &mut self.routers[request.router];
+        let job = job(request.class, router);
+        let sight = look(
+            &fleet(router, self.setup.policy),
+            &job,
+            |_| 0,
+            &[],
+            dice,
+            now,
+        );
+        let workspace = &self.names[request.workspace];
         let outlook = Outlook {
             ahead: router.queue.ahead(job.priority, workspace, job.output),
             rate: router.drain.rate(job.priority),
@@ -212,279 +234,214 @@
             room: sight.room,
             gone: Duration::ZERO,
         };
-        let verdict = admit::admit(targets(class), &outlook, dice, now);
-        let taken = match verdict {
-            Verdict::Accept { latest, .. } => router.queue.push(Entry {
-                id: id as u64,
-                workspace: workspace.clone(),
-                priority: job.priority,
-                cost: job.output,
-                pushed: now,
-                latest,
-            }),
-            Verdict::Refuse { .. } => {
-                self.requests[id].refused = true;
-                return;
+        request.refused = match admit(targets(request.class), &outlook, dice, now) {
+            Verdict::Refuse { .. } => true,
+            Verdict::Accept { latest, .. } => {
+                let entry = Entry {
+                    id: id as u64,
+                    workspace: workspace.clone(),
+                    priority: job.priority,
+                    cost: job.output,
+                    pushed: now,
+                    latest,
+                };
+                router.queue.push(entry).is_err()
             }
         };
-        self.requests[id].refused = taken.is_err();
         router.drain.waits(!router.queue.is_empty(), now);
     }
 
-    fn dispatch(&mut self, at: usize, now: Instant) {
-        loop {
-            let router = &mut self.routers[at];
-            for late in router.queue.expire(now) {
-                self.requests[late.id as usize].refused = true;
-            }
-            let (servers, expected) = (&router.servers, &router.expected);
-            let requests = &self.requests;
+    fn dispatch(&mut self, at: usize) {
+        let now = self.now();
+        for late in self.routers[at].queue.expire(now) {
+            self.requests[late.id as usize].refused = true;
+        }
+        while !self.routers[at].queue.is_empty() {
             let dice = self.dice.roll();
-            let fleet = Fleet {
-                servers,
-                routers: self.limits,
-                policy: self.policy,
-                turn: router.turn,
-            };
+            let router = &mut self.routers[at];
+            let mut queue = std::mem::replace(&mut router.queue, Queue::new(0));
             let mut chosen = None;
-            let popped = router.queue.pop(now, |entry| {
-                let class = requests[entry.id as usize].class;
-                let job = job(class, expected[class]);
+            let popped = queue.pop(now, |entry| {
+                let job = job(self.requests[entry.id as usize].class, router);
+                let fleet = fleet(router, self.setup.policy);
                 let outcome = choose(&fleet, &job, |_| 0, &[], dice, now);
-                if let Outcome::Go(choice) = outcome {
-                    chosen = Some(choice);
-                }
-                matches!(outcome, Outcome::Go(_))
+                chosen = matches!(outcome, Outcome::Go(_)).then_some(outcome);
+                chosen.is_some()
             });
-            let (Some(popped), Some(choice)) = (popped, chosen) else {
-                router.drain.waits(!router.queue.is_empty(), now);
+            router.queue = queue;
+            let (Some(popped), Some(Outcome::Go(choice))) = (popped, chosen) else {
                 return;
             };
-            let entry = &popped.entry;
+            let entry = popped.entry;
             router.drain.sent(entry.priority, entry.cost, now);
             router.drain.waits(!router.queue.is_empty(), now);
-            self.start(entry.id as usize, choice.server, now);
+            self.start(entry.id as usize, choice.server, popped.priority);
         }
     }
 
     /// Sends a request at once, as a router without queue and limits does.
-    fn send(&mut self, id: usize, now: Instant) {
-        let dice = self.dice.roll();
-        let request = &self.requests[id];
-        let router = &self.routers[request.router];
-        let len = router.servers.len();
-        let own = |at: &usize| (router.servers[*at].own(), (*at as u64 + dice) % len as u64);
-        let server = match self.policy {
-            Policy::RoundRobin => (router.turn % len as u64) as usize,
-            Policy::LeastInFlight => (0..len).min_by_key(own).unwrap_or(0),
-            _ => {
-                let two = [self.dice.below(len), self.dice.below(len)];
-                two.into_iter().min_by_key(own).unwrap_or(0)
-            }
+    fn send(&mut self, id: usize) {
+        let router = &self.routers[self.requests[id].router];
+        let own = |at: &usize| router.servers[*at].own();
+        let spin = self.dice.below(ENGINES);
+        let other = (spin + 1 + self.dice.below(ENGINES - 1)) % ENGINES;
+        let all = (0..ENGINES).map(|i| (spin + i) % ENGINES);
+        let server = match self.setup.policy {
+            Policy::RoundRobin => Some(router.turn as usize % ENGINES),
+            Policy::LeastInFlight => all.min_by_key(own),
+            _ => [spin, other].into_iter().min_by_key(own),
         };
-        self.start(id, server, now);
+        let priority = job(self.requests[id].class, router).priority;
+        self.start(id, server.unwrap_or(spin), priority);
     }
 
-    fn start(&mut self, id: usize, server: usize, now: Instant) {
-        let request = &self.requests[id];
-        let class = request.class;
-        let router = &mut self.routers[request.router];
-        let job = job(class, router.expected[class]);
+    fn start(&mut self, id: usize, server: usize, priority: u8) {
+        let sent = self.now();
+        let router = &mut self.routers[self.requests[id].router];
+        let job = job(self.requests[id].class, router);
         router.turn += 1;
-        let direct = router.servers[server].load(1.0) < SLOTS as f64;
+        let direct = router.servers[server].load() < SLOTS as u32;
         let flight = Flight {
-            priority: job.priority,
-            sent: now,
+            priority,
+            sent,
             work: job.prompt,
             left: job.output,
             direct,
             heard: None,
         };
         router.servers[server].dispatched(id as u64, flight);
-        let priority = |id: &usize| priority_of(targets(self.requests[*id].class).finish);
-        let engine = &mut self.engines[server];
-        let at = engine
-            .waiting
-            .partition_point(|w| priority(w) <= job.priority);
-        engine.waiting.insert(at, id);
-        if !std::mem::replace(&mut engine.awake, true) {
-            let step = self.step_of(server);
-            self.at(now + step, Event::Step(server));
-        }
+        self.requests[id].priority = priority;
+        let waiting = &mut self.engines[server].waiting;
+        let at = waiting.partition_point(|w| self.requests[*w].priority <= priority);
+        waiting.insert(at, id);
     }
 
-    fn step(&mut self, at: usize, now: Instant) {
+    fn step(&mut self, at: usize) {
+        let now = self.now();
         let engine = &mut self.engines[at];
-        while engine.running.len() < SLOTS {
-            let Some(id) = engine.waiting.pop_front() else {
-                break;
-            };
-            engine.running.push(id);
-        }
-        let mut prefill = PREFILL;
-        let mut ended = Vec::new();
-        for id in std::mem::take(&mut engine.running) {
-            let request = &mut self.requests[id];
-            let work = request.work.min(prefill);
-            prefill -= work;
-            request.work -= work;
-            if request.work > 0 {
-                engine.running.push(id);
-                continue;
-            }
-            request.made += 1;
-            request.first.get_or_insert(now - request.arrived);
-            let server = &mut self.routers[request.router].servers[at];
-            server.progressed(id as u64, 1, now);
-            if request.made < request.output {
-                engine.running.push(id);
-                continue;
-            }
-            request.finish = Some(now - request.arrived);
-            server.ended(id as u64, End::Done(request.output), now);
-            let expected = &mut self.routers[request.router].expected[request.class];
-            *expected += 0.02 * (f64::from(request.output) - *expected);
-            ended.push(request.router);
-        }
-        let idle = engine.running.is_empty() && engine.waiting.is_empty();
-        engine.awake = !idle;
-        if !idle {
-            let step = self.step_of(at);
-            self.at(now + step, Event::Step(at));
+        let slow = self.setup.trouble == Trouble::Slow && at == 0;
+        let step = if slow { STEP * 5 } else { STEP };
+        if (self.time + at as u64).is_multiple_of(step) {
+            let entering = (SLOTS - engine.running.len()).min(engine.waiting.len());
+            engine.running.extend(engine.waiting.drain(..entering));
+            let mut left = PREFILL;
+            engine.running.retain(|id| {
+                let request = &mut self.requests[*id];
+                let work = request.work.min(left);
+                left -= work;
+                request.work -= work;
+                if request.work > 0 {
+                    return true;
+                }
+                let gone = self.time - request.arrived;
+                request.made += 1;
+                request.first.get_or_insert(gone);
+                let router = &mut self.routers[request.router];
+                let server = &mut router.servers[at];
+                server.progressed(*id as u64, 1, now);
+                if request.made < request.output {
+                    return true;
+                }
+                request.finish = Some(gone);
+                server.ended(*id as u64, End::Done(request.output), now);
+                let expected = &mut router.expected[request.class];
+                *expected += 0.02 * (f64::from(request.output) - *expected);
+                false
+            });
         }
-        for router in ended {
-            self.dispatch(router, now);
+        engine
+            .loads
+            .push_back((engine.running.len(), engine.waiting.len()));
+        if engine.loads.len() as u64 > LAG {
+            engine.loads.pop_front();
         }
     }
 
-    fn poll(&mut self, now: Instant) {
-        for at in 0..ENGINES {
-            let engine = &mut self.engines[at];
-            engine.reports.push_back(Report {
-                running: engine.running.len() as u32,
-                waiting: engine.waiting.len() as u32,
+    fn poll(&mut self, at: usize) {
+        let taken = self.now() - MS * self.engines[0].loads.len() as u32;
+        for (server, engine) in self.routers[at].servers.iter_mut().zip(&self.engines) {
+            let (running, waiting) = engine.loads[0];
+            server.reported(Report {
+                running: running as u32,
+                waiting: waiting as u32,
                 slots: SLOTS as u32,
-                step: STEP,
-                taken: now,
+                step: MS * STEP as u32,
+                taken,
             });
-            while engine.reports.get(1).is_some_and(|r| r.taken + LAG <= now) {
-                engine.reports.pop_front();
-            }
-            let report = engine.reports[0];
-            if report.taken + LAG <= now {
-                for router in &mut self.routers {
-                    router.servers[at].reported(report);
-                }
-            }
-        }
-        self.at(now + POLL, Event::Poll);
-    }
-
-    fn run(&mut self, start: Instant) {
-        for event in [Event::Arrive, Event::Poll, Event::Tick] {
-            self.at(start, event);
-        }
-        while let Some(Reverse((now, _, event))) = self.events.pop() {
-            if now > start + LENGTH {
-                return;
-            }
-            match event {
-                Event::Arrive => self.arrive(now),
-                Event::Step(engine) => self.step(engine, now),
-                Event::Poll => self.poll(now),
-                Event::Tick => {
-                    (0..ROUTERS).for_each(|at| self.dispatch(at, now));
-                    self.at(now + Duration::from_millis(10), Event::Tick);
-                }
-            }
         }
     }
 }
 
-fn percentile(times: &mut [Duration], part: f64) -> u128 {
+fn percentile(mut times: Vec<u64>, part: f64) -> u64 {
     times.sort_unstable();
     let at = (times.len() as f64 * part) as usize;
-    times
-        .get(at.min(times.len().saturating_sub(1)))
-        .map_or(0, Duration::as_millis)
+    times.get(at).copied().unwrap_or_default()
 }
 
-fn row(world: &World, start: Instant, end: Instant) {
-    let due = |r: &&Request| {
-        let counted = r.arrived >= start + WARMUP && r.arrived + targets(r.class).finish <= end;
-        counted && (!world.scenario.rush || r.workspace != 0)
-    };
-    print!(
-        "| {} | {:?}{} ",
-        world.scenario.name,
-        world.policy,
-        if world.limits > 1 { "" } else { ", plain" }
-    );
-    let all: Vec<&Request> = world.requests.iter().filter(due).collect();
-    let refused = all.iter().filter(|r| r.refused).count();
-    for class in 0..3 {
-        let of: Vec<&&Request> = all.iter().filter(|r| r.class == class).collect();
-        let goal = targets(class);
-        let met =
-            |r: &&&&Request| r.finish.is_some_and(|f| f <= goal.finish) && r.first <= goal.first;
-        let met = of.iter().filter(met).count();
-        let mut first: Vec<Duration> = of.iter().filter_map(|r| r.first).collect();
-        let mut finish: Vec<Duration> = of.iter().filter_map(|r| r.finish).collect();
-        let (p50, p99) = (percentile(&mut finish, 0.5), percentile(&mut finish, 0.99));
-        let first = percentile(&mut first, 0.99);
-        let share = 100.0 * met as f64 / of.len().max(1) as f64;
-        print!("| {share:.2} | {first} | {p50} | {p99} ");
+/// Prints targets met and times of the workspaces that are not in a rush.
+fn print(name: &str, setup: Setup, requests: &[Request]) {
+    let rush = setup.trouble == Trouble::Rush;
+    let counted = |r: &&Request| (WARMUP..LENGTH - 20_000).contains(&r.arrived);
+    let quiet = requests
+        .iter()
+        .filter(counted)
+        .filter(|r| !rush || r.workspace > 0);
+    let quiet: Vec<&Request> = quiet.collect();
+    let part = |count: usize, of: usize| 100.0 * count as f64 / of.max(1) as f64;
+    let plain = if setup.managed { "" } else { ", unmanaged" };
+    print!("| {name} | {:?}{plain} ", setup.policy);
+    for (class, goal) in CLASSES.iter().enumerate().take(3) {
+        let of: Vec<&&Request> = quiet.iter().filter(|r| r.class == class).collect();
+        let Class(_, first, finish, ..) = *goal;
+        let on_time = |t: Option<u64>, goal| t.is_some_and(|t| t <= goal);
+        let met = |r: &&&&Request| on_time(r.first, first) && on_time(r.finish, finish);
+        let met = part(of.iter().filter(met).count(), of.len());
+        let first = percentile(of.iter().filter_map(|r| r.first).collect(), 0.99);
+        let finish = |p| percentile(of.iter().filter_map(|r| r.finish).collect(), p);
+        print!("| {met:.2} | {first} | {} | {} ", finish(0.5), finish(0.99));
     }
-    println!(
-        "| {:.2} |",
-        100.0 * refused as f64 / all.len().max(1) as f64
-    );
+    let refused = quiet.iter().filter(|r| r.refused).count();
+    println!("| {:.2} |", part(refused, quiet.len()));
 }
 
 fn main() {
-    let scenario = |name, load, rush, slow| Scenario {
-        name,
-        load,
-        rush,
-        slow,
-    };
-    let scenarios = [
-        scenario("50% load", 0.5, false, false),
-        scenario("80% load", 0.8, false, false),
-        scenario("95% load", 0.95, false, false),
-        scenario("80% and a rush", 0.8, true, false),
-        scenario("80%, one slow engine", 0.8, false, true),
+    let seeds: u64 = std::env::args()
+        .nth(1)
+        .map_or(1, |s| s.parse().unwrap_or(1));
+    let troubles = [
+        ("50% load", 0.5, Trouble::Quiet),
+        ("80% load", 0.8, Trouble::Quiet),
+        ("95% load", 0.95, Trouble::Quiet),
+        ("80%, a rush", 0.8, Trouble::Rush),
+        ("80%, a slow engine", 0.8, Trouble::Slow),
     ];
-    let policies = [
-        (Policy::Predicted, ROUTERS as u32),
-        (Policy::RoundRobin, ROUTERS as u32),
-        (Policy::LeastInFlight, ROUTERS as u32),
-        (Policy::RandomOfTwo, ROUTERS as u32),
-        (Policy::RoundRobin, 1),
-        (Policy::LeastInFlight, 1),
-        (Policy::RandomOfTwo, 1),
+    let plain = [
+        Policy::RoundRobin,
+        Policy::LeastInFlight,
+        Policy::RandomOfTwo,
     ];
-    println!(
-        "| scenario | policy | lookup met % | first p99 | p50 | p99 | chat met % | first p99 | p50 | p99 | plan met % | first p99 | p50 | p99 | refused % |"
-    );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
-    for scenario in scenarios {
-        for (policy, limits) in policies {
-            let start = Instant::now();
-            let mut world = World {
-                scenario,
+    let managed = plain.iter().map(|p| (*p, true));
+    let policies = std::iter::once((Policy::Predicted, true)).chain(managed);
+    let policies = policies.chain(plain.iter().map(|p| (*p, false)));
+    let class = |name: &str| format!("{name} met % | first p99 | p50 | p99");
+    let classes = ["lookup", "chat", "plan"].map(class).join(" | ");
+    println!("| load | policy | {classes} | refused % |");
+    println!("|{}", "---|".repeat(15));
+    for (name, load, trouble) in troubles {
+        for (policy, managed) in policies.clone() {
+            let setup = Setup {
+                load,
+                trouble,
                 policy,
-                limits,
-                dice: Dice::new(SEED),
-                names: (0..WORKSPACES).map(|i| format!("w{i}").into()).collect(),
-                requests: Vec::new(),
-                engines: (0..ENGINES).map(|_| Engine::default()).collect(),
-                routers: (0..ROUTERS).map(|_| router(start)).collect(),
-                events: BinaryHeap::new(),
-                count: 0,
+                managed,
             };
-            world.run(start);
-            row(&world, start, start + LENGTH);
+            let mut requests = Vec::new();
+            for seed in 1..=seeds {
+                let mut world = World::new(setup, seed, Instant::now());
+                world.run();
+                requests.append(&mut world.requests);
+            }
+            print(name, setup, &requests);
         }
     }
 }
--- a/crates/core/src/queue/lane.rs
+++ b/crates/core/src/queue/lane.rs
@@ -2,7 +2,9 @@
 //!
 //! Start-time fair queueing by predicted tokens. Each workspace's next entry
 //! has a start tag, and the entry with the lowest tag goes first. A workspace
-//! that sends many requests moves only its own tags on.
+//! that sends many requests moves only its own tags on. One that asked for
+//! little keeps a bounded credit, so that its own small bursts don't wait for
+//! turns of a workspace in a rush.
 
 use std::collections::VecDeque;
 
@@ -10,6 +12,9 @@
 use crate::queue::entry::Ticket;
 use crate::sorted::SortedVec;
 
+/// Tokens by which a workspace may fall behind the others and keep its turn.
+const CREDIT: u64 = 4_000;
+
 /// Idle workspaces that are kept beyond twice the busy ones.
 const IDLE: usize = 8;
 
@@ -56,7 +61,7 @@
         self.total.entries += 1;
         self.total.tokens += u64::from(cost);
         if flow.tickets.len() == 1 {
-            flow.start = flow.finish.max(self.clock);
+            flow.start = flow.finish.max(self.clock.saturating_sub(CREDIT));
             self.ready.insert((flow.start, workspace.clone()), ());
         }
     }
@@ -89,7 +94,7 @@
         if at == 0 {
             self.ready.remove(&(flow.start, workspace.clone()));
             if !flow.tickets.is_empty() {
-                flow.start = flow.finish.max(self.clock);
+                flow.start = flow.finish.max(self.clock.saturating_sub(CREDIT));
                 self.ready.insert((flow.start, workspace.clone()), ());
             }
         }
@@ -134,7 +139,7 @@
         if self.flows.len() > 2 * self.ready.len() + IDLE {
             let clock = self.clock;
             self.flows
-                .retain(|_, f| !f.tickets.is_empty() || f.finish > clock);
+                .retain(|_, f| !f.tickets.is_empty() || f.finish + CREDIT > clock);
         }
     }
 }
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -80,6 +80,8 @@
 pub struct Popped {
     /// The entry.
     pub entry: Entry,
+    /// Priority to send it with; above its own where it is due.
+    pub priority: u8,
     /// Why it went next.
     pub reason: Reason,
 }
@@ -140,18 +142,30 @@
         mut can_place: impl FnMut(&Entry) -> bool,
     ) -> Option<Popped> {
         self.drop_late(now);
-        let (ticket, reason) = self
+        let due = self
             .due(now)
-            .filter(|ticket| self.slab.get(*ticket).is_some_and(&mut can_place))
-            .map(|ticket| (ticket, Reason::Due))
-            .or_else(|| self.turn(can_place).map(|ticket| (ticket, Reason::Turn)))?;
+            .filter(|ticket| self.slab.get(*ticket).is_some_and(&mut can_place));
+        let (ticket, reason) = match due {
+            Some(ticket) => (ticket, Reason::Due),
+            None => (self.turn(can_place)?, Reason::Turn),
+        };
+        let urgent = self.lanes.iter().find(|(_, l)| l.total().entries > 0);
+        let urgent = urgent.map(|(priority, _)| *priority);
         let entry = self.slab.remove(ticket)?;
         self.len -= 1;
         self.usage.pop(&entry.workspace, entry.cost);
         if let Some(lane) = self.lanes.get_mut(&entry.priority) {
             lane.serve(&entry.workspace, entry.cost);
         }
-        Some(Popped { entry, reason })
+        let priority = match reason {
+            Reason::Due => urgent.unwrap_or(entry.priority),
+            Reason::Turn => entry.priority,
+        };
+        Some(Popped {
+            entry,
+            priority,
+            reason,
+        })
     }
 
     /// Takes an entry out whose caller has gone.
--- a/crates/core/src/route/limit.rs
+++ b/crates/core/src/route/limit.rs
@@ -1,20 +1,31 @@
 //! Limits on requests in flight at a backend server.
 //!
-//! Routers share a server's slots without a counter of their own: each may
-//! always use its part of the slots, and beyond it a part of what the last
-//! load report showed as spare. All routers acting on one report therefore
-//! over-commit by a bounded number. Refusals as full shrink the window at once,
-//! and answers let it grow back slowly.
+//! Routers share a server's slots without a counter between them. Each keeps
+//! what it had when the load report was taken, plus its part of what the report
+//! showed as spare. As the server fills up, routers with more than an even part
+//! pass some of it on to those with less. Summed over the routers this is the
+//! server's limit. Parts are rounded by a number that differs between routers
+//! and reports, so the sum is over by at most one request for each router.
+//! Refusals as full shrink the window at once, and answers let it grow back.
 
 use std::time::{Duration, Instant};
 
-use crate::route::server::{Gate, PRIORITIES, Server};
+use crate::route::server::{Gate, Server};
 
-/// Share of the slots that may be in flight for the most urgent priority.
-const MOST: f64 = 1.25;
+/// Share of the slots that may be in flight for urgent requests.
+const URGENT: f64 = 1.25;
 
-/// Share of the slots that may be in flight for the least urgent priority.
-const LEAST: f64 = 0.85;
+/// Share of the slots that may be in flight otherwise.
+const USUAL: f64 = 1.0;
+
+/// The least urgent priority that counts as urgent.
+const URGENT_TO: u8 = 1;
+
+/// What a router passes on of its surplus at a full server.
+const PASSED: f64 = 0.3;
+
+/// Spare part of the limit at which nothing is passed on.
+const AMPLE: f64 = 0.2;
 
 /// What a refusal as full leaves of the window.
 const SHRINK: f64 = 0.7;
@@ -67,8 +78,7 @@
 
 /// Requests that all routers together should keep at `server`.
 pub fn cap(server: &Server, priority: u8) -> f64 {
-    let rank = f64::from(priority.min(PRIORITIES as u8 - 1)) / (PRIORITIES - 1) as f64;
-    let share = MOST + (LEAST - MOST) * rank;
+    let share = if priority <= URGENT_TO { URGENT } else { USUAL };
     (f64::from(server.slots()) * share).max(1.0) * server.window.share()
 }
 
@@ -76,14 +86,14 @@
 pub fn own_limit(server: &Server, priority: u8, routers: u32) -> u32 {
     let routers = f64::from(routers.max(1));
     let cap = cap(server, priority);
-    let part = (cap / routers).floor().max(1.0) as u32;
-    let Some(report) = server.report() else {
-        return part;
-    };
-    let spare = cap - f64::from(report.running + report.waiting);
-    let more = (spare / routers).ceil().max(0.0) as u32;
-    let base = server.own().saturating_sub(server.sent());
-    part.max(base + more)
+    let part = cap / routers;
+    let limit = server.report().map_or(part.max(1.0), |report| {
+        let spare = cap - f64::from(report.running + report.waiting);
+        let passed = PASSED * (1.0 - spare / (AMPLE * cap)).clamp(0.0, 1.0);
+        let own = f64::from(server.own_then());
+        own + passed * (part - own) + (1.0 - passed) * spare / routers
+    });
+    (limit + server.phase()).max(0.0) as u32
 }
 
 /// Whether this router, one of `routers`, may send `server` one more.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -163,14 +163,16 @@
     let chosen = match fleet.policy {
         Policy::Predicted => {
             let sample = pick::sample(fleet.servers.len(), near, &mut dice);
+            let scale = predict::Scale::of(sample.clone().map(|at| &fleet.servers[at]));
             let open = sample.filter(|at| usable(*at, &mut tally));
-            let rated = open.map(|at| pick::rate(fleet, job, at, matched(at), now));
+            let rated = open.map(|at| pick::rate(fleet, job, at, matched(at), &scale, now));
             pick::draw(rated, &mut dice)
         }
         plain => {
             let at = pick::plain(fleet, plain, &mut dice, |at| usable(at, &mut tally));
             at.map(|at| {
-                let rated = pick::rate(fleet, job, at, matched(at), now);
+                let scale = predict::Scale::of(std::iter::once(&fleet.servers[at]));
+                let rated = pick::rate(fleet, job, at, matched(at), &scale, now);
                 rated.chosen(Reason::Policy(plain))
             })
         }
@@ -197,13 +199,15 @@
     now: Instant,
 ) -> Sight {
     let mut sight = Sight::default();
-    for at in pick::sample(fleet.servers.len(), near, &mut dice::Dice::new(dice)) {
+    let sample = pick::sample(fleet.servers.len(), near, &mut dice::Dice::new(dice));
+    let scale = predict::Scale::of(sample.clone().map(|at| &fleet.servers[at]));
+    for at in sample {
         let server = &fleet.servers[at];
         if server.leaving || server.fenced || server.gate == Gate::Shut {
             continue;
         }
         sight.room |= limit::has_room(server, job.priority, fleet.routers);
-        let told = predict::forecast(server, job, matched(at), fleet.routers, now);
+        let told = predict::forecast(server, job, matched(at), &scale, now);
         if sight.best.is_none_or(|best| told.finish < best.finish) {
             sight.best = Some(told);
         }
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use crate::route::dice::Dice;
-use crate::route::predict::{Forecast, forecast};
+use crate::route::predict::{Forecast, Scale, forecast};
 use crate::route::server::Gate;
 use crate::route::{Choice, Fleet, Job, Policy, Reason, SCAN};
 
@@ -45,13 +45,11 @@
     len: usize,
     near: &'a [usize],
     dice: &mut Dice,
-) -> impl Iterator<Item = usize> + use<'a> {
+) -> impl Iterator<Item = usize> + Clone + use<'a> {
     let all = len <= SCAN;
-    let (start, stride) = if all {
-        (0, 1)
-    } else {
-        (dice.below(len), 1 + dice.below(len / SCAN))
-    };
+    // A random start also breaks ties at random.
+    let start = dice.below(len);
+    let stride = if all { 1 } else { 1 + dice.below(len / SCAN) };
     let near = if all { &[] } else { near };
     let spread = (0..len.min(SCAN)).map(move |i| (start + i * stride) % len);
     near.iter()
@@ -66,10 +64,11 @@
     job: &Job<'_>,
     at: usize,
     matched: u32,
+    scale: &Scale,
     now: Instant,
 ) -> Rated {
     let server = &fleet.servers[at];
-    let forecast = forecast(server, job, matched, fleet.routers, now);
+    let forecast = forecast(server, job, matched, scale, now);
     Rated {
         at,
         matched,
--- a/crates/core/src/route/server.rs
+++ b/crates/core/src/route/server.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::id::Name;
+use crate::route::dice::Dice;
 use crate::route::limit::Window;
 use crate::route::pace::Pace;
 use crate::sorted::SortedVec;
@@ -91,6 +92,8 @@
     pub fenced: bool,
     /// What health allows.
     pub gate: Gate,
+    /// A number of this router's own, so that routers round differently.
+    pub salt: u64,
     /// Share of the limit that refusals as full have left.
     pub(crate) window: Window,
     /// How fast it was seen to work.
@@ -98,9 +101,15 @@
     flights: SortedVec<u64, Flight>,
     ranks: [u32; PRIORITIES],
     report: Option<Report>,
+    /// Load reports so far.
+    reports: u64,
+    /// Own requests sent since the report was taken and still in flight.
     sent: u32,
+    /// Own requests that were in flight then and have ended.
     ended: u32,
+    /// When own requests that ended lately were sent, and ended.
     ends: VecDeque<(Instant, Instant)>,
+    /// When something should have been heard.
     expect: Option<Instant>,
 }
 
@@ -114,11 +123,13 @@
             leaving: false,
             fenced: false,
             gate: Gate::Open,
+            salt: 0,
             window: Window::default(),
             pace: Pace::default(),
             flights: SortedVec::new(),
             ranks: [0; PRIORITIES],
             report: None,
+            reports: 0,
             sent: 0,
             ended: 0,
             ends: VecDeque::new(),
@@ -137,6 +148,7 @@
         let known = |(sent, _): &&(Instant, Instant)| !after(*sent);
         self.ended = self.ends.iter().filter(known).count() as u32;
         self.report = Some(report);
+        self.reports += 1;
     }
 
     /// Notes that request `id` was sent.
@@ -228,22 +240,24 @@
         self.pace.step(told)
     }
 
-    /// Own requests sent, less those ended, since the load report was taken.
-    pub fn drift(&self) -> f64 {
-        f64::from(self.sent) - f64::from(self.ended)
+    /// This router's requests that were in the server when the report was taken.
+    pub fn own_then(&self) -> u32 {
+        self.own() + self.ended - self.sent
     }
 
-    /// Own requests sent since the load report was taken.
-    pub fn sent(&self) -> u32 {
-        self.sent
+    /// Requests in the server: the load report, corrected by own sends and ends
+    /// since it was taken.
+    pub fn load(&self) -> u32 {
+        let told = self.report.map_or(0, |r| r.running + r.waiting);
+        (told + self.sent)
+            .saturating_sub(self.ended)
+            .max(self.own())
     }
 
-    /// Requests in the server as the load report had it, and at least own ones.
-    pub fn load(&self, echo: f64) -> f64 {
-        let told = self
-            .report
-            .map_or(0.0, |r| f64::from(r.running + r.waiting));
-        (told + echo * self.drift()).max(f64::from(self.own()))
+    /// A number of this router's own for each load report, at least 0 and
+    /// below 1.
+    pub(crate) fn phase(&self) -> f64 {
+        Dice::new(self.salt ^ self.reports).unit()
     }
 
     /// Share of this router's requests that are at least as urgent.
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -160,13 +160,13 @@
         server.dispatched(id, flight(now + MS * (id as u32 + 1)));
     }
     server.ended(0, End::Done(100), now + MS * 5);
-    assert_eq!(server.load(1.0), 2.0);
+    assert_eq!(server.load(), 2);
     // Taken after the first two were sent and before the first one ended.
     server.reported(report(5, 1, now + MS * 2));
-    assert_eq!(server.load(1.0), 6.0 + 1.0 - 1.0);
+    assert_eq!(server.load(), 6 + 1 - 1);
     // An older report changes nothing.
     server.reported(report(0, 0, now));
-    assert_eq!(server.load(1.0), 6.0);
+    assert_eq!(server.load(), 6);
 }
 
 #[test]
@@ -191,8 +191,9 @@
     let routers = 9;
     for load in [0, 3, 7, 8, 20] {
         let mut total = load;
-        for _ in 0..routers {
+        for router in 0..routers {
             let mut server = servers(1, now).remove(0);
+            server.salt = u64::from(router);
             server.reported(report(load, 0, now));
             let mut id = 0;
             while limit::has_room(&server, 0, routers) {
@@ -201,7 +202,7 @@
             }
             total += id as u32;
         }
-        // Each may take its part of the cap of 10, rounded to one.
-        assert!(total <= load.max(10) + 2 * routers, "{load}: {total}");
+        // Each may have one of its own, and its part of the cap of 10 is rounded.
+        assert!(total <= load.max(10) + routers, "{load}: {total}");
     }
 }
