Share slots evenly at the limit, and let a rush stand back

Cause: in the experiment with nine routers the prediction herded on stale reports, limits left slots idle until the next report, strict lanes let one workspace's rush of chats starve other workspaces' plans, and a slow engine got requests because it always had room.

Change: the load is estimated from own requests and the report together; limits sum to the cap over the routers; a workspace served far more than an even part stands back except in the most urgent lanes; a request waits for a server at its limit where that one would finish in half the time.

--- a/crates/core/examples/herd.rs
+++ b/crates/core/examples/herd.rs
@@ -87,6 +87,7 @@
     start: Instant,
     time: u64,
     dice: Dice,
+    draws: Dice,
     names: Vec<Name>,
     requests: Vec<Request>,
     engines: Vec<Engine>,
@@ -140,6 +141,7 @@
             start,
             time: 0,
             dice: Dice::new(seed),
+            draws: Dice::new(!seed),
             names: (0..WORKSPACES).map(|i| format!("w{i}").into()).collect(),
             requests: Vec::new(),
             engines: (0..ENGINES).map(|_| Engine::default()).collect(),
@@ -214,7 +216,7 @@
     }
 
     fn admit(&mut self, id: usize) {
-        let (now, dice) = (self.now(), self.dice.roll());
+        let (now, dice) = (self.now(), self.draws.roll());
         let request = &mut self.requests[id];
         let router = &mut self.routers[request.router];
         let job = job(request.class, router);
@@ -228,7 +230,7 @@
         );
         let workspace = &self.names[request.workspace];
         let outlook = Outlook {
-            ahead: router.queue.ahead(job.priority, workspace, job.output),
+            ahead: router.queue.ahead(job.priority, workspace, job.output, now),
             rate: router.drain.rate(job.priority),
             best: sight.best,
             room: sight.room,
@@ -257,7 +259,7 @@
             self.requests[late.id as usize].refused = true;
         }
         while !self.routers[at].queue.is_empty() {
-            let dice = self.dice.roll();
+            let dice = self.draws.roll();
             let router = &mut self.routers[at];
             let mut queue = std::mem::replace(&mut router.queue, Queue::new(0));
             let mut chosen = None;
@@ -283,8 +285,8 @@
     fn send(&mut self, id: usize) {
         let router = &self.routers[self.requests[id].router];
         let own = |at: &usize| router.servers[*at].own();
-        let spin = self.dice.below(ENGINES);
-        let other = (spin + 1 + self.dice.below(ENGINES - 1)) % ENGINES;
+        let spin = self.draws.below(ENGINES);
+        let other = (spin + 1 + self.draws.below(ENGINES - 1)) % ENGINES;
         let all = (0..ENGINES).map(|i| (spin + i) % ENGINES);
         let server = match self.setup.policy {
             Policy::RoundRobin => Some(router.turn as usize % ENGINES),
--- a/crates/core/src/admit/mod.rs
+++ b/crates/core/src/admit/mod.rs
@@ -178,7 +178,7 @@
     if outlook.room && outlook.ahead.entries == 0 {
         return Duration::ZERO;
     }
-    let queued = match outlook.rate {
+    let queued = match outlook.ahead.rate.or(outlook.rate) {
         Some(rate) if rate > 0.0 => outlook.ahead.tokens as f64 / rate,
         _ => 0.0,
     };
--- a/crates/core/src/queue/lane.rs
+++ b/crates/core/src/queue/lane.rs
@@ -2,9 +2,7 @@
 //!
 //! Start-time fair queueing by predicted tokens. Each workspace's next entry
 //! has a start tag, and the entry with the lowest tag goes first. A workspace
-//! that sends many requests moves only its own tags on. One that asked for
-//! little keeps a bounded credit, so that its own small bursts don't wait for
-//! turns of a workspace in a rush.
+//! that sends many requests moves only its own tags on.
 
 use std::collections::VecDeque;
 
@@ -12,9 +10,6 @@
 use crate::queue::entry::Ticket;
 use crate::sorted::SortedVec;
 
-/// Tokens by which a workspace may fall behind the others and keep its turn.
-const CREDIT: u64 = 4_000;
-
 /// Idle workspaces that are kept beyond twice the busy ones.
 const IDLE: usize = 8;
 
@@ -31,12 +26,15 @@
 }
 
 /// What is queued before a new entry.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Ahead {
     /// Entries.
     pub entries: u64,
     /// Their tokens.
     pub tokens: u64,
+    /// Tokens a second at which the workspace is served, where it gets only
+    /// what the others leave.
+    pub rate: Option<f64>,
 }
 
 /// Entries of one priority.
@@ -47,8 +45,8 @@
     ready: SortedVec<(u64, Name), ()>,
     /// Start tag of the entry that was served last.
     clock: u64,
-    /// Entries and tokens queued.
-    total: Ahead,
+    /// Entries queued.
+    entries: usize,
 }
 
 impl Lane {
@@ -58,10 +56,9 @@
         let flow = self.flows.entry(workspace.clone(), Flow::default);
         flow.tickets.push_back(ticket);
         flow.backlog += u64::from(cost);
-        self.total.entries += 1;
-        self.total.tokens += u64::from(cost);
+        self.entries += 1;
         if flow.tickets.len() == 1 {
-            flow.start = flow.finish.max(self.clock.saturating_sub(CREDIT));
+            flow.start = flow.finish.max(self.clock);
             self.ready.insert((flow.start, workspace.clone()), ());
         }
     }
@@ -89,16 +86,15 @@
         };
         flow.tickets.remove(at);
         flow.backlog -= u64::from(cost);
-        self.total.entries -= 1;
-        self.total.tokens -= u64::from(cost);
+        self.entries -= 1;
         if at == 0 {
             self.ready.remove(&(flow.start, workspace.clone()));
             if !flow.tickets.is_empty() {
-                flow.start = flow.finish.max(self.clock.saturating_sub(CREDIT));
+                flow.start = flow.finish.max(self.clock);
                 self.ready.insert((flow.start, workspace.clone()), ());
             }
         }
-        if self.total.entries == 0 {
+        if self.entries == 0 {
             self.flows = SortedVec::new();
         }
     }
@@ -111,27 +107,35 @@
             .filter_map(move |((_, name), ())| first(name))
     }
 
-    /// Everything queued.
-    pub(super) fn total(&self) -> Ahead {
-        self.total
+    /// Whether nothing is queued.
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries == 0
+    }
+
+    /// Everything queued by the workspaces that count.
+    pub(super) fn backlog(&self, counts: impl Fn(&str) -> bool) -> Ahead {
+        let mut sum = Ahead::default();
+        for (_, flow) in self.flows.iter().filter(|(name, _)| counts(name)) {
+            sum.entries += flow.tickets.len() as u64;
+            sum.tokens += flow.backlog;
+        }
+        sum
     }
 
-    /// What goes before a new entry of `workspace`.
+    /// What goes before a new entry of `workspace`, by workspaces that count.
     ///
-    /// Each other busy workspace gets at most as much before it as its own
-    /// workspace does.
-    pub(super) fn ahead(&self, workspace: &str, cost: u32) -> Ahead {
-        let flow = self.flows.get(workspace);
-        let own = flow.map_or(0, |f| f.backlog);
-        let busy = self.ready.len() as u64;
-        let others = busy - u64::from(flow.is_some_and(|f| !f.tickets.is_empty()));
-        let fair = others * (own + u64::from(cost));
-        let tokens = own + fair.min(self.total.tokens - own);
-        let share = tokens as f64 / self.total.tokens.max(1) as f64;
-        Ahead {
-            entries: (self.total.entries as f64 * share).ceil() as u64,
-            tokens,
+    /// Each other one gets at most as much before it as its own workspace does.
+    pub(super) fn ahead(&self, workspace: &str, cost: u32, counts: impl Fn(&str) -> bool) -> Ahead {
+        let own = self.backlog(|name| name == workspace);
+        let turn = own.tokens + u64::from(cost);
+        let mut sum = own;
+        let others = self.flows.iter().filter(|(name, _)| ***name != *workspace);
+        for (_, flow) in others.filter(|(name, _)| counts(name)) {
+            let part = turn as f64 / flow.backlog.max(1) as f64;
+            sum.entries += (flow.tickets.len() as f64 * part.min(1.0)).ceil() as u64;
+            sum.tokens += turn.min(flow.backlog);
         }
+        sum
     }
 
     /// Forgets idle workspaces that have no debt.
@@ -139,7 +143,7 @@
         if self.flows.len() > 2 * self.ready.len() + IDLE {
             let clock = self.clock;
             self.flows
-                .retain(|_, f| !f.tickets.is_empty() || f.finish + CREDIT > clock);
+                .retain(|_, f| !f.tickets.is_empty() || f.finish > clock);
         }
     }
 }
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -1,11 +1,12 @@
 //! The queue before the backend servers of one model or service.
 //!
 //! Classes stand in lanes by priority, and the more urgent lane goes first.
-//! Inside a lane workspaces take turns by predicted tokens. A less urgent
-//! entry that is about to miss its time goes before more urgent ones only
-//! while those have time to spare or belong to a workspace that has had more
-//! than its part. So bulk work neither starves nor displaces what is urgent.
-//! The queue is bounded, and no workspace may fill it.
+//! Inside a lane workspaces take turns by predicted tokens. Except in the most
+//! urgent lanes, a workspace that was served far more than an even part of late
+//! stands back behind all others, so that one's rush doesn't hold up another's
+//! less urgent work. An entry that is about to be late goes before more urgent
+//! ones while those have time to spare, so that bulk work neither starves nor
+//! displaces what is urgent. The queue is bounded, and nobody may fill it.
 
 mod entry;
 mod lane;
@@ -22,10 +23,17 @@
 use crate::queue::entry::Slab;
 use crate::queue::lane::Lane;
 use crate::queue::usage::Usage;
+use crate::route::server::PRIORITIES;
 use crate::sorted::SortedVec;
 
+/// Priorities from this one on stand back for other workspaces' entries.
+const STANDS_BACK: u8 = 2;
+
 /// First entries of a lane that are offered for placing.
-const TRIES: usize = 4;
+const TRIES: usize = 2;
+
+/// First entries of a lane that are looked at for one that is due.
+const LOOKS: usize = 16;
 
 /// Part of its time after which an entry is about to be late.
 const DUE: f64 = 0.75;
@@ -38,8 +46,9 @@
 pub enum Reason {
     /// It was its workspace's turn in the most urgent lane.
     Turn,
-    /// It was about to be late, and more urgent ones had time to spare or came
-    /// from workspaces that have had more.
+    /// Its workspace was served more than its part, but nobody else waits.
+    Beyond,
+    /// It was about to be late, and more urgent ones had time to spare.
     Due,
 }
 
@@ -47,7 +56,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Turn => "its workspace's turn",
-            Self::Due => "about to be late, and the more urgent could wait",
+            Self::Beyond => "beyond its workspace's part, and no other could go",
+            Self::Due => "about to be late, and the more urgent had time to spare",
         })
     }
 }
@@ -80,7 +90,8 @@
 pub struct Popped {
     /// The entry.
     pub entry: Entry,
-    /// Priority to send it with; above its own where it is due.
+    /// Priority to send it with: raised where it is due, lowered where it is
+    /// beyond its workspace's part.
     pub priority: u8,
     /// Why it went next.
     pub reason: Reason,
@@ -136,6 +147,9 @@
     }
 
     /// Takes out the entry that goes next among those that can be placed.
+    ///
+    /// `can_place` is asked for a few entries of each lane. Once no server has
+    /// room it should say so without looking again.
     pub fn pop(
         &mut self,
         now: Instant,
@@ -147,23 +161,19 @@
             .filter(|ticket| self.slab.get(*ticket).is_some_and(&mut can_place));
         let (ticket, reason) = match due {
             Some(ticket) => (ticket, Reason::Due),
-            None => (self.turn(can_place)?, Reason::Turn),
+            None => self.turn(can_place)?,
         };
-        let urgent = self.lanes.iter().find(|(_, l)| l.total().entries > 0);
+        let urgent = self.lanes.iter().find(|(_, l)| !l.is_empty());
         let urgent = urgent.map(|(priority, _)| *priority);
-        let entry = self.slab.remove(ticket)?;
-        self.len -= 1;
-        self.usage.pop(&entry.workspace, entry.cost);
-        if let Some(lane) = self.lanes.get_mut(&entry.priority) {
-            lane.serve(&entry.workspace, entry.cost);
-        }
+        let entry = self.serve(ticket, now)?;
         let priority = match reason {
-            Reason::Due => urgent.unwrap_or(entry.priority),
             Reason::Turn => entry.priority,
+            Reason::Beyond => entry.priority + 1,
+            Reason::Due => urgent.unwrap_or(entry.priority),
         };
         Some(Popped {
             entry,
-            priority,
+            priority: priority.min(PRIORITIES as u8 - 1),
             reason,
         })
     }
@@ -172,7 +182,7 @@
     pub fn remove(&mut self, ticket: Ticket) -> Option<Entry> {
         let entry = self.slab.remove(ticket)?;
         self.len -= 1;
-        self.usage.pop(&entry.workspace, 0);
+        self.usage.pop(&entry.workspace);
         if let Some(lane) = self.lanes.get_mut(&entry.priority) {
             lane.remove(&entry.workspace, ticket, entry.cost);
         }
@@ -191,13 +201,20 @@
     }
 
     /// What goes before a new entry of this priority, workspace and cost.
-    pub fn ahead(&self, priority: u8, workspace: &str, cost: u32) -> Ahead {
-        let mut sum = Ahead::default();
+    pub fn ahead(&self, priority: u8, workspace: &str, cost: u32, now: Instant) -> Ahead {
+        let stands_back = |at: u8, name: &str| at >= STANDS_BACK && self.usage.stands_back(name);
+        let back = stands_back(priority, workspace);
+        let mut sum = Ahead {
+            rate: back.then(|| self.usage.rate(workspace, now)),
+            ..Ahead::default()
+        };
         for (at, lane) in self.lanes.iter().take_while(|(at, _)| **at <= priority) {
-            let part = if *at < priority {
-                lane.total()
+            let part = if back {
+                lane.backlog(|name| name == workspace)
+            } else if *at < priority {
+                lane.backlog(|name| !stands_back(*at, name))
             } else {
-                lane.ahead(workspace, cost)
+                lane.ahead(workspace, cost, |name| !stands_back(*at, name))
             };
             sum.entries += part.entries;
             sum.tokens += part.tokens;
@@ -231,32 +248,64 @@
         }
     }
 
-    fn turn(&self, mut can_place: impl FnMut(&Entry) -> bool) -> Option<Ticket> {
-        let mut heads = self.lanes.iter().flat_map(|(_, l)| l.heads().take(TRIES));
-        heads.find(|ticket| self.slab.get(*ticket).is_some_and(&mut can_place))
+    /// Takes an entry out as served.
+    fn serve(&mut self, ticket: Ticket, now: Instant) -> Option<Entry> {
+        let entry = self.slab.remove(ticket)?;
+        self.len -= 1;
+        self.usage.pop(&entry.workspace);
+        self.usage.served(&entry.workspace, entry.cost, now);
+        if let Some(lane) = self.lanes.get_mut(&entry.priority) {
+            lane.serve(&entry.workspace, entry.cost);
+        }
+        Some(entry)
+    }
+
+    /// First entries of a lane's workspaces, in the order to serve them.
+    fn heads<'a>(&'a self, lane: &'a Lane) -> impl Iterator<Item = (Ticket, &'a Entry)> {
+        let with_entry = |ticket| Some((ticket, self.slab.get(ticket)?));
+        lane.heads().filter_map(with_entry)
     }
 
-    /// The first entry of a lane that has to go before more urgent ones.
+    fn stands_back(&self, entry: &Entry) -> bool {
+        entry.priority >= STANDS_BACK && self.usage.stands_back(&entry.workspace)
+    }
+
+    /// The next entry by lane, then by turn; those that stand back come last.
+    fn turn(&self, mut can_place: impl FnMut(&Entry) -> bool) -> Option<(Ticket, Reason)> {
+        for reason in [Reason::Turn, Reason::Beyond] {
+            let back = reason == Reason::Beyond;
+            for (_, lane) in self.lanes.iter() {
+                let heads = self
+                    .heads(lane)
+                    .filter(|(_, e)| self.stands_back(e) == back);
+                if let Some((ticket, _)) = heads.take(TRIES).find(|(_, e)| can_place(e)) {
+                    return Some((ticket, reason));
+                }
+            }
+        }
+        None
+    }
+
+    /// An entry that has to go before more urgent ones, which can all wait.
     fn due(&self, now: Instant) -> Option<Ticket> {
-        let first = |lane: &Lane| lane.heads().next();
-        let heads: Vec<(Ticket, &Entry)> = self
-            .lanes
-            .iter()
-            .filter_map(|(_, lane)| first(lane))
-            .filter_map(|ticket| self.slab.get(ticket).map(|entry| (ticket, entry)))
-            .collect();
-        let can_wait = |urgent: &Entry, due: &Entry| {
-            urgent.used(now) <= SPARE
-                || self
-                    .usage
-                    .has_more(&urgent.workspace, &due.workspace, due.cost)
+        let mut lanes = self.lanes.iter().map(|(_, l)| l).filter(|l| !l.is_empty());
+        let can_wait = |lane: &Lane| {
+            let first = self.heads(lane).next();
+            first.is_none_or(|(_, urgent)| urgent.used(now) <= SPARE)
         };
-        let goes = |at: usize, due: &Entry| {
-            let mut urgent = heads[..at].iter();
-            due.used(now) >= DUE && urgent.all(|(_, urgent)| can_wait(urgent, due))
-        };
-        let mut behind = heads.iter().enumerate().skip(1);
-        let found = behind.find(|(at, (_, due))| goes(*at, due));
-        found.map(|(_, (ticket, _))| *ticket)
+        if !can_wait(lanes.next()?) {
+            return None;
+        }
+        for lane in lanes {
+            let heads = self.heads(lane).take(LOOKS);
+            let mut due = heads.filter(|(_, e)| e.used(now) >= DUE && !self.stands_back(e));
+            if let Some((ticket, _)) = due.next() {
+                return Some(ticket);
+            }
+            if !can_wait(lane) {
+                return None;
+            }
+        }
+        None
     }
 }
--- a/crates/core/src/queue/usage.rs
+++ b/crates/core/src/queue/usage.rs
@@ -1,47 +1,77 @@
-//! What each workspace was served, over all priorities.
+//! What each workspace was served lately, over all priorities.
 //!
 //! Priorities go before fairness between workspaces, so a rush of urgent work
-//! would keep another workspace's less urgent work from its time. The tags
-//! kept here tell who has had more.
+//! would keep other workspaces' less urgent work waiting. What is kept here
+//! tells whose requests have to stand back: those of a workspace that was
+//! served far more than an even part.
+
+use std::time::{Duration, Instant};
 
 use crate::id::Name;
 use crate::sorted::SortedVec;
 
+/// Time over which what was served is forgotten.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Windows after which weights are scaled down, so that they stay finite.
+const RESCALE: f64 = 16.0;
+
+/// Tokens below which a workspace counts as not served.
+const LITTLE: f64 = 1.0;
+
+/// How many times an even part is far more than it.
+const FAR: f64 = 1.5;
+
+/// Least part of the window over which a rate is taken.
+const SHORTEST: f64 = 0.05;
+
 /// One workspace's standing.
 #[derive(Debug, Clone, Copy, Default)]
 struct Standing {
-    /// Tokens served, lifted to the least of the others after a pause.
-    tag: u64,
+    /// Tokens served; later ones weigh more, in place of earlier ones less.
+    weight: f64,
     /// Entries queued.
     queued: usize,
 }
 
-/// Standings of the workspaces that were served while something was queued.
+/// Standings of the workspaces that were served lately or have entries.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Usage {
     standings: SortedVec<Name, Standing>,
+    total: f64,
+    /// When a token weighs one.
+    base: Option<Instant>,
+    /// When the first one was served.
+    since: Option<Instant>,
 }
 
 impl Usage {
     /// Counts an entry that was queued.
     pub(super) fn push(&mut self, workspace: &Name) {
-        let busy = self.standings.iter().filter(|(_, s)| s.queued > 0);
-        let least = busy.map(|(_, s)| s.tag).min();
-        if least.is_none() {
-            self.standings = SortedVec::new();
-        }
         let standing = self.standings.entry(workspace.clone(), Standing::default);
-        if standing.queued == 0 {
-            standing.tag = standing.tag.max(least.unwrap_or_default());
-        }
         standing.queued += 1;
     }
 
-    /// Counts an entry that was taken out, for `cost` tokens if it was served.
-    pub(super) fn pop(&mut self, workspace: &str, cost: u32) {
+    /// Counts an entry that was taken out without being served.
+    pub(super) fn pop(&mut self, workspace: &str) {
         if let Some(standing) = self.standings.get_mut(workspace) {
             standing.queued -= 1;
-            standing.tag += u64::from(cost);
+        }
+    }
+
+    /// Counts tokens that a workspace was served.
+    pub(super) fn served(&mut self, workspace: &str, cost: u32, now: Instant) {
+        let base = *self.base.get_or_insert(now);
+        self.since.get_or_insert(now);
+        let windows = windows(base, now);
+        let scale = windows.exp();
+        if let Some(standing) = self.standings.get_mut(workspace) {
+            standing.weight += f64::from(cost) * scale;
+            self.total += f64::from(cost) * scale;
+        }
+        if windows > RESCALE {
+            self.rescale(scale);
+            self.base = Some(now);
         }
     }
 
@@ -50,9 +80,36 @@
         self.standings.get(workspace).map_or(0, |s| s.queued)
     }
 
-    /// Whether `ahead` would have had more even if `behind` got `cost` now.
-    pub(super) fn has_more(&self, ahead: &str, behind: &str, cost: u32) -> bool {
-        let tag = |name: &str| self.standings.get(name).map_or(0, |s| s.tag);
-        tag(ahead) > tag(behind) + u64::from(cost)
+    /// Whether a workspace was served far more than an even part.
+    pub(super) fn stands_back(&self, workspace: &str) -> bool {
+        let weight = self.standings.get(workspace).map_or(0.0, |s| s.weight);
+        weight * self.standings.len() as f64 > FAR * self.total
+    }
+
+    /// Tokens a second that a workspace was served.
+    pub(super) fn rate(&self, workspace: &str, now: Instant) -> f64 {
+        let (Some(base), Some(since)) = (self.base, self.since) else {
+            return 0.0;
+        };
+        let weight = self.standings.get(workspace).map_or(0.0, |s| s.weight);
+        let tokens = weight * (-windows(base, now)).exp();
+        let span = 1.0 - (-windows(since, now)).exp();
+        tokens / (WINDOW.as_secs_f64() * span.max(SHORTEST))
     }
+
+    /// Divides all weights, and forgets workspaces without any.
+    fn rescale(&mut self, scale: f64) {
+        self.total = 0.0;
+        let total = &mut self.total;
+        self.standings.retain(|_, s| {
+            s.weight /= scale;
+            *total += s.weight;
+            s.queued > 0 || s.weight >= LITTLE
+        });
+    }
+}
+
+/// Windows between two times.
+fn windows(from: Instant, to: Instant) -> f64 {
+    to.saturating_duration_since(from).as_secs_f64() / WINDOW.as_secs_f64()
 }
--- a/crates/core/src/route/limit.rs
+++ b/crates/core/src/route/limit.rs
@@ -12,14 +12,8 @@
 
 use crate::route::server::{Gate, Server};
 
-/// Share of the slots that may be in flight for urgent requests.
-const URGENT: f64 = 1.25;
-
-/// Share of the slots that may be in flight otherwise.
-const USUAL: f64 = 1.0;
-
-/// The least urgent priority that counts as urgent.
-const URGENT_TO: u8 = 1;
+/// Requests that all routers together keep at a server, for each of its slots.
+const CAP: f64 = 1.05;
 
 /// What a router passes on of its surplus at a full server.
 const PASSED: f64 = 0.3;
@@ -77,15 +71,14 @@
 }
 
 /// Requests that all routers together should keep at `server`.
-pub fn cap(server: &Server, priority: u8) -> f64 {
-    let share = if priority <= URGENT_TO { URGENT } else { USUAL };
-    (f64::from(server.slots()) * share).max(1.0) * server.window.share()
+pub fn cap(server: &Server) -> f64 {
+    (f64::from(server.slots()) * CAP).max(1.0) * server.window.share()
 }
 
 /// Requests that this router, one of `routers`, may keep at `server`.
-pub fn own_limit(server: &Server, priority: u8, routers: u32) -> u32 {
+pub fn own_limit(server: &Server, routers: u32) -> u32 {
     let routers = f64::from(routers.max(1));
-    let cap = cap(server, priority);
+    let cap = cap(server);
     let part = cap / routers;
     let limit = server.report().map_or(part.max(1.0), |report| {
         let spare = cap - f64::from(report.running + report.waiting);
@@ -97,9 +90,9 @@
 }
 
 /// Whether this router, one of `routers`, may send `server` one more.
-pub fn has_room(server: &Server, priority: u8, routers: u32) -> bool {
+pub fn has_room(server: &Server, routers: u32) -> bool {
     match server.gate {
-        Gate::Open => server.own() < own_limit(server, priority, routers),
+        Gate::Open => server.own() < own_limit(server, routers),
         Gate::Probe => server.own() == 0,
         Gate::Shut => false,
     }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -83,7 +83,7 @@
     Probe,
     /// A policy without prediction.
     Policy(Policy),
-    /// Every usable server is at this router's limit.
+    /// Every usable server, or every one worth it, is at this router's limit.
     Full {
         /// How many are.
         servers: u32,
@@ -159,17 +159,23 @@
 ) -> Outcome {
     let mut dice = dice::Dice::new(dice);
     let mut tally = Tally::default();
-    let usable = |at: usize, tally: &mut Tally| tally.admits(fleet, job, at);
     let chosen = match fleet.policy {
         Policy::Predicted => {
             let sample = pick::sample(fleet.servers.len(), near, &mut dice);
             let scale = predict::Scale::of(sample.clone().map(|at| &fleet.servers[at]));
-            let open = sample.filter(|at| usable(*at, &mut tally));
-            let rated = open.map(|at| pick::rate(fleet, job, at, matched(at), &scale, now));
-            pick::draw(rated, &mut dice)
+            let mut few = pick::Few::default();
+            for at in sample {
+                let fit = tally.count(fleet, job, at);
+                if fit == Fit::Room || fit == Fit::Full {
+                    let rated = pick::rate(fleet, job, at, matched(at), &scale, now);
+                    few.add(rated, fit == Fit::Room);
+                }
+            }
+            few.draw(&mut dice)
         }
         plain => {
-            let at = pick::plain(fleet, plain, &mut dice, |at| usable(at, &mut tally));
+            let room = |at| tally.count(fleet, job, at) == Fit::Room;
+            let at = pick::plain(fleet, plain, &mut dice, room);
             at.map(|at| {
                 let scale = predict::Scale::of(std::iter::once(&fleet.servers[at]));
                 let rated = pick::rate(fleet, job, at, matched(at), &scale, now);
@@ -206,7 +212,7 @@
         if server.leaving || server.fenced || server.gate == Gate::Shut {
             continue;
         }
-        sight.room |= limit::has_room(server, job.priority, fleet.routers);
+        sight.room |= limit::has_room(server, fleet.routers);
         let told = predict::forecast(server, job, matched(at), &scale, now);
         if sight.best.is_none_or(|best| told.finish < best.finish) {
             sight.best = Some(told);
@@ -215,6 +221,14 @@
     sight
 }
 
+/// Whether a server can take a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fit {
+    Room,
+    Full,
+    Unfit,
+}
+
 /// Why servers were passed over.
 #[derive(Debug, Default)]
 struct Tally {
@@ -225,25 +239,31 @@
 }
 
 impl Tally {
-    /// Whether the server at `at` may take `job`; counts it where not.
-    fn admits(&mut self, fleet: &Fleet<'_>, job: &Job<'_>, at: usize) -> bool {
+    /// Tells whether the server at `at` can take `job`, and counts why not.
+    fn count(&mut self, fleet: &Fleet<'_>, job: &Job<'_>, at: usize) -> Fit {
         let server = &fleet.servers[at];
+        let shut = match server.gate {
+            Gate::Open => false,
+            Gate::Probe => !job.repeat,
+            Gate::Shut => true,
+        };
         let count = if server.leaving || server.fenced {
             &mut self.leaving
-        } else if server.gate == Gate::Shut || (server.gate == Gate::Probe && !job.repeat) {
+        } else if shut {
             &mut self.ejected
         } else if job.tried.contains(&server.name) {
             &mut self.tried
-        } else if !limit::has_room(server, job.priority, fleet.routers) {
-            &mut self.full
+        } else if !limit::has_room(server, fleet.routers) {
+            self.full += 1;
+            return Fit::Full;
         } else {
-            return true;
+            return Fit::Room;
         };
         *count += 1;
-        false
+        Fit::Unfit
     }
 
-    /// What that means where no server is left.
+    /// What that means where no server was chosen.
     fn outcome(&self) -> Outcome {
         if self.full > 0 {
             return Outcome::Wait(Reason::Full { servers: self.full });
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -10,6 +10,12 @@
 /// How many of the soonest servers a draw is among.
 const FEW: usize = 4;
 
+/// How many times as late as a server at its limit another one may finish.
+///
+/// Beyond that the request waits for the better one, since even a slow server
+/// has room when all others are at their limit.
+const PATIENCE: f64 = 2.0;
+
 /// How sharply a draw favours the sooner servers.
 const SHARPNESS: i32 = 8;
 
@@ -78,52 +84,92 @@
     }
 }
 
-/// Draws two of the soonest few in favour of the sooner ones, and takes the
-/// sooner of the two.
-pub(super) fn draw(rated: impl Iterator<Item = Rated>, dice: &mut Dice) -> Option<Choice> {
-    let mut few = [None::<Rated>; FEW];
-    for one in rated {
+/// The soonest few of the servers that have room.
+#[derive(Debug)]
+pub(super) struct Few {
+    open: [Option<Rated>; FEW],
+    probe: Option<Rated>,
+    /// Seconds until the soonest server at its limit would finish.
+    full: f64,
+}
+
+impl Default for Few {
+    fn default() -> Self {
+        Self {
+            open: [None; FEW],
+            probe: None,
+            full: f64::INFINITY,
+        }
+    }
+}
+
+impl Few {
+    /// Adds a server, which has room or is at its limit.
+    pub(super) fn add(&mut self, mut one: Rated, room: bool) {
         if one.probe {
-            return Some(one.chosen(Reason::Probe));
+            self.probe = self.probe.or(room.then_some(one));
+            return;
+        }
+        if !room {
+            self.full = self.full.min(one.finish());
+            return;
+        }
+        for place in &mut self.open {
+            match place {
+                None => {
+                    *place = Some(one);
+                    return;
+                }
+                Some(held) if held.at == one.at => return,
+                Some(held) if one.finish() < held.finish() => std::mem::swap(held, &mut one),
+                Some(_) => {}
+            }
         }
-        keep(&mut few, one);
     }
-    let soonest = few[0]?;
-    let total: f64 = few.iter().flatten().map(|r| weight(&soonest, r)).sum();
-    let mut roll = || {
-        let mut mark = dice.unit() * total;
-        let hit = few.iter().flatten().position(|r| {
-            mark -= weight(&soonest, r);
-            mark < 0.0
-        });
-        hit.unwrap_or(0)
-    };
-    let at = roll().min(roll());
-    let drawn = few[at]?;
-    let reason = if at > 0 {
-        let later = drawn.forecast.finish - soonest.forecast.finish;
-        Reason::Drawn { later }
-    } else if drawn.matched > 0 && few[1].is_some_and(|next| next.finish() <= drawn.bare) {
-        Reason::Prefix {
-            tokens: drawn.matched,
+
+    /// Draws two in favour of the sooner ones, and takes the sooner of the two.
+    pub(super) fn draw(self, dice: &mut Dice) -> Option<Choice> {
+        if let Some(probe) = self.probe {
+            return Some(probe.chosen(Reason::Probe));
         }
-    } else {
-        Reason::Soonest
-    };
-    Some(drawn.chosen(reason))
-}
+        let soonest = self.open[0]?;
+        let late = PATIENCE * self.full;
+        if soonest.finish() > late {
+            return None;
+        }
+        let worth = |r: &&Rated| r.finish() <= late;
+        let total: f64 = self
+            .open
+            .iter()
+            .flatten()
+            .filter(worth)
+            .map(|r| weight(&soonest, r))
+            .sum();
+        let mut roll = || {
+            let mut mark = dice.unit() * total;
+            let hit = self.open.iter().flatten().position(|r| {
+                mark -= weight(&soonest, r);
+                mark < 0.0
+            });
+            hit.unwrap_or(0)
+        };
+        let at = roll().min(roll());
+        let drawn = self.open[at]?;
+        Some(drawn.chosen(self.reason(at, &drawn)))
+    }
 
-/// Keeps the soonest few, in order.
-fn keep(few: &mut [Option<Rated>; FEW], mut one: Rated) {
-    for place in few {
-        match place {
-            None => {
-                *place = Some(one);
-                return;
+    fn reason(&self, at: usize, drawn: &Rated) -> Reason {
+        let next = self.open[1].map(|next| next.finish());
+        match self.open[0] {
+            Some(soonest) if at > 0 => Reason::Drawn {
+                later: drawn.forecast.finish - soonest.forecast.finish,
+            },
+            _ if drawn.matched > 0 && next.is_some_and(|next| next <= drawn.bare) => {
+                Reason::Prefix {
+                    tokens: drawn.matched,
+                }
             }
-            Some(held) if held.at == one.at => return,
-            Some(held) if one.finish() < held.finish() => std::mem::swap(held, &mut one),
-            Some(_) => {}
+            _ => Reason::Soonest,
         }
     }
 }
--- a/crates/core/src/route/predict.rs
+++ b/crates/core/src/route/predict.rs
@@ -6,7 +6,7 @@
 use crate::route::server::Server;
 
 /// Weight of own requests against the load report, where they are many.
-const OWN_WEIGHT: f64 = 0.67;
+const OWN_WEIGHT: f64 = 0.8;
 
 /// Uncertainty of a server's load, as a part of its slots.
 const BLUR: f64 = 0.1;
