--- a/crates/core/src/route/limit.rs
+++ b/crates/core/src/route/limit.rs
@@ -1,20 +1,25 @@
 //! Limits on requests in flight at a backend server.
 //!
-//! Routers share a server's slots without a counter of their own: each may
-//! always use its part of the slots, and beyond it a part of what the last
-//! load report showed as spare. All routers acting on one report therefore
-//! over-commit by a bounded number. Refusals as full shrink the window at once,
-//! and answers let it grow back slowly.
+//! Routers share a server's slots without a counter between them. Each keeps
+//! what it had when the load report was taken, plus its part of what the report
+//! showed as spare. As the server fills up, routers with more than an even part
+//! pass some of it on to those with less. Summed over the routers this is the
+//! server's limit. Parts are rounded by a number that differs between routers
+//! and reports, so the sum is over by at most one request for each router.
+//! Refusals as full shrink the window at once, and answers let it grow back.
 
 use std::time::{Duration, Instant};
 
-use crate::route::server::{Gate, PRIORITIES, Server};
+use crate::route::server::{Gate, Server};
 
-/// Share of the slots that may be in flight for the most urgent priority.
-const MOST: f64 = 1.25;
+/// Requests that all routers together keep at a server, for each of its slots.
+const CAP: f64 = 1.05;
 
-/// Share of the slots that may be in flight for the least urgent priority.
-const LEAST: f64 = 0.85;
+/// What a router passes on of its surplus at a full server.
+const PASSED: f64 = 0.3;
+
+/// Spare part of the limit at which nothing is passed on.
+const AMPLE: f64 = 0.2;
 
 /// What a refusal as full leaves of the window.
 const SHRINK: f64 = 0.7;
@@ -66,30 +71,28 @@
 }
 
 /// Requests that all routers together should keep at `server`.
-pub fn cap(server: &Server, priority: u8) -> f64 {
-    let rank = f64::from(priority.min(PRIORITIES as u8 - 1)) / (PRIORITIES - 1) as f64;
-    let share = MOST + (LEAST - MOST) * rank;
-    (f64::from(server.slots()) * share).max(1.0) * server.window.share()
+pub fn cap(server: &Server) -> f64 {
+    (f64::from(server.slots()) * CAP).max(1.0) * server.window.share()
 }
 
 /// Requests that this router, one of `routers`, may keep at `server`.
-pub fn own_limit(server: &Server, priority: u8, routers: u32) -> u32 {
+pub fn own_limit(server: &Server, routers: u32) -> u32 {
     let routers = f64::from(routers.max(1));
-    let cap = cap(server, priority);
-    let part = (cap / routers).floor().max(1.0) as u32;
-    let Some(report) = server.report() else {
-        return part;
-    };
-    let spare = cap - f64::from(report.running + report.waiting);
-    let more = (spare / routers).ceil().max(0.0) as u32;
-    let base = server.own().saturating_sub(server.sent());
-    part.max(base + more)
+    let cap = cap(server);
+    let part = cap / routers;
+    let limit = server.report().map_or(part.max(1.0), |report| {
+        let spare = cap - f64::from(report.running + report.waiting);
+        let passed = PASSED * (1.0 - spare / (AMPLE * cap)).clamp(0.0, 1.0);
+        let own = f64::from(server.own_then());
+        own + passed * (part - own) + (1.0 - passed) * spare / routers
+    });
+    (limit + server.phase()).max(0.0) as u32
 }
 
 /// Whether this router, one of `routers`, may send `server` one more.
-pub fn has_room(server: &Server, priority: u8, routers: u32) -> bool {
+pub fn has_room(server: &Server, routers: u32) -> bool {
     match server.gate {
-        Gate::Open => server.own() < own_limit(server, priority, routers),
+        Gate::Open => server.own() < own_limit(server, routers),
         Gate::Probe => server.own() == 0,
         Gate::Shut => false,
     }
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -160,29 +160,29 @@
         server.dispatched(id, flight(now + MS * (id as u32 + 1)));
     }
     server.ended(0, End::Done(100), now + MS * 5);
-    assert_eq!(server.load(1.0), 2.0);
+    assert_eq!(server.load(), 2);
     // Taken after the first two were sent and before the first one ended.
     server.reported(report(5, 1, now + MS * 2));
-    assert_eq!(server.load(1.0), 6.0 + 1.0 - 1.0);
+    assert_eq!(server.load(), 6 + 1 - 1);
     // An older report changes nothing.
     server.reported(report(0, 0, now));
-    assert_eq!(server.load(1.0), 6.0);
+    assert_eq!(server.load(), 6);
 }
 
 #[test]
 fn refusals_as_full_narrow_the_limit_and_answers_widen_it() {
     let now = Instant::now();
     let mut server = servers(1, now).remove(0);
-    let before = limit::own_limit(&server, 0, 1);
+    let before = limit::own_limit(&server, 1);
     server.dispatched(1, flight(now));
     server.ended(1, End::Full, now);
-    let cut = limit::own_limit(&server, 0, 1);
+    let cut = limit::own_limit(&server, 1);
     assert!(cut < before, "{cut} after {before}");
     for id in 0..100 {
         server.dispatched(id, flight(now));
         server.ended(id, End::Done(100), now);
     }
-    assert_eq!(limit::own_limit(&server, 0, 1), before);
+    assert_eq!(limit::own_limit(&server, 1), before);
 }
 
 #[test]
@@ -191,17 +191,18 @@
     let routers = 9;
     for load in [0, 3, 7, 8, 20] {
         let mut total = load;
-        for _ in 0..routers {
+        for router in 0..routers {
             let mut server = servers(1, now).remove(0);
+            server.salt = u64::from(router);
             server.reported(report(load, 0, now));
             let mut id = 0;
-            while limit::has_room(&server, 0, routers) {
+            while limit::has_room(&server, routers) {
                 server.dispatched(id, flight(now + MS));
                 id += 1;
             }
             total += id as u32;
         }
-        // Each may take its part of the cap of 10, rounded to one.
-        assert!(total <= load.max(10) + 2 * routers, "{load}: {total}");
+        // Each may have one of its own, and its part of the cap of 10 is rounded.
+        assert!(total <= load.max(10) + routers, "{load}: {total}");
     }
 }
