Close gaps in the stand-ins' tests

Breaking the code on a scratch copy left four faults unseen: a bucket that holds more than a second's worth, a cut that looks like a clean end, a drained engine that ends under its last chunk, and a token's leading space. The tests now see them. One test counted a run as running that still waited; it now counts both. The host list's guard against overtaking was of no use, as its queue keeps the order.

--- a/crates/standins/src/platform/hosts.rs
+++ b/crates/standins/src/platform/hosts.rs
@@ -31,9 +31,7 @@
 
     /// Replaces the list; it shows `lag` after `now`.
     pub fn replace(&mut self, hosts: Vec<HostWire>, now: Instant, lag: Duration) {
-        // A change never overtakes an earlier one, also where the lag shrank.
-        let after = self.coming.back().map_or(now, |c| c.due);
-        let due = (now + lag).max(after);
+        let due = now + lag;
         self.coming.push_back(Change { due, hosts });
     }
 
@@ -61,7 +59,7 @@
         Ok(())
     }
 
-    /// Lets due changes show.
+    /// Lets due changes show, none before an earlier one.
     pub fn advance(&mut self, now: Instant) {
         while self.coming.front().is_some_and(|c| c.due <= now) {
             if let Some(change) = self.coming.pop_front() {
--- a/crates/standins/tests/batch.rs
+++ b/crates/standins/tests/batch.rs
@@ -189,7 +189,10 @@
     fn an_answer_is_its_parts(hash: u64, length in 0..100u32, cut in 0..100u32) {
         let cut = cut.min(length);
         let rest: String = (cut..length).map(|i| text::token(hash, i)).collect();
-        prop_assert_eq!(text::answer(hash, cut) + &rest, text::answer(hash, length));
+        let whole = text::answer(hash, length);
+        prop_assert_eq!(whole.split_terminator(' ').count(), length as usize);
+        prop_assert!(!whole.starts_with(' '));
+        prop_assert_eq!(text::answer(hash, cut) + &rest, whole);
     }
 
     #[test]
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -106,17 +106,29 @@
     deltas.filter_map(Value::as_str).collect()
 }
 
+/// What was read of a stream.
+pub struct Read {
+    /// Its bytes.
+    pub body: Vec<u8>,
+    /// Whether the stream broke off.
+    pub broken: bool,
+}
+
 /// Reads until the stream ends or breaks off, at most `frames` frames.
-pub async fn read(answer: &mut Response<Incoming>, frames: usize) -> Vec<u8> {
+pub async fn read(answer: &mut Response<Incoming>, frames: usize) -> Read {
     let mut body = Vec::new();
     for _ in 0..frames {
         let frame = tokio::time::timeout(GUARD, answer.body_mut().frame());
         match frame.await.expect("the stream hangs") {
             Some(Ok(frame)) => body.extend_from_slice(frame.data_ref().unwrap()),
-            Some(Err(_)) | None => break,
+            Some(Err(_)) => return Read { body, broken: true },
+            None => break,
         }
     }
-    body
+    Read {
+        body,
+        broken: false,
+    }
 }
 
 /// The error code of a refusal.
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -89,8 +89,10 @@
     let text = "a long plan [tokens=40]";
     let headers = [("x-request-id", "a"), ("x-workspace", "w")];
     let mut cut = one.open(CHAT, &headers, chat(text)).await;
-    let (first, done) = events(&read(&mut cut, usize::MAX).await);
+    let cut = read(&mut cut, usize::MAX).await;
+    let (first, done) = events(&cut.body);
     assert_eq!((seqs(&first), done), (vec![0, 1, 2, 3, 4], false));
+    assert!(cut.broken);
     let headers = [("x-request-id", "a"), ("x-resume-from", "5")];
     let answer = two.post(CHAT, &headers, chat(text)).await.unwrap();
     let (rest, done) = events(&answer.body);
@@ -126,13 +128,14 @@
         let headers = [("x-request-id", "a"), ("x-router", router)];
         streams.push(engine.open(CHAT, &headers, body.clone()).await);
     }
-    let (received, _) = events(&read(&mut streams[0], 5).await);
+    let (received, _) = events(&read(&mut streams[0], 5).await.body);
     assert_eq!(cancel(&engine, "a", "r3").await, (false, 0, 0));
     let one = cancel(&engine, "a", "r1").await;
     assert_eq!((one.0, one.1), (true, 6));
     assert!(one.2 >= received.len() as u64);
     // The other router's run of the same request goes on.
-    assert_eq!(engine.get::<LoadWire>("/v1/load").await.running, 1);
+    let load: LoadWire = engine.get("/v1/load").await;
+    assert_eq!(load.running + load.waiting, 1);
     let two = cancel(&engine, "a", "r2").await;
     let load: LoadWire = engine.get("/v1/load").await;
     assert_eq!((load.running, load.waiting), (0, 0));
@@ -210,7 +213,7 @@
     engine.switch(json!({"refuse_leaving": true})).await;
     let new = engine.post(CHAT, &[("x-request-id", "b")], chat("x")).await;
     assert_eq!(code(&new.unwrap()), (503, "leaving".to_owned()));
-    let (old, done) = events(&read(&mut old, usize::MAX).await);
+    let (old, done) = events(&read(&mut old, usize::MAX).await.body);
     assert_eq!((old.len(), done), (52, true));
     let counts: CountsWire = engine.get("/control/counts").await;
     assert_eq!(counts.totals.after_leaving, 1);
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -91,6 +91,9 @@
     assert!(bucket.take(20, full));
     assert!(!bucket.take(1, full + Duration::from_secs(1)));
     assert!(bucket.take(1, full + Duration::from_secs(2)));
+    // However long it fills, it holds one second's worth.
+    let idle = full + Duration::from_secs(60);
+    assert!(bucket.take(10, idle) && !bucket.take(1, idle));
 }
 
 #[test]
--- a/crates/standins/tests/process.rs
+++ b/crates/standins/tests/process.rs
@@ -91,8 +91,9 @@
 async fn a_drained_engine_ends_after_its_last_answer() {
     let (mut process, engine) = Process::start(ENGINE, &["--step", "1ms"]);
     let mut old = engine.open(CHAT, &[], chat("x [tokens=50]")).await;
-    engine.switch(json!({"drain": true})).await;
-    let body = common::read(&mut old, usize::MAX).await;
-    assert!(common::events(&body).1);
+    // The last chunk leaves long after the last step.
+    engine.switch(json!({"drain": true, "late_ms": 300})).await;
+    let read = common::read(&mut old, usize::MAX).await;
+    assert!(common::events(&read.body).1);
     assert_eq!(process.ended().code(), Some(0));
 }
