Space batches of bills; count a transaction of 16 rows as one write

Nine routers that made a batch every 30 ms would write 600 times a second, more than the platform takes. All together they make a hundred batches now, and the first bill after a pause goes at once. How the platform counts a transaction of many rows is not known; the stand-in's unit is an option.

--- a/crates/router/src/backends/pool.rs
+++ b/crates/router/src/backends/pool.rs
@@ -289,7 +289,7 @@
         let sight = route::look(&fleet, &job, matched, &near, dice, now);
         let cost = work.tokens().saturating_add(output);
         let outlook = Outlook {
-            ahead: self.queue.ahead(work.priority, &work.workspace, cost),
+            ahead: self.queue.ahead(work.priority, &work.workspace, cost, now),
             rate: self.drain.rate(work.priority),
             best: sight.best,
             room: sight.room,
--- a/crates/router/src/budget/bank.rs
+++ b/crates/router/src/budget/bank.rs
@@ -210,9 +210,14 @@
         lock(&self.tables).account(budget).refused = Some((now, refused));
     }
 
+    /// Live routers, this one included.
+    pub(super) fn routers(&self) -> u32 {
+        self.peers.live(Instant::now()) as u32 + 1
+    }
+
     /// What the decision on draws and gifts needs to know.
     pub(super) fn outlook(&self, budget: &Name, now: Instant) -> grant::State {
-        let routers = self.peers.live(now) as u32 + 1;
+        let routers = self.routers();
         let mut tables = lock(&self.tables);
         let free = tables.ledger.holding(budget).free();
         let account = tables.account(budget);
--- a/crates/router/src/budget/biller.rs
+++ b/crates/router/src/budget/biller.rs
@@ -21,8 +21,9 @@
 
 /// Bills in one batch at the most.
 const MOST: usize = 256;
-/// Bills gather this long before a batch is made, to spare the table.
-const GATHER: Duration = Duration::from_millis(25);
+/// Least time between two batches of this router, times the live routers: all
+/// together they make a hundred batches a second, each a put and a commit.
+const SPACING: Duration = Duration::from_millis(10);
 /// First wait after a failure; it doubles.
 const BACKOFF: Duration = Duration::from_millis(50);
 /// Longest wait after failures.
@@ -135,11 +136,14 @@
         let mut version = 0;
         let mut attempt = 0;
         let mut wait = BACKOFF;
+        let mut next = tokio::time::Instant::now();
         loop {
             while self.waiting() == 0 {
                 self.wake.notified().await;
             }
-            tokio::time::sleep(GATHER).await;
+            // The first bill after a pause goes at once; others gather.
+            tokio::time::sleep_until(next).await;
+            next = tokio::time::Instant::now() + SPACING * bank.routers();
             let taken = self.take();
             attempt += 1;
             let state = Worker {
--- a/crates/standins/src/bin/fake-platform.rs
+++ b/crates/standins/src/bin/fake-platform.rs
@@ -7,7 +7,16 @@
 
 /// Options besides `--listen`.
 const OPTIONS: &[options::Spec] = &[
-    ("writes", "N", "rows and objects written a second [400]"),
+    (
+        "writes",
+        "N",
+        "transactions and objects written a second [400]",
+    ),
+    (
+        "rows",
+        "N",
+        "rows of a transaction that count as one write [16]",
+    ),
     ("reads", "N", "rows and objects read a second [2000]"),
     ("limits", "yes|no", "whether these limits hold [yes]"),
     (
@@ -25,6 +34,7 @@
     let default = Settings::default();
     let settings = Settings {
         writes: options.get("writes", default.writes),
+        rows: options.get("rows", default.rows),
         reads: options.get("reads", default.reads),
         limits: options.yes("limits", default.limits),
         lag: options.span("host-lag", default.lag),
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -144,7 +144,8 @@
 
 fn commit(state: &mut State, call: &Call, now: Instant) -> Answer {
     let wire: CommitWire = serve::parse(&call.body)?;
-    charge(state, call, Charge::Write, wire.writes.len(), now)?;
+    let cost = state.cost(wire.writes.len());
+    charge(state, call, Charge::Write, cost, now)?;
     let version = state.commit(wire)?;
     Ok(serve::ok(&CommittedWire { version }))
 }
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -20,8 +20,10 @@
 /// How the stand-in starts.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Rows and objects written a second.
+    /// Writes a second: transactions and objects.
     pub writes: u32,
+    /// Rows of a transaction that count as one write.
+    pub rows: u32,
     /// Rows and objects read a second.
     pub reads: u32,
     /// Whether these limits hold.
@@ -36,6 +38,7 @@
     fn default() -> Self {
         Self {
             writes: 400,
+            rows: 16,
             reads: 2000,
             limits: true,
             lag: Duration::ZERO,
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -51,6 +51,7 @@
     watch: Watch,
     reads: Bucket,
     writes: Bucket,
+    rows: usize,
     random: StdRng,
 }
 
@@ -75,6 +76,7 @@
             watch: Watch::default(),
             reads: Bucket::new(settings.reads, now),
             writes: Bucket::new(settings.writes, now),
+            rows: settings.rows.max(1) as usize,
             random: StdRng::seed_from_u64(settings.seed),
         }
     }
@@ -99,6 +101,11 @@
         true
     }
 
+    /// What a transaction that writes `rows` rows costs.
+    pub fn cost(&self, rows: usize) -> usize {
+        rows.div_ceil(self.rows)
+    }
+
     /// Carries out a transaction and checks the budgets it touched.
     ///
     /// # Errors
