Explore claims; mend six traps found on the way

An asker's own notes count against it at the last promise, a promise counts for the very ask it answers, a leaver can't be an heir, a row written on behalf of a sealed claimant gives no right to run, and inherited notes are kept. Joining and leaving are not yet explored to the end.

--- a/crates/core/src/claim/ask.rs
+++ b/crates/core/src/claim/ask.rs
@@ -50,22 +50,39 @@
         &self.waiting
     }
 
-    /// Whether everybody has promised; a group of one has at once.
-    pub fn is_won(&self) -> bool {
-        self.waiting.is_empty()
-    }
-
-    /// A member's answer to this attempt's ask.
-    pub fn on_promise(&mut self, notes: &Notes, from: &Incarnation, promise: Promise) -> Progress {
+    /// A member's answer to `ask`.
+    ///
+    /// An answer to an older ask counts for nothing, also one of the same
+    /// attempt: the member may have learned of other claims since.
+    pub fn on_promise(
+        &mut self,
+        notes: &Notes,
+        from: &Incarnation,
+        ask: &Ask,
+        promise: Promise,
+    ) -> Progress {
+        if *ask != self.ask {
+            return self.progress(notes);
+        }
         match promise {
             Promise::Given => self.waiting.retain(|of| of != from),
             Promise::Held(attempt) => return Progress::Refused(notes.verdict(attempt)),
             Promise::Refused(reason) => return Progress::Refused(Verdict::NotRun(reason)),
         }
-        if self.is_won() {
-            Progress::Won
-        } else {
-            Progress::Waiting
+        self.progress(notes)
+    }
+
+    /// How far it is, which in a group of one needs no answer.
+    ///
+    /// The claimant's own notes count like those of the members that it asks:
+    /// it may have learned of another attempt since it began, and while it
+    /// seals a member it speaks for that one's claims.
+    pub fn progress(&self, notes: &Notes) -> Progress {
+        match notes.against(&self.ask.id, &self.ask.attempt) {
+            Some(Promise::Held(attempt)) => Progress::Refused(notes.verdict(attempt)),
+            Some(Promise::Refused(reason)) => Progress::Refused(Verdict::NotRun(reason)),
+            _ if self.waiting.is_empty() => Progress::Won,
+            _ => Progress::Waiting,
         }
     }
 }
--- a/crates/core/src/claim/notes.rs
+++ b/crates/core/src/claim/notes.rs
@@ -30,6 +30,8 @@
     /// When it was noted.
     pub at: Instant,
     /// Whether the table has the attempt's row.
+    ///
+    /// Such a note of another claimant is kept for one that has ended.
     pub tabled: bool,
 }
 
@@ -90,7 +92,7 @@
     standing: Standing,
     set: GroupRow,
     count: u64,
-    scanning: bool,
+    sealing: Vec<Incarnation>,
     notes: SortedVec<Key, Note>,
 }
 
@@ -103,7 +105,7 @@
             standing: Standing::Joining,
             set: GroupRow::default(),
             count: 0,
-            scanning: false,
+            sealing: Vec::new(),
             notes: SortedVec::new(),
         }
     }
@@ -125,7 +127,7 @@
 
     /// Whether claims of ended members are still to be read.
     pub fn is_scanning(&self) -> bool {
-        self.scanning
+        !self.sealing.is_empty()
     }
 
     /// Attempts noted for a request.
@@ -184,25 +186,41 @@
     }
 
     /// Takes over the notes of an acknowledging or leaving member.
-    pub fn take_over(&mut self, from: &Handover) {
+    ///
+    /// Returns whether it did; a router that has handed its own notes on can't.
+    pub fn take_over(&mut self, from: &Handover) -> bool {
+        if self.standing == Standing::Ended {
+            return false;
+        }
         for (id, attempt, note) in &from.notes {
             let key = (id.clone(), attempt.clone());
-            self.notes.entry(key, || *note);
+            self.notes.entry(key, || *note).tabled |= note.tabled;
         }
         if self.standing == Standing::Joining {
             self.standing = Standing::Informed;
         }
+        true
     }
 
-    /// Stops promising before this router commits the sealing of a member.
+    /// Stops promising before this router commits the sealing of `dead`.
     ///
     /// It goes on once the claims of ended members were read. Until then
     /// nobody may hold notes for them.
-    pub fn sealing(&mut self) {
-        self.scanning = true;
+    pub fn sealing(&mut self, dead: &Incarnation) {
+        if !self.sealing.contains(dead) {
+            self.sealing.push(dead.clone());
+        }
+    }
+
+    /// The sealing of `dead` was refused and never takes effect.
+    pub fn spared(&mut self, dead: &Incarnation) {
+        self.sealing.retain(|of| of != dead);
     }
 
     /// Notes the claims of ended members, read from the table after a sealing.
+    ///
+    /// `set` is the group's row, read before the claims. A sealing that it does
+    /// not show may still take effect, so this goes on not to promise then.
     pub fn scanned(
         &mut self,
         set: &GroupRow,
@@ -216,7 +234,7 @@
             }
             self.note(id, row.attempt, now).tabled = true;
         }
-        self.scanning = false;
+        self.sealing.retain(|dead| set.has(dead));
     }
 
     fn note(&mut self, id: RequestId, attempt: Attempt, now: Instant) -> &mut Note {
@@ -271,20 +289,27 @@
         attempt.claimant == self.me && !self.notes.contains(&(id.clone(), attempt.clone()))
     }
 
-    /// Answers an ask for a promise.
-    pub fn promise(&mut self, ask: &Ask, now: Instant) -> Promise {
-        if self.standing == Standing::Joining || self.scanning {
-            return Promise::Refused(Reason::Unready);
+    /// What stands against an attempt here, the epoch of its ask apart.
+    pub fn against(&self, id: &RequestId, attempt: &Attempt) -> Option<Promise> {
+        if self.standing == Standing::Joining || self.is_scanning() {
+            return Some(Promise::Refused(Reason::Unready));
         }
         if self.standing == Standing::Ended {
-            return Promise::Refused(Reason::Sealed);
+            return Some(Promise::Refused(Reason::Sealed));
+        }
+        let mut noted = self.noted(id).map(|(attempt, _)| attempt);
+        let held = noted.find(|of| *of != attempt && !of.precedes(attempt));
+        held.map(|of| Promise::Held(of.clone()))
+    }
+
+    /// Answers an ask for a promise.
+    pub fn promise(&mut self, ask: &Ask, now: Instant) -> Promise {
+        if let Some(refusal) = self.against(&ask.id, &ask.attempt) {
+            return refusal;
         }
         if ask.epoch < self.set.epoch {
             return Promise::Refused(Reason::Older);
         }
-        if let Some(held) = self.held_against(ask) {
-            return Promise::Held(held);
-        }
         let key = (ask.id.clone(), ask.attempt.clone());
         if self.notes.len() >= self.limits.notes && !self.notes.contains(&key) {
             return Promise::Refused(Reason::Full);
@@ -295,12 +320,6 @@
         Promise::Given
     }
 
-    fn held_against(&self, ask: &Ask) -> Option<Attempt> {
-        let mut noted = self.noted(&ask.id).map(|(attempt, _)| attempt);
-        let held = noted.find(|of| **of != ask.attempt && !of.precedes(&ask.attempt));
-        held.cloned()
-    }
-
     /// Drops a promise whose claimant says that it gave the attempt up.
     pub fn release(&mut self, id: &RequestId, attempt: &Attempt) {
         if attempt.claimant != self.me {
@@ -314,9 +333,12 @@
     /// transaction, or when read after it.
     pub fn tabled(&mut self, id: &RequestId, attempt: &Attempt, unsealed: bool) {
         let key = (id.clone(), attempt.clone());
-        if unsealed && attempt.claimant != self.me {
+        let Some(note) = self.notes.get_mut(&key) else {
+            return;
+        };
+        if unsealed && !note.tabled && attempt.claimant != self.me {
             self.notes.remove(&key);
-        } else if let Some(note) = self.notes.get_mut(&key) {
+        } else {
             note.tabled = true;
         }
     }
--- a/crates/core/src/claim/table.rs
+++ b/crates/core/src/claim/table.rs
@@ -100,7 +100,7 @@
 /// `sealed` is the claimant's own row, read before the claim's.
 pub fn claim(attempt: &Attempt, row: &Seen<Option<ClaimRow>>, sealed: bool) -> Next {
     if let Some(found) = &row.row {
-        if found.attempt == *attempt && found.binds() {
+        if found.attempt == *attempt && found.stage == Stage::Claimed {
             return Next::Won;
         }
         if found.binds_against(attempt) {
@@ -151,11 +151,23 @@
 
 /// The row that a note's holder writes for the claimant after an outage.
 ///
-/// `None` where the table has the attempt's row or another that binds.
-pub fn on_behalf(attempt: &Attempt, row: &Seen<Option<ClaimRow>>) -> Option<Seen<ClaimRow>> {
+/// `None` where the table has the attempt's row or another that binds. `sealed`
+/// is the claimant's own row. The commit relies on that row's version too: a
+/// claimant that is sealed must not find a claim that its sealer did not, so
+/// for a sealed one the outcome is recorded as unknown.
+pub fn on_behalf(
+    attempt: &Attempt,
+    row: &Seen<Option<ClaimRow>>,
+    sealed: bool,
+) -> Option<Seen<ClaimRow>> {
     let own = row.row.as_ref().is_some_and(|r| r.attempt == *attempt);
     if own {
         return None;
     }
-    finish(attempt, row, Stage::Claimed)
+    let stage = if sealed {
+        Stage::Unknown
+    } else {
+        Stage::Claimed
+    };
+    finish(attempt, row, stage)
 }
--- /dev/null
+++ b/crates/spec/src/claim/mod.rs
@@ -0,0 +1,303 @@
+//! Claims: a call that may run at most once.
+//!
+//! Three routers are members of the group and a fourth may join, which also
+//! stands for the restart of one that crashed. All are asked for the same
+//! request. Each may at any time go by the table or by promises, so that the
+//! search covers a table that is out of reach of any of them for any time. What
+//! was sent or answered once may arrive at any later time, any number of times,
+//! or never. A crash needs no step of its own: it is a pause that never ends,
+//! since nobody answers for what a router remembers.
+
+mod check;
+mod step;
+mod table;
+
+use std::sync::LazyLock;
+use std::time::{Duration, Instant};
+
+use poplar_core::budget::rows::Seen;
+use poplar_core::claim::Attempt;
+use poplar_core::claim::ask::Asking;
+use poplar_core::claim::notes::{Ask, Handover, Limits, Notes};
+use poplar_core::claim::table::ClaimRow;
+use poplar_core::id::{Incarnation, RequestId};
+
+use crate::explore::{Explored, explore};
+use table::{Delayed, Table};
+
+/// Incarnations in the model.
+const LIVES: usize = 4;
+
+/// Names of the incarnations.
+static NAMES: LazyLock<[Incarnation; LIVES]> =
+    LazyLock::new(|| ["a", "b", "c", "d"].map(|name| Incarnation(name.into())));
+
+/// The request.
+static REQUEST: LazyLock<RequestId> = LazyLock::new(|| RequestId("k".into()));
+
+/// The time; nothing in the model depends on it.
+static NOW: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// A fault put into the model, which the search must find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Fault {
+    /// A claim is won by the promises of all members but one.
+    AllButOne,
+    /// A joiner is active without an acknowledgement.
+    Unacknowledged,
+    /// An activation does not check that the acknowledging member is unsealed.
+    SealedAcker,
+    /// A member that acknowledged a set goes on to promise to older ones.
+    OlderSets,
+    /// A joiner does not take over the notes.
+    NotesLeft,
+    /// A claim in the table is taken over after a timeout.
+    Takeover,
+    /// A claim in the table does not check the claimant's own row.
+    UncheckedClaim,
+    /// A sealer does not read the claims of the sealed.
+    Unscanned,
+    /// A router claims in the table without a note of its own.
+    Unnoted,
+    /// A promise counts for a later ask of the same attempt.
+    StalePromise,
+    /// A note's holder writes a claim for a claimant that is sealed.
+    ClaimForSealed,
+    /// A leaver takes over notes after it handed on its own.
+    LeavingHeir,
+    /// A note is dropped though the claimant was sealed when its row came.
+    DroppedNote,
+    /// A promise is dropped after a timeout.
+    PromiseExpired,
+    /// A lost answer of an insertion is taken for success.
+    BlindWin,
+    /// An attempt is given up after its dispatch.
+    LateGiveUp,
+}
+
+/// How much of everything the search goes through.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Members at the start.
+    pub members: usize,
+    /// How many more may join.
+    pub joins: usize,
+    /// Who is asked to run the request.
+    pub askers: &'static [usize],
+    /// Attempts in all.
+    pub attempts: u8,
+    /// Commits that lose their answer.
+    pub losses: u8,
+    /// Seals.
+    pub seals: u8,
+    /// Members that may stop as planned.
+    pub leavers: &'static [usize],
+    /// Whether notes and outcomes are brought into the table.
+    pub flush: bool,
+    /// Whether attempts may be given up.
+    pub giveups: bool,
+}
+
+/// What a router does about the request.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Job {
+    Idle,
+    Noted(Attempt),
+    Writing(Attempt, Seen<ClaimRow>),
+    Asking(Attempt, Asking),
+    Ran(Attempt),
+    Done,
+}
+
+/// A router's memory.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Router {
+    notes: Notes,
+    job: Job,
+    /// Who acknowledged this joiner.
+    acker: Option<usize>,
+    /// Who has taken over this leaver's notes.
+    heir: Option<usize>,
+    leaving: bool,
+}
+
+/// An incarnation's life.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Life {
+    Unborn,
+    Up(Box<Router>),
+}
+
+/// What is left of the bounded steps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Left {
+    attempts: u8,
+    losses: u8,
+    seals: u8,
+}
+
+/// A state of the model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct World {
+    table: Table,
+    lives: [Life; LIVES],
+    /// Asks on their way, with whom they were sent to.
+    asks: Vec<(Ask, Vec<Incarnation>)>,
+    /// Promises given, by member.
+    given: Vec<(usize, Ask)>,
+    /// Handovers on their way: from, to, what.
+    handovers: Vec<(usize, usize, Handover)>,
+    delayed: Vec<Delayed>,
+    /// Attempts given up; their callers were told that they did not run.
+    given_up: Vec<Attempt>,
+    /// Attempts that the backend server ran.
+    ran: Vec<Attempt>,
+    left: Left,
+}
+
+/// The bounds of an exploration and the fault put into it.
+#[derive(Debug, Clone, Copy)]
+struct Cx {
+    bounds: Bounds,
+    fault: Option<Fault>,
+}
+
+impl Cx {
+    fn has(&self, fault: Fault) -> bool {
+        self.fault == Some(fault)
+    }
+}
+
+impl Router {
+    fn new(at: usize) -> Self {
+        let limits = Limits {
+            notes: 8,
+            retention: Duration::from_secs(3600),
+        };
+        Self {
+            notes: Notes::new(NAMES[at].clone(), limits),
+            job: Job::Idle,
+            acker: None,
+            heir: None,
+            leaving: false,
+        }
+    }
+}
+
+impl World {
+    fn new(bounds: Bounds) -> Self {
+        let table = Table::new(bounds.members);
+        let life = |at| {
+            if at >= bounds.members {
+                return Life::Unborn;
+            }
+            let mut router = Router::new(at);
+            router.notes.learn(&table.group.row);
+            Life::Up(Box::new(router))
+        };
+        Self {
+            lives: std::array::from_fn(life),
+            table,
+            asks: Vec::new(),
+            given: Vec::new(),
+            handovers: Vec::new(),
+            delayed: Vec::new(),
+            given_up: Vec::new(),
+            ran: Vec::new(),
+            left: Left {
+                attempts: bounds.attempts,
+                losses: bounds.losses,
+                seals: bounds.seals,
+            },
+        }
+    }
+
+    fn router(&self, at: usize) -> Option<&Router> {
+        match &self.lives[at] {
+            Life::Up(router) => Some(router),
+            Life::Unborn => None,
+        }
+    }
+
+    /// A copy in which a router's memory may be changed.
+    fn with(&self, at: usize, change: impl FnOnce(&mut Router)) -> Self {
+        let mut next = self.clone();
+        if let Life::Up(router) = &mut next.lives[at] {
+            change(router);
+        }
+        next
+    }
+}
+
+/// Explores claims within `bounds`, with a fault where one is given.
+pub fn run(bounds: Bounds, fault: Option<Fault>) -> Explored {
+    let cx = Cx { bounds, fault };
+    explore(
+        World::new(bounds),
+        |world| step::next(world, cx),
+        |world| check::broken(world, cx),
+    )
+}
+
+/// The bounds that are explored, by what they look into.
+pub fn suite() -> Vec<(&'static str, Bounds)> {
+    let base = Bounds {
+        members: 3,
+        joins: 0,
+        askers: &[0, 1],
+        attempts: 2,
+        losses: 0,
+        seals: 0,
+        leavers: &[],
+        flush: false,
+        giveups: true,
+    };
+    vec![
+        (
+            "calm",
+            Bounds {
+                askers: &[0],
+                attempts: 1,
+                giveups: false,
+                ..base
+            },
+        ),
+        (
+            "lost answers",
+            Bounds {
+                attempts: 3,
+                losses: 2,
+                flush: true,
+                ..base
+            },
+        ),
+        (
+            "seal",
+            Bounds {
+                askers: &[0, 2],
+                seals: 2,
+                flush: true,
+                ..base
+            },
+        ),
+        (
+            "join",
+            Bounds {
+                members: 2,
+                joins: 1,
+                askers: &[0, 1, 2],
+                seals: 1,
+                ..base
+            },
+        ),
+        (
+            "leave",
+            Bounds {
+                askers: &[0, 2],
+                leavers: &[0, 1],
+                flush: true,
+                ..base
+            },
+        ),
+    ]
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -11,4 +11,5 @@
 //! both without a step of their own.
 
 pub mod budget;
+pub mod claim;
 pub mod explore;
--- a/crates/spec/src/main.rs
+++ b/crates/spec/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use poplar_spec::budget;
+use poplar_spec::{budget, claim};
 
 fn main() {
     let wanted = std::env::args().nth(1);
@@ -21,4 +21,19 @@
             println!("{broken}");
         }
     }
+    for (name, bounds) in claim::suite() {
+        if wanted.as_ref().is_some_and(|w| w != name) {
+            continue;
+        }
+        let start = Instant::now();
+        let explored = claim::run(bounds, None);
+        println!(
+            "claim {name}: {} states, {:?}",
+            explored.states,
+            start.elapsed()
+        );
+        if let Some(broken) = explored.broken {
+            println!("{broken}");
+        }
+    }
 }
