End what dead routers leave: heirs, silence, sealed routers

A router seals the earlier lives at its own address and releases what they can't have used. The group takes sealed members out, and seals those that were silent for ten minutes.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,6 +1,7 @@
 //! Settings, logs, command line and the platform's client.
 
 pub mod args;
+pub mod ending;
 pub mod http;
 pub mod log;
 pub mod platform;
--- a/crates/router/src/claims/flush.rs
+++ b/crates/router/src/claims/flush.rs
@@ -55,12 +55,12 @@
         let found = table::read(state, &id).await?;
         let has = found.row.as_ref().is_some_and(|r| r.attempt == attempt);
         if has {
-            let unsealed = table::is_unsealed(state, &attempt.claimant).await?;
-            lock(&state.claims.notes).tabled(&id, &attempt, unsealed);
+            let (_, sealed) = table::life(state, &attempt.claimant).await?;
+            lock(&state.claims.notes).tabled(&id, &attempt, !sealed);
         } else if is_abandoned(state, &id, &attempt).await {
             lock(&state.claims.notes).release(&id, &attempt);
         } else if !state.peers.is_live(&attempt.claimant, Instant::now()) {
-            table::settle(state, &id, &attempt, Stage::Claimed).await?;
+            table::settle_for(state, &id, &attempt).await?;
         }
     }
     Ok(())
--- a/crates/router/src/claims/group.rs
+++ b/crates/router/src/claims/group.rs
@@ -107,41 +107,77 @@
         if !reply.acknowledged {
             continue;
         }
-        if let Some(handover) = wire::read_handover(reply, Instant::now()) {
-            lock(&state.claims.notes).take_over(&handover);
+        let handover = wire::read_handover(reply, Instant::now());
+        if handover.is_some_and(|h| lock(&state.claims.notes).take_over(&h)) {
             return Some(of.clone());
         }
     }
     None
 }
 
-/// Takes sealed routers out of the group, one a step.
+/// A member's row, and whether it has to be sealed first.
+struct Ended<'a> {
+    member: &'a Incarnation,
+    own: &'a Row,
+    row: Option<RouterRow>,
+}
+
+/// Takes routers out of the group that are sealed, or that were silent for so
+/// long that they are sealed now; one a step.
 async fn seal_out(state: &State, version: u64, row: &GroupRow) -> Result<(), Error> {
     let others: Vec<_> = row.others(&state.me).cloned().collect();
     let keys = others.iter().map(incarnation_key).collect();
     let rows = (state.platform.read)(keys).await?;
-    let sealed = |(_, row): &(&Incarnation, &Row)| {
-        let router = row.decode::<RouterRow>();
-        router.is_ok_and(|r| r.is_none_or(|r| r.stage == Life::Sealed))
-    };
-    let Some((dead, own)) = others.iter().zip(&rows).find(sealed) else {
+    let pairs = others.iter().zip(&rows);
+    let Some(ended) = pairs.filter_map(|(m, r)| ended(state, m, r)).next() else {
         return Ok(());
     };
+    let dead = ended.member;
     let Ok(next) = row.seal(&state.me, dead, None) else {
         return Ok(());
     };
-    lock(&state.claims.notes).sealing();
-    let commit = Commit::default()
+    lock(&state.claims.notes).sealing(dead);
+    let mut commit = Commit::default()
         .check(incarnation_key(&state.me), state.router())
-        .check(&own.key, own.version)
+        .check(&ended.own.key, ended.own.version)
         .check(group::ROW, version)
         .write(group::ROW, &next);
-    // Whether it took effect is seen from the row in the next step.
-    (state.platform.commit)(commit).await?;
+    if let Some(row) = ended.row {
+        let sealed = RouterRow {
+            stage: Life::Sealed,
+            ..row
+        };
+        commit = commit.write(&ended.own.key, &sealed);
+    }
+    match (state.platform.commit)(commit).await {
+        Ok(_) => {}
+        Err(Error::Conflict(_)) => {
+            lock(&state.claims.notes).spared(dead);
+            return Ok(());
+        }
+        // Whether it took effect is seen from the row in the next step.
+        Err(why) => return Err(why),
+    }
     log::info("group").with("sealed", dead).write();
     Ok(())
 }
 
+/// Whether a member is at its end.
+///
+/// Sealing one that still works does no harm but to itself: it can write
+/// nothing any more, ends, and is started anew.
+fn ended<'a>(state: &State, member: &'a Incarnation, own: &'a Row) -> Option<Ended<'a>> {
+    let row = own.decode::<RouterRow>().ok()?;
+    let is_sealed = row.as_ref().is_none_or(|r| r.stage == Life::Sealed);
+    let silent = state.peers.silent_for(member, Instant::now());
+    let is_lost = silent.is_some_and(|silent| silent > state.settings.peers.seal);
+    (is_sealed || is_lost).then(|| Ended {
+        member,
+        own,
+        row: row.filter(|_| !is_sealed),
+    })
+}
+
 /// Reads the claims of members that ended, before promising anything again.
 async fn scan(state: &State, row: &GroupRow) -> Result<(), Error> {
     let rows = (state.platform.scan)(CLAIMS.to_owned()).await?;
--- a/crates/router/src/claims/mod.rs
+++ b/crates/router/src/claims/mod.rs
@@ -177,10 +177,7 @@
         return false;
     }
     match wire::read_handover(from, Instant::now()) {
-        Some(handover) => {
-            notes.take_over(&handover);
-            true
-        }
+        Some(handover) => notes.take_over(&handover),
         None => false,
     }
 }
--- a/crates/router/src/claims/promise.rs
+++ b/crates/router/src/claims/promise.rs
@@ -21,12 +21,15 @@
 /// What the caller is told where one is missing or refuses.
 pub(super) async fn ask(state: &State, id: &RequestId, attempt: &Attempt) -> Result<(), Verdict> {
     let mut asking = Asking::begin(&lock(&state.claims.notes), id, attempt);
-    if asking.is_won() {
-        return Ok(());
+    match asking.progress(&lock(&state.claims.notes)) {
+        Progress::Waiting => {}
+        Progress::Won => return Ok(()),
+        Progress::Refused(verdict) => return Err(verdict),
     }
+    let ask = asking.ask().clone();
     let request = PromiseRequest {
         attempt: Some(wire::attempt(id, attempt)),
-        epoch: asking.ask().epoch,
+        epoch: ask.epoch,
     };
     let waiting = asking.waiting().to_vec();
     let mut answers: FuturesUnordered<_> = waiting
@@ -38,7 +41,7 @@
             return Err(Verdict::NotRun(Reason::Missing));
         };
         let notes = lock(&state.claims.notes);
-        match asking.on_promise(&notes, &from, promise) {
+        match asking.on_promise(&notes, &from, &ask, promise) {
             Progress::Waiting => {}
             Progress::Won => return Ok(()),
             Progress::Refused(verdict) => return Err(verdict),
--- a/crates/router/src/claims/table.rs
+++ b/crates/router/src/claims/table.rs
@@ -50,14 +50,21 @@
 }
 
 /// Writes a claim's row, relying on the version read and the own row.
-pub(super) async fn write(
+async fn write(state: &State, id: &RequestId, next: &Seen<ClaimRow>) -> Result<u64, Error> {
+    let own = (incarnation_key(&state.me), state.router());
+    write_for(state, id, next, own).await
+}
+
+/// Writes a claim's row, relying also on a claimant's row: key and version.
+async fn write_for(
     state: &State,
     id: &RequestId,
     next: &Seen<ClaimRow>,
+    claimant: (String, u64),
 ) -> Result<u64, Error> {
     let key = claim_key(id);
     let commit = Commit::default()
-        .check(incarnation_key(&state.me), state.router())
+        .check(claimant.0, claimant.1)
         .check(&key, next.version)
         .write(&key, &next.row);
     (state.platform.commit)(commit).await
@@ -88,22 +95,42 @@
 ) -> Result<bool, Error> {
     let found = read(state, id).await?;
     let next = match stage {
-        Stage::Claimed => table::on_behalf(attempt, &found),
+        Stage::Claimed => table::on_behalf(attempt, &found, state.is_sealed()),
         _ => table::finish(attempt, &found, stage),
     };
     let Some(next) = next else {
         return Ok(true);
     };
-    match write(state, id, &next).await {
+    settled(write(state, id, &next).await)
+}
+
+/// Writes the claim of another router that is gone, where it has none.
+pub(super) async fn settle_for(
+    state: &State,
+    id: &RequestId,
+    attempt: &Attempt,
+) -> Result<bool, Error> {
+    let (version, sealed) = life(state, &attempt.claimant).await?;
+    let found = read(state, id).await?;
+    let Some(next) = table::on_behalf(attempt, &found, sealed) else {
+        return Ok(true);
+    };
+    let claimant = (incarnation_key(&attempt.claimant), version);
+    settled(write_for(state, id, &next, claimant).await)
+}
+
+fn settled(written: Result<u64, Error>) -> Result<bool, Error> {
+    match written {
         Ok(_) => Ok(true),
         Err(Error::Conflict(_)) => Ok(false),
         Err(why) => Err(why),
     }
 }
 
-/// Whether an incarnation's own row is in force, not sealed or missing.
-pub(super) async fn is_unsealed(state: &State, of: &Incarnation) -> Result<bool, Error> {
+/// Version of an incarnation's own row, and whether it is sealed or missing.
+pub(super) async fn life(state: &State, of: &Incarnation) -> Result<(u64, bool), Error> {
     let row = state.platform.row(incarnation_key(of)).await?;
-    let row = row.decode::<RouterRow>()?;
-    Ok(row.is_some_and(|r| r.stage != Life::Sealed))
+    let life = row.decode::<RouterRow>()?;
+    let sealed = life.is_none_or(|r| r.stage == Life::Sealed);
+    Ok((row.version, sealed))
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod conf;
 pub mod door;
 pub mod flow;
+pub mod heir;
 pub mod journal;
 pub mod life;
 pub mod metrics;
--- a/crates/router/src/life.rs
+++ b/crates/router/src/life.rs
@@ -19,10 +19,12 @@
 use crate::server::Server;
 use crate::settings::{Platform, Settings};
 use crate::state::State;
-use crate::{admin, backends, claims, conf, door, metrics, peers};
+use crate::{admin, backends, claims, conf, door, heir, metrics, peers};
 
 /// Wait between tries to register.
 const REGISTER_WAIT: Duration = Duration::from_millis(500);
+/// How often it is looked whether the end has come.
+const LOOK: Duration = Duration::from_millis(100);
 /// Tries to leave the group against others' changes of it.
 const SEAL_TRIES: usize = 10;
 /// Wait between them.
@@ -37,6 +39,8 @@
     Bind(&'static str, std::io::Error),
     /// Metrics could not be set up.
     Metrics(String),
+    /// Somebody sealed this router, so that it can do no more; start it anew.
+    Sealed,
     /// The system's signals could not be heard.
     Signals(std::io::Error),
 }
@@ -46,6 +50,7 @@
         match self {
             Self::Bind(what, why) => write!(f, "can't bind the address {what}: {why}"),
             Self::Metrics(why) => write!(f, "can't set metrics up: {why}"),
+            Self::Sealed => f.write_str("the router was sealed; start it anew"),
             Self::Signals(why) => write!(f, "can't hear signals: {why}"),
         }
     }
@@ -76,6 +81,9 @@
     tokio::spawn(upkeep(recorder));
     wait_for_end(&state).await?;
     end(&state, door).await;
+    if state.is_sealed() {
+        return Err(Error::Sealed);
+    }
     Ok(())
 }
 
@@ -122,6 +130,7 @@
 async fn work(state: Arc<State>) {
     register(&state).await;
     tokio::spawn(conf::watch(state.clone()));
+    tokio::spawn(heir::succeed(state.clone()));
     tokio::spawn(peers::discover(state.clone()));
     tokio::spawn(peers::gossip(state.clone()));
     tokio::spawn(peers::flush_orphans(state.clone()));
@@ -174,15 +183,15 @@
 async fn wait_for_end(state: &Arc<State>) -> Result<(), Error> {
     let mut term = signal(SignalKind::terminate()).map_err(Error::Signals)?;
     let mut int = signal(SignalKind::interrupt()).map_err(Error::Signals)?;
-    let drained = async {
-        while !state.is_draining() {
-            state.refresh.notified().await;
+    let ended = async {
+        while !state.is_draining() && !state.is_sealed() {
+            tokio::time::sleep(LOOK).await;
         }
     };
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
-        () = drained => {}
+        () = ended => {}
     }
     Ok(())
 }
@@ -202,6 +211,9 @@
             .write();
     }
     state.open.wait_none(most).await;
+    if state.is_sealed() {
+        return;
+    }
     if tokio::time::timeout(LAST_WRITES, last_writes(state))
         .await
         .is_err()
--- a/crates/router/src/peers/gossip.rs
+++ b/crates/router/src/peers/gossip.rs
@@ -17,8 +17,6 @@
 const EVERY: Duration = Duration::from_millis(500);
 /// How often the table is asked for routers.
 const DISCOVER: Duration = Duration::from_secs(2);
-/// Silence after which a peer that was heard of is forgotten.
-const FORGET: Duration = Duration::from_secs(600);
 
 /// Looks for other routers in the table again and again.
 pub async fn discover(state: Arc<State>) {
@@ -71,26 +69,18 @@
         config: if behind { encode(&config) } else { Vec::new() },
     };
     let mut client = known.client.clone();
-    match client.gossip(request).await {
-        Ok(reply) => {
-            let reply = reply.into_inner();
-            if let Some(sender) = &reply.sender {
-                // Another life may listen where the known one did.
-                if sender.incarnation == *of.0 {
-                    state.peers.heard(sender, Instant::now());
-                }
-            }
-            state.crashes.hear(reply.sightings, Instant::now());
-            learn(state, &reply.config);
-        }
-        Err(_) => {
-            let now = Instant::now();
-            let silent = |at: Instant| now.saturating_duration_since(at) > FORGET;
-            if known.heard.is_some_and(silent) {
-                state.peers.forget(of);
-            }
-        }
+    // A router that answers no more is forgotten once it is sealed.
+    let Ok(reply) = client.gossip(request).await else {
+        return;
+    };
+    let reply = reply.into_inner();
+    let now = Instant::now();
+    // Another life may listen where the known one did.
+    if let Some(sender) = reply.sender.filter(|s| s.incarnation == *of.0) {
+        state.peers.heard(&sender, now);
     }
+    state.crashes.hear(reply.sightings, now);
+    learn(state, &reply.config);
 }
 
 /// What this router says of itself.
--- a/crates/router/src/peers/mod.rs
+++ b/crates/router/src/peers/mod.rs
@@ -39,6 +39,7 @@
     pub(crate) generation: u64,
     pub(crate) draining: bool,
     pub(crate) heard: Option<Instant>,
+    pub(crate) met: Instant,
     pub(crate) client: PeerClient<Channel>,
 }
 
@@ -72,6 +73,7 @@
             generation: 0,
             draining: false,
             heard: None,
+            met: Instant::now(),
             client: PeerClient::new(endpoint.connect_lazy()),
         })
     }
@@ -94,6 +96,13 @@
         lock(&self.known).get(of).is_some_and(|k| k.is_live(now))
     }
 
+    /// For how long a known router has been silent.
+    pub fn silent_for(&self, of: &Incarnation, now: Instant) -> Option<Duration> {
+        let known = lock(&self.known);
+        let since = known.get(of).map(|k| k.heard.unwrap_or(k.met))?;
+        Some(now.saturating_duration_since(since))
+    }
+
     /// Every known peer, for the admin page.
     pub fn page(&self, now: Instant) -> Vec<PeerWire> {
         let known = lock(&self.known);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -45,6 +45,8 @@
     pub budget: Budget,
     /// How backend servers are watched.
     pub backends: Backends,
+    /// How the other routers are watched.
+    pub peers: Peers,
     /// How a planned stop goes.
     pub stop: Stop,
 }
@@ -99,6 +101,13 @@
     pub policy: Policy,
 }
 
+/// How the other routers are watched.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    /// Silence after which a member of the group is sealed.
+    pub seal: Duration,
+}
+
 /// How a planned stop goes.
 #[derive(Debug, Clone)]
 pub struct Stop {
@@ -135,6 +144,7 @@
             door: door(&mut file),
             budget: budget(&mut file),
             backends: backends(&mut file),
+            peers: peers(&mut file),
             stop: stop(&mut file),
         };
         file.finish()?;
@@ -191,6 +201,13 @@
     }
 }
 
+fn peers(file: &mut File) -> Peers {
+    let mut s = file.section_or_empty("peers");
+    Peers {
+        seal: s.duration_or("seal", ms(5000)..=LONGEST, Duration::from_secs(600)),
+    }
+}
+
 fn stop(file: &mut File) -> Stop {
     let mut s = file.section_or_empty("stop");
     Stop {
