Take bursts of connections at the stand-ins

With the usual short backlog, 900 connections at once lost their first packet and were made only after its repetition a second later, by when the product's client had given up. A failing accept no longer spins.

--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -24,12 +24,14 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
-/// Wait before the listener is bound again where that failed.
-const REBIND: Duration = Duration::from_millis(5);
+/// Wait before binding or accepting is tried again where it failed.
+const AGAIN: Duration = Duration::from_millis(5);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 4096;
 
 /// The connection ends here, without an answer or the rest of one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -93,13 +95,24 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Reply> + Send + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
+    let listener = listen(address)?;
     let address = listener.local_addr()?;
     let (gate, obeyed) = Gate::new();
     tokio::spawn(accept(listener, address, obeyed, handle(gate.clone())));
     Ok(Server { address, gate })
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // The port of a closed listener is bound again while its old connections end.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 async fn accept<H, F>(
     mut listener: TcpListener,
     address: SocketAddr,
@@ -113,8 +126,13 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    tokio::spawn(connection(stream, ended.clone(), handle.clone()));
+                match accepted {
+                    Ok((stream, _)) => {
+                        let served = connection(stream, ended.clone(), handle.clone());
+                        tokio::spawn(served);
+                    }
+                    // Without a pause, a lack of file descriptors would spin.
+                    Err(_) => tokio::time::sleep(AGAIN).await,
                 }
             }
             Some(time) = obeyed.recv() => {
@@ -130,10 +148,10 @@
 
 async fn rebind(address: SocketAddr) -> TcpListener {
     loop {
-        if let Ok(listener) = TcpListener::bind(address).await {
+        if let Ok(listener) = listen(address) {
             return listener;
         }
-        tokio::time::sleep(REBIND).await;
+        tokio::time::sleep(AGAIN).await;
     }
 }
 
