--- a/crates/burn/tests/report.rs
+++ b/crates/burn/tests/report.rs
@@ -3,7 +3,7 @@
 use std::process::Command;
 
 use poplar_base::settings::File;
-use poplar_burn::report::{Answered, Input, Refused, Report, burn, report};
+use poplar_burn::report::{Answered, Input, Refused, Report, Spending, burn, report};
 use poplar_burn::{picture, text};
 use poplar_core::id::Incarnation;
 use poplar_ctl::classes;
@@ -32,6 +32,15 @@
     }
 }
 
+fn spending(budget: &str, limit: u64, billed: u64, lost: u64) -> Spending {
+    Spending {
+        budget: budget.into(),
+        limit,
+        billed,
+        lost,
+    }
+}
+
 fn input() -> Input {
     let text = "[class plan]\nkind = model\nserves = s\nfirst = 1s\nfinish = 9s\ncap = 9\n\
                 objective = 0.99\n\
@@ -58,7 +67,7 @@
             refused("plan", 0, "overloaded", 4, 0),
             refused("plan", 25 * 60 * MINUTE, "overloaded", 9, 9),
         ],
-        budgets: vec![("council".into(), 100, 90), ("crew".into(), 10, 12)],
+        budgets: vec![spending("council", 100, 90, 10), spending("crew", 10, 9, 3)],
         silent: vec![Incarnation("north.1".into())],
         broken: vec!["bills/north.1/00000001-0".into()],
     }
@@ -98,15 +107,20 @@
 }
 
 #[test]
-fn the_sample_settings_are_read() {
-    let settings = concat!(env!("CARGO_MANIFEST_DIR"), "/../../config/poplar-burn.ini");
-    let program = env!("CARGO_BIN_EXE_poplar-burn");
-    let output = Command::new(program)
-        .args(["--settings", settings])
-        .output()
-        .unwrap();
-    // Nothing listens at the sample's address.
-    let text = String::from_utf8(output.stderr).unwrap();
-    assert!(text.contains("platform is down"), "{text}");
-    assert_eq!(output.status.code(), Some(1));
+fn the_commands_on_the_page_read_the_sample_settings() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+    let page = std::fs::read_to_string(format!("{root}/docs/operators/burn.md")).unwrap();
+    let lines = page.lines().filter(|l| l.starts_with("poplar-burn "));
+    let mut count = 0;
+    for line in lines {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_poplar-burn"));
+        command.args(line.split_whitespace().skip(1));
+        let output = command.current_dir(root).output().unwrap();
+        // Nothing listens at the sample's address.
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert!(text.contains("platform is down"), "{line}: {text}");
+        assert_eq!(output.status.code(), Some(1));
+        count += 1;
+    }
+    assert_eq!(count, 3);
 }
--- a/crates/core/src/budget/rows.rs
+++ b/crates/core/src/budget/rows.rs
@@ -1,7 +1,7 @@
 //! Rows of the platform's table that keep budgets, and their transitions.
 //!
 //! `budget/<budget>` holds the prepaid limit and the sum of grants.
-//! `grant/<budget>/<incarnation>` holds what one incarnation has drawn. A draw
+//! `grant/<incarnation>/<budget>` holds what one incarnation has drawn. A draw
 //! changes both in one transaction and carries a draw number, so that a lost
 //! answer is read back and never repeated blindly.
 
@@ -14,9 +14,10 @@
     format!("budget/{budget}")
 }
 
-/// Key of an incarnation's grant of a budget.
+/// Key of an incarnation's grant of a budget; an incarnation's grants stand
+/// together, so that what a dead one holds is found by one scan.
 pub fn grant_key(budget: &str, of: &Incarnation) -> String {
-    format!("grant/{budget}/{of}")
+    format!("grant/{of}/{budget}")
 }
 
 /// Key of an incarnation's own row.
@@ -39,9 +40,8 @@
 }
 
 /// A budget as the table keeps it, in tokens.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct BudgetRow {
     /// Prepaid in all, top-ups included.
     pub limit: u64,
@@ -57,9 +57,8 @@
 }
 
 /// What one incarnation has drawn of one budget, in tokens.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct GrantRow {
     /// Number of the holder's last change of this row.
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -5,3 +5,5 @@
 mod classes;
 mod command;
 mod common;
+mod page;
+mod query;
--- a/crates/router/src/flow/finish.rs
+++ b/crates/router/src/flow/finish.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Instant, SystemTime};
 
-use poplar_core::bill::{Answer, Batch, Bill, BilledRow};
+use poplar_core::bill::{Answer, Bill, BilledRow};
 use tokio::sync::oneshot;
 
 use crate::budget::biller::Billed;
@@ -51,9 +51,7 @@
     state
         .burn
         .answered(&job.workspace, &job.class.name, met, now);
-    let done = state
-        .biller
-        .submit(bill.clone(), job.body, job.id.is_keyed());
+    let done = state.biller.submit(bill.clone(), job.id.is_keyed());
     if free && !job.id.is_keyed() {
         // Nothing is at stake that would be worth the wait.
         return Sure::Durable;
@@ -62,9 +60,12 @@
 }
 
 async fn wait(state: &Arc<State>, bill: Bill, mut done: oneshot::Receiver<Billed>) -> Sure {
-    let patience = state.settings.budget.bill;
-    if let Ok(billed) = tokio::time::timeout(patience, &mut done).await {
-        return sure(billed);
+    tokio::select! {
+        biased;
+        billed = &mut done => return sure(billed),
+        // Once the store is known to fail the copies are made at once.
+        () = state.biller.fails() => {}
+        () = tokio::time::sleep(state.settings.budget.bill) => {}
     }
     if state.peers.hold(state, &bill).await {
         let state = state.clone();
@@ -103,6 +104,7 @@
         workspace: job.workspace.clone(),
         class: job.class.name.clone(),
         budget: job.budget.clone(),
+        body: job.body,
         prompt: finished.prompt,
         output: finished.output,
         at_ms: unix_ms(SystemTime::now()),
@@ -112,10 +114,3 @@
         answer: job.id.is_keyed().then(|| finished.answer.clone()),
     }
 }
-
-/// Reads the answer that an earlier run of a request was billed for.
-pub async fn earlier(state: &State, job: &Job, row: &BilledRow) -> Option<Bill> {
-    let object = (state.platform.get)(row.batch.to_string()).await.ok()??;
-    let batch: Batch = serde_json::from_slice(&object).ok()?;
-    batch.bills.into_iter().find(|b| b.id == job.id)
-}
--- a/crates/router/src/flow/mod.rs
+++ b/crates/router/src/flow/mod.rs
@@ -3,5 +3,7 @@
 pub mod chat;
 pub mod chunk;
 pub mod finish;
+mod refused;
+mod replay;
 pub mod request;
 pub mod service;
--- a/crates/standins/src/platform/watch.rs
+++ b/crates/standins/src/platform/watch.rs
@@ -14,7 +14,8 @@
 const KEPT: usize = 8;
 
 /// A commit that broke an invariant.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Violation {
     /// The budget.
     pub budget: String,
@@ -41,7 +42,7 @@
         return Some(budget);
     }
     let grant = key.strip_prefix("grant/")?;
-    grant.rsplit_once('/').map(|(budget, _)| budget)
+    grant.split_once('/').map(|(_, budget)| budget)
 }
 
 impl Watch {
@@ -49,7 +50,8 @@
     pub fn check(&mut self, table: &Table, budgets: &[String], version: u64) {
         for budget in budgets {
             let row = table.row(&format!("budget/{budget}"));
-            let grants = table.scan(&format!("grant/{budget}/"));
+            let mut grants = table.scan("grant/");
+            grants.retain(|row| budget_of(&row.key) == Some(budget.as_str()));
             if let Err(reason) = sound(&row, &grants) {
                 self.count += 1;
                 if self.first.len() < KEPT {
