--- a/crates/standins/tests/process.rs
+++ b/crates/standins/tests/process.rs
@@ -7,7 +7,7 @@
 
 use common::{Caller, chat};
 use poplar_base::http::Error;
-use serde_json::json;
+use serde_json::{Value, json};
 
 const CHAT: &str = "/v1/chat/completions";
 const ENGINE: &str = env!("CARGO_BIN_EXE_fake-engine");
@@ -68,6 +68,36 @@
     }
 }
 
+/// Names of all options that `--help` prints, with their dashes.
+fn options(program: &str) -> Vec<String> {
+    let help = Command::new(program).arg("--help").output().unwrap();
+    let help = String::from_utf8(help.stdout).unwrap();
+    let words = help.split_whitespace();
+    let names = words.filter(|word| word.starts_with("--"));
+    names.map(str::to_owned).collect()
+}
+
+#[tokio::test]
+async fn the_page_names_every_option_and_switch() {
+    let page = include_str!("../../../docs/developers/standins.md");
+    let parts: Vec<_> = page.split("\n## ").collect();
+    for (program, name) in [
+        (ENGINE, "fake-engine"),
+        (PLATFORM, "fake-platform"),
+        (SERVICE, "fake-service"),
+    ] {
+        let own = parts.iter().find(|part| part.starts_with(name)).unwrap();
+        let (_process, caller) = Process::start(program, &[]);
+        let switches: Value = caller.get("/control").await;
+        let switches = switches.as_object().unwrap().keys().cloned();
+        for word in options(program).into_iter().chain(switches) {
+            let named = [format!("`{word}`"), format!("`{word} ")];
+            let found = |part: &str| named.iter().any(|n| part.contains(n.as_str()));
+            assert!(found(own) || found(parts[0]), "{name}: {word}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_marked_prompt_crashes_the_engine() {
     let (mut process, engine) = Process::start(ENGINE, &["--step", "1ms"]);
