--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -17,7 +17,7 @@
 const PATIENCE: f64 = 2.0;
 
 /// How sharply a draw favours the sooner servers.
-const SHARPNESS: i32 = 8;
+const SHARPNESS: i32 = 16;
 
 /// A server with its prediction.
 #[derive(Debug, Clone, Copy)]
--- /dev/null
+++ b/crates/core/tests/grant.rs
@@ -0,0 +1,132 @@
+//! Grants follow the rate of spending and shrink with what is left.
+
+use std::time::{Duration, Instant};
+
+use poplar_core::grant::{Ask, Peer, Rate, Reason, Settings, State, donor, draw, give, give_back};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// One of nine routers, each spending ten tokens a second, with an hour left.
+fn state() -> State {
+    State {
+        free: 0,
+        available: 9 * 10 * 3600,
+        rate: 10.0,
+        idle: Some(SECOND),
+        typical: 50,
+        routers: 9,
+    }
+}
+
+fn settings() -> Settings {
+    Settings::default()
+}
+
+#[test]
+fn a_draw_lasts_through_an_outage_of_five_minutes_from_the_low_water_mark() {
+    let drawn = draw(&state(), 0, &settings()).unwrap();
+    assert_eq!((drawn.tokens, drawn.reason), (4800, Reason::Low));
+    let free = |free| State { free, ..state() };
+    // What is held just before the next draw is the least that is ever held.
+    let least = (0..4800).find(|f| draw(&free(*f), 0, &settings()).is_none());
+    assert!(least.unwrap() >= 10 * 300, "{least:?}");
+    assert_eq!(draw(&free(4800), 0, &settings()), None);
+}
+
+#[test]
+fn near_the_end_draws_shrink_but_a_request_s_need_is_drawn_whole() {
+    let left = |available| State {
+        available,
+        ..state()
+    };
+    let ahead = draw(&left(1800), 0, &settings()).unwrap();
+    assert_eq!(ahead.tokens, 1800 / 18);
+    let needed = draw(&left(1800), 500, &settings()).unwrap();
+    assert_eq!((needed.tokens, needed.reason), (500, Reason::Need));
+}
+
+#[test]
+fn all_routers_together_hold_at_most_half_of_what_is_left() {
+    for available in [100, 1_000, 10_000, 100_000, 1_000_000] {
+        let mut left = available;
+        let mut held = 0;
+        for _ in 0..9 {
+            let one = State {
+                available: left,
+                rate: 1e6,
+                ..state()
+            };
+            let drawn = draw(&one, 0, &settings()).map_or(0, |d| d.tokens);
+            left -= drawn;
+            held += drawn;
+        }
+        assert!(held <= available / 2, "{held} of {available}");
+    }
+}
+
+#[test]
+fn an_idle_router_returns_all_but_a_few_requests_worth() {
+    let idle = State {
+        free: 5000,
+        rate: 0.0,
+        idle: Some(SECOND * 300),
+        ..state()
+    };
+    let moved = give_back(&idle, &settings()).unwrap();
+    assert_eq!((moved.tokens, moved.reason), (5000 - 200, Reason::Idle));
+    let busy = State {
+        free: 5000,
+        ..state()
+    };
+    assert_eq!(give_back(&busy, &settings()), None);
+    // What was returned is not drawn again at once.
+    let after = State { free: 200, ..idle };
+    assert_eq!(draw(&after, 0, &settings()), None);
+}
+
+#[test]
+fn a_large_holding_shrinks_when_little_is_left() {
+    let late = State {
+        free: 4800,
+        available: 0,
+        ..state()
+    };
+    let moved = give_back(&late, &settings()).unwrap();
+    assert_eq!(moved.reason, Reason::Surplus);
+    assert_eq!(moved.tokens, 4800 - 4800 / 18);
+}
+
+#[test]
+fn a_gift_evens_out_and_covers_the_need_first() {
+    let ask = |need, rate| Ask { need, rate };
+    assert_eq!(give(1000, &ask(10, 10.0), 10.0), 500);
+    assert_eq!(give(1000, &ask(10, 30.0), 10.0), 750);
+    assert_eq!(give(1000, &ask(900, 10.0), 10.0), 900);
+    assert_eq!(give(1000, &ask(5000, 10.0), 10.0), 1000);
+    assert_eq!(give(1000, &ask(0, 0.0), 0.0), 500);
+}
+
+#[test]
+fn the_peer_that_likely_has_most_is_asked() {
+    let peer = |free, rate, seconds| Peer {
+        free,
+        rate,
+        age: SECOND * seconds,
+    };
+    assert_eq!(donor(&[peer(100, 0.0, 1), peer(300, 10.0, 25)]), Some(0));
+    assert_eq!(donor(&[peer(100, 0.0, 1), peer(300, 10.0, 5)]), Some(1));
+    assert_eq!(donor(&[peer(0, 0.0, 1)]), None);
+}
+
+#[test]
+fn the_rate_is_met_soon_and_forgotten_later() {
+    let now = Instant::now();
+    let mut rate = Rate::default();
+    for i in 0..60 {
+        rate.spent(10, now + SECOND * i);
+    }
+    let at = now + SECOND * 60;
+    assert!((9.0..11.0).contains(&rate.now(at)), "{}", rate.now(at));
+    assert!(rate.now(at + SECOND * 300) < 0.1);
+    assert_eq!(rate.idle(at), Some(SECOND));
+}
