--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -1,5 +1,7 @@
 //! One attempt of a caller at a router, and whether the answer is the right one.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -19,6 +21,11 @@
 /// Share of a budget at its end in which refusals are no false ones.
 const LAST: f64 = 0.02;
 
+/// How long a caller waits before it gives up.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// The fault of a call that was given up.
+const SILENT: &str = "silent";
+
 /// What is asked.
 #[derive(Debug, Clone)]
 pub enum What {
@@ -120,7 +127,8 @@
     }
     let request = request.body(Full::new(Bytes::from(ask.body())));
     let request = request.map_err(|e| Fault::of("request", e))?;
-    let answer = web::call(to, request).await;
+    let answer = tokio::time::timeout(PATIENCE, web::call(to, request)).await;
+    let answer = answer.unwrap_or_else(|_| Err(SILENT.into()));
     let mut record = Record {
         id: identity(ask, answer.as_ref().ok()),
         workspace: ask.workspace.clone(),
@@ -158,6 +166,7 @@
     let answer = match answer {
         Ok(answer) => answer,
         Err(why) if why.0.starts_with("connect") => return Outcome::Unreachable,
+        Err(why) if why.0 == SILENT => return Outcome::Silent,
         Err(_) => return Outcome::Cut,
     };
     if !answer.whole {
--- a/tests/src/load.rs
+++ b/tests/src/load.rs
@@ -233,6 +233,6 @@
     match outcome {
         Outcome::Whole | Outcome::Wrong(_) => false,
         Outcome::Refused { code, .. } => !FINAL.contains(&code.as_str()),
-        Outcome::Cut | Outcome::Unreachable => true,
+        Outcome::Cut | Outcome::Silent | Outcome::Unreachable => true,
     }
 }
--- a/tests/src/record.rs
+++ b/tests/src/record.rs
@@ -19,6 +19,8 @@
     },
     /// The connection ended before the answer's end.
     Cut,
+    /// No whole answer for so long that the caller gave up.
+    Silent,
     /// Nobody listens there.
     Unreachable,
 }
@@ -30,6 +32,7 @@
             Self::Wrong(why) => write!(f, "wrong: {why}"),
             Self::Refused { code, run } => write!(f, "{code} {run}"),
             Self::Cut => f.write_str("cut"),
+            Self::Silent => f.write_str("silent"),
             Self::Unreachable => f.write_str("unreachable"),
         }
     }
@@ -88,5 +91,5 @@
             false => lines.push(format!("{} {}", group.len(), group[0])),
         }
     }
-    lines.join("\n") + "\n"
+    lines.iter().map(|line| format!("{line}\n")).collect()
 }
--- a/tests/tests/scenarios.rs
+++ b/tests/tests/scenarios.rs
@@ -35,5 +35,23 @@
 }
 
 scenarios! {
+    answers_engine_death
+    answers_router_death
     answers_whole
+    bad_input
+    bills_held_by_peers
+    bills_lost_answers
+    bills_once
+    bills_store_down
+    budgets_kill
+    budgets_load
+    budgets_lost_answers
+    budgets_outage
+    budgets_partition
+    budgets_pause_seal
+    budgets_topup
+    config_force
+    leaving
+    once_happy
+    shutdown_rolling
 }
