--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -53,17 +53,25 @@
     pub wrong: u64,
 }
 
-/// What a budget holds and what was billed, in tokens.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct Spent {
+/// What a budget holds and what was taken off it, in tokens.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct Spending {
     /// The budget.
     pub budget: Name,
     /// Prepaid in all.
     pub limit: u64,
     /// Billed in all.
     pub billed: u64,
-    /// Billed over the limit; must be 0.
-    pub overspend: u64,
+    /// Taken off without an answer to bill.
+    pub lost: u64,
+}
+
+impl Spending {
+    /// Tokens taken off over the limit; must be 0.
+    pub fn overspend(&self) -> u64 {
+        (self.billed + self.lost).saturating_sub(self.limit)
+    }
 }
 
 /// What was gathered.
@@ -75,8 +83,8 @@
     pub answered: Vec<Answered>,
     /// Refusals of the last day, in any order.
     pub refused: Vec<Refused>,
-    /// Every budget: its name, limit, and tokens billed.
-    pub budgets: Vec<(Name, u64, u64)>,
+    /// Every budget.
+    pub budgets: Vec<Spending>,
     /// Live routers whose page could not be read.
     pub silent: Vec<Incarnation>,
     /// Chains of bills that break off.
@@ -84,7 +92,8 @@
 }
 
 /// Counts within a window.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Window {
     /// The window's name.
     pub window: &'static str,
@@ -101,7 +110,8 @@
 }
 
 /// A class's counts for a workspace, or for all of them.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Row {
     /// The class.
     pub class: Name,
@@ -116,7 +126,8 @@
 }
 
 /// Refusals of a class and workspace over the day by their code.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Reason {
     /// The class.
     pub class: Name,
@@ -131,7 +142,8 @@
 }
 
 /// The report.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Report {
     /// As of when, in milliseconds of Unix time.
     pub at_ms: u64,
@@ -140,7 +152,7 @@
     /// Refusals by reason.
     pub refusals: Vec<Reason>,
     /// Every budget.
-    pub budgets: Vec<Spent>,
+    pub budgets: Vec<Spending>,
     /// Overspend of all budgets, in tokens.
     pub overspend: u64,
     /// False refusals of the day.
@@ -166,29 +178,19 @@
 pub fn report(input: &Input, now: u64) -> Report {
     let tallies = tally(input, now);
     let refusals = reasons(input, now);
-    let budgets: Vec<Spent> = input.budgets.iter().map(spent).collect();
     let row = |(key, counts): (&(Name, Name), &_)| row(&input.config, key, counts);
     Report {
         at_ms: now,
         rows: tallies.iter().map(row).collect(),
-        overspend: budgets.iter().map(|b| b.overspend).sum(),
+        overspend: input.budgets.iter().map(Spending::overspend).sum(),
         false_refusals: refusals.iter().map(|r| r.false_refusals).sum(),
         refusals,
-        budgets,
+        budgets: input.budgets.clone(),
         silent: input.silent.clone(),
         broken: input.broken.clone(),
     }
 }
 
-fn spent((budget, limit, billed): &(Name, u64, u64)) -> Spent {
-    Spent {
-        budget: budget.clone(),
-        limit: *limit,
-        billed: *billed,
-        overspend: billed.saturating_sub(*limit),
-    }
-}
-
 /// Whether something that ended at `end` is within `window` before `now`.
 fn within(end: u64, now: u64, window: u64) -> bool {
     end > now.saturating_sub(window)
--- /dev/null
+++ b/crates/core/examples/herd.rs
@@ -0,0 +1,449 @@
+//! Routing policies side by side, in virtual time of one millisecond a turn.
+//!
+//! Nine routers that don't see each other's choices send to twenty engines
+//! whose load reports lag. The routers' decisions are those of the product;
+//! engines and arrivals are a small fake. Prints one table; the argument is the
+//! number of seeds.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use poplar_core::admit::{Drain, Outlook, Targets, Verdict, admit};
+use poplar_core::id::Name;
+use poplar_core::queue::{Entry, Queue, priority_of};
+use poplar_core::route::dice::Dice;
+use poplar_core::route::server::{End, Flight, Report, Server};
+use poplar_core::route::{Fleet, Job, Outcome, Policy, choose, look};
+
+const ROUTERS: usize = 9;
+const ENGINES: usize = 20;
+const SLOTS: usize = 16;
+const STEP: u64 = 6;
+const PREFILL: u32 = 2048;
+const WORKSPACES: usize = 10;
+const LENGTH: u64 = 60_000;
+const WARMUP: u64 = 10_000;
+const POLL: u64 = 250;
+const LAG: u64 = 200;
+const MS: Duration = Duration::from_millis(1);
+
+/// A class: share of arrivals, targets in ms, prompt and mean output in tokens.
+struct Class(f64, u64, u64, u32, u32);
+
+const CLASSES: [Class; 4] = [
+    Class(0.30, 200, 500, 100, 15),
+    Class(0.55, 500, 3_000, 600, 120),
+    Class(0.10, 3_000, 20_000, 3_000, 400),
+    Class(0.05, 60_000, 180_000, 1_000, 800),
+];
+
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    Quiet,
+    Rush,
+    Slow,
+}
+
+#[derive(Clone, Copy)]
+struct Setup {
+    load: f64,
+    trouble: Trouble,
+    policy: Policy,
+    /// Whether the router has queue, admission and limits.
+    managed: bool,
+}
+
+struct Request {
+    class: usize,
+    workspace: usize,
+    priority: u8,
+    router: usize,
+    arrived: u64,
+    output: u32,
+    made: u32,
+    work: u32,
+    first: Option<u64>,
+    finish: Option<u64>,
+    refused: bool,
+}
+
+#[derive(Default)]
+struct Engine {
+    running: Vec<usize>,
+    waiting: VecDeque<usize>,
+    loads: VecDeque<(usize, usize)>,
+}
+
+struct Router {
+    servers: Vec<Server>,
+    queue: Queue,
+    drain: Drain,
+    expected: [f64; CLASSES.len()],
+    turn: u64,
+}
+
+struct World {
+    setup: Setup,
+    start: Instant,
+    time: u64,
+    dice: Dice,
+    draws: Dice,
+    names: Vec<Name>,
+    requests: Vec<Request>,
+    engines: Vec<Engine>,
+    routers: Vec<Router>,
+}
+
+fn targets(class: usize) -> Targets {
+    let first = Some(MS * CLASSES[class].1 as u32);
+    let finish = MS * CLASSES[class].2 as u32;
+    Targets { first, finish }
+}
+
+fn job(class: usize, router: &Router) -> Job<'static> {
+    Job {
+        priority: priority_of(targets(class).finish),
+        prompt: CLASSES[class].3,
+        output: router.expected[class] as u32,
+        repeat: true,
+        tried: &[],
+    }
+}
+
+fn fleet(router: &Router, policy: Policy) -> Fleet<'_> {
+    Fleet {
+        servers: &router.servers,
+        routers: ROUTERS as u32,
+        policy,
+        turn: router.turn,
+    }
+}
+
+fn router(salt: usize) -> Router {
+    let server = |i: usize| {
+        let mut server = Server::new(format!("engine-{i}").into(), "nbo-a".into(), MS);
+        server.salt = (salt * ENGINES + i) as u64;
+        server
+    };
+    Router {
+        servers: (0..ENGINES).map(server).collect(),
+        queue: Queue::new(4096),
+        drain: Drain::default(),
+        expected: std::array::from_fn(|i| f64::from(CLASSES[i].4)),
+        turn: 0,
+    }
+}
+
+impl World {
+    fn new(setup: Setup, seed: u64, start: Instant) -> Self {
+        Self {
+            setup,
+            start,
+            time: 0,
+            dice: Dice::new(seed),
+            draws: Dice::new(!seed),
+            names: (0..WORKSPACES).map(|i| format!("w{i}").into()).collect(),
+            requests: Vec::new(),
+            engines: (0..ENGINES).map(|_| Engine::default()).collect(),
+            routers: (0..ROUTERS).map(router).collect(),
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.start + MS * self.time as u32
+    }
+
+    fn exponential(&mut self) -> f64 {
+        -(1.0 - self.dice.unit()).ln()
+    }
+
+    /// Lets everything happen; `own` is what one workspace sends of the load.
+    fn run(&mut self) {
+        let steps = |c: &Class| c.0 * f64::from(c.4 + 1 + c.3 / PREFILL);
+        let mean = CLASSES.iter().map(steps).sum::<f64>() * STEP as f64;
+        let rate = (ENGINES * SLOTS) as f64 / mean * self.setup.load;
+        // A rush adds nine times a tenth to what all send.
+        let rush = if self.setup.trouble == Trouble::Rush {
+            0.9
+        } else {
+            0.0
+        };
+        let mut next = 0.0;
+        while self.time < LENGTH {
+            while next <= self.time as f64 {
+                next += self.exponential() / (rate * (1.0 + rush));
+                let rushes = self.dice.unit() < rush / (1.0 + rush);
+                let any = self.dice.below(WORKSPACES);
+                self.arrive(if rushes { 0 } else { any });
+            }
+            (0..ENGINES).for_each(|at| self.step(at));
+            for at in 0..ROUTERS {
+                if (self.time + at as u64 * 27).is_multiple_of(POLL) {
+                    self.poll(at);
+                }
+                self.dispatch(at);
+            }
+            self.time += 1;
+        }
+    }
+
+    fn arrive(&mut self, workspace: usize) {
+        let mut share = self.dice.unit();
+        let mut falls = |c: &Class| {
+            share -= c.0;
+            share < 0.0
+        };
+        let class = CLASSES.iter().position(&mut falls).unwrap_or(0);
+        let output = self.exponential() * f64::from(CLASSES[class].4);
+        let id = self.requests.len();
+        self.requests.push(Request {
+            class,
+            workspace,
+            priority: 0,
+            router: self.dice.below(ROUTERS),
+            arrived: self.time,
+            output: (output as u32).clamp(1, 4 * CLASSES[class].4),
+            made: 0,
+            work: CLASSES[class].3,
+            first: None,
+            finish: None,
+            refused: false,
+        });
+        match self.setup.managed {
+            true => self.admit(id),
+            false => self.send(id),
+        }
+    }
+
+    fn admit(&mut self, id: usize) {
+        let (now, dice) = (self.now(), self.draws.roll());
+        let request = &mut self.requests[id];
+        let router = &mut self.routers[request.router];
+        let job = job(request.class, router);
+        let sight = look(
+            &fleet(router, self.setup.policy),
+            &job,
+            |_| 0,
+            &[],
+            dice,
+            now,
+        );
+        let workspace = &self.names[request.workspace];
+        let outlook = Outlook {
+            ahead: router.queue.ahead(job.priority, workspace, job.output, now),
+            rate: router.drain.rate(job.priority),
+            best: sight.best,
+            room: sight.room,
+            gone: Duration::ZERO,
+        };
+        request.refused = match admit(targets(request.class), &outlook, dice, now) {
+            Verdict::Refuse { .. } => true,
+            Verdict::Accept { latest, .. } => {
+                let entry = Entry {
+                    id: id as u64,
+                    workspace: workspace.clone(),
+                    priority: job.priority,
+                    cost: job.output,
+                    pushed: now,
+                    latest,
+                };
+                router.queue.push(entry).is_err()
+            }
+        };
+        router.drain.waits(!router.queue.is_empty(), now);
+    }
+
+    fn dispatch(&mut self, at: usize) {
+        let now = self.now();
+        for late in self.routers[at].queue.expire(now) {
+            self.requests[late.id as usize].refused = true;
+        }
+        while !self.routers[at].queue.is_empty() {
+            let dice = self.draws.roll();
+            let router = &mut self.routers[at];
+            let mut queue = std::mem::replace(&mut router.queue, Queue::new(0));
+            let mut chosen = None;
+            let popped = queue.pop(now, |entry| {
+                let job = job(self.requests[entry.id as usize].class, router);
+                let fleet = fleet(router, self.setup.policy);
+                let outcome = choose(&fleet, &job, |_| 0, &[], dice, now);
+                chosen = matches!(outcome, Outcome::Go(_)).then_some(outcome);
+                chosen.is_some()
+            });
+            router.queue = queue;
+            let (Some(popped), Some(Outcome::Go(choice))) = (popped, chosen) else {
+                return;
+            };
+            let entry = popped.entry;
+            router.drain.sent(entry.priority, entry.cost, now);
+            router.drain.waits(!router.queue.is_empty(), now);
+            self.start(entry.id as usize, choice.server, popped.priority);
+        }
+    }
+
+    /// Sends a request at once, as a router without queue and limits does.
+    fn send(&mut self, id: usize) {
+        let router = &self.routers[self.requests[id].router];
+        let own = |at: &usize| router.servers[*at].own();
+        let spin = self.draws.below(ENGINES);
+        let other = (spin + 1 + self.draws.below(ENGINES - 1)) % ENGINES;
+        let all = (0..ENGINES).map(|i| (spin + i) % ENGINES);
+        let server = match self.setup.policy {
+            Policy::RoundRobin => Some(router.turn as usize % ENGINES),
+            Policy::LeastInFlight => all.min_by_key(own),
+            _ => [spin, other].into_iter().min_by_key(own),
+        };
+        let priority = job(self.requests[id].class, router).priority;
+        self.start(id, server.unwrap_or(spin), priority);
+    }
+
+    fn start(&mut self, id: usize, server: usize, priority: u8) {
+        let sent = self.now();
+        let router = &mut self.routers[self.requests[id].router];
+        let job = job(self.requests[id].class, router);
+        router.turn += 1;
+        let direct = router.servers[server].load() < SLOTS as u32;
+        let flight = Flight {
+            priority,
+            sent,
+            work: job.prompt,
+            left: job.output,
+            direct,
+            heard: None,
+        };
+        router.servers[server].dispatched(id as u64, flight);
+        self.requests[id].priority = priority;
+        let waiting = &mut self.engines[server].waiting;
+        let at = waiting.partition_point(|w| self.requests[*w].priority <= priority);
+        waiting.insert(at, id);
+    }
+
+    fn step(&mut self, at: usize) {
+        let now = self.now();
+        let engine = &mut self.engines[at];
+        let slow = self.setup.trouble == Trouble::Slow && at == 0;
+        let step = if slow { STEP * 5 } else { STEP };
+        if (self.time + at as u64).is_multiple_of(step) {
+            let entering = (SLOTS - engine.running.len()).min(engine.waiting.len());
+            engine.running.extend(engine.waiting.drain(..entering));
+            let mut left = PREFILL;
+            engine.running.retain(|id| {
+                let request = &mut self.requests[*id];
+                let work = request.work.min(left);
+                left -= work;
+                request.work -= work;
+                if request.work > 0 {
+                    return true;
+                }
+                let gone = self.time - request.arrived;
+                request.made += 1;
+                request.first.get_or_insert(gone);
+                let router = &mut self.routers[request.router];
+                let server = &mut router.servers[at];
+                server.progressed(*id as u64, 1, now);
+                if request.made < request.output {
+                    return true;
+                }
+                request.finish = Some(gone);
+                server.ended(*id as u64, End::Done(request.output), now);
+                let expected = &mut router.expected[request.class];
+                *expected += 0.02 * (f64::from(request.output) - *expected);
+                false
+            });
+        }
+        engine
+            .loads
+            .push_back((engine.running.len(), engine.waiting.len()));
+        if engine.loads.len() as u64 > LAG {
+            engine.loads.pop_front();
+        }
+    }
+
+    fn poll(&mut self, at: usize) {
+        let taken = self.now() - MS * self.engines[0].loads.len() as u32;
+        for (server, engine) in self.routers[at].servers.iter_mut().zip(&self.engines) {
+            let (running, waiting) = engine.loads[0];
+            server.reported(Report {
+                running: running as u32,
+                waiting: waiting as u32,
+                slots: SLOTS as u32,
+                step: MS * STEP as u32,
+                taken,
+            });
+        }
+    }
+}
+
+fn percentile(mut times: Vec<u64>, part: f64) -> u64 {
+    times.sort_unstable();
+    let at = (times.len() as f64 * part) as usize;
+    times.get(at).copied().unwrap_or_default()
+}
+
+/// Prints targets met and times of the workspaces that are not in a rush.
+fn print(name: &str, setup: Setup, requests: &[Request]) {
+    let rush = setup.trouble == Trouble::Rush;
+    let counted = |r: &&Request| (WARMUP..LENGTH - 20_000).contains(&r.arrived);
+    let quiet = requests
+        .iter()
+        .filter(counted)
+        .filter(|r| !rush || r.workspace > 0);
+    let quiet: Vec<&Request> = quiet.collect();
+    let part = |count: usize, of: usize| 100.0 * count as f64 / of.max(1) as f64;
+    let plain = if setup.managed { "" } else { ", unmanaged" };
+    print!("| {name} | {:?}{plain} ", setup.policy);
+    for (class, goal) in CLASSES.iter().enumerate().take(3) {
+        let of: Vec<&&Request> = quiet.iter().filter(|r| r.class == class).collect();
+        let Class(_, first, finish, ..) = *goal;
+        let on_time = |t: Option<u64>, goal| t.is_some_and(|t| t <= goal);
+        let met = |r: &&&&Request| on_time(r.first, first) && on_time(r.finish, finish);
+        let met = part(of.iter().filter(met).count(), of.len());
+        let first = percentile(of.iter().filter_map(|r| r.first).collect(), 0.99);
+        let finish = |p| percentile(of.iter().filter_map(|r| r.finish).collect(), p);
+        print!("| {met:.2} | {first} | {} | {} ", finish(0.5), finish(0.99));
+    }
+    let refused = quiet.iter().filter(|r| r.refused).count();
+    println!("| {:.2} |", part(refused, quiet.len()));
+}
+
+fn main() {
+    let seeds: u64 = std::env::args()
+        .nth(1)
+        .map_or(1, |s| s.parse().unwrap_or(1));
+    let troubles = [
+        ("50% load", 0.5, Trouble::Quiet),
+        ("80% load", 0.8, Trouble::Quiet),
+        ("95% load", 0.95, Trouble::Quiet),
+        ("80%, a rush", 0.8, Trouble::Rush),
+        ("80%, a slow engine", 0.8, Trouble::Slow),
+    ];
+    let plain = [
+        Policy::RoundRobin,
+        Policy::LeastInFlight,
+        Policy::RandomOfTwo,
+    ];
+    let managed = plain.iter().map(|p| (*p, true));
+    let policies = std::iter::once((Policy::Predicted, true)).chain(managed);
+    let policies = policies.chain(plain.iter().map(|p| (*p, false)));
+    let class = |name: &str| format!("{name} met % | first p99 | p50 | p99");
+    let classes = ["lookup", "chat", "plan"].map(class).join(" | ");
+    println!("| load | policy | {classes} | refused % |");
+    println!("|{}", "---|".repeat(15));
+    for (name, load, trouble) in troubles {
+        for (policy, managed) in policies.clone() {
+            let setup = Setup {
+                load,
+                trouble,
+                policy,
+                managed,
+            };
+            let mut requests = Vec::new();
+            for seed in 1..=seeds {
+                let mut world = World::new(setup, seed, Instant::now());
+                world.run();
+                requests.append(&mut world.requests);
+            }
+            print(name, setup, &requests);
+        }
+    }
+}
--- a/crates/ctl/src/command/ending.rs
+++ b/crates/ctl/src/command/ending.rs
@@ -22,7 +22,8 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// A router that was sealed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 struct Sealed {
     sealed: Incarnation,
 }
@@ -67,7 +68,8 @@
 }
 
 /// What became of one grant.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Release {
     /// The budget.
     pub budget: Name,
@@ -181,10 +183,9 @@
 fn own(router: &Row, billing: &Row, budget: &Name) -> Result<Own> {
     let row = router.decode::<RouterRow>()?;
     let billing: BillingRow = billing.decode()?.unwrap_or_default();
-    let billed = billing.billed.iter().find(|(name, _)| name == budget);
     Ok(Own {
         sealed: row.is_some_and(|r| r.stage == Stage::Sealed),
-        accounted: billed.map_or(0, |(_, tokens)| *tokens),
+        accounted: billing.accounted(budget),
     })
 }
 
--- a/crates/router/src/budget/bank.rs
+++ b/crates/router/src/budget/bank.rs
@@ -70,8 +70,8 @@
     ahead: bool,
     /// When the last draw ahead ended, so that the next one waits a while.
     paused: Option<Instant>,
-    /// What the table was last seen to have left.
-    pub(super) available: u64,
+    /// What the table was last seen to have left; `None` if it never was.
+    pub(super) available: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -210,15 +210,20 @@
         lock(&self.tables).account(budget).refused = Some((now, refused));
     }
 
+    /// Live routers, this one included.
+    pub(super) fn routers(&self) -> u32 {
+        self.peers.live(Instant::now()) as u32 + 1
+    }
+
     /// What the decision on draws and gifts needs to know.
     pub(super) fn outlook(&self, budget: &Name, now: Instant) -> grant::State {
-        let routers = self.peers.live(now) as u32 + 1;
+        let routers = self.routers();
         let mut tables = lock(&self.tables);
         let free = tables.ledger.holding(budget).free();
         let account = tables.account(budget);
         grant::State {
             free,
-            available: account.available,
+            available: account.available.unwrap_or(0),
             rate: account.rate.now(now),
             idle: account.rate.idle(now),
             typical: (account.typical as u64).max(self.settings.least / 4),
@@ -242,9 +247,11 @@
     }
 
     /// Draws in the background where little is left.
-    fn draw_ahead(self: &Arc<Self>, budget: &Name, router: u64) {
+    pub(super) fn draw_ahead(self: &Arc<Self>, budget: &Name, router: u64) {
         let now = Instant::now();
-        if self.wanted(budget, 0, now) == 0 || !self.begin_ahead(budget, now) {
+        let unseen = lock(&self.tables).account(budget).available.is_none();
+        let wanted = unseen || self.wanted(budget, 0, now) > 0;
+        if !wanted || !self.begin_ahead(budget, now) {
             return;
         }
         let bank = self.clone();
--- a/crates/router/src/flow/finish.rs
+++ b/crates/router/src/flow/finish.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Instant, SystemTime};
 
-use poplar_core::bill::{Answer, Batch, Bill, BilledRow};
+use poplar_core::bill::{Answer, Bill, BilledRow};
 use tokio::sync::oneshot;
 
 use crate::budget::biller::Billed;
@@ -60,9 +60,12 @@
 }
 
 async fn wait(state: &Arc<State>, bill: Bill, mut done: oneshot::Receiver<Billed>) -> Sure {
-    let patience = state.settings.budget.bill;
-    if let Ok(billed) = tokio::time::timeout(patience, &mut done).await {
-        return sure(billed);
+    tokio::select! {
+        biased;
+        billed = &mut done => return sure(billed),
+        // Once the store is known to fail the copies are made at once.
+        () = state.biller.fails() => {}
+        () = tokio::time::sleep(state.settings.budget.bill) => {}
     }
     if state.peers.hold(state, &bill).await {
         let state = state.clone();
@@ -111,10 +114,3 @@
         answer: job.id.is_keyed().then(|| finished.answer.clone()),
     }
 }
-
-/// Reads the answer that an earlier run of a request was billed for.
-pub async fn earlier(state: &State, job: &Job, row: &BilledRow) -> Option<Bill> {
-    let object = (state.platform.get)(row.batch.to_string()).await.ok()??;
-    let batch: Batch = serde_json::from_slice(&object).ok()?;
-    batch.bills.into_iter().find(|b| b.id == job.id)
-}
