Remember tries of a batch whose outcome is unknown

Cause: where the commit of a batch took effect, its answer was lost and the read back failed too, the next try wrote another batch name. The row it then found was not its own, so its bills were taken for those of another run, and the writer tried for ever on an old version.

Ruled out: the put, whose lost answer leaves only an unreferenced object.

Change: tries stay open until the billing row shows what became of them, and the writer has a module of its own.

--- a/crates/router/src/backends/pool.rs
+++ b/crates/router/src/backends/pool.rs
@@ -12,7 +12,7 @@
 use poplar_core::queue::{Entry, Queue, Ticket};
 use poplar_core::retry::{self, Attempt, Failure, Next, Refusal as Refused};
 use poplar_core::route::server::{End, Flight, Report, Server};
-use poplar_core::route::{self, Fleet, Outcome, Policy};
+use poplar_core::route::{self, Fleet, Job, Outcome, Policy, Reason};
 use poplar_core::sorted::SortedVec;
 use tokio::sync::oneshot;
 
@@ -347,7 +347,13 @@
                 let job = waiter.work.job(waiter.output);
                 let near = holders.near(waiter.work.chain.hashes());
                 let matched = |at: usize| held(&nodes[at], &waiter.work);
-                match route::choose(&fleet, &job, matched, &near, dice(), now) {
+                let mut outcome = route::choose(&fleet, &job, matched, &near, dice(), now);
+                if outcome == Outcome::None(Reason::Tried) {
+                    // Where no other server is left, a tried one serves again.
+                    let job = Job { tried: &[], ..job };
+                    outcome = route::choose(&fleet, &job, matched, &near, dice(), now);
+                }
+                match outcome {
                     Outcome::Go(chosen) => {
                         choice = Some(chosen);
                         true
--- a/crates/router/src/budget/bank.rs
+++ b/crates/router/src/budget/bank.rs
@@ -60,13 +60,21 @@
 
 impl std::error::Error for Refused {}
 
+/// A reservation that was refused lately.
+#[derive(Debug, Clone, Copy)]
+struct Memory {
+    at: Instant,
+    worst: u64,
+    why: Refused,
+}
+
 /// What the bank knows of one budget besides the ledger's holding.
 #[derive(Debug, Default)]
 pub(super) struct Account {
     pub(super) seen: Arc<Gate<Seen>>,
     pub(super) rate: Rate,
     typical: f64,
-    refused: Option<(Instant, Refused)>,
+    refused: Option<Memory>,
     ahead: bool,
     /// When the last draw ahead ended, so that the next one waits a while.
     paused: Option<Instant>,
@@ -135,7 +143,7 @@
             self.draw_ahead(budget, router);
             return Ok(reserved());
         }
-        if let Some(refused) = self.remembered(budget, Instant::now()) {
+        if let Some(refused) = self.remembered(budget, worst, Instant::now()) {
             return Err(refused);
         }
         let seen = self.seen(budget);
@@ -144,7 +152,7 @@
         if self.try_reserve(budget, worst) {
             return Ok(reserved());
         }
-        if let Some(refused) = self.remembered(budget, Instant::now()) {
+        if let Some(refused) = self.remembered(budget, worst, Instant::now()) {
             return Err(refused);
         }
         let drawn = self.draw(budget, &mut seen, worst, router).await;
@@ -158,7 +166,7 @@
             return Ok(reserved());
         }
         let refused = self.why(budget, worst, drawn);
-        self.remember(budget, refused, Instant::now());
+        self.remember(budget, worst, refused, Instant::now());
         Err(refused)
     }
 
@@ -200,14 +208,16 @@
         lock(&self.tables).account(budget).seen.clone()
     }
 
-    fn remembered(&self, budget: &Name, now: Instant) -> Option<Refused> {
+    /// Why as much was refused a moment ago; a smaller need may be had.
+    fn remembered(&self, budget: &Name, worst: u64, now: Instant) -> Option<Refused> {
         let mut tables = lock(&self.tables);
-        let (at, refused) = tables.account(budget).refused?;
-        (now.duration_since(at) < MEMORY).then_some(refused)
+        let memory = tables.account(budget).refused?;
+        let fresh = now.duration_since(memory.at) < MEMORY;
+        (fresh && worst >= memory.worst).then_some(memory.why)
     }
 
-    fn remember(&self, budget: &Name, refused: Refused, now: Instant) {
-        lock(&self.tables).account(budget).refused = Some((now, refused));
+    fn remember(&self, budget: &Name, worst: u64, why: Refused, at: Instant) {
+        lock(&self.tables).account(budget).refused = Some(Memory { at, worst, why });
     }
 
     /// Live routers, this one included.
--- a/crates/router/src/budget/biller.rs
+++ b/crates/router/src/budget/biller.rs
@@ -1,18 +1,15 @@
-//! Makes bills durable, many at a time.
+//! Bills on their way to the store.
 //!
-//! One worker puts a batch of bills into the object store and then points the
-//! billing row at it, in one transaction that also marks requests with an
-//! idempotency key as billed. The first durable bill of a request wins; a
-//! second run of it learns where the first one's answer is.
+//! Flows hand bills over and learn what became of them. The first durable bill
+//! of a request wins; a second run of it learns where the first one's answer
+//! is. The batches are written by [`super::writer`].
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
-use std::time::Duration;
 
-use bytes::Bytes;
-use poplar_base::platform::{Commit, Error, Platform, Row};
-use poplar_core::bill::{self, Batch, Bill, BilledRow, BillingRow, Loss};
-use poplar_core::id::{Incarnation, Name, RequestId};
+use poplar_base::platform::Row;
+use poplar_core::bill::{self, Bill, BilledRow, Loss};
+use poplar_core::id::{Name, RequestId};
 use poplar_core::sorted::SortedVec;
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -21,14 +18,6 @@
 
 /// Bills in one batch at the most.
 const MOST: usize = 256;
-/// Least time between two batches of this router, times the live routers: all
-/// together they make a hundred batches a second, each a put and a commit.
-const SPACING: Duration = Duration::from_millis(10);
-/// First wait after a failure; it doubles.
-const BACKOFF: Duration = Duration::from_millis(50);
-/// Longest wait after failures.
-const BACKOFF_MOST: Duration = Duration::from_secs(2);
-
 /// What became of a bill.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Billed {
@@ -58,15 +47,6 @@
     failing: watch::Sender<bool>,
 }
 
-/// What the worker must know of the router's rows.
-#[derive(Debug, Clone)]
-pub struct Rows {
-    /// The router.
-    pub me: Incarnation,
-    /// Version of its router row.
-    pub router: u64,
-}
-
 impl Default for Biller {
     fn default() -> Self {
         Self {
@@ -123,6 +103,18 @@
         found.map(|p| p.bill.clone())
     }
 
+    /// Waits until there is a bill.
+    pub(super) async fn some(&self) {
+        while self.waiting() == 0 {
+            self.wake.notified().await;
+        }
+    }
+
+    /// Notes whether the store took the last batch.
+    pub(super) fn failed(&self, failed: bool) {
+        self.failing.send_replace(failed);
+    }
+
     /// Waits until every bill handed over is durable.
     pub async fn flushed(&self) {
         let mut waiting = self.waiting.subscribe();
@@ -130,50 +122,8 @@
         let _ = waiting.wait_for(|n| *n == 0).await;
     }
 
-    /// Works until the router is sealed; tells `bank` what became durable.
-    pub async fn run(&self, platform: &Platform, bank: &Bank, rows: Rows) {
-        let mut row = BillingRow::default();
-        let mut version = 0;
-        let mut attempt = 0;
-        let mut wait = BACKOFF;
-        let mut next = tokio::time::Instant::now();
-        loop {
-            while self.waiting() == 0 {
-                self.wake.notified().await;
-            }
-            // The first bill after a pause goes at once; others gather.
-            tokio::time::sleep_until(next).await;
-            next = tokio::time::Instant::now() + SPACING * bank.routers();
-            let taken = self.take();
-            attempt += 1;
-            let state = Worker {
-                platform,
-                rows: &rows,
-                row: &row,
-                version,
-                attempt,
-            };
-            match self.step(&state, &taken).await {
-                Step::Committed(next, at) => {
-                    self.finish(bank, &taken);
-                    row = next;
-                    version = at;
-                    wait = BACKOFF;
-                    self.failing.send_replace(false);
-                }
-                Step::Again => wait = BACKOFF,
-                Step::Failed => {
-                    self.failing.send_replace(true);
-                    tokio::time::sleep(jittered(wait)).await;
-                    wait = (wait * 2).min(BACKOFF_MOST);
-                }
-                Step::Sealed => return self.give_up(),
-            }
-        }
-    }
-
     /// What goes into the next batch; it stays queued until it is durable.
-    fn take(&self) -> Taken {
+    pub(super) fn take(&self) -> Taken {
         let queue = lock(&self.queue);
         let many = queue.len().min(MOST);
         let first = || queue.iter().take(many);
@@ -188,59 +138,31 @@
         }
     }
 
-    async fn step(&self, worker: &Worker<'_>, taken: &Taken) -> Step {
-        let name = bill::batch_name(&worker.rows.me, worker.row.batches, worker.attempt);
-        let name: Name = name.into();
-        let batch = Batch {
-            previous: worker.row.head.clone(),
-            bills: taken.bills.clone(),
-            losses: taken.losses.clone(),
-        };
-        let next = worker.row.with(name.clone(), &batch);
-        let bytes = serde_json::to_vec(&batch).expect("bills are plain data");
-        let put = (worker.platform.put)(name.to_string(), Bytes::from(bytes)).await;
-        if put.is_err() {
-            // A put whose answer was lost leaves an object nothing leads to.
-            return Step::Failed;
-        }
-        let commit = worker.commit(&next, &name, &taken.marks);
-        match (worker.platform.commit)(commit).await {
-            Ok(version) => Step::Committed(next, version),
-            Err(Error::Conflict(rows)) => self.conflict(worker, &rows, next),
-            Err(Error::Unknown(_) | Error::Malformed(_)) => self.read_back(worker, next).await,
-            Err(Error::Down(_)) => Step::Failed,
+    /// Takes out what a batch made durable, and tells `bank` and the flows.
+    pub(super) fn finish(&self, bank: &Bank, taken: &Taken) {
+        let mut done = Vec::with_capacity(taken.bills.len());
+        {
+            let mut queue = lock(&self.queue);
+            for bill in &taken.bills {
+                let at = queue.iter().position(|p| p.bill.id == bill.id);
+                done.extend(at.and_then(|at| queue.remove(at)));
+            }
         }
-    }
-
-    fn finish(&self, bank: &Bank, taken: &Taken) {
-        let done: Vec<_> = lock(&self.queue).drain(..taken.bills.len()).collect();
         lock(&self.losses).drain(..taken.losses.len());
         for loss in &taken.losses {
             bank.accounted(&loss.budget, loss.tokens);
         }
+        let many = done.len() + taken.losses.len();
         for pending in done {
             bank.accounted(&pending.bill.budget, pending.bill.tokens());
             // A caller that is gone needs no word.
             let _ = pending.done.send(Billed::Mine);
         }
-        let many = taken.bills.len() + taken.losses.len();
         self.waiting.send_modify(|n| *n -= many);
     }
 
-    fn conflict(&self, worker: &Worker<'_>, now: &[Row], next: BillingRow) -> Step {
-        let find = |key: &str| now.iter().find(|r| r.key == key);
-        if let Some(row) = find(&worker.billing_key()).filter(|r| is(r, &next)) {
-            return Step::Committed(next, row.version);
-        }
-        if find(&worker.router_key()).is_some_and(|r| r.version != worker.rows.router) {
-            return Step::Sealed;
-        }
-        self.drop_earlier(now);
-        Step::Again
-    }
-
     /// Takes out the bills of requests that another run was billed for.
-    fn drop_earlier(&self, now: &[Row]) {
+    pub(super) fn drop_earlier(&self, now: &[Row]) {
         let earlier: SortedVec<String, BilledRow> = now
             .iter()
             .filter(|r| r.version != 0 && r.key.starts_with("billed/"))
@@ -266,23 +188,8 @@
         self.waiting.send_modify(|n| *n -= many);
     }
 
-    async fn read_back(&self, worker: &Worker<'_>, next: BillingRow) -> Step {
-        let keys = vec![worker.billing_key(), worker.router_key()];
-        match (worker.platform.read)(keys).await {
-            Ok(rows) if rows.first().is_some_and(|r| is(r, &next)) => {
-                Step::Committed(next, rows[0].version)
-            }
-            Ok(rows) if rows.get(1).is_some_and(|r| r.version != worker.rows.router) => {
-                Step::Sealed
-            }
-            // A write that is still on its way relies on the same version as
-            // the next try, so that one of the two fails.
-            Ok(_) => Step::Again,
-            Err(_) => Step::Failed,
-        }
-    }
-
-    fn give_up(&self) {
+    /// Tells every waiting flow that the router may bill no more.
+    pub(super) fn give_up(&self) {
         let rest: Vec<_> = lock(&self.queue).drain(..).collect();
         self.waiting.send_modify(|n| *n -= rest.len());
         for pending in rest {
@@ -292,62 +199,16 @@
 }
 
 /// What one batch holds.
-struct Taken {
-    bills: Vec<Bill>,
-    marks: Vec<Mark>,
-    losses: Vec<Loss>,
-}
-
-struct Mark {
-    key: String,
-    body: u64,
-}
-
-struct Worker<'a> {
-    platform: &'a Platform,
-    rows: &'a Rows,
-    row: &'a BillingRow,
-    version: u64,
-    attempt: u64,
-}
-
-impl Worker<'_> {
-    fn billing_key(&self) -> String {
-        bill::billing_key(&self.rows.me)
-    }
-
-    fn router_key(&self) -> String {
-        poplar_core::budget::rows::incarnation_key(&self.rows.me)
-    }
-
-    fn commit(&self, next: &BillingRow, batch: &Name, marks: &[Mark]) -> Commit {
-        let mut commit = Commit::default()
-            .check(self.router_key(), self.rows.router)
-            .check(self.billing_key(), self.version)
-            .write(self.billing_key(), next);
-        for mark in marks {
-            let row = BilledRow {
-                batch: batch.clone(),
-                body: mark.body,
-            };
-            commit = commit.check(&mark.key, 0).write(&mark.key, &row);
-        }
-        commit
-    }
-}
-
-enum Step {
-    Committed(BillingRow, u64),
-    Again,
-    Failed,
-    Sealed,
-}
-
-fn is(row: &Row, expected: &BillingRow) -> bool {
-    row.decode::<BillingRow>()
-        .is_ok_and(|found| found.as_ref() == Some(expected))
+#[derive(Debug)]
+pub(super) struct Taken {
+    pub(super) bills: Vec<Bill>,
+    pub(super) marks: Vec<Mark>,
+    pub(super) losses: Vec<Loss>,
 }
 
-fn jittered(wait: Duration) -> Duration {
-    wait.mul_f64(rand::random_range(0.5..1.0))
+/// A request that the batch marks as billed.
+#[derive(Debug)]
+pub(super) struct Mark {
+    pub(super) key: String,
+    pub(super) body: u64,
 }
--- a/crates/router/src/budget/mod.rs
+++ b/crates/router/src/budget/mod.rs
@@ -6,3 +6,4 @@
 pub mod gift;
 pub mod reservation;
 pub mod warm;
+pub mod writer;
--- a/crates/router/src/claims/group.rs
+++ b/crates/router/src/claims/group.rs
@@ -6,6 +6,7 @@
 use poplar_base::log;
 use poplar_base::platform::{Commit, Error, Row};
 use poplar_core::bill::{RouterRow, Stage as Life};
+use poplar_core::budget::ending::{Proof, rebound};
 use poplar_core::budget::rows::incarnation_key;
 use poplar_core::claim::group::{self, GroupRow};
 use poplar_core::claim::table::ClaimRow;
@@ -50,13 +51,14 @@
     if !row.has(&state.me) {
         return join(state, version, &row).await;
     }
-    if !row.is_active(&state.me) {
-        return activate(state, version, &row).await;
-    }
     if lock(&state.claims.notes).is_scanning() {
         return scan(state, &row).await;
     }
-    seal_out(state, version, &row).await
+    let sealed = seal_out(state, version, &row).await?;
+    if !sealed && !row.is_active(&state.me) {
+        return activate(state, version, &row).await;
+    }
+    Ok(())
 }
 
 /// Writes the group's row, relying on the own row too.
@@ -120,22 +122,26 @@
     member: &'a Incarnation,
     own: &'a Row,
     row: Option<RouterRow>,
+    proof: Option<Proof>,
 }
 
 /// Takes routers out of the group that are sealed, or that were silent for so
-/// long that they are sealed now; one a step.
-async fn seal_out(state: &State, version: u64, row: &GroupRow) -> Result<(), Error> {
+/// long that they are sealed now; one a step. True where there was one.
+///
+/// A router that is not active yet does so only for an earlier life at its own
+/// address. Thus a group whose members all died is taken over by their heirs.
+async fn seal_out(state: &State, version: u64, row: &GroupRow) -> Result<bool, Error> {
     let others: Vec<_> = row.others(&state.me).cloned().collect();
     let keys = others.iter().map(incarnation_key).collect();
     let rows = (state.platform.read)(keys).await?;
     let pairs = others.iter().zip(&rows);
-    let Some(ended) = pairs.filter_map(|(m, r)| ended(state, m, r)).next() else {
-        return Ok(());
+    let ended = pairs.filter_map(|(m, r)| ended(state, m, r));
+    let allowed = ended.map(|e| (row.seal(&state.me, e.member, e.proof), e));
+    let first = allowed.filter_map(|(next, e)| Some((next.ok()?, e))).next();
+    let Some((next, ended)) = first else {
+        return Ok(false);
     };
     let dead = ended.member;
-    let Ok(next) = row.seal(&state.me, dead, None) else {
-        return Ok(());
-    };
     lock(&state.claims.notes).sealing(dead);
     let mut commit = Commit::default()
         .check(incarnation_key(&state.me), state.router())
@@ -153,13 +159,13 @@
         Ok(_) => {}
         Err(Error::Conflict(_)) => {
             lock(&state.claims.notes).spared(dead);
-            return Ok(());
+            return Ok(true);
         }
         // Whether it took effect is seen from the row in the next step.
         Err(why) => return Err(why),
     }
     log::info("group").with("sealed", dead).write();
-    Ok(())
+    Ok(true)
 }
 
 /// Whether a member is at its end.
@@ -171,10 +177,14 @@
     let is_sealed = row.as_ref().is_none_or(|r| r.stage == Life::Sealed);
     let silent = state.peers.silent_for(member, Instant::now());
     let is_lost = silent.is_some_and(|silent| silent > state.settings.peers.seal);
-    (is_sealed || is_lost).then(|| Ended {
+    let mine = state.settings.advertised().to_string();
+    let address = row.as_ref().map_or("", |r| &*r.address);
+    let proof = rebound((&member.0, address), (&state.me.0, &mine));
+    (is_sealed || is_lost || proof.is_some()).then(|| Ended {
         member,
         own,
-        row: row.filter(|_| !is_sealed),
+        row: row.clone().filter(|_| !is_sealed),
+        proof,
     })
 }
 
--- a/crates/router/src/claims/mod.rs
+++ b/crates/router/src/claims/mod.rs
@@ -30,6 +30,9 @@
 /// For how long a key is remembered outside the table.
 const RETENTION: Duration = Duration::from_secs(60 * 60);
 
+/// How long a refusal waits for the row that records an unknown outcome.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(100);
+
 /// What this router knows of claims.
 #[derive(Debug)]
 pub struct Claims {
@@ -148,8 +151,15 @@
 }
 
 /// Notes that nobody can tell what became of a dispatched attempt.
-pub fn unknown(state: &State, id: &RequestId, attempt: &Attempt) {
-    state.claims.later(id, attempt, Stage::Unknown);
+///
+/// The caller's next try should learn of it, so that this waits a little for
+/// the table; where it takes longer the row is written later.
+pub async fn unknown(state: &State, id: &RequestId, attempt: &Attempt) {
+    let settled = table::settle(state, id, attempt, Stage::Unknown);
+    let settled = tokio::time::timeout(UNKNOWN_WAIT, settled).await;
+    if !matches!(settled, Ok(Ok(true))) {
+        state.claims.later(id, attempt, Stage::Unknown);
+    }
 }
 
 /// Whether a verdict passes with time.
--- a/crates/router/src/flow/service.rs
+++ b/crates/router/src/flow/service.rs
@@ -161,7 +161,7 @@
 ) -> Refusal {
     if runs > 0 {
         if let Some(attempt) = claim {
-            claims::unknown(state, &job.id, &attempt);
+            claims::unknown(state, &job.id, &attempt).await;
         }
         return refusal.run(Execution::Unknown);
     }
--- a/crates/router/src/life.rs
+++ b/crates/router/src/life.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::budget::biller::Rows;
+use crate::budget::writer::Writer;
 use crate::budget::{gift, warm};
 use crate::server::Server;
 use crate::settings::{Platform, Settings};
@@ -138,11 +138,15 @@
     tokio::spawn(warm::keep(state.clone()));
     tokio::spawn(claims::group::keep(state.clone()));
     tokio::spawn(claims::flush::flush(state.clone()));
-    let rows = Rows {
-        me: state.me.clone(),
-        router: state.router(),
-    };
-    state.biller.run(&state.platform, &state.bank, rows).await;
+    let State {
+        platform,
+        bank,
+        biller,
+        me,
+        ..
+    } = &*state;
+    let writer = Writer::new(platform, bank, biller, me, state.router());
+    writer.run().await;
     log::error("sealed").with("router", &state.me).write();
     state.seal();
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use poplar_base::http::Client;
 use poplar_base::platform::Platform;
@@ -22,6 +22,9 @@
 use crate::settings::Settings;
 use crate::sync::lock;
 
+/// How long a router that may not claim yet is kept from the balancer.
+const CLAIMS_GRACE: Duration = Duration::from_secs(10);
+
 /// Shared tables and clients; the lock order stands in [`crate::sync`].
 #[derive(Debug)]
 pub struct State {
@@ -58,6 +61,7 @@
     sealed: AtomicBool,
     draining: AtomicBool,
     minted: AtomicU64,
+    started: Instant,
 }
 
 impl State {
@@ -90,6 +94,7 @@
             sealed: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             minted: AtomicU64::new(0),
+            started: Instant::now(),
             settings,
             me,
             platform,
@@ -150,8 +155,12 @@
     }
 
     /// Whether the balancer may send requests.
+    ///
+    /// A router that may not claim yet would refuse calls that run once. It is
+    /// not ready then, but not for ever: all else it can serve.
     pub fn is_ready(&self) -> bool {
-        self.serves() && !self.is_draining()
+        let claims = self.claims.is_active() || self.started.elapsed() > CLAIMS_GRACE;
+        self.serves() && claims && !self.is_draining()
     }
 
     /// Names a request that has no idempotency key.
--- /dev/null
+++ b/crates/router/tests/money.rs
@@ -0,0 +1,201 @@
+//! Bills and draws come out exactly when answers of the platform are lost.
+
+mod common;
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use common::{Fate, Store};
+use poplar_base::platform::{Commit, Platform};
+use poplar_core::bill::{Bill, BillingRow, billing_key};
+use poplar_core::budget::rows::{BudgetRow, GrantRow, budget_key, grant_key, incarnation_key};
+use poplar_core::id::{Incarnation, Name, RequestId};
+use poplar_router::budget::bank::Bank;
+use poplar_router::budget::biller::{Billed, Biller};
+use poplar_router::budget::writer::Writer;
+use poplar_router::peers::Peers;
+use poplar_router::settings;
+
+struct Setting {
+    store: Arc<Mutex<Store>>,
+    platform: Platform,
+    me: Incarnation,
+    bank: Arc<Bank>,
+    biller: Arc<Biller>,
+}
+
+/// A registered router, and a budget of 1000 tokens.
+fn setting() -> Setting {
+    let store = Arc::new(Mutex::new(Store::default()));
+    let platform = common::platform(&store);
+    let me = Incarnation::new("r1", 7);
+    let budget = BudgetRow {
+        limit: 1000,
+        granted: 0,
+    };
+    let commit = Commit::default()
+        .write(incarnation_key(&me), &"registered")
+        .write(budget_key("rift"), &budget);
+    store.lock().unwrap().commit(commit).unwrap();
+    let biller = Arc::new(Biller::default());
+    let settings = settings::Budget {
+        horizon: Duration::from_secs(360),
+        least: 100,
+        exposure: 1000,
+        bill: Duration::from_millis(400),
+        alone: Duration::from_secs(2),
+    };
+    let peers = Arc::new(Peers::default());
+    let bank = Bank::open(
+        platform.clone(),
+        me.clone(),
+        settings,
+        peers,
+        biller.clone(),
+    );
+    Setting {
+        store,
+        platform,
+        me,
+        bank: Arc::new(bank),
+        biller,
+    }
+}
+
+fn bill(id: &str, tokens: u64) -> Bill {
+    Bill {
+        id: RequestId(id.into()),
+        workspace: "rift".into(),
+        class: "rider-chat".into(),
+        budget: "rift".into(),
+        body: 1,
+        prompt: 0,
+        output: tokens,
+        at_ms: 0,
+        first_ms: None,
+        finish_ms: 1,
+        met: true,
+        answer: None,
+    }
+}
+
+/// Bills three requests while commits and reads meet these fates.
+async fn billed(commits: &[Fate], reads: &[Fate]) -> (Vec<Billed>, BillingRow) {
+    let setting = setting();
+    {
+        let mut store = setting.store.lock().unwrap();
+        store.commits = commits.to_vec();
+        store.reads = reads.to_vec();
+    }
+    let Setting {
+        platform,
+        bank,
+        biller,
+        me,
+        ..
+    } = &setting;
+    let work = Writer::new(platform, bank, biller, me, 1).run();
+    let bills = async {
+        let mut all = Vec::new();
+        for id in ["ka", "kb", "kc"] {
+            all.push(biller.submit(bill(id, 5), true).await.unwrap());
+        }
+        all
+    };
+    let all = tokio::select! {
+        () = work => panic!("the writer ended"),
+        all = bills => all,
+    };
+    let row = setting.store.lock().unwrap().decode(&billing_key(me));
+    (all, row.expect("a billing row"))
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_of_a_commit_bills_once() {
+    use Fate::{Answer, Lose, Refuse};
+    for reads in [&[][..], &[Refuse], &[Lose, Refuse, Refuse]] {
+        for commits in [&[Lose][..], &[Refuse, Lose], &[Answer, Lose, Lose]] {
+            let (all, row) = billed(commits, reads).await;
+            assert_eq!(all, [Billed::Mine, Billed::Mine, Billed::Mine]);
+            assert_eq!(row.billed, [("rift".into(), 15)], "{commits:?} {reads:?}");
+            assert_eq!((row.batches, row.lost), (3, Vec::new()));
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_second_run_learns_of_the_first_and_is_recorded_as_lost() {
+    let setting = setting();
+    let Setting {
+        platform,
+        bank,
+        biller,
+        me,
+        ..
+    } = &setting;
+    let other = poplar_core::bill::BilledRow {
+        batch: "bills/r2.1/00000000-1".into(),
+        body: 1,
+    };
+    let commit = Commit::default().write("billed/ka", &other);
+    setting.store.lock().unwrap().commit(commit).unwrap();
+    let work = Writer::new(platform, bank, biller, me, 1).run();
+    let bills = async {
+        let done = biller.submit(bill("ka", 5), true).await.unwrap();
+        biller.flushed().await;
+        done
+    };
+    let done = tokio::select! {
+        () = work => panic!("the writer ended"),
+        done = bills => done,
+    };
+    assert_eq!(done, Billed::Earlier(other));
+    let row: BillingRow = setting
+        .store
+        .lock()
+        .unwrap()
+        .decode(&billing_key(me))
+        .unwrap();
+    assert_eq!((row.billed, row.lost), (vec![], vec![("rift".into(), 5)]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_sealed_router_bills_nothing() {
+    let setting = setting();
+    let Setting {
+        platform,
+        bank,
+        biller,
+        me,
+        ..
+    } = &setting;
+    let commit = Commit::default().write(incarnation_key(me), &"sealed");
+    setting.store.lock().unwrap().commit(commit).unwrap();
+    let done = biller.submit(bill("ka", 5), true);
+    Writer::new(platform, bank, biller, me, 1).run().await;
+    assert_eq!(done.await.unwrap(), Billed::Sealed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_draw_whose_answer_was_lost_is_credited_once() {
+    use Fate::{Lose, Refuse};
+    for commits in [&[Lose][..], &[Refuse, Lose], &[Lose, Lose]] {
+        let setting = setting();
+        setting.store.lock().unwrap().commits = commits.to_vec();
+        let budget: Name = "rift".into();
+        let mut reserved = Vec::new();
+        while reserved.len() < 3 {
+            // A refusal for want of the platform is remembered for a while.
+            match setting.bank.reserve(&budget, 60, 1).await {
+                Ok(reservation) => reserved.push(reservation),
+                Err(_) => tokio::time::sleep(Duration::from_secs(1)).await,
+            }
+        }
+        let held = setting.bank.holdings()[0].1.held;
+        let store = setting.store.lock().unwrap();
+        let grant: GrantRow = store.decode(&grant_key("rift", &setting.me)).unwrap();
+        let row: BudgetRow = store.decode(&budget_key("rift")).unwrap();
+        assert_eq!((held, row.granted), (grant.granted, grant.granted));
+        assert!(row.granted <= row.limit);
+    }
+}
