--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -120,6 +120,17 @@
     assert_eq!((counts.totals.refused, counts.peak_writes), (1, 9));
 }
 
+#[test]
+fn charges_a_transaction_by_its_rows() {
+    let settings = Settings {
+        rows: 16,
+        ..Settings::default()
+    };
+    let state = State::new(&settings, Instant::now());
+    let costs = [1, 16, 17, 33].map(|rows| state.cost(rows));
+    assert_eq!(costs, [1, 1, 2, 3]);
+}
+
 #[test]
 fn watches_the_budgets() {
     let mut state = State::new(&Settings::default(), Instant::now());
--- a/crates/standins/tests/process.rs
+++ b/crates/standins/tests/process.rs
@@ -77,6 +77,17 @@
     names.map(str::to_owned).collect()
 }
 
+/// The first cells of all tables' rows.
+fn first_cells(part: &str) -> impl Iterator<Item = &str> {
+    part.lines()
+        .filter_map(|line| line.strip_prefix("| ")?.split(" | ").next())
+}
+
+/// Whether a cell names `word`, with or without a value's form.
+fn names(cell: &str, word: &str) -> bool {
+    cell.contains(&format!("`{word}`")) || cell.contains(&format!("`{word} "))
+}
+
 #[tokio::test]
 async fn the_page_names_every_option_and_switch() {
     let page = include_str!("../../../docs/developers/standins.md");
@@ -89,10 +100,11 @@
         let own = parts.iter().find(|part| part.starts_with(name)).unwrap();
         let (_process, caller) = Process::start(program, &[]);
         let switches: Value = caller.get("/control").await;
-        let switches = switches.as_object().unwrap().keys().cloned();
-        for word in options(program).into_iter().chain(switches) {
-            let named = [format!("`{word}`"), format!("`{word} ")];
-            let found = |part: &str| named.iter().any(|n| part.contains(n.as_str()));
+        let mut words: Vec<_> = switches.as_object().unwrap().keys().cloned().collect();
+        words.extend(options(program));
+        for word in words {
+            let found = |part: &str| first_cells(part).any(|cell| names(cell, &word));
+            // Options and switches of all three are in the first part.
             assert!(found(own) || found(parts[0]), "{name}: {word}");
         }
     }
