--- a/crates/standins/src/door.rs
+++ b/crates/standins/src/door.rs
@@ -8,7 +8,7 @@
 use poplar_core::id::Name;
 use poplar_core::sorted::SortedVec;
 
-use crate::serve;
+use crate::reply;
 
 /// Header with the router's label.
 pub const ROUTER: &str = "x-router";
@@ -32,11 +32,11 @@
 
 impl Refusal {
     /// The answer that says so.
-    pub fn response(self) -> Response<serve::Body> {
+    pub fn response(self) -> Response<reply::Body> {
         match self {
-            Self::Leaving => serve::refusal(StatusCode::SERVICE_UNAVAILABLE, "leaving"),
-            Self::Fenced => serve::refusal(StatusCode::CONFLICT, "fenced"),
-            Self::Full => serve::refusal(StatusCode::TOO_MANY_REQUESTS, "full"),
+            Self::Leaving => reply::refusal(StatusCode::SERVICE_UNAVAILABLE, "leaving"),
+            Self::Fenced => reply::refusal(StatusCode::CONFLICT, "fenced"),
+            Self::Full => reply::refusal(StatusCode::TOO_MANY_REQUESTS, "full"),
         }
     }
 }
@@ -56,7 +56,7 @@
 
 impl From<&HeaderMap> for Caller {
     fn from(headers: &HeaderMap) -> Self {
-        let text = |name| serve::text(headers, name);
+        let text = |name| reply::text(headers, name);
         Self {
             id: text(REQUEST).into(),
             workspace: text(WORKSPACE).into(),
--- a/crates/standins/src/engine/calls.rs
+++ b/crates/standins/src/engine/calls.rs
@@ -17,7 +17,7 @@
 use super::streams::{self, Outputs};
 use super::text::{Message, Prompt};
 use crate::door::{Caller, Refusal};
-use crate::serve::{self, Body, Malformed, Reply};
+use crate::reply::{self, Body, Malformed, Reply};
 use crate::shared::pause;
 
 /// Header with the request's priority.
@@ -81,7 +81,7 @@
 /// Answers one call.
 pub(super) async fn handle(desk: Desk, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
-    let body = serve::whole(body).await?;
+    let body = reply::whole(body).await?;
     let answered = match (&head.method, head.uri.path()) {
         (&Method::POST, "/v1/chat/completions") => {
             return chat(desk, &head.headers, &body).await;
@@ -89,7 +89,7 @@
         (&Method::POST, "/v1/cancel") => cancel(&desk, &head.headers, &body),
         (&Method::POST, "/control") => control(&desk, &body),
         (&Method::GET, path) => Ok(query(&desk, path, head.uri.query())),
-        _ => Ok(serve::unknown()),
+        _ => Ok(reply::unknown()),
     };
     Ok(answered.unwrap_or_else(|malformed| malformed.response()))
 }
@@ -97,16 +97,16 @@
 fn query(desk: &Desk, path: &str, query: Option<&str>) -> Response<Body> {
     let state = desk.state.lock();
     match path {
-        "/v1/load" => serve::ok(&state.load(Instant::now())),
+        "/v1/load" => reply::ok(&state.load(Instant::now())),
         "/v1/cache" => cache(&state, desk.settings.cache_lag, query),
-        "/control" => serve::ok(&SwitchesWire::from(&state.switches)),
-        "/control/counts" => serve::ok(&state.counts.wire(&desk.settings.name)),
+        "/control" => reply::ok(&SwitchesWire::from(&state.switches)),
+        "/control/counts" => reply::ok(&state.counts.wire(&desk.settings.name)),
         _ => count(&state, path),
     }
 }
 
 async fn chat(desk: Desk, headers: &HeaderMap, body: &Bytes) -> Reply {
-    let chat: ChatWire = match serve::parse(body) {
+    let chat: ChatWire = match reply::parse(body) {
         Ok(chat) => chat,
         Err(malformed) => return Ok(malformed.response()),
     };
@@ -148,15 +148,15 @@
         id: caller.id.clone(),
         workspace: caller.workspace.clone(),
         router: caller.router.clone(),
-        priority: serve::text(headers, PRIORITY).parse().unwrap_or(USUAL),
+        priority: reply::text(headers, PRIORITY).parse().unwrap_or(USUAL),
         prompt: Prompt::from(chat.messages.as_slice()),
         cap: chat.max_tokens.unwrap_or(CAP),
-        resume: serve::text(headers, RESUME).parse().ok(),
+        resume: reply::text(headers, RESUME).parse().ok(),
     }
 }
 
 fn cancel(desk: &Desk, headers: &HeaderMap, body: &Bytes) -> Result<Response<Body>, Malformed> {
-    let wire: CancelWire = serve::parse(body)?;
+    let wire: CancelWire = reply::parse(body)?;
     let router = Caller::from(headers).router;
     let mut state = desk.state.lock();
     let used = state.cancel(&wire.id, &router, Instant::now());
@@ -165,18 +165,18 @@
         prompt: used.map_or(0, |used| used.prompt),
         generated: used.map_or(0, |used| used.generated),
     };
-    Ok(serve::ok(&cancelled))
+    Ok(reply::ok(&cancelled))
 }
 
 fn cache(state: &State, lag: Duration, query: Option<&str>) -> Response<Body> {
-    let after = serve::query(query, "after").and_then(|text| text.parse().ok());
+    let after = reply::query(query, "after").and_then(|text| text.parse().ok());
     let events = state.cache.events(after.unwrap_or(0), Instant::now(), lag);
     let events: Vec<_> = events.into_iter().map(EventWire::from).collect();
-    serve::ok(&json!({"events": events}))
+    reply::ok(&json!({"events": events}))
 }
 
 fn control(desk: &Desk, body: &Bytes) -> Result<Response<Body>, Malformed> {
-    let wire: SwitchesWire = serve::parse(body)?;
+    let wire: SwitchesWire = reply::parse(body)?;
     let (closed, frozen) = (wire.refuse_connect_ms, wire.freeze_ms);
     let now = Instant::now();
     let mut state = desk.state.lock();
@@ -189,14 +189,14 @@
     }
     state.report(now);
     desk.work.notify_one();
-    Ok(serve::ok(&SwitchesWire::from(&state.switches)))
+    Ok(reply::ok(&SwitchesWire::from(&state.switches)))
 }
 
 /// The count of one request, `GET /control/counts/<request>`.
 fn count(state: &State, path: &str) -> Response<Body> {
     let id = path.strip_prefix("/control/counts/");
     match id.and_then(|id| state.counts.request(id)) {
-        Some(count) => serve::ok(count),
-        None => serve::unknown(),
+        Some(count) => reply::ok(count),
+        None => reply::unknown(),
     }
 }
--- a/crates/standins/src/engine/streams.rs
+++ b/crates/standins/src/engine/streams.rs
@@ -13,7 +13,7 @@
 use super::chunks::Chunks;
 use super::state::Made;
 use super::text;
-use crate::serve::{self, Body, Cut};
+use crate::reply::{self, Body, Cut};
 use crate::shared::pause;
 
 /// Time for the chunks before a cut to leave.
@@ -72,7 +72,7 @@
         tokens: 0,
         ended: false,
     };
-    serve::events(events(sending))
+    reply::events(events(sending))
 }
 
 fn events(sending: Sending) -> impl Stream<Item = Result<Bytes, Cut>> + Send {
@@ -148,5 +148,5 @@
             "total_tokens": prompt + output,
         },
     });
-    serve::ok(&answer)
+    reply::ok(&answer)
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod options;
 pub mod platform;
+pub mod reply;
 pub mod serve;
 pub mod service;
 pub mod shared;
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -14,7 +14,7 @@
 use super::hosts::Unknown;
 use super::state::{Charge, State};
 use super::table::Conflict;
-use crate::serve::{self, Body, Malformed};
+use crate::reply::{self, Body, Malformed};
 
 /// States that a host can be set to.
 const STATES: [&str; 3] = ["live", "leaving", "gone"];
@@ -66,11 +66,11 @@
     fn response(self) -> Response<Body> {
         match self {
             Self::Malformed(why) => why.response(),
-            Self::Limited => serve::refusal(StatusCode::TOO_MANY_REQUESTS, "limited"),
+            Self::Limited => reply::refusal(StatusCode::TOO_MANY_REQUESTS, "limited"),
             Self::Conflict(Conflict { rows }) => {
-                serve::json(StatusCode::CONFLICT, &RowsWire { rows })
+                reply::json(StatusCode::CONFLICT, &RowsWire { rows })
             }
-            Self::Unknown => serve::unknown(),
+            Self::Unknown => reply::unknown(),
         }
     }
 }
@@ -126,63 +126,63 @@
 }
 
 fn read(state: &mut State, call: &Call, now: Instant) -> Answer {
-    let wire: ReadWire = serve::parse(&call.body)?;
+    let wire: ReadWire = reply::parse(&call.body)?;
     charge(state, call, Charge::Read, wire.keys.len(), now)?;
     state.counts.reads += wire.keys.len() as u64;
     let rows = wire.keys.iter().map(|key| state.table.row(key));
     let rows = rows.collect();
-    Ok(serve::ok(&RowsWire { rows }))
+    Ok(reply::ok(&RowsWire { rows }))
 }
 
 fn scan(state: &mut State, call: &Call, now: Instant) -> Answer {
-    let wire: ScanWire = serve::parse(&call.body)?;
+    let wire: ScanWire = reply::parse(&call.body)?;
     let rows = state.table.scan(&wire.prefix);
     charge(state, call, Charge::Read, rows.len(), now)?;
     state.counts.reads += rows.len() as u64;
-    Ok(serve::ok(&RowsWire { rows }))
+    Ok(reply::ok(&RowsWire { rows }))
 }
 
 fn commit(state: &mut State, call: &Call, now: Instant) -> Answer {
-    let wire: CommitWire = serve::parse(&call.body)?;
+    let wire: CommitWire = reply::parse(&call.body)?;
     let cost = state.cost(wire.writes.len());
     charge(state, call, Charge::Write, cost, now)?;
     let version = state.commit(wire)?;
-    Ok(serve::ok(&CommittedWire { version }))
+    Ok(reply::ok(&CommittedWire { version }))
 }
 
 fn list(state: &mut State, call: &Call, now: Instant) -> Answer {
     charge(state, call, Charge::Read, 1, now)?;
     state.counts.gets += 1;
-    let prefix = serve::query(call.query.as_deref(), "prefix").unwrap_or_default();
+    let prefix = reply::query(call.query.as_deref(), "prefix").unwrap_or_default();
     let names = state.objects.iter().map(|(name, _)| name);
     let names: Vec<_> = names.filter(|name| name.starts_with(prefix)).collect();
-    Ok(serve::ok(&json!({"names": names})))
+    Ok(reply::ok(&json!({"names": names})))
 }
 
 fn put(state: &mut State, call: &Call, name: &str, now: Instant) -> Answer {
     charge(state, call, Charge::Write, 1, now)?;
     state.put(name, call.body.clone());
-    Ok(serve::ok(&json!({})))
+    Ok(reply::ok(&json!({})))
 }
 
 fn get(state: &mut State, call: &Call, name: &str, now: Instant) -> Answer {
     charge(state, call, Charge::Read, 1, now)?;
     state.counts.gets += 1;
     let body = state.objects.get(name).ok_or(Refused::Unknown)?;
-    Ok(serve::bytes(body.clone()))
+    Ok(reply::bytes(body.clone()))
 }
 
 fn hosts(state: &mut State, now: Instant) -> Answer {
     state.counts.hosts += 1;
     state.hosts.advance(now);
     let hosts = state.hosts.shown().to_vec();
-    Ok(serve::ok(&HostsWire { hosts }))
+    Ok(reply::ok(&HostsWire { hosts }))
 }
 
 fn replace(state: &mut State, call: &Call, now: Instant) -> Answer {
-    let wire: HostsWire = serve::parse(&call.body)?;
+    let wire: HostsWire = reply::parse(&call.body)?;
     state.hosts.replace(wire.hosts, now, state.switches.lag);
-    Ok(serve::ok(&json!({})))
+    Ok(reply::ok(&json!({})))
 }
 
 /// A change of one host.
@@ -193,11 +193,11 @@
 }
 
 fn set(state: &mut State, call: &Call, name: &str, now: Instant) -> Answer {
-    let wire: ChangeWire = serve::parse(&call.body)?;
+    let wire: ChangeWire = reply::parse(&call.body)?;
     if !STATES.contains(&wire.state.as_str()) {
         return Err(Malformed::new("state is not live, leaving or gone").into());
     }
     let lag = state.switches.lag;
     state.hosts.set(name, &wire.state, now, lag)?;
-    Ok(serve::ok(&json!({})))
+    Ok(reply::ok(&json!({})))
 }
--- a/crates/standins/src/platform/calls.rs
+++ b/crates/standins/src/platform/calls.rs
@@ -13,7 +13,8 @@
 use super::control::{Down, SwitchesWire};
 use super::state::State;
 use crate::door::ROUTER;
-use crate::serve::{self, Body, Cut, Gate, Malformed, Reply};
+use crate::reply::{self, Body, Cut, Malformed, Reply};
+use crate::serve::Gate;
 use crate::shared::{Shared, pause};
 
 /// What every call needs.
@@ -26,13 +27,13 @@
 /// Answers one call.
 pub(super) async fn handle(desk: Desk, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
-    let router: Name = serve::text(&head.headers, ROUTER).into();
+    let router: Name = reply::text(&head.headers, ROUTER).into();
     let call = Call {
         method: head.method,
         path: head.uri.path().to_owned(),
         query: head.uri.query().map(str::to_owned),
         router,
-        body: serve::whole(body).await?,
+        body: reply::whole(body).await?,
     };
     if call.path.starts_with("/control") {
         let answered = control(&desk, &call);
@@ -41,7 +42,7 @@
     let down = desk.state.lock().meet(&call)?;
     match down {
         Down::No => {}
-        Down::Refuse => return Ok(serve::refusal(StatusCode::SERVICE_UNAVAILABLE, "down")),
+        Down::Refuse => return Ok(reply::refusal(StatusCode::SERVICE_UNAVAILABLE, "down")),
         Down::Hang => future::pending().await,
     }
     // A task of its own, so that a call takes effect even if its caller leaves.
@@ -92,23 +93,23 @@
 fn control(desk: &Desk, call: &Call) -> Result<Response<Body>, Malformed> {
     let mut state = desk.state.lock();
     match (call.method.as_str(), call.path.as_str()) {
-        ("GET", "/control") => Ok(serve::ok(&SwitchesWire::from(&state.switches))),
+        ("GET", "/control") => Ok(reply::ok(&SwitchesWire::from(&state.switches))),
         ("POST", "/control") => switch(desk, &mut state, &call.body),
-        ("GET", "/control/counts") => Ok(serve::ok(&state.counted())),
+        ("GET", "/control/counts") => Ok(reply::ok(&state.counted())),
         ("GET", "/control/table") => {
             let rows = state.dump();
-            Ok(serve::ok(&RowsWire { rows }))
+            Ok(reply::ok(&RowsWire { rows }))
         }
-        _ => Ok(serve::unknown()),
+        _ => Ok(reply::unknown()),
     }
 }
 
 fn switch(desk: &Desk, state: &mut State, body: &Bytes) -> Result<Response<Body>, Malformed> {
-    let wire: SwitchesWire = serve::parse(body)?;
+    let wire: SwitchesWire = reply::parse(body)?;
     let closed = wire.refuse_connect_ms;
     state.switches.update(wire)?;
     if let Some(time) = closed {
         desk.gate.close(Duration::from_millis(time));
     }
-    Ok(serve::ok(&SwitchesWire::from(&state.switches)))
+    Ok(reply::ok(&SwitchesWire::from(&state.switches)))
 }
--- a/crates/standins/src/platform/control.rs
+++ b/crates/standins/src/platform/control.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::serve::Malformed;
+use crate::reply::Malformed;
 use crate::shared::{millis, set, span};
 
 /// Whether a service of the platform answers.
--- /dev/null
+++ b/crates/standins/src/reply.rs
@@ -0,0 +1,139 @@
+//! Reading calls and making replies, which may be cut.
+//!
+//! A handler that returns [`Cut`] ends its connection without an answer, and a
+//! body that yields [`Cut`] ends it in the middle of one.
+
+use std::convert::Infallible;
+use std::fmt;
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt};
+use http::{HeaderMap, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+/// The connection ends here, without an answer or the rest of one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cut;
+
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("connection cut on purpose")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// A body that may be cut.
+pub type Body = UnsyncBoxBody<Bytes, Cut>;
+
+/// What a handler makes of a call.
+pub type Reply = Result<Response<Body>, Cut>;
+
+fn answer(status: StatusCode, kind: &'static str, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let kind = header::HeaderValue::from_static(kind);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// An answer of bytes.
+pub fn bytes(body: Bytes) -> Response<Body> {
+    let body = Full::new(body).map_err(|e: Infallible| match e {});
+    answer(
+        StatusCode::OK,
+        "application/octet-stream",
+        body.boxed_unsync(),
+    )
+}
+
+/// An answer in JSON.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(value).expect("answers are plain data");
+    let body = Full::new(Bytes::from(body)).map_err(|e: Infallible| match e {});
+    answer(status, "application/json", body.boxed_unsync())
+}
+
+/// A refusal with a code.
+pub fn refusal(status: StatusCode, code: &str) -> Response<Body> {
+    json(status, &json!({"error": {"code": code}}))
+}
+
+/// A stream of server-sent events, which may be cut.
+pub fn events(stream: impl Stream<Item = Result<Bytes, Cut>> + Send + 'static) -> Response<Body> {
+    let body = StreamBody::new(stream.map(|chunk| chunk.map(Frame::data)));
+    answer(StatusCode::OK, "text/event-stream", body.boxed_unsync())
+}
+
+/// Reads a request's whole body.
+///
+/// # Errors
+/// [`Cut`] where the caller went away.
+pub async fn whole(body: Incoming) -> Result<Bytes, Cut> {
+    Ok(body.collect().await.map_err(|_| Cut)?.to_bytes())
+}
+
+/// A body or a switch that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Malformed {
+    /// Why.
+    pub reason: String,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.reason)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+impl Malformed {
+    /// Says why.
+    pub fn new(reason: impl Into<String>) -> Self {
+        let reason = reason.into();
+        Self { reason }
+    }
+
+    /// The answer that says so.
+    pub fn response(&self) -> Response<Body> {
+        let error = json!({"code": "malformed", "message": self.reason});
+        json(StatusCode::BAD_REQUEST, &json!({"error": error}))
+    }
+}
+
+/// Reads JSON.
+///
+/// # Errors
+/// Says what can't be read.
+pub fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, Malformed> {
+    serde_json::from_slice(body).map_err(|e| Malformed::new(e.to_string()))
+}
+
+/// The answer to a call that succeeded, in JSON.
+pub fn ok(value: &impl Serialize) -> Response<Body> {
+    json(StatusCode::OK, value)
+}
+
+/// The answer to a call that there is not.
+pub fn unknown() -> Response<Body> {
+    refusal(StatusCode::NOT_FOUND, "unknown")
+}
+
+/// The text of a header, empty where there is none.
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name);
+    value.and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
+
+/// A value of the query part, as it stands there.
+pub fn query<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    let pairs = query.unwrap_or_default().split('&');
+    let mut found = pairs.filter_map(|pair| pair.split_once('='));
+    found.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -1,56 +1,30 @@
 //! A small HTTP/1.1 server whose handlers may cut the connection.
 //!
-//! A handler that returns [`Cut`] ends its connection without an answer, and a
-//! body that yields [`Cut`] ends it in the middle of one. The listener can be
-//! closed for a while, so that connecting is refused as by a dead process.
+//! The listener can be closed for a while, so that connecting is refused as by
+//! a dead process.
 
-use std::convert::Infallible;
-use std::fmt;
 use std::future::Future;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures::{Stream, StreamExt};
-use http::{HeaderMap, Request, Response, StatusCode, header};
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use serde_json::json;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
+use crate::reply::Reply;
+
 /// Wait before binding or accepting is tried again where it failed.
 const AGAIN: Duration = Duration::from_millis(5);
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 4096;
 
-/// The connection ends here, without an answer or the rest of one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Cut;
-
-impl fmt::Display for Cut {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("connection cut on purpose")
-    }
-}
-
-impl std::error::Error for Cut {}
-
-/// A body that may be cut.
-pub type Body = UnsyncBoxBody<Bytes, Cut>;
-
-/// What a handler makes of a call.
-pub type Reply = Result<Response<Body>, Cut>;
-
 /// Handle of a running server.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -195,107 +169,3 @@
     }
     Ok(())
 }
-
-fn answer(status: StatusCode, kind: &'static str, body: Body) -> Response<Body> {
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    let kind = header::HeaderValue::from_static(kind);
-    response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    response
-}
-
-/// An answer of bytes.
-pub fn bytes(body: Bytes) -> Response<Body> {
-    let body = Full::new(body).map_err(|e: Infallible| match e {});
-    answer(
-        StatusCode::OK,
-        "application/octet-stream",
-        body.boxed_unsync(),
-    )
-}
-
-/// An answer in JSON.
-pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
-    let body = serde_json::to_vec(value).expect("answers are plain data");
-    let body = Full::new(Bytes::from(body)).map_err(|e: Infallible| match e {});
-    answer(status, "application/json", body.boxed_unsync())
-}
-
-/// A refusal with a code.
-pub fn refusal(status: StatusCode, code: &str) -> Response<Body> {
-    json(status, &json!({"error": {"code": code}}))
-}
-
-/// A stream of server-sent events, which may be cut.
-pub fn events(stream: impl Stream<Item = Result<Bytes, Cut>> + Send + 'static) -> Response<Body> {
-    let body = StreamBody::new(stream.map(|chunk| chunk.map(Frame::data)));
-    answer(StatusCode::OK, "text/event-stream", body.boxed_unsync())
-}
-
-/// Reads a request's whole body.
-///
-/// # Errors
-/// [`Cut`] where the caller went away.
-pub async fn whole(body: Incoming) -> Result<Bytes, Cut> {
-    Ok(body.collect().await.map_err(|_| Cut)?.to_bytes())
-}
-
-/// A body or a switch that can't be read.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Malformed {
-    /// Why.
-    pub reason: String,
-}
-
-impl fmt::Display for Malformed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.reason)
-    }
-}
-
-impl std::error::Error for Malformed {}
-
-impl Malformed {
-    /// Says why.
-    pub fn new(reason: impl Into<String>) -> Self {
-        let reason = reason.into();
-        Self { reason }
-    }
-
-    /// The answer that says so.
-    pub fn response(&self) -> Response<Body> {
-        let error = json!({"code": "malformed", "message": self.reason});
-        json(StatusCode::BAD_REQUEST, &json!({"error": error}))
-    }
-}
-
-/// Reads JSON.
-///
-/// # Errors
-/// Says what can't be read.
-pub fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, Malformed> {
-    serde_json::from_slice(body).map_err(|e| Malformed::new(e.to_string()))
-}
-
-/// The answer to a call that succeeded, in JSON.
-pub fn ok(value: &impl Serialize) -> Response<Body> {
-    json(StatusCode::OK, value)
-}
-
-/// The answer to a call that there is not.
-pub fn unknown() -> Response<Body> {
-    refusal(StatusCode::NOT_FOUND, "unknown")
-}
-
-/// The text of a header, empty where there is none.
-pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    let value = headers.get(name);
-    value.and_then(|v| v.to_str().ok()).unwrap_or_default()
-}
-
-/// A value of the query part, as it stands there.
-pub fn query<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
-    let pairs = query.unwrap_or_default().split('&');
-    let mut found = pairs.filter_map(|pair| pair.split_once('='));
-    found.find(|(key, _)| *key == name).map(|(_, value)| value)
-}
--- a/crates/standins/src/service/calls.rs
+++ b/crates/standins/src/service/calls.rs
@@ -13,7 +13,8 @@
 use super::control::SwitchesWire;
 use super::state::State;
 use crate::door::Caller;
-use crate::serve::{self, Body, Cut, Gate, Malformed, Reply};
+use crate::reply::{self, Body, Cut, Malformed, Reply};
+use crate::serve::Gate;
 use crate::shared::{Shared, pause};
 
 /// What every call needs.
@@ -29,15 +30,15 @@
 /// Answers one call.
 pub(super) async fn handle(desk: Desk, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
-    let body = serve::whole(body).await?;
+    let body = reply::whole(body).await?;
     match (head.method, head.uri.path()) {
-        (Method::GET, "/v1/load") => Ok(serve::ok(&desk.state.lock().load(Instant::now()))),
+        (Method::GET, "/v1/load") => Ok(reply::ok(&desk.state.lock().load(Instant::now()))),
         (Method::GET, "/control") => Ok(switches(&desk)),
         (Method::POST, "/control") => {
             Ok(control(&desk, &body).unwrap_or_else(|malformed| malformed.response()))
         }
         (Method::GET, "/control/counts") => {
-            Ok(serve::ok(&desk.state.lock().counts.wire(&desk.name)))
+            Ok(reply::ok(&desk.state.lock().counts.wire(&desk.name)))
         }
         (Method::POST, path) => {
             let path = path.to_owned();
@@ -46,12 +47,12 @@
             let ran = tokio::spawn(run(desk, caller, path));
             ran.await.unwrap_or(Err(Cut))
         }
-        _ => Ok(serve::unknown()),
+        _ => Ok(reply::unknown()),
     }
 }
 
 fn switches(desk: &Desk) -> Response<Body> {
-    serve::ok(&SwitchesWire::from(&desk.state.lock().switches))
+    reply::ok(&SwitchesWire::from(&desk.state.lock().switches))
 }
 
 async fn run(desk: Desk, caller: Caller, path: String) -> Reply {
@@ -75,11 +76,11 @@
     let status = StatusCode::from_u16(state.switches.status).map_err(|_| Cut)?;
     let service = &*desk.service;
     let answer = json!({"id": &*caller.id, "runs": runs, "path": path, "service": service});
-    Ok(serve::json(status, &answer))
+    Ok(reply::json(status, &answer))
 }
 
 fn control(desk: &Desk, body: &Bytes) -> Result<Response<Body>, Malformed> {
-    let wire: SwitchesWire = serve::parse(body)?;
+    let wire: SwitchesWire = reply::parse(body)?;
     let closed = wire.refuse_connect_ms;
     let mut state = desk.state.lock();
     state.switches.update(wire)?;
@@ -87,5 +88,5 @@
     if let Some(time) = closed {
         desk.gate.close(Duration::from_millis(time));
     }
-    Ok(serve::ok(&SwitchesWire::from(&state.switches)))
+    Ok(reply::ok(&SwitchesWire::from(&state.switches)))
 }
