Test waiting for a good server, sampling and sightings told again

Three changes that broke the code left the tests green: counting ends of requests sent after the report, never waiting for a server at its limit, and counting a sighting told again with another age. Each has a test now.

--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -77,6 +77,13 @@
             .for_each(|s| a.merge(s, now));
     }
     assert!(a.refuses(print(), now).is_none() && b.refuses(print(), now).is_none());
+    // Its age may be told wrong.
+    let again = Sighting {
+        at: now + SECOND * 10,
+        ..seen[0].clone()
+    };
+    b.merge(again, now + SECOND * 10);
+    assert!(b.refuses(print(), now + SECOND * 10).is_none());
 }
 
 #[test]
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -109,6 +109,43 @@
     assert_eq!(choice.reason, Reason::Prefix { tokens: 39_000 });
 }
 
+#[test]
+fn a_request_waits_for_a_good_server_rather_than_go_to_a_slow_one() {
+    let now = Instant::now();
+    let mut all = servers(2, now);
+    all[0].reported(report(8, 0, now));
+    let slow = Report {
+        step: MS * 30,
+        ..report(0, 0, now)
+    };
+    all[1].reported(slow);
+    let outcome = choose(&fleet(&all), &job(), |_| 0, &[], 1, now);
+    assert_eq!(outcome, Outcome::Wait(Reason::Full { servers: 1 }));
+    // One that is not much slower is taken.
+    all[1].reported(Report {
+        step: MS * 10,
+        ..slow
+    });
+    assert_eq!(chosen(&all, 1, now), Some(1));
+}
+
+#[test]
+fn of_many_servers_a_sample_and_the_near_ones_are_looked_at() {
+    let now = Instant::now();
+    let all = servers(1000, now);
+    let looked = std::cell::RefCell::new(Vec::new());
+    let held = |at: usize| {
+        looked.borrow_mut().push(at);
+        if at == 777 { 390 } else { 0 }
+    };
+    for dice in 0..50 {
+        looked.borrow_mut().clear();
+        let outcome = choose(&fleet(&all), &job(), held, &[777], dice, now);
+        assert!(matches!(outcome, Outcome::Go(_)));
+        assert!(looked.borrow().len() <= 65 && looked.borrow().contains(&777));
+    }
+}
+
 #[test]
 fn nothing_goes_to_a_server_that_may_not_be_used() {
     let now = Instant::now();
@@ -164,9 +201,16 @@
     // Taken after the first two were sent and before the first one ended.
     server.reported(report(5, 1, now + MS * 2));
     assert_eq!(server.load(), 6 + 1 - 1);
+    // One that was sent and ended since is in no report and ends nothing in it.
+    server.dispatched(9, flight(now + MS * 6));
+    server.ended(9, End::Done(1), now + MS * 7);
+    server.reported(report(5, 1, now + MS * 4));
+    assert_eq!((server.load(), server.own_then()), (5, 3));
+    server.reported(report(5, 1, now + MS * 4));
+    assert_eq!((server.load(), server.own_then()), (5, 3));
     // An older report changes nothing.
     server.reported(report(0, 0, now));
-    assert_eq!(server.load(), 6);
+    assert_eq!(server.load(), 5);
 }
 
 #[test]
