--- /dev/null
+++ b/crates/core/examples/cost.rs
@@ -0,0 +1,100 @@
+//! What the decisions cost, in nanoseconds each, at several sizes.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use poplar_core::id::Name;
+use poplar_core::prefix::View;
+use poplar_core::queue::{Entry, Queue};
+use poplar_core::route::dice::Dice;
+use poplar_core::route::server::{Flight, Report, Server};
+use poplar_core::route::{Fleet, Job, Policy, choose};
+
+const MS: Duration = Duration::from_millis(1);
+const TURNS: u32 = 20_000;
+
+fn servers(count: usize, now: Instant) -> Vec<Server> {
+    let mut dice = Dice::new(1);
+    let server = |i: usize| {
+        let mut server = Server::new(format!("e{i}").into(), "nbo-a".into(), MS);
+        server.reported(Report {
+            running: dice.below(16) as u32,
+            waiting: 0,
+            slots: 16,
+            step: MS * 6,
+            taken: now,
+        });
+        (0..dice.below(4)).for_each(|id| {
+            let flight = Flight {
+                priority: 3,
+                sent: now,
+                work: 100,
+                left: 100,
+                direct: true,
+                heard: None,
+            };
+            server.dispatched(id as u64, flight);
+        });
+        server
+    };
+    (0..count).map(server).collect()
+}
+
+fn time(name: &str, size: usize, mut turn: impl FnMut(u32)) {
+    let start = Instant::now();
+    (0..TURNS).for_each(&mut turn);
+    let each = start.elapsed().as_nanos() / u128::from(TURNS);
+    println!("| {name} | {size} | {each} |");
+}
+
+fn main() {
+    let now = Instant::now();
+    println!("| decision | size | ns |\n|---|---|---|");
+    for count in [4, 20, 64, 1_000, 10_000] {
+        let servers = servers(count, now);
+        let fleet = Fleet {
+            servers: &servers,
+            routers: 9,
+            policy: Policy::Predicted,
+            turn: 0,
+        };
+        let job = Job {
+            priority: 3,
+            prompt: 600,
+            output: 120,
+            repeat: true,
+            tried: &[],
+        };
+        time("choose, servers", count, |i| {
+            black_box(choose(&fleet, &job, |_| 0, &[], i.into(), now));
+        });
+    }
+    for workspaces in [10, 100, 1_000] {
+        let names: Vec<Name> = (0..workspaces).map(|i| format!("w{i}").into()).collect();
+        let mut queue = Queue::new(100_000);
+        let push = |i: u32, queue: &mut Queue| {
+            let entry = Entry {
+                id: i.into(),
+                workspace: names[i as usize % names.len()].clone(),
+                priority: (i % 5) as u8,
+                cost: 100 + i % 50,
+                pushed: now,
+                latest: now + MS * (1_000 + i % 1_000),
+            };
+            queue.push(entry).expect("the queue has room");
+        };
+        (0..5_000).for_each(|i| push(i, &mut queue));
+        time("push and pop, workspaces", workspaces, |i| {
+            push(i, &mut queue);
+            black_box(queue.pop(now, |_| true));
+        });
+    }
+    for blocks in [4, 64, 256] {
+        let mut view = View::new(4096);
+        let chain: Vec<u64> = (0..blocks).map(|i| Dice::new(i).roll()).collect();
+        view.sent(&chain);
+        time("match a prefix, blocks", chain.len(), |_| {
+            black_box(view.matched(&chain));
+        });
+    }
+}
--- a/crates/core/examples/herd.rs
+++ b/crates/core/examples/herd/sim.rs
@@ -1,9 +1,4 @@
-//! Routing policies side by side, in virtual time of one millisecond a turn.
-//!
-//! Nine routers that don't see each other's choices send to twenty engines
-//! whose load reports lag. The routers' decisions are those of the product;
-//! engines and arrivals are a small fake. Prints one table; the argument is the
-//! number of seeds.
+//! Routers that decide as the product does, with a small fake of the engines.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -21,50 +16,71 @@
 const STEP: u64 = 6;
 const PREFILL: u32 = 2048;
 const WORKSPACES: usize = 10;
-const LENGTH: u64 = 60_000;
-const WARMUP: u64 = 10_000;
+pub(crate) const LENGTH: u64 = 60_000;
 const POLL: u64 = 250;
 const LAG: u64 = 200;
 const MS: Duration = Duration::from_millis(1);
 
-/// A class: share of arrivals, targets in ms, prompt and mean output in tokens.
-struct Class(f64, u64, u64, u32, u32);
+/// A class of work.
+pub(crate) struct Class {
+    /// Part of the arrivals.
+    share: f64,
+    /// Target until the first token, in ms.
+    pub(crate) first: u64,
+    /// Target until the whole answer, in ms.
+    pub(crate) finish: u64,
+    /// Prompt tokens.
+    prompt: u32,
+    /// Mean of the output tokens.
+    output: u32,
+}
+
+const fn class(share: f64, first: u64, finish: u64, prompt: u32, output: u32) -> Class {
+    Class {
+        share,
+        first,
+        finish,
+        prompt,
+        output,
+    }
+}
 
-const CLASSES: [Class; 4] = [
-    Class(0.30, 200, 500, 100, 15),
-    Class(0.55, 500, 3_000, 600, 120),
-    Class(0.10, 3_000, 20_000, 3_000, 400),
-    Class(0.05, 60_000, 180_000, 1_000, 800),
+/// Lookups, chats, plans and bulk entries.
+pub(crate) const CLASSES: [Class; 4] = [
+    class(0.30, 200, 500, 100, 15),
+    class(0.55, 500, 3_000, 600, 120),
+    class(0.10, 3_000, 20_000, 3_000, 400),
+    class(0.05, 60_000, 180_000, 1_000, 800),
 ];
 
 #[derive(Clone, Copy, PartialEq)]
-enum Trouble {
+pub(crate) enum Trouble {
     Quiet,
     Rush,
     Slow,
 }
 
 #[derive(Clone, Copy)]
-struct Setup {
-    load: f64,
-    trouble: Trouble,
-    policy: Policy,
+pub(crate) struct Setup {
+    pub(crate) load: f64,
+    pub(crate) trouble: Trouble,
+    pub(crate) policy: Policy,
     /// Whether the router has queue, admission and limits.
-    managed: bool,
+    pub(crate) managed: bool,
 }
 
-struct Request {
-    class: usize,
-    workspace: usize,
+pub(crate) struct Request {
+    pub(crate) class: usize,
+    pub(crate) workspace: usize,
     priority: u8,
     router: usize,
-    arrived: u64,
+    pub(crate) arrived: u64,
     output: u32,
     made: u32,
     work: u32,
-    first: Option<u64>,
-    finish: Option<u64>,
-    refused: bool,
+    pub(crate) first: Option<u64>,
+    pub(crate) finish: Option<u64>,
+    pub(crate) refused: bool,
 }
 
 #[derive(Default)]
@@ -82,28 +98,28 @@
     turn: u64,
 }
 
-struct World {
+pub(crate) struct World {
     setup: Setup,
     start: Instant,
     time: u64,
     dice: Dice,
     draws: Dice,
     names: Vec<Name>,
-    requests: Vec<Request>,
+    pub(crate) requests: Vec<Request>,
     engines: Vec<Engine>,
     routers: Vec<Router>,
 }
 
 fn targets(class: usize) -> Targets {
-    let first = Some(MS * CLASSES[class].1 as u32);
-    let finish = MS * CLASSES[class].2 as u32;
+    let first = Some(MS * CLASSES[class].first as u32);
+    let finish = MS * CLASSES[class].finish as u32;
     Targets { first, finish }
 }
 
 fn job(class: usize, router: &Router) -> Job<'static> {
     Job {
         priority: priority_of(targets(class).finish),
-        prompt: CLASSES[class].3,
+        prompt: CLASSES[class].prompt,
         output: router.expected[class] as u32,
         repeat: true,
         tried: &[],
@@ -129,13 +145,13 @@
         servers: (0..ENGINES).map(server).collect(),
         queue: Queue::new(4096),
         drain: Drain::default(),
-        expected: std::array::from_fn(|i| f64::from(CLASSES[i].4)),
+        expected: std::array::from_fn(|i| f64::from(CLASSES[i].output)),
         turn: 0,
     }
 }
 
 impl World {
-    fn new(setup: Setup, seed: u64, start: Instant) -> Self {
+    pub(crate) fn new(setup: Setup, seed: u64, start: Instant) -> Self {
         Self {
             setup,
             start,
@@ -157,9 +173,9 @@
         -(1.0 - self.dice.unit()).ln()
     }
 
-    /// Lets everything happen; `own` is what one workspace sends of the load.
-    fn run(&mut self) {
-        let steps = |c: &Class| c.0 * f64::from(c.4 + 1 + c.3 / PREFILL);
+    /// Lets everything happen.
+    pub(crate) fn run(&mut self) {
+        let steps = |c: &Class| c.share * f64::from(c.output + 1 + c.prompt / PREFILL);
         let mean = CLASSES.iter().map(steps).sum::<f64>() * STEP as f64;
         let rate = (ENGINES * SLOTS) as f64 / mean * self.setup.load;
         // A rush adds nine times a tenth to what all send.
@@ -190,11 +206,11 @@
     fn arrive(&mut self, workspace: usize) {
         let mut share = self.dice.unit();
         let mut falls = |c: &Class| {
-            share -= c.0;
+            share -= c.share;
             share < 0.0
         };
         let class = CLASSES.iter().position(&mut falls).unwrap_or(0);
-        let output = self.exponential() * f64::from(CLASSES[class].4);
+        let output = self.exponential() * f64::from(CLASSES[class].output);
         let id = self.requests.len();
         self.requests.push(Request {
             class,
@@ -202,9 +218,9 @@
             priority: 0,
             router: self.dice.below(ROUTERS),
             arrived: self.time,
-            output: (output as u32).clamp(1, 4 * CLASSES[class].4),
+            output: (output as u32).clamp(1, 4 * CLASSES[class].output),
             made: 0,
-            work: CLASSES[class].3,
+            work: CLASSES[class].prompt,
             first: None,
             finish: None,
             refused: false,
@@ -373,77 +389,3 @@
         }
     }
 }
-
-fn percentile(mut times: Vec<u64>, part: f64) -> u64 {
-    times.sort_unstable();
-    let at = (times.len() as f64 * part) as usize;
-    times.get(at).copied().unwrap_or_default()
-}
-
-/// Prints targets met and times of the workspaces that are not in a rush.
-fn print(name: &str, setup: Setup, requests: &[Request]) {
-    let rush = setup.trouble == Trouble::Rush;
-    let counted = |r: &&Request| (WARMUP..LENGTH - 20_000).contains(&r.arrived);
-    let quiet = requests
-        .iter()
-        .filter(counted)
-        .filter(|r| !rush || r.workspace > 0);
-    let quiet: Vec<&Request> = quiet.collect();
-    let part = |count: usize, of: usize| 100.0 * count as f64 / of.max(1) as f64;
-    let plain = if setup.managed { "" } else { ", unmanaged" };
-    print!("| {name} | {:?}{plain} ", setup.policy);
-    for (class, goal) in CLASSES.iter().enumerate().take(3) {
-        let of: Vec<&&Request> = quiet.iter().filter(|r| r.class == class).collect();
-        let Class(_, first, finish, ..) = *goal;
-        let on_time = |t: Option<u64>, goal| t.is_some_and(|t| t <= goal);
-        let met = |r: &&&&Request| on_time(r.first, first) && on_time(r.finish, finish);
-        let met = part(of.iter().filter(met).count(), of.len());
-        let first = percentile(of.iter().filter_map(|r| r.first).collect(), 0.99);
-        let finish = |p| percentile(of.iter().filter_map(|r| r.finish).collect(), p);
-        print!("| {met:.2} | {first} | {} | {} ", finish(0.5), finish(0.99));
-    }
-    let refused = quiet.iter().filter(|r| r.refused).count();
-    println!("| {:.2} |", part(refused, quiet.len()));
-}
-
-fn main() {
-    let seeds: u64 = std::env::args()
-        .nth(1)
-        .map_or(1, |s| s.parse().unwrap_or(1));
-    let troubles = [
-        ("50% load", 0.5, Trouble::Quiet),
-        ("80% load", 0.8, Trouble::Quiet),
-        ("95% load", 0.95, Trouble::Quiet),
-        ("80%, a rush", 0.8, Trouble::Rush),
-        ("80%, a slow engine", 0.8, Trouble::Slow),
-    ];
-    let plain = [
-        Policy::RoundRobin,
-        Policy::LeastInFlight,
-        Policy::RandomOfTwo,
-    ];
-    let managed = plain.iter().map(|p| (*p, true));
-    let policies = std::iter::once((Policy::Predicted, true)).chain(managed);
-    let policies = policies.chain(plain.iter().map(|p| (*p, false)));
-    let class = |name: &str| format!("{name} met % | first p99 | p50 | p99");
-    let classes = ["lookup", "chat", "plan"].map(class).join(" | ");
-    println!("| load | policy | {classes} | refused % |");
-    println!("|{}", "---|".repeat(15));
-    for (name, load, trouble) in troubles {
-        for (policy, managed) in policies.clone() {
-            let setup = Setup {
-                load,
-                trouble,
-                policy,
-                managed,
-            };
-            let mut requests = Vec::new();
-            for seed in 1..=seeds {
-                let mut world = World::new(setup, seed, Instant::now());
-                world.run();
-                requests.append(&mut world.requests);
-            }
-            print(name, setup, &requests);
-        }
-    }
-}
