--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admit;
 pub mod bill;
 pub mod budget;
+pub mod claim;
 pub mod config;
 pub mod grant;
 pub mod health;
--- /dev/null
+++ b/crates/router/src/flow/service.rs
@@ -0,0 +1,251 @@
+//! A call of a plain service, repeatable or not.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use poplar_base::http::Error as HttpError;
+use poplar_core::bill::Answer;
+use poplar_core::claim::{Attempt as ClaimAttempt, Reason, Verdict};
+use poplar_core::id::Name;
+use poplar_core::retry::{Attempt, Failure, Next};
+
+use crate::backends::dispatch::{Ended, LATE, Placed, Work};
+use crate::claims;
+use crate::flow::chat::reserve;
+use crate::flow::finish::{self, Finished, Sure};
+use crate::flow::refused::{refusal_of, report_refusal};
+use crate::flow::replay;
+use crate::flow::request::{Call, Job};
+use crate::refusal::{Code, Execution, Refusal};
+use crate::state::{Entry, State};
+
+/// Longest wait for a service's answer beyond the class's target.
+const GRACE: Duration = Duration::from_secs(2);
+/// When to come back after a call was not claimed or not sent.
+const CLAIM_AFTER: Duration = Duration::from_secs(1);
+
+/// How one attempt ended.
+enum Attempted {
+    Answered(Answer),
+    Failed(Failure),
+}
+
+/// Runs a call in a task of its own, so that it ends though its caller is gone.
+///
+/// # Errors
+/// The refusal.
+pub async fn call(
+    state: Arc<State>,
+    entry: Entry,
+    job: Job,
+    call: Call,
+) -> Result<Answer, Refusal> {
+    let task = tokio::spawn(async move {
+        let _entry = entry;
+        let outcome = run(&state, &job, &call).await;
+        if let Err(refusal) = &outcome {
+            report_refusal(&state, &job, refusal);
+        }
+        outcome
+    });
+    let gone = |_| Refusal::new(Code::BackendFailed).run(Execution::Unknown);
+    task.await.map_err(gone)?
+}
+
+async fn run(state: &Arc<State>, job: &Job, call: &Call) -> Result<Answer, Refusal> {
+    if let Some(bill) = replay::earlier(state, job).await? {
+        return Ok(bill.answer.unwrap_or_default());
+    }
+    let reservation = reserve(state, job, job.class.price).await?;
+    let ran = send(state, job, call).await;
+    let answer = match ran {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            // What may have run is written off with the reservation.
+            if refusal.run == Execution::NotRun {
+                reservation.release();
+            }
+            return Err(refusal);
+        }
+    };
+    reservation.settle(job.class.price);
+    let finished = Finished {
+        prompt: 0,
+        output: job.class.price,
+        first: None,
+        whole: Instant::now(),
+        answer: answer.clone(),
+    };
+    let sure = finish::bill(state, job, &finished).await;
+    state
+        .journal
+        .note(&job.id, "finished", format_args!("{sure:?}"));
+    if sure == Sure::Sealed {
+        return Err(Refusal::new(Code::Unready).run(Execution::Ran));
+    }
+    crate::metrics::answered(job, &finished);
+    Ok(answer)
+}
+
+/// Sends a call until it is answered, or may not be sent again.
+async fn send(state: &Arc<State>, job: &Job, call: &Call) -> Result<Answer, Refusal> {
+    let mut tried = Vec::new();
+    let (mut sends, mut runs) = (0, 0);
+    let mut claim = None;
+    loop {
+        // A server is found before the claim, so that a refusal for want of
+        // one leaves nothing claimed.
+        let placed = place(state, job, &tried).await;
+        let mut placed = match placed {
+            Ok(placed) => placed,
+            Err(refusal) => return Err(unsent(state, job, claim, runs, refusal).await),
+        };
+        if !job.class.repeat && claim.is_none() {
+            let claimed = claims::claim(state, &job.id).await;
+            claim = Some(claimed.map_err(|verdict| unclaimed(&verdict))?);
+        }
+        sends += 1;
+        let failure = match attempt(state, job, call, &placed).await {
+            Attempted::Answered(answer) => {
+                placed.end(Ended::Whole(1), Instant::now());
+                return Ok(answer);
+            }
+            Attempted::Failed(failure) => failure,
+        };
+        let why = format!("{}: {failure}", placed.server);
+        state.journal.note(&job.id, "failed", why);
+        placed.end(Ended::Failed(failure), Instant::now());
+        runs += u32::from(!failure.not_run());
+        let attempt = Attempt {
+            repeat: job.class.repeat,
+            resumes: false,
+            received: 0,
+            sends,
+            runs,
+            latest: job.arrived + job.class.finish * LATE,
+        };
+        let next = state
+            .dispatch
+            .after(&placed, failure, &attempt, Instant::now());
+        match next {
+            Next::Send { after, .. } => {
+                crate::metrics::retried(&job.class.name);
+                tokio::time::sleep(after).await;
+            }
+            Next::GiveUp { reason, .. } => {
+                let code = if job.class.repeat || runs == 0 {
+                    Code::BackendFailed
+                } else {
+                    Code::OutcomeUnknown
+                };
+                let refusal = Refusal::new(code).detail(reason);
+                return Err(unsent(state, job, claim, runs, refusal).await);
+            }
+        }
+        tried.push(placed.server.clone());
+    }
+}
+
+/// The refusal of a call that is not sent any more.
+///
+/// Where nothing ran, its claim is given up, so that a retry may claim it.
+async fn unsent(
+    state: &State,
+    job: &Job,
+    claim: Option<ClaimAttempt>,
+    runs: u32,
+    refusal: Refusal,
+) -> Refusal {
+    if runs > 0 {
+        if let Some(attempt) = claim {
+            claims::unknown(state, &job.id, &attempt);
+        }
+        return refusal.run(Execution::Unknown);
+    }
+    if let Some(attempt) = claim {
+        claims::abandon(state, &job.id, &attempt).await;
+    }
+    let after = refusal.after.unwrap_or(CLAIM_AFTER);
+    refusal.after(after)
+}
+
+/// The refusal of a call whose claim was not had.
+fn unclaimed(verdict: &Verdict) -> Refusal {
+    let (code, run) = match verdict {
+        Verdict::InProgress(_) => (Code::InProgress, Execution::Unknown),
+        // Its answer is on its way to the store.
+        Verdict::Ran(_) => (Code::InProgress, Execution::Ran),
+        Verdict::Unknown(_) => (Code::OutcomeUnknown, Execution::Unknown),
+        Verdict::NotRun(Reason::Sealed) => (Code::Unready, Execution::NotRun),
+        Verdict::NotRun(_) => (Code::NoClaim, Execution::NotRun),
+    };
+    let refusal = Refusal::new(code).run(run);
+    match verdict {
+        Verdict::Unknown(_) => refusal,
+        Verdict::NotRun(why) => refusal.after(CLAIM_AFTER).detail(format_args!("{why:?}")),
+        _ => refusal.after(CLAIM_AFTER),
+    }
+}
+
+async fn place(state: &Arc<State>, job: &Job, tried: &[Name]) -> Result<Placed, Refusal> {
+    let work = Work {
+        class: job.class.name.clone(),
+        serves: job.class.serves.clone(),
+        engine: false,
+        workspace: job.workspace.clone(),
+        priority: job.priority(),
+        chain: Arc::default(),
+        prompt: 0,
+        output: 1,
+        first: None,
+        finish: job.class.finish,
+        arrived: job.arrived,
+        repeat: job.class.repeat,
+        tried: tried.to_vec(),
+        again: !tried.is_empty(),
+    };
+    let placed = state.dispatch.place(work).await?;
+    let why = format!("{}: {}", placed.server, placed.reason);
+    state.journal.note(&job.id, "placed", why);
+    Ok(placed)
+}
+
+async fn attempt(state: &State, job: &Job, call: &Call, placed: &Placed) -> Attempted {
+    let Ok(request) = request(state, job, call, placed) else {
+        return Attempted::Failed(Failure::Connect);
+    };
+    let patience = job.class.finish + GRACE;
+    let answer = match state.client.call(request, patience).await {
+        Ok(answer) => answer,
+        Err(HttpError::Connect(_)) => return Attempted::Failed(Failure::Connect),
+        Err(_) => return Attempted::Failed(Failure::Lost),
+    };
+    if let Failure::Refused(why) = refusal_of(&answer.body) {
+        return Attempted::Failed(Failure::Refused(why));
+    }
+    Attempted::Answered(Answer {
+        status: answer.status.as_u16(),
+        text: String::from_utf8_lossy(&answer.body).into_owned(),
+        reason: String::new(),
+    })
+}
+
+fn request(
+    state: &State,
+    job: &Job,
+    call: &Call,
+    placed: &Placed,
+) -> Result<Request<Full<Bytes>>, String> {
+    let content = call.content.as_deref().unwrap_or("application/json");
+    Request::post(format!("http://{}{}", placed.address, call.path))
+        .header("content-type", content)
+        .header("x-request-id", job.id.0.as_ref())
+        .header("x-workspace", job.workspace.as_ref())
+        .header("x-fencing-number", state.router())
+        .header("x-idempotent", job.class.repeat.to_string())
+        .body(Full::new(call.body.clone()))
+        .map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/crates/router/src/peers/service.rs
@@ -0,0 +1,132 @@
+//! The peer service of this router.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use poplar_core::bill::Bill;
+use poplar_core::id::{Incarnation, RequestId};
+use poplar_peer::generated::{
+    Attempt, GiveReply, GiveRequest, GossipReply, GossipRequest, Handover, HoldReply, HoldRequest,
+    InheritReply, JoinRequest, OutcomeReply, PromiseReply, PromiseRequest, ReleaseReply,
+};
+use poplar_peer::{Peer, PeerServer};
+use tokio::net::TcpListener;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status};
+
+use super::gossip;
+use crate::claims;
+use crate::state::State;
+use crate::sync::lock;
+
+struct Service {
+    state: Arc<State>,
+}
+
+/// Starts to serve peers that connect to `listener`.
+pub fn spawn(state: &Arc<State>, listener: TcpListener) {
+    let service = PeerServer::new(Service {
+        state: state.clone(),
+    });
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    tokio::spawn(async move {
+        let served = Server::builder()
+            .add_service(service)
+            .serve_with_incoming(incoming);
+        if let Err(why) = served.await {
+            poplar_base::log::error("peer service").reason(why).write();
+        }
+    });
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn gossip(
+        &self,
+        request: Request<GossipRequest>,
+    ) -> Result<Response<GossipReply>, Status> {
+        let request = request.into_inner();
+        let state = &self.state;
+        let mut behind = false;
+        if let Some(sender) = &request.sender {
+            state.peers.heard(sender, Instant::now());
+            behind = sender.generation < state.config().generation;
+        }
+        state.crashes.hear(request.sightings, Instant::now());
+        gossip::learn(state, &request.config);
+        let config = state.config();
+        Ok(Response::new(GossipReply {
+            sender: Some(gossip::member(state)),
+            sightings: state.crashes.told(Instant::now()),
+            config: if behind {
+                gossip::encode(&config)
+            } else {
+                Vec::new()
+            },
+        }))
+    }
+
+    async fn give(&self, request: Request<GiveRequest>) -> Result<Response<GiveReply>, Status> {
+        if self.state.is_sealed() {
+            return Err(Status::failed_precondition("sealed"));
+        }
+        Ok(Response::new(self.state.bank.give(request.get_ref())))
+    }
+
+    async fn hold(&self, request: Request<HoldRequest>) -> Result<Response<HoldReply>, Status> {
+        let request = request.into_inner();
+        let origin = Incarnation(request.origin.as_str().into());
+        let mut held = lock(&self.state.peers.held);
+        for bill in &request.bills {
+            let bill: Bill = serde_json::from_slice(bill)
+                .map_err(|e| Status::invalid_argument(e.to_string()))?;
+            if !held.keep(&origin, bill) {
+                return Err(Status::resource_exhausted("no more copies are held"));
+            }
+        }
+        for id in &request.done {
+            held.done(&origin, &RequestId(id.as_str().into()));
+        }
+        Ok(Response::new(HoldReply {}))
+    }
+
+    async fn promise(
+        &self,
+        request: Request<PromiseRequest>,
+    ) -> Result<Response<PromiseReply>, Status> {
+        let request = request.into_inner();
+        let id = request.attempt.as_ref().map(|a| a.request.as_str().into());
+        let promise = claims::answer(&self.state, request);
+        match (id, promise) {
+            (Some(id), Some(promise)) => {
+                let reply = claims::wire::promise(&RequestId(id), &promise);
+                Ok(Response::new(reply))
+            }
+            _ => Err(Status::invalid_argument("no attempt")),
+        }
+    }
+
+    async fn release(&self, request: Request<Attempt>) -> Result<Response<ReleaseReply>, Status> {
+        claims::released(&self.state, request.into_inner());
+        Ok(Response::new(ReleaseReply {}))
+    }
+
+    async fn outcome(&self, request: Request<Attempt>) -> Result<Response<OutcomeReply>, Status> {
+        let abandoned = claims::gave_up(&self.state, request.into_inner());
+        Ok(Response::new(OutcomeReply { abandoned }))
+    }
+
+    async fn join(&self, request: Request<JoinRequest>) -> Result<Response<Handover>, Status> {
+        let handover = claims::group::acknowledge(&self.state, &request.get_ref().group);
+        Ok(Response::new(handover.unwrap_or_default()))
+    }
+
+    async fn inherit(&self, request: Request<Handover>) -> Result<Response<InheritReply>, Status> {
+        if claims::inherit(&self.state, request.into_inner()) {
+            Ok(Response::new(InheritReply {}))
+        } else {
+            Err(Status::failed_precondition("not active"))
+        }
+    }
+}
--- /dev/null
+++ b/tests/tests/scenarios.rs
@@ -0,0 +1,57 @@
+//! Runs the script files, each as a test of its own.
+
+use std::path::Path;
+
+use poplar_tests::script;
+
+fn run(file: &str) {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    let path = folder.join(format!("{file}.txt"));
+    assert!(path.exists(), "there is no {}", path.display());
+    datadriven::walk(&path.display().to_string(), script::run);
+}
+
+/// Declares a test for each script file.
+macro_rules! scenarios {
+    ($($name:ident)*) => {
+        $(
+            #[test]
+            fn $name() {
+                run(stringify!($name));
+            }
+        )*
+
+        #[test]
+        fn every_file_is_run() {
+            let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+            let declared = [$(stringify!($name)),*];
+            for entry in std::fs::read_dir(folder).expect("a folder of scenarios") {
+                let name = entry.expect("a file").file_name();
+                let name = name.to_string_lossy().replace(".txt", "");
+                assert!(declared.contains(&&*name), "{name} is not declared");
+            }
+        }
+    };
+}
+
+scenarios! {
+    answers_engine_death
+    answers_router_death
+    answers_whole
+    bad_input
+    bills_held_by_peers
+    bills_lost_answers
+    bills_once
+    bills_store_down
+    budgets_kill
+    budgets_load
+    budgets_lost_answers
+    budgets_outage
+    budgets_partition
+    budgets_pause_seal
+    budgets_topup
+    config_force
+    leaving
+    once_happy
+    shutdown_rolling
+}
