--- a/crates/core/examples/herd/sim.rs
+++ b/crates/core/examples/herd/sim.rs
@@ -118,7 +118,7 @@
 
 fn job(class: usize, router: &Router) -> Job<'static> {
     Job {
-        priority: priority_of(targets(class).finish),
+        priority: priority_of(MS * CLASSES[class].first as u32),
         prompt: CLASSES[class].prompt,
         output: router.expected[class] as u32,
         repeat: true,
--- a/crates/core/src/grant/mod.rs
+++ b/crates/core/src/grant/mod.rs
@@ -33,7 +33,7 @@
         Self {
             horizon: Duration::from_secs(480),
             low: Duration::from_secs(390),
-            part: 0.5,
+            part: 0.75,
             keep: 4,
             idle: Duration::from_secs(120),
         }
--- a/crates/core/src/queue/entry.rs
+++ b/crates/core/src/queue/entry.rs
@@ -74,11 +74,12 @@
     }
 }
 
-/// Priority of a class by how soon its answers have to be whole.
-///
-/// It doubles from half a second to four minutes.
-pub fn priority_of(finish: Duration) -> u8 {
-    let halves = finish.as_millis().div_ceil(500).max(1);
-    let doublings = (halves - 1).checked_ilog2().map_or(0, |log| log + 1);
-    doublings.min(9) as u8
+/// Targets of the priorities 0 to 8, in ms; what is slower has 9.
+const TARGETS_MS: [u64; 9] = [300, 600, 1000, 2000, 4000, 8000, 15_000, 30_000, 60_000];
+
+/// Priority of a class by how soon its answers have to start, or have to be
+/// whole where they don't stream.
+pub fn priority_of(target: Duration) -> u8 {
+    let ms = target.as_millis() as u64;
+    TARGETS_MS.partition_point(|most| *most < ms) as u8
 }
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -27,7 +27,7 @@
 use crate::sorted::SortedVec;
 
 /// Priorities from this one on stand back for other workspaces' entries.
-const STANDS_BACK: u8 = 2;
+const STANDS_BACK: u8 = 1;
 
 /// First entries of a lane that are offered for placing.
 const TRIES: usize = 2;
