--- a/crates/core/examples/herd/main.rs
+++ b/crates/core/examples/herd/main.rs
@@ -60,6 +60,7 @@
         ("95% load", 0.95, Trouble::Quiet),
         ("80%, a rush", 0.8, Trouble::Rush),
         ("80%, a slow engine", 0.8, Trouble::Slow),
+        ("95%, stale reports", 0.95, Trouble::Stale),
     ];
     let plain = [
         Policy::RoundRobin,
--- a/crates/core/examples/herd/sim.rs
+++ b/crates/core/examples/herd/sim.rs
@@ -17,8 +17,9 @@
 const PREFILL: u32 = 2048;
 const WORKSPACES: usize = 10;
 pub(crate) const LENGTH: u64 = 60_000;
-const POLL: u64 = 250;
-const LAG: u64 = 200;
+/// Time between load reports, and their age, in ms.
+const REPORTS: (u64, u64) = (250, 200);
+const STALE_REPORTS: (u64, u64) = (1000, 500);
 const MS: Duration = Duration::from_millis(1);
 
 /// A class of work.
@@ -58,6 +59,7 @@
     Quiet,
     Rush,
     Slow,
+    Stale,
 }
 
 #[derive(Clone, Copy)]
@@ -169,6 +171,13 @@
         self.start + MS * self.time as u32
     }
 
+    fn reports(&self) -> (u64, u64) {
+        match self.setup.trouble {
+            Trouble::Stale => STALE_REPORTS,
+            _ => REPORTS,
+        }
+    }
+
     fn exponential(&mut self) -> f64 {
         -(1.0 - self.dice.unit()).ln()
     }
@@ -194,7 +203,7 @@
             }
             (0..ENGINES).for_each(|at| self.step(at));
             for at in 0..ROUTERS {
-                if (self.time + at as u64 * 27).is_multiple_of(POLL) {
+                if (self.time + at as u64 * 27).is_multiple_of(self.reports().0) {
                     self.poll(at);
                 }
                 self.dispatch(at);
@@ -336,6 +345,7 @@
 
     fn step(&mut self, at: usize) {
         let now = self.now();
+        let (_, lag) = self.reports();
         let engine = &mut self.engines[at];
         let slow = self.setup.trouble == Trouble::Slow && at == 0;
         let step = if slow { STEP * 5 } else { STEP };
@@ -370,7 +380,7 @@
         engine
             .loads
             .push_back((engine.running.len(), engine.waiting.len()));
-        if engine.loads.len() as u64 > LAG {
+        if engine.loads.len() as u64 > lag {
             engine.loads.pop_front();
         }
     }
--- a/crates/core/src/route/server.rs
+++ b/crates/core/src/route/server.rs
@@ -154,9 +154,7 @@
     /// Notes that request `id` was sent.
     pub fn dispatched(&mut self, id: u64, flight: Flight) {
         if self.flights.is_empty() {
-            let first = self.pace.prefill(flight.work) + self.step().as_secs_f64();
-            let grace = Duration::from_secs_f64(2.0 * first) + self.rtt;
-            self.expect = Some(flight.sent + grace);
+            self.expect = Some(flight.sent + self.rtt + self.patience(&flight));
         }
         self.sent += 1;
         self.ranks[rank(flight.priority)] += 1;
@@ -197,11 +195,22 @@
             End::Full => self.window.shrink(now),
             End::Other => {}
         }
-        if self.flights.is_empty() {
-            self.expect = None;
+        // Answers that don't stream are heard of only at their end.
+        let streaming = self.flights.iter().any(|(_, f)| f.heard.is_some());
+        let next = self.flights.iter().next();
+        match next.map(|(_, f)| now + self.rtt + self.patience(f)) {
+            Some(at) if !streaming => self.expect = Some(at),
+            Some(_) => {}
+            None => self.expect = None,
         }
     }
 
+    /// How long to wait for news of requests that have not begun to stream.
+    fn patience(&self, flight: &Flight) -> Duration {
+        let whole = f64::from(flight.left) * self.step().as_secs_f64();
+        Duration::from_secs_f64(2.0 * (self.pace.prefill(flight.work) + whole))
+    }
+
     fn note_end(&mut self, sent: Instant, now: Instant) {
         if self.report.is_some_and(|r| sent <= r.taken) {
             self.ended += 1;
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -154,6 +154,24 @@
     }
 }
 
+#[test]
+fn a_call_that_does_not_stream_is_not_taken_for_silence() {
+    let now = Instant::now();
+    let mut server = servers(1, now).remove(0);
+    server.dispatched(1, flight(now));
+    server.dispatched(2, flight(now));
+    // A hundred steps of 6 ms are expected of each.
+    assert_eq!(server.overdue(now + MS * 900), Duration::ZERO);
+    server.ended(1, End::Done(100), now + MS * 900);
+    assert_eq!(server.overdue(now + MS * 1800), Duration::ZERO);
+    assert!(server.overdue(now + MS * 4000) > MS * 1000);
+    // One that streams is heard of at each step.
+    server.progressed(2, 1, now + MS * 4000);
+    assert!(server.overdue(now + MS * 4100) > MS * 50);
+    server.ended(2, End::Other, now + MS * 4100);
+    assert_eq!(server.overdue(now + MS * 9000), Duration::ZERO);
+}
+
 #[test]
 fn nothing_goes_to_a_server_that_may_not_be_used() {
     let now = Instant::now();
