--- a/crates/core/src/claim/notes.rs
+++ b/crates/core/src/claim/notes.rs
@@ -168,11 +168,8 @@
     ///
     /// `None` where this router is not active and can't speak for the group.
     pub fn acknowledge(&mut self, set: &GroupRow) -> Option<Handover> {
-        if !self.is_active() {
-            return None;
-        }
         self.learn(set);
-        Some(self.hand_over())
+        self.is_active().then(|| self.hand_over())
     }
 
     /// All notes, for a joiner or for the heir of a leaver.
--- a/crates/spec/src/claim/step/promise.rs
+++ b/crates/spec/src/claim/step/promise.rs
@@ -75,6 +75,13 @@
         }
         let mut answer = None;
         let mut next = world.with(at, |router| {
+            let own = match &router.job {
+                Job::Writing(attempt, _) if cx.has(Fault::Unnoted) => Some(attempt.clone()),
+                _ => None,
+            };
+            if let Some(own) = own {
+                router.notes.abandon(&REQUEST, &own);
+            }
             answer = Some(router.notes.promise(&seen, *NOW));
         });
         if answer == Some(Promise::Given) {
