--- a/crates/spec/src/claim/mod.rs
+++ b/crates/spec/src/claim/mod.rs
@@ -90,6 +90,8 @@
     pub seals: u8,
     /// Members that may stop as planned.
     pub leavers: &'static [usize],
+    /// Whether any member may be a leaver's heir, or the next one only.
+    pub any_heir: bool,
     /// Who may seal.
     pub sealers: &'static [usize],
     /// Whether outcomes are brought into the table.
@@ -251,6 +253,7 @@
         losses: 0,
         seals: 0,
         leavers: &[],
+        any_heir: true,
         sealers: &[0, 1, 2, 3],
         finish: false,
         flush: false,
@@ -329,6 +332,7 @@
             Bounds {
                 askers: &[0, 2],
                 leavers: &[0, 1],
+                any_heir: false,
                 finish: true,
                 ..base
             },
@@ -351,6 +355,7 @@
         }
         "two leave" => {
             let bounds = Bounds {
+                any_heir: true,
                 flush: true,
                 ..bounds
             };
