--- a/crates/core/src/bill.rs
+++ b/crates/core/src/bill.rs
@@ -1,16 +1,17 @@
 //! Bills and the rows and objects that keep them.
 //!
 //! A router puts bills into the object store in batches, each naming the batch
-//! before it, and then points its own row in the table at the newest one. That
-//! write relies on the row's version, so it fails once the row was sealed. A
-//! batch that no row leads to was never billed.
+//! before it, and then points its billing row in the table at the newest one.
+//! That write relies on the version of its router row, so it fails once that
+//! row was sealed. A batch that no row leads to was never billed.
 
 use serde::{Deserialize, Serialize};
 
 use crate::id::{Incarnation, Name, RequestId};
 
 /// One answered request, billed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Bill {
     /// The request, and the bill's own identity.
     pub id: RequestId,
@@ -20,6 +21,9 @@
     pub class: Name,
     /// The budget it was paid from.
     pub budget: Name,
+    /// Hash of the request's body, to tell a reused key.
+    #[serde(default)]
+    pub body: u64,
     /// Prompt tokens.
     pub prompt: u64,
     /// Output tokens; the price of a service call.
@@ -44,7 +48,8 @@
 }
 
 /// An answer as it is given again to a retry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
@@ -55,12 +60,28 @@
 }
 
 /// A batch of bills as an object.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Batch {
     /// Name of the batch before this one.
     pub previous: Option<Name>,
     /// The bills.
     pub bills: Vec<Bill>,
+    /// Tokens that were lost.
+    #[serde(default)]
+    pub losses: Vec<Loss>,
+}
+
+/// Tokens that a request took off a budget without an answer to bill.
+///
+/// A backend server consumed them, or may have, in an attempt that was lost.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Loss {
+    /// The budget they were taken off.
+    pub budget: Name,
+    /// How many.
+    pub tokens: u64,
 }
 
 /// Name of a batch's object; `attempt` keeps a late put off a newer one.
@@ -74,7 +95,8 @@
 }
 
 /// Where the bill and the answer of a request with a key are.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BilledRow {
     /// Name of the batch that holds them.
     pub batch: Name,
@@ -83,7 +105,8 @@
 }
 
 /// A router's stage of life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Stage {
     /// Started, not yet acknowledged by the others.
@@ -96,8 +119,12 @@
     Sealed,
 }
 
-/// What one incarnation has durably done; key `router/<incarnation>`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// A router as the table knows it; key `router/<incarnation>`.
+///
+/// It is written at the changes of stage only. Every other write of the
+/// incarnation relies on its version, and so fails once the row is sealed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RouterRow {
     /// Address of its peer service.
     pub address: Name,
@@ -107,10 +134,57 @@
     pub centre: Name,
     /// Its stage of life.
     pub stage: Stage,
+}
+
+/// Key of an incarnation's [`BillingRow`].
+pub fn billing_key(of: &Incarnation) -> String {
+    format!("billing/{of}")
+}
+
+/// What one incarnation has durably billed; key `billing/<incarnation>`.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct BillingRow {
     /// Name of its newest batch of bills.
     pub head: Option<Name>,
     /// How many batches it has billed.
     pub batches: u64,
     /// Tokens billed by budget, in order of the budgets' names.
     pub billed: Vec<(Name, u64)>,
+    /// Tokens lost by budget, in order of the budgets' names.
+    #[serde(default)]
+    pub lost: Vec<(Name, u64)>,
+}
+
+impl BillingRow {
+    /// The row after one more batch, `name`.
+    pub fn with(&self, name: Name, batch: &Batch) -> Self {
+        let mut next = self.clone();
+        next.head = Some(name);
+        next.batches += 1;
+        for bill in &batch.bills {
+            add(&mut next.billed, &bill.budget, bill.tokens());
+        }
+        for loss in &batch.losses {
+            add(&mut next.lost, &loss.budget, loss.tokens);
+        }
+        next
+    }
+
+    /// Tokens of a budget that are billed or lost.
+    pub fn accounted(&self, budget: &str) -> u64 {
+        of(&self.billed, budget) + of(&self.lost, budget)
+    }
+}
+
+fn add(sums: &mut Vec<(Name, u64)>, budget: &Name, tokens: u64) {
+    match sums.binary_search_by(|(b, _)| b.cmp(budget)) {
+        Ok(at) => sums[at].1 += tokens,
+        Err(at) => sums.insert(at, (budget.clone(), tokens)),
+    }
+}
+
+fn of(sums: &[(Name, u64)], budget: &str) -> u64 {
+    let at = sums.binary_search_by(|(b, _)| (**b).cmp(budget));
+    at.map_or(0, |at| sums[at].1)
 }
--- /dev/null
+++ b/crates/ctl/src/command/mod.rs
@@ -0,0 +1,6 @@
+//! What changes something.
+
+pub mod apply;
+pub mod budget;
+pub mod drain;
+pub mod ending;
--- /dev/null
+++ b/crates/router/src/budget/bank.rs
@@ -0,0 +1,284 @@
+//! Reserves tokens from what the router holds, and sees to it that it holds
+//! enough.
+//!
+//! A reservation that finds too little draws on the table, and where the table
+//! has nothing left or can't be reached it asks the peers. Draws ahead keep the
+//! holding above a low-water mark, so that few requests wait for one.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use poplar_base::platform::Platform;
+use poplar_core::budget::gift::{Donor, Receiver};
+use poplar_core::budget::ledger::{Holding, Ledger};
+use poplar_core::grant::{self, Rate};
+use poplar_core::id::{Incarnation, Name};
+use poplar_core::sorted::SortedVec;
+use tokio::sync::Mutex as Gate;
+
+use super::biller::Biller;
+use super::draw::Seen;
+use super::reservation::Reservation;
+use crate::peers::Peers;
+use crate::settings;
+use crate::sync::lock;
+
+/// How long a refusal for want of tokens is repeated without asking again.
+const MEMORY: Duration = Duration::from_millis(500);
+/// Weight of the newest request in the typical worst case.
+const NEWEST: f64 = 0.1;
+
+/// Why a reservation was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refused {
+    /// There is no such budget.
+    Missing,
+    /// Nothing is left to draw.
+    Exhausted {
+        /// Tokens free on this router.
+        left: u64,
+    },
+    /// More is held, but it may not be exposed to a crash of this router.
+    Exposed,
+    /// The platform can't be reached.
+    Down,
+    /// The router was sealed.
+    Sealed,
+}
+
+impl std::fmt::Display for Refused {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Missing => f.write_str("there is no such budget"),
+            Self::Exhausted { left } => write!(f, "{left} tokens are left"),
+            Self::Exposed => f.write_str("too much is under way and unbilled"),
+            Self::Down => f.write_str("the platform is down"),
+            Self::Sealed => f.write_str("the router was sealed"),
+        }
+    }
+}
+
+impl std::error::Error for Refused {}
+
+/// What the bank knows of one budget besides the ledger's holding.
+#[derive(Debug, Default)]
+pub(super) struct Account {
+    pub(super) seen: Arc<Gate<Seen>>,
+    pub(super) rate: Rate,
+    typical: f64,
+    refused: Option<(Instant, Refused)>,
+    ahead: bool,
+    /// When the last draw ahead ended, so that the next one waits a while.
+    paused: Option<Instant>,
+    /// What the table was last seen to have left; `None` if it never was.
+    pub(super) available: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Tables {
+    pub(super) ledger: Ledger,
+    pub(super) accounts: SortedVec<Name, Account>,
+    pub(super) donor: Donor,
+    pub(super) receiver: Receiver,
+}
+
+/// The router's holdings and the way to more.
+#[derive(Debug)]
+pub struct Bank {
+    pub(super) tables: Mutex<Tables>,
+    pub(super) platform: Platform,
+    pub(super) me: Incarnation,
+    pub(super) settings: settings::Budget,
+    pub(super) peers: Arc<Peers>,
+    biller: Arc<Biller>,
+}
+
+impl Bank {
+    /// Opens a bank that holds nothing.
+    pub fn open(
+        platform: Platform,
+        me: Incarnation,
+        settings: settings::Budget,
+        peers: Arc<Peers>,
+        biller: Arc<Biller>,
+    ) -> Self {
+        Self {
+            tables: Mutex::default(),
+            platform,
+            me,
+            settings,
+            peers,
+            biller,
+        }
+    }
+
+    /// Every holding, in order of the budgets' names.
+    pub fn holdings(&self) -> Vec<(Name, Holding)> {
+        let tables = lock(&self.tables);
+        let all = tables.ledger.holdings();
+        all.map(|(name, holding)| (name.clone(), *holding))
+            .collect()
+    }
+
+    /// Reserves `worst` tokens, drawing more where too little is held.
+    ///
+    /// # Errors
+    /// Says why it can't; nothing is reserved then.
+    pub async fn reserve(
+        self: &Arc<Self>,
+        budget: &Name,
+        worst: u64,
+        router: u64,
+    ) -> Result<Reservation, Refused> {
+        let reserved = || Reservation::new(self.clone(), budget.clone(), worst);
+        if self.try_reserve(budget, worst) {
+            self.draw_ahead(budget, router);
+            return Ok(reserved());
+        }
+        if let Some(refused) = self.remembered(budget, Instant::now()) {
+            return Err(refused);
+        }
+        let seen = self.seen(budget);
+        let mut seen = seen.lock().await;
+        // Who had the gate before may have drawn enough, or failed.
+        if self.try_reserve(budget, worst) {
+            return Ok(reserved());
+        }
+        if let Some(refused) = self.remembered(budget, Instant::now()) {
+            return Err(refused);
+        }
+        let drawn = self.draw(budget, &mut seen, worst, router).await;
+        if self.try_reserve(budget, worst) {
+            return Ok(reserved());
+        }
+        if drawn != Err(Refused::Sealed) {
+            self.ask(budget, worst, Instant::now()).await;
+        }
+        if self.try_reserve(budget, worst) {
+            return Ok(reserved());
+        }
+        let refused = self.why(budget, worst, drawn);
+        self.remember(budget, refused, Instant::now());
+        Err(refused)
+    }
+
+    /// Why `worst` tokens can't be reserved after a draw that ended so.
+    fn why(&self, budget: &Name, worst: u64, drawn: Result<(), Refused>) -> Refused {
+        let holding = lock(&self.tables).ledger.holding(budget);
+        if holding.free() >= worst {
+            return Refused::Exposed;
+        }
+        let left = holding.free();
+        drawn.err().unwrap_or(Refused::Exhausted { left })
+    }
+
+    fn try_reserve(&self, budget: &Name, worst: u64) -> bool {
+        let mut tables = lock(&self.tables);
+        let account = tables.account(budget);
+        account.typical += NEWEST * (worst as f64 - account.typical);
+        tables.ledger.reserve(budget, worst).is_ok()
+    }
+
+    /// Ends a reservation of which `used` tokens were consumed and `lost` of
+    /// these are billed to nobody.
+    pub(super) fn settle(&self, budget: &Name, worst: u64, used: u64, lost: u64, now: Instant) {
+        let mut tables = lock(&self.tables);
+        if lost > 0 {
+            tables.ledger.write_off(budget, lost);
+            self.biller.lose(budget, lost);
+        }
+        tables.ledger.settle(budget, worst - lost, used - lost);
+        tables.account(budget).rate.spent(used, now);
+    }
+
+    /// Notes that `tokens` are durably billed or recorded as lost.
+    pub fn accounted(&self, budget: &Name, tokens: u64) {
+        lock(&self.tables).ledger.billed(budget, tokens);
+    }
+
+    pub(super) fn seen(&self, budget: &Name) -> Arc<Gate<Seen>> {
+        lock(&self.tables).account(budget).seen.clone()
+    }
+
+    fn remembered(&self, budget: &Name, now: Instant) -> Option<Refused> {
+        let mut tables = lock(&self.tables);
+        let (at, refused) = tables.account(budget).refused?;
+        (now.duration_since(at) < MEMORY).then_some(refused)
+    }
+
+    fn remember(&self, budget: &Name, refused: Refused, now: Instant) {
+        lock(&self.tables).account(budget).refused = Some((now, refused));
+    }
+
+    /// Live routers, this one included.
+    pub(super) fn routers(&self) -> u32 {
+        self.peers.live(Instant::now()) as u32 + 1
+    }
+
+    /// What the decision on draws and gifts needs to know.
+    pub(super) fn outlook(&self, budget: &Name, now: Instant) -> grant::State {
+        let routers = self.routers();
+        let mut tables = lock(&self.tables);
+        let free = tables.ledger.holding(budget).free();
+        let account = tables.account(budget);
+        grant::State {
+            free,
+            available: account.available.unwrap_or(0),
+            rate: account.rate.now(now),
+            idle: account.rate.idle(now),
+            typical: (account.typical as u64).max(self.settings.least / 4),
+            routers,
+        }
+    }
+
+    /// How much to draw for a request that needs `need`, or ahead of time.
+    pub(super) fn wanted(&self, budget: &Name, need: u64, now: Instant) -> u64 {
+        let outlook = self.outlook(budget, now);
+        let settings = self.grant_settings();
+        grant::draw(&outlook, need, &settings).map_or(0, |drawn| drawn.tokens)
+    }
+
+    fn grant_settings(&self) -> grant::Settings {
+        grant::Settings {
+            horizon: self.settings.horizon,
+            low: self.settings.horizon.mul_f64(0.8),
+            ..grant::Settings::default()
+        }
+    }
+
+    /// Draws in the background where little is left.
+    pub(super) fn draw_ahead(self: &Arc<Self>, budget: &Name, router: u64) {
+        let now = Instant::now();
+        let unseen = lock(&self.tables).account(budget).available.is_none();
+        let wanted = unseen || self.wanted(budget, 0, now) > 0;
+        if !wanted || !self.begin_ahead(budget, now) {
+            return;
+        }
+        let bank = self.clone();
+        let budget = budget.clone();
+        tokio::spawn(async move {
+            let seen = bank.seen(&budget);
+            // A failure is no request's; the next one to need it will try.
+            let _ = bank.draw(&budget, &mut *seen.lock().await, 0, router).await;
+            let mut tables = lock(&bank.tables);
+            let account = tables.account(&budget);
+            account.ahead = false;
+            account.paused = Some(Instant::now());
+        });
+    }
+
+    fn begin_ahead(&self, budget: &Name, now: Instant) -> bool {
+        let mut tables = lock(&self.tables);
+        let account = tables.account(budget);
+        let paused = account.paused.is_some_and(|at| now < at + MEMORY);
+        let begins = !account.ahead && !paused;
+        account.ahead |= begins;
+        begins
+    }
+}
+
+impl Tables {
+    pub(super) fn account(&mut self, budget: &Name) -> &mut Account {
+        self.accounts.entry(budget.clone(), Account::default)
+    }
+}
