--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -133,6 +133,7 @@
     }
     for router in fleet.routers() {
         fleet.ready(&router.name).await?;
+        fleet.acquainted(&router.name).await?;
     }
     Ok(Arc::new(fleet))
 }
@@ -307,6 +308,22 @@
         ready.await
     }
 
+    /// Waits until a router has heard of every other one that is up.
+    ///
+    /// # Errors
+    /// Where it does not hear of them.
+    pub async fn acquainted(&self, name: &str) -> Result<()> {
+        let admin = self.router(name)?.admin;
+        let others = self.routers().iter().filter(|r| r.up).count() - 1;
+        let heard = wait::until(format!("{name} to know the others"), async || {
+            let page: Value = web::get(admin, "/v1/status").await.ok()?;
+            let peers = page["peers"].as_array()?.iter();
+            let heard = peers.filter(|p| p["age_ms"].as_u64().is_some_and(|ms| ms < 1500));
+            (heard.count() >= others).then_some(())
+        });
+        heard.await
+    }
+
     /// Does something to the newest process of `name`.
     ///
     /// # Errors
--- a/tests/src/script/faults.rs
+++ b/tests/src/script/faults.rs
@@ -48,6 +48,7 @@
             self.fleet()?.open_router(&name).await?;
             if !unready {
                 self.fleet()?.ready(&name).await?;
+                self.fleet()?.acquainted(&name).await?;
             }
         }
         Ok(String::new())
--- a/tests/tests/scenarios.rs
+++ b/tests/tests/scenarios.rs
@@ -53,5 +53,7 @@
     config_force
     leaving
     once_happy
+    red_cuts_eject_all
+    red_once_given_up
     shutdown_rolling
 }
