--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use poplar_core::config::hash_key;
+use serde::Serialize;
 use serde_json::{Value, json};
 
 use crate::audit::{self, Count};
@@ -387,6 +388,15 @@
         })
     }
 
+    /// Writes `what` into the folder, to be looked at where it is kept.
+    ///
+    /// # Errors
+    /// Where it can't be written.
+    pub fn keep(&self, name: &str, what: &impl Serialize) -> Result<()> {
+        let bytes = serde_json::to_vec(what).map_err(|e| Fault::of(name, e))?;
+        fs::write(self.folder.join(name), bytes).map_err(|e| Fault::of(name, e))
+    }
+
     /// Notes whether a router is expected to be running.
     pub fn mark(&self, name: &str, up: bool) {
         for router in lock(&self.routers).iter_mut().filter(|r| r.name == name) {
--- a/tests/src/script/mod.rs
+++ b/tests/src/script/mod.rs
@@ -150,7 +150,9 @@
             // What is still wrong after that is shown by the audit.
             let _ = sound.await;
         }
-        audit::audit(fleet, &records).await
+        let found = audit::audit(fleet, &records).await?;
+        fleet.keep("table.json", &fleet.platform.rows().await?)?;
+        Ok(found)
     }
 
     fn false_refusals(&self) -> String {
