Poll less: the table for routers, backend servers for load and cache

Cause: each router scanned all routers' rows every 2 s and read the rows of all members of the group every second, so that idle reads grew with the square of the fleet.

--- a/crates/router/src/backends/roster.rs
+++ b/crates/router/src/backends/roster.rs
@@ -15,6 +15,9 @@
 
 /// How long a load report may take.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Rounds of load reports to one of cache events, which matter less: a router
+/// knows itself what it sent where.
+const CACHE_EVERY: u64 = 4;
 /// How often waiting requests are looked at where nothing else happens.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -81,10 +84,13 @@
 
 /// Reads every backend server's load and cache events again and again.
 pub async fn watch_load(state: Arc<State>) {
+    let mut round = 0;
     loop {
         let started = Instant::now();
         let servers = state.dispatch.seen();
-        join_all(servers.iter().map(|server| poll(&state, server))).await;
+        let cache = round % CACHE_EVERY == 0;
+        join_all(servers.iter().map(|server| poll(&state, server, cache))).await;
+        round += 1;
         state.dispatch.compare(Instant::now());
         state.crashes.expire(Instant::now());
         let every = state.settings.backends.load;
@@ -92,9 +98,9 @@
     }
 }
 
-async fn poll(state: &State, server: &Seen) {
+async fn poll(state: &State, server: &Seen, cache: bool) {
     read_load(state, server).await;
-    if server.engine {
+    if server.engine && cache {
         read_cache(state, server).await;
     }
 }
--- a/crates/router/src/claims/group.rs
+++ b/crates/router/src/claims/group.rs
@@ -131,7 +131,15 @@
 /// A router that is not active yet does so only for an earlier life at its own
 /// address. Thus a group whose members all died is taken over by their heirs.
 async fn seal_out(state: &State, version: u64, row: &GroupRow) -> Result<bool, Error> {
-    let others: Vec<_> = row.others(&state.me).cloned().collect();
+    // A member that is heard of needs no look; one that was sealed ends soon.
+    let now = Instant::now();
+    let silent = row
+        .others(&state.me)
+        .filter(|of| !state.peers.is_live(of, now));
+    let others: Vec<_> = silent.cloned().collect();
+    if others.is_empty() {
+        return Ok(false);
+    }
     let keys = others.iter().map(incarnation_key).collect();
     let rows = (state.platform.read)(keys).await?;
     let pairs = others.iter().zip(&rows);
--- a/crates/router/src/life.rs
+++ b/crates/router/src/life.rs
@@ -11,7 +11,7 @@
 use poplar_core::budget::rows::incarnation_key;
 use poplar_core::claim::group;
 use poplar_core::id::Incarnation;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::budget::writer::Writer;
@@ -23,6 +23,8 @@
 
 /// Wait between tries to register.
 const REGISTER_WAIT: Duration = Duration::from_millis(500);
+/// Connections that may wait to be accepted; callers come back all at once.
+const BACKLOG: u32 = 4096;
 /// How often it is looked whether the end has come.
 const LOOK: Duration = Duration::from_millis(100);
 /// Tries to leave the group against others' changes of it.
@@ -90,7 +92,14 @@
 /// Binds an address; port 0 is replaced by the one that was given.
 async fn bind(what: &'static str, address: &mut SocketAddr) -> Result<TcpListener, Error> {
     let failed = |why| Error::Bind(what, why);
-    let listener = TcpListener::bind(*address).await.map_err(failed)?;
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let socket = socket.map_err(failed)?;
+    socket.set_reuseaddr(true).map_err(failed)?;
+    socket.bind(*address).map_err(failed)?;
+    let listener = socket.listen(BACKLOG).map_err(failed)?;
     *address = listener.local_addr().map_err(failed)?;
     Ok(listener)
 }
--- a/crates/router/src/peers/gossip.rs
+++ b/crates/router/src/peers/gossip.rs
@@ -15,8 +15,9 @@
 
 /// How often each peer is called.
 const EVERY: Duration = Duration::from_millis(500);
-/// How often the table is asked for routers.
-const DISCOVER: Duration = Duration::from_secs(2);
+/// How often the table is asked for routers. A router registers before it asks
+/// for the first time, so that of two that start together one finds the other.
+const DISCOVER: Duration = Duration::from_secs(10);
 
 /// Looks for other routers in the table again and again.
 pub async fn discover(state: Arc<State>) {
@@ -30,7 +31,7 @@
                 meet(&state, of, &router);
             }
         }
-        tokio::time::sleep(DISCOVER).await;
+        tokio::time::sleep(DISCOVER.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -196,7 +196,7 @@
     let mut s = file.section_or_empty("backends");
     Backends {
         hosts: s.duration_or("hosts", ms(50)..=ms(1500), ms(500)),
-        load: s.duration_or("load", ms(20)..=Duration::from_secs(10), ms(250)),
+        load: s.duration_or("load", ms(20)..=Duration::from_secs(10), ms(500)),
         policy: s.choice_or("policy", &POLICIES, Policy::Predicted),
     }
 }
