--- a/tests/tests/pages.rs
+++ b/tests/tests/pages.rs
@@ -2,7 +2,8 @@
 //!
 //! Every command line of a product's program in a block marked `sh` names a
 //! program that is built, with options that its help lists. Every relative link
-//! leads to a file that is there, and to a heading in it where it names one.
+//! leads to a file that is there, and to a heading in it where it names one. The
+//! operators' page has each key of the router's sample settings.
 
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -240,3 +241,23 @@
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+#[test]
+fn every_setting_of_the_router_is_on_the_operators_page() {
+    let sample = fs::read_to_string(root().join("config/poplar-router.ini"));
+    let sample = sample.expect("the sample settings");
+    let page = fs::read_to_string(root().join("docs/operators/README.md"));
+    let page = page.expect("the operators' page");
+    let keys = sample.lines().filter_map(|line| {
+        let (key, _) = line.trim_start_matches("# ").split_once(" = ")?;
+        Some(key.to_owned())
+    });
+    let keys: Vec<String> = keys.collect();
+    assert!(keys.iter().any(|k| k == "advertise"), "no optional key");
+    let rows: Vec<&str> = page.lines().filter(|l| l.starts_with('|')).collect();
+    for key in keys {
+        let cell = format!("| `{key}` |");
+        let listed = rows.iter().any(|row| row.contains(&cell));
+        assert!(listed, "{key} is not on the page");
+    }
+}
