--- a/crates/core/src/route/server.rs
+++ b/crates/core/src/route/server.rs
@@ -103,6 +103,8 @@
     report: Option<Report>,
     /// Load reports so far.
     reports: u64,
+    /// Whether an answer of it was seen to come token by token.
+    streams: bool,
     /// Own requests sent since the report was taken and still in flight.
     sent: u32,
     /// Own requests that were in flight then and have ended.
@@ -130,6 +132,7 @@
             ranks: [0; PRIORITIES],
             report: None,
             reports: 0,
+            streams: false,
             sent: 0,
             ended: 0,
             ends: VecDeque::new(),
@@ -176,6 +179,7 @@
             None => {}
         }
         flight.heard = Some(now);
+        self.streams = true;
         flight.left = flight.left.saturating_sub(tokens).max(1);
         self.expect = Some(now + step * 4);
     }
@@ -195,20 +199,22 @@
             End::Full => self.window.shrink(now),
             End::Other => {}
         }
-        // Answers that don't stream are heard of only at their end.
-        let streaming = self.flights.iter().any(|(_, f)| f.heard.is_some());
         let next = self.flights.iter().next();
         match next.map(|(_, f)| now + self.rtt + self.patience(f)) {
-            Some(at) if !streaming => self.expect = Some(at),
+            Some(at) if !self.streams => self.expect = Some(at),
             Some(_) => {}
             None => self.expect = None,
         }
     }
 
-    /// How long to wait for news of requests that have not begun to stream.
+    /// How long to wait for news of a request that was sent.
+    ///
+    /// A server that streams is heard of at the first token. From one that was
+    /// never seen to stream nothing is heard until the answer is whole.
     fn patience(&self, flight: &Flight) -> Duration {
-        let whole = f64::from(flight.left) * self.step().as_secs_f64();
-        Duration::from_secs_f64(2.0 * (self.pace.prefill(flight.work) + whole))
+        let tokens = if self.streams { 1 } else { flight.left };
+        let steps = f64::from(tokens) * self.step().as_secs_f64();
+        Duration::from_secs_f64(2.0 * (self.pace.prefill(flight.work) + steps))
     }
 
     fn note_end(&mut self, sent: Instant, now: Instant) {
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -159,7 +159,11 @@
     let now = Instant::now();
     let mut server = servers(1, now).remove(0);
     server.dispatched(1, flight(now));
-    server.dispatched(2, flight(now));
+    let queued = Flight {
+        direct: false,
+        ..flight(now)
+    };
+    server.dispatched(2, queued);
     // A hundred steps of 6 ms are expected of each.
     assert_eq!(server.overdue(now + MS * 900), Duration::ZERO);
     server.ended(1, End::Done(100), now + MS * 900);
@@ -170,6 +174,9 @@
     assert!(server.overdue(now + MS * 4100) > MS * 50);
     server.ended(2, End::Other, now + MS * 4100);
     assert_eq!(server.overdue(now + MS * 9000), Duration::ZERO);
+    // From then on its first token is expected soon.
+    server.dispatched(3, flight(now + MS * 9000));
+    assert!(server.overdue(now + MS * 9200) > MS * 50);
 }
 
 #[test]
