Don't take an unseen wait for slow prompt work

Cause: a request sent to a full server counted as sent to a free slot where the caller said so, its wait as prompt work, and the server was predicted slow from then on. Change: the server's load has a say, and the speed falls slowly and rises fast.

--- a/crates/core/src/route/pace.rs
+++ b/crates/core/src/route/pace.rs
@@ -18,9 +18,15 @@
 /// Weight of a new gap in the average.
 const GAP_WEIGHT: f64 = 0.05;
 
-/// Weight of a new answer in the other averages.
+/// Weight of a new answer in the average length.
 const ANSWER_WEIGHT: f64 = 0.1;
 
+/// Weight of a prompt that was computed faster than the average.
+const FASTER_WEIGHT: f64 = 0.5;
+
+/// Weight of a prompt that was computed slower; it may have waited unseen.
+const SLOWER_WEIGHT: f64 = 0.05;
+
 /// Prompts shorter than this tell nothing of the speed, in tokens.
 const PREFILL_MIN: u32 = 64;
 
@@ -51,7 +57,11 @@
     pub(crate) fn saw_prefill(&mut self, work: u32, busy: Duration) {
         if work >= PREFILL_MIN && !busy.is_zero() {
             let rate = f64::from(work) / busy.as_secs_f64();
-            blend(&mut self.prefill, rate, ANSWER_WEIGHT);
+            let faster = self.prefill.is_none_or(|average| rate > average);
+            let weight = if faster { FASTER_WEIGHT } else { SLOWER_WEIGHT };
+            let mut average = self.prefill.or(Some(PREFILL));
+            blend(&mut average, rate, weight);
+            self.prefill = average;
         }
     }
 
--- a/crates/core/src/route/server.rs
+++ b/crates/core/src/route/server.rs
@@ -60,7 +60,7 @@
     pub work: u32,
     /// Output tokens that are still expected.
     pub left: u32,
-    /// Whether a slot was expected to be free.
+    /// Whether a slot may have been free; the server's load has a say too.
     pub direct: bool,
     /// When its newest token came.
     pub heard: Option<Instant>,
@@ -155,7 +155,8 @@
     }
 
     /// Notes that request `id` was sent.
-    pub fn dispatched(&mut self, id: u64, flight: Flight) {
+    pub fn dispatched(&mut self, id: u64, mut flight: Flight) {
+        flight.direct &= self.load() < self.slots();
         if self.flights.is_empty() {
             self.expect = Some(flight.sent + self.rtt + self.patience(&flight));
         }
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -179,6 +179,30 @@
     assert!(server.overdue(now + MS * 9200) > MS * 50);
 }
 
+#[test]
+fn a_wait_that_was_not_seen_is_not_taken_for_slow_prompt_work() {
+    let now = Instant::now();
+    let mut all = servers(1, now);
+    for id in 0..40 {
+        let sent = now + MS * 2000 * id as u32;
+        all[0].dispatched(id, flight(sent));
+        let took = if id % 2 == 0 { MS * 30 } else { MS * 1000 };
+        all[0].progressed(id, 1, sent + took);
+        all[0].ended(id, End::Done(100), sent + MS * 1500);
+    }
+    let sight = look(&fleet(&all), &job(), |_| 0, &[], 1, now + MS * 80_000);
+    assert!(sight.best.unwrap().first < MS * 60, "{sight:?}");
+    // Where all take that long, the server is slow.
+    for id in 40..140 {
+        let sent = now + MS * 2000 * id as u32;
+        all[0].dispatched(id, flight(sent));
+        all[0].progressed(id, 1, sent + MS * 1000);
+        all[0].ended(id, End::Done(100), sent + MS * 1500);
+    }
+    let sight = look(&fleet(&all), &job(), |_| 0, &[], 1, now + MS * 280_000);
+    assert!(sight.best.unwrap().first > MS * 500, "{sight:?}");
+}
+
 #[test]
 fn nothing_goes_to_a_server_that_may_not_be_used() {
     let now = Instant::now();
