--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -192,6 +192,17 @@
     }
     let sight = look(&fleet(&all), &job(), |_| 0, &[], 1, now + MS * 80_000);
     assert!(sight.best.unwrap().first < MS * 60, "{sight:?}");
+    // Sent to a full server it waited, whatever the sender thought.
+    let mut full = servers(1, now).remove(0);
+    full.reported(report(8, 0, now + MS));
+    for id in 0..40 {
+        full.dispatched(id, flight(now + MS * 2));
+        full.progressed(id, 1, now + MS * 3000);
+        full.ended(id, End::Done(100), now + MS * 3000);
+    }
+    full.reported(report(0, 0, now + MS * 4000));
+    let sight = look(&fleet(&[full]), &job(), |_| 0, &[], 1, now + MS * 4000);
+    assert!(sight.best.unwrap().first < MS * 60, "{sight:?}");
     // Where all take that long, the server is slow.
     for id in 40..140 {
         let sent = now + MS * 2000 * id as u32;
