Count only workspaces that ask for much in an even part

Cause: workspaces busy up to minutes ago made an even part look small, and two that shared evenly both stood back. Change: once a second those below a twentieth of an even part are forgotten.

--- a/crates/core/src/queue/usage.rs
+++ b/crates/core/src/queue/usage.rs
@@ -13,11 +13,11 @@
 /// Time over which what was served is forgotten.
 const WINDOW: Duration = Duration::from_secs(10);
 
-/// Windows after which weights are scaled down, so that they stay finite.
-const RESCALE: f64 = 16.0;
+/// Time after which weights are brought up to date.
+const TIDY: Duration = Duration::from_secs(1);
 
-/// Tokens below which a workspace counts as not served.
-const LITTLE: f64 = 1.0;
+/// Part of an even part below which a workspace counts as not served.
+const LITTLE: f64 = 0.05;
 
 /// How many times an even part is far more than it.
 const FAR: f64 = 1.5;
@@ -63,14 +63,13 @@
     pub(super) fn served(&mut self, workspace: &str, cost: u32, now: Instant) {
         let base = *self.base.get_or_insert(now);
         self.since.get_or_insert(now);
-        let windows = windows(base, now);
-        let scale = windows.exp();
+        let scale = windows(base, now).exp();
         if let Some(standing) = self.standings.get_mut(workspace) {
             standing.weight += f64::from(cost) * scale;
             self.total += f64::from(cost) * scale;
         }
-        if windows > RESCALE {
-            self.rescale(scale);
+        if now >= base + TIDY {
+            self.tidy(scale);
             self.base = Some(now);
         }
     }
@@ -97,15 +96,19 @@
         tokens / (WINDOW.as_secs_f64() * span.max(SHORTEST))
     }
 
-    /// Divides all weights, and forgets workspaces without any.
-    fn rescale(&mut self, scale: f64) {
+    /// Divides all weights, and forgets workspaces that ask for little.
+    ///
+    /// Otherwise those that were busy some time ago would make an even part
+    /// look small.
+    fn tidy(&mut self, scale: f64) {
+        let least = LITTLE * self.total / self.standings.len().max(1) as f64;
+        self.standings
+            .retain(|_, s| s.queued > 0 || s.weight >= least);
         self.total = 0.0;
-        let total = &mut self.total;
-        self.standings.retain(|_, s| {
-            s.weight /= scale;
-            *total += s.weight;
-            s.queued > 0 || s.weight >= LITTLE
-        });
+        for (_, standing) in self.standings.iter_mut() {
+            standing.weight /= scale;
+            self.total += standing.weight;
+        }
     }
 }
 
--- a/crates/core/tests/queue.rs
+++ b/crates/core/tests/queue.rs
@@ -129,6 +129,28 @@
     assert_eq!(pop(&mut queue, later), Some(201));
 }
 
+#[test]
+fn workspaces_that_were_busy_once_take_no_part_later() {
+    let now = Instant::now();
+    let mut queue = Queue::new(1000);
+    for id in 0..40 {
+        let workspace = format!("w{}", id % 20);
+        queue.push(entry(id, &workspace, 3, now)).unwrap();
+    }
+    while pop(&mut queue, now).is_some() {}
+    // Two that share evenly half a minute later are both within their part.
+    for id in 0..60 {
+        let later = now + MS * (30_000 + 50 * id as u32);
+        for workspace in ["w0", "w1"] {
+            queue.push(entry(id, workspace, 3, later)).unwrap();
+        }
+        while pop(&mut queue, later).is_some() {}
+    }
+    let end = now + MS * 34_000;
+    queue.push(entry(100, "w0", 3, end)).unwrap();
+    assert_eq!(queue.pop(end, |_| true).unwrap().reason, Reason::Turn);
+}
+
 #[test]
 fn a_rush_waits_by_the_rate_that_the_others_leave_it() {
     let now = Instant::now();
