--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod claim;
 pub mod config;
+pub mod generation;
 pub mod grant;
 pub mod health;
 pub mod id;
--- a/crates/spec/src/claim/mod.rs
+++ b/crates/spec/src/claim/mod.rs
@@ -334,6 +334,7 @@
                 leavers: &[0, 1],
                 any_heir: false,
                 finish: true,
+                flush: true,
                 ..base
             },
         ),
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -12,4 +12,5 @@
 
 pub mod budget;
 pub mod claim;
+pub mod config;
 pub mod explore;
