--- a/crates/spec/src/claim/step/notes.rs
+++ b/crates/spec/src/claim/step/notes.rs
@@ -18,14 +18,14 @@
             let next = world.with(at, |router| router.notes.release(&REQUEST, attempt));
             all.push((Step::Release(at, attempt.clone()), next));
         }
-        if !note.tabled && cx.bounds.flush {
-            write(world, at, attempt, cx, all);
+        if cx.bounds.flush {
+            write(world, at, attempt, note.tabled, cx, all);
         }
     }
 }
 
 /// Brings a note into the table, or finds that it is there.
-fn write(world: &World, at: usize, attempt: &Attempt, cx: Cx, all: &mut Successors) {
+fn write(world: &World, at: usize, attempt: &Attempt, tabled: bool, cx: Cx, all: &mut Successors) {
     let Some(claimant) = index(&attempt.claimant) else {
         return;
     };
@@ -39,6 +39,9 @@
         all.push((Step::Tabled(at, attempt.clone()), next));
         return;
     }
+    if tabled {
+        return;
+    }
     let sealed = world.table.sealed[claimant] && !cx.has(Fault::ClaimForSealed);
     let Some(write) = on_behalf(attempt, row, sealed) else {
         return;
