--- a/tests/tests/scenarios.rs
+++ b/tests/tests/scenarios.rs
@@ -51,12 +51,17 @@
     budgets_pause_seal
     budgets_topup
     config_force
+    config_restart
     leaving
     once_chaos_fenced
     once_chaos_unfenced
     once_happy
     once_paused_fenced
     once_paused_unfenced
+    pair_engine_router
+    pair_kill_lost
+    pair_partition_topup
+    pair_pause_outage
     poison
     red_cuts_eject_all
     red_not_run_after_run
