--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -25,7 +25,12 @@
 #[derive(Debug)]
 pub enum Error {
     /// No connection was made, so the other side saw nothing of the call.
-    Connect(String),
+    Connect {
+        /// Whether the other side refused it: nobody listens there.
+        refused: bool,
+        /// What the system said.
+        why: String,
+    },
     /// The call was sent, but no whole answer came back in time.
     Lost(String),
     /// The answer was not what the caller can read.
@@ -35,7 +40,7 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Connect(why) => write!(f, "no connection: {why}"),
+            Self::Connect { why, .. } => write!(f, "no connection: {why}"),
             Self::Lost(why) => write!(f, "answer lost: {why}"),
             Self::Malformed(why) => write!(f, "malformed answer: {why}"),
         }
@@ -44,16 +49,42 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// A call that could not be put together.
+    fn unsent(why: http::Error) -> Self {
+        Self::Connect {
+            refused: false,
+            why: why.to_string(),
+        }
+    }
+}
+
 impl From<PoolError> for Error {
     fn from(error: PoolError) -> Self {
         if error.is_connect() {
-            Self::Connect(error.to_string())
+            Self::Connect {
+                refused: is_refusal(&error),
+                why: error.to_string(),
+            }
         } else {
             Self::Lost(error.to_string())
         }
     }
 }
 
+/// Whether the system's error at the bottom is a refused connection.
+fn is_refusal(error: &PoolError) -> bool {
+    let mut cause: Option<&(dyn std::error::Error + 'static)> = Some(error);
+    while let Some(error) = cause {
+        let system = error.downcast_ref::<std::io::Error>();
+        if system.is_some_and(|e| e.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 /// A whole answer.
 #[derive(Debug, Clone)]
 pub struct Answer {
@@ -162,7 +193,7 @@
         let request = Request::post(url)
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::from(bytes))
-            .map_err(|e| Error::Connect(e.to_string()))?;
+            .map_err(Error::unsent)?;
         self.call(request, timeout).await
     }
 
@@ -173,7 +204,7 @@
     pub async fn put(&self, url: &str, body: Bytes, timeout: Duration) -> Result<Answer, Error> {
         let request = Request::put(url)
             .body(Full::new(body))
-            .map_err(|e| Error::Connect(e.to_string()))?;
+            .map_err(Error::unsent)?;
         self.call(request, timeout).await
     }
 }
@@ -183,5 +214,5 @@
         .method(method)
         .uri(url)
         .body(Full::default())
-        .map_err(|e| Error::Connect(e.to_string()))
+        .map_err(Error::unsent)
 }
--- a/crates/base/src/platform/client.rs
+++ b/crates/base/src/platform/client.rs
@@ -17,7 +17,7 @@
 impl From<web::Error> for Error {
     fn from(error: web::Error) -> Self {
         match error {
-            web::Error::Connect(why) => Self::Down(why),
+            web::Error::Connect { why, .. } => Self::Down(why),
             web::Error::Lost(why) => Self::Unknown(why),
             web::Error::Malformed(why) => Self::Malformed(why),
         }
--- a/crates/core/src/bill.rs
+++ b/crates/core/src/bill.rs
@@ -109,12 +109,8 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Stage {
-    /// Started, not yet acknowledged by the others.
-    Joining,
     /// At work.
     Active,
-    /// In a graceful shutdown.
-    Leaving,
     /// Shut off by somebody else, or at its own planned end.
     Sealed,
 }
--- a/crates/ctl/src/query/budgets.rs
+++ b/crates/ctl/src/query/budgets.rs
@@ -66,7 +66,7 @@
     state.lost += lost;
     match router.row.stage {
         Stage::Sealed => state.stranded += left,
-        Stage::Joining | Stage::Active | Stage::Leaving => state.held += left,
+        Stage::Active => state.held += left,
     }
 }
 
--- a/crates/ctl/tests/ctl/apply.rs
+++ b/crates/ctl/tests/ctl/apply.rs
@@ -24,7 +24,7 @@
     {
         let mut state = state.lock().unwrap();
         router(&mut state, "a.1", "a", Stage::Active, 0);
-        router(&mut state, "b.1", "b", Stage::Joining, 0);
+        router(&mut state, "b.1", "b", Stage::Active, 0);
         router(&mut state, "c.1", "c", Stage::Active, 0);
         router(&mut state, "d.1", "d", Stage::Sealed, 0);
         for (name, incarnation, generation) in [("a", "a.1", 1), ("b", "b.1", 0), ("c", "c.2", 1)] {
--- a/crates/ctl/tests/ctl/query.rs
+++ b/crates/ctl/tests/ctl/query.rs
@@ -18,7 +18,7 @@
     let (fleet, shared) = fleet();
     let mut state = shared.lock().unwrap();
     router(&mut state, "a.1", "a", Stage::Active, 0);
-    router(&mut state, "b.1", "b", Stage::Leaving, 0);
+    router(&mut state, "b.1", "b", Stage::Active, 0);
     router(&mut state, "c.1", "c", Stage::Sealed, 0);
     let status = json!({"incarnation": "a.1", "generation": 3, "ready": true,
         "streams": 7, "peers": [{}]});
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -114,7 +114,7 @@
 impl From<Error> for Failure {
     fn from(error: Error) -> Self {
         match error {
-            Error::Connect(_) => Self::Unreached,
+            Error::Connect { .. } => Self::Unreached,
             Error::Lost(_) | Error::Malformed(_) => Self::Lost,
         }
     }
--- a/crates/router/src/backends/dispatch.rs
+++ b/crates/router/src/backends/dispatch.rs
@@ -22,6 +22,8 @@
 /// Times the target within which an admitted request is still sent again: a
 /// late answer is better than none.
 pub const LATE: u32 = 2;
+/// Wait before a server is tried again that failed this request before.
+pub const AGAIN_WAIT: Duration = Duration::from_millis(100);
 /// When to come back where no backend server offers the model or service.
 const NONE_AFTER: Duration = Duration::from_secs(2);
 
@@ -123,6 +125,7 @@
     routers: AtomicU32,
     centre: Name,
     policy: Policy,
+    salt: u64,
 }
 
 impl Dispatch {
@@ -133,6 +136,7 @@
             routers: AtomicU32::new(1),
             centre: settings.centre.clone(),
             policy: settings.backends.policy,
+            salt: rand::random(),
         }
     }
 
@@ -150,7 +154,7 @@
         let mut pools = lock(&self.pools);
         for host in hosts {
             let key = (host.role == Role::Engine, host.serves.clone());
-            pools.entry(key, || Pool::new(self.policy, now));
+            pools.entry(key, || Pool::new(self.policy, self.salt, now));
         }
         for ((engine, serves), pool) in pools.iter_mut() {
             let mine = |h: &&Host| (h.role == Role::Engine) == *engine && h.serves == *serves;
@@ -168,6 +172,13 @@
         }
     }
 
+    /// Notes that a server's process has ended: its cache is gone.
+    pub fn died(&self, key: &Key, name: &str) {
+        if let Some(pool) = lock(&self.pools).get_mut(key) {
+            pool.died(name);
+        }
+    }
+
     /// Takes cache events of a server over.
     pub fn cached(&self, key: &Key, name: &str, events: impl IntoIterator<Item = Event>) {
         if let Some(pool) = lock(&self.pools).get_mut(key) {
@@ -191,7 +202,9 @@
         now: Instant,
     ) -> Next {
         let mut pools = lock(&self.pools);
-        let pool = pools.entry(placed.key.clone(), || Pool::new(self.policy, now));
+        let pool = pools.entry(placed.key.clone(), || {
+            Pool::new(self.policy, self.salt, now)
+        });
         pool.after(failure, attempt, now)
     }
 
@@ -294,6 +307,8 @@
     pub address: SocketAddr,
     /// Why it was chosen.
     pub reason: String,
+    /// Urgency with which the server is to serve it.
+    pub priority: u8,
     dispatch: Arc<Dispatch>,
     key: Key,
     class: Name,
@@ -307,6 +322,7 @@
             server: slot.name,
             address: slot.address,
             reason: slot.reason,
+            priority: slot.priority,
             dispatch,
             key,
             class,
--- a/crates/router/src/backends/pool.rs
+++ b/crates/router/src/backends/pool.rs
@@ -9,12 +9,13 @@
 use poplar_core::health::{Board, Change, Leaving};
 use poplar_core::id::Name;
 use poplar_core::prefix::{Event, Holders, View};
-use poplar_core::queue::{Entry, Queue, Ticket};
+use poplar_core::queue::{Entry, Popped, Queue, Ticket};
 use poplar_core::retry::{self, Attempt, Failure, Next, Refusal as Refused};
 use poplar_core::route::server::{End, Flight, Report, Server};
 use poplar_core::route::{self, Fleet, Job, Outcome, Policy, Reason};
 use poplar_core::sorted::SortedVec;
 use tokio::sync::oneshot;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::dispatch::{Ended, Work};
 use crate::refusal::{Code, Refusal};
@@ -42,6 +43,7 @@
     pub(super) address: SocketAddr,
     pub(super) flight: u64,
     pub(super) reason: String,
+    pub(super) priority: u8,
 }
 
 /// A request that waits for its server.
@@ -77,10 +79,12 @@
     turn: u64,
     next: u64,
     policy: Policy,
+    /// Keeps routers from rounding their limits alike.
+    salt: u64,
 }
 
 impl Pool {
-    pub(super) fn new(policy: Policy, now: Instant) -> Self {
+    pub(super) fn new(policy: Policy, salt: u64, now: Instant) -> Self {
         Self {
             servers: Vec::new(),
             nodes: Vec::new(),
@@ -94,6 +98,7 @@
             turn: 0,
             next: 0,
             policy,
+            salt,
         }
     }
 
@@ -132,7 +137,8 @@
 
     fn add(&mut self, host: &Host, centre: &str) -> usize {
         let rtt = if *host.centre == *centre { NEAR } else { FAR };
-        let server = Server::new(host.name.clone(), host.centre.clone(), rtt);
+        let mut server = Server::new(host.name.clone(), host.centre.clone(), rtt);
+        server.salt = xxh3_64_with_seed(host.name.as_bytes(), self.salt);
         self.servers.push(server);
         self.nodes.push(Node::new(host.address));
         self.holders.reset();
@@ -179,6 +185,13 @@
         }
     }
 
+    /// Forgets what a server had cached, since its process has ended.
+    pub(super) fn died(&mut self, name: &str) {
+        if let Some(at) = self.position(name) {
+            self.nodes[at].cache.reset();
+        }
+    }
+
     /// Takes cache events of a server in.
     pub(super) fn cached(&mut self, name: &str, events: impl IntoIterator<Item = Event>) {
         if let Some(at) = self.position(name) {
@@ -332,6 +345,7 @@
         self.refresh(now);
         loop {
             let mut choice = None;
+            let mut full = false;
             let fleet = Fleet {
                 servers: &self.servers,
                 routers,
@@ -344,6 +358,9 @@
                 let Some(waiter) = waiters.get(&entry.id) else {
                     return true;
                 };
+                if full {
+                    return false;
+                }
                 let job = waiter.work.job(waiter.output);
                 let near = holders.near(waiter.work.chain.hashes());
                 let matched = |at: usize| held(&nodes[at], &waiter.work);
@@ -358,7 +375,11 @@
                         choice = Some(chosen);
                         true
                     }
-                    Outcome::Wait(_) | Outcome::None(_) => false,
+                    Outcome::Wait(_) => {
+                        full = true;
+                        false
+                    }
+                    Outcome::None(_) => false,
                 }
             });
             let Some(popped) = popped else {
@@ -366,14 +387,15 @@
             };
             let waiter = self.waiters.remove(&popped.entry.id);
             if let (Some(waiter), Some(choice)) = (waiter, choice) {
-                self.send(waiter, &popped.entry, &choice, now);
+                self.send(waiter, &popped, &choice, now);
             }
         }
         self.expire(now);
         self.drain.waits(!self.queue.is_empty(), now);
     }
 
-    fn send(&mut self, waiter: Waiter, entry: &Entry, choice: &route::Choice, now: Instant) {
+    fn send(&mut self, waiter: Waiter, popped: &Popped, choice: &route::Choice, now: Instant) {
+        let entry = &popped.entry;
         self.turn += 1;
         self.drain.sent(entry.priority, entry.cost, now);
         let node = &mut self.nodes[choice.server];
@@ -381,7 +403,7 @@
         self.holders.sent(waiter.work.chain.hashes(), choice.server);
         let server = &mut self.servers[choice.server];
         let flight = Flight {
-            priority: entry.priority,
+            priority: popped.priority,
             sent: now,
             work: waiter.work.tokens().saturating_sub(choice.matched),
             left: waiter.output,
@@ -393,6 +415,7 @@
             name: server.name.clone(),
             address: node.address,
             flight: entry.id,
+            priority: popped.priority,
             reason: format!(
                 "{}, first in {} ms, whole in {} ms",
                 choice.reason,
--- a/crates/router/src/backends/roster.rs
+++ b/crates/router/src/backends/roster.rs
@@ -14,7 +14,7 @@
 use crate::state::State;
 
 /// How long a load report may take.
-const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
+const LOAD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Rounds of load reports to one of cache events, which matter less: a router
 /// knows itself what it sent where.
 const CACHE_EVERY: u64 = 4;
@@ -110,8 +110,13 @@
     let url = format!("http://{}/v1/load", server.address);
     let answer = state.client.get(&url, LOAD_TIMEOUT).await;
     let now = Instant::now();
-    if matches!(answer, Err(HttpError::Connect(_))) && state.crashes.dead(&server.name, now) {
-        state.refresh.notify_waiters();
+    // A cut network is no death: only a refusal shows that nobody listens.
+    if matches!(answer, Err(HttpError::Connect { refused: true, .. })) {
+        let key = (server.engine, server.serves.clone());
+        state.dispatch.died(&key, &server.name);
+        if state.crashes.dead(&server.name, now) {
+            state.refresh.notify_waiters();
+        }
     }
     let Ok(load) = answer.and_then(|a| a.json::<LoadWire>()) else {
         return;
--- a/crates/router/src/budget/bank.rs
+++ b/crates/router/src/budget/bank.rs
@@ -220,6 +220,14 @@
         lock(&self.tables).account(budget).refused = Some(Memory { at, worst, why });
     }
 
+    /// Whether the tokens held here and those last seen in the table would have
+    /// covered a reservation that was refused.
+    pub fn would_cover(&self, budget: &Name, worst: u64) -> bool {
+        let mut tables = lock(&self.tables);
+        let free = tables.ledger.holding(budget).free();
+        free + tables.account(budget).available.unwrap_or(0) >= worst
+    }
+
     /// Live routers, this one included.
     pub(super) fn routers(&self) -> u32 {
         self.peers.live(Instant::now()) as u32 + 1
--- a/crates/router/src/door/mod.rs
+++ b/crates/router/src/door/mod.rs
@@ -61,7 +61,12 @@
 }
 
 /// The answer to a refused request.
+///
+/// Refusals with an identity are counted where they were made.
 fn refuse(refusal: &Refusal, id: Option<&poplar_core::id::RequestId>) -> Response {
+    if id.is_none() {
+        crate::metrics::refused(&"-".into(), &"-".into(), refusal.code);
+    }
     refusal.response(id)
 }
 
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
-use crate::backends::dispatch::{Ended, LATE, Placed, Work};
+use crate::backends::dispatch::{AGAIN_WAIT, Ended, LATE, Placed, Work};
 use crate::backends::roster;
 use crate::budget::bank::Refused;
 use crate::budget::reservation::Reservation;
@@ -224,7 +224,8 @@
         match dispatch.after(placed, failure, &attempt, Instant::now()) {
             Next::Send { after, .. } => {
                 crate::metrics::retried(&self.job.class.name);
-                tokio::time::sleep(after).await;
+                let again = self.tried.contains(&placed.server);
+                tokio::time::sleep(if again { after.max(AGAIN_WAIT) } else { after }).await;
                 Ok(())
             }
             Next::GiveUp { reason, .. } => Err(Refusal::new(Code::BackendFailed)
@@ -288,7 +289,7 @@
         let sent = tokio::time::timeout(SILENCE, self.state.client.send(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
-            Ok(Err(HttpError::Connect(_))) => return Attempted::Failed(Failure::Connect),
+            Ok(Err(HttpError::Connect { .. })) => return Attempted::Failed(Failure::Connect),
             Ok(Err(_)) => return Attempted::Failed(Failure::Lost),
             Err(_) => return Attempted::Failed(Failure::Timeout),
         };
@@ -347,7 +348,7 @@
             .header("x-request-id", self.job.id.0.as_ref())
             .header("x-workspace", self.job.workspace.as_ref())
             .header("x-fencing-number", self.state.router())
-            .header("x-priority", u16::from(self.job.priority()));
+            .header("x-priority", u16::from(placed.priority));
         if self.tokens > 0 {
             builder = builder.header("x-resume-from", self.tokens);
         }
@@ -423,7 +424,9 @@
                 Refusal::new(Code::Unready).after(Duration::from_secs(1))
             }
         };
-        refusal.detail(refused)
+        let mut refusal = refusal.detail(refused);
+        refusal.wrong = state.bank.would_cover(&job.budget, worst);
+        refusal
     })
 }
 
--- a/crates/router/src/flow/finish.rs
+++ b/crates/router/src/flow/finish.rs
@@ -75,11 +75,15 @@
                 state.peers.held_no_more(&state, &id).await;
             }
         });
+        crate::metrics::unbilled("copied");
         return Sure::Copied;
     }
     match tokio::time::timeout(state.settings.budget.alone, done).await {
         Ok(billed) => sure(billed),
-        Err(_) => Sure::Alone,
+        Err(_) => {
+            crate::metrics::unbilled("alone");
+            Sure::Alone
+        }
     }
 }
 
--- a/crates/router/src/flow/refused.rs
+++ b/crates/router/src/flow/refused.rs
@@ -39,7 +39,7 @@
     crate::metrics::refused(workspace, class, refusal.code);
     let now = unix_ms(std::time::SystemTime::now());
     let burn = &state.burn;
-    burn.refused(workspace, class, refusal.code, false, now);
+    burn.refused(workspace, class, refusal.code, refusal.wrong, now);
     poplar_base::log::debug("refused")
         .request(&job.id)
         .workspace(workspace)
--- a/crates/router/src/flow/request.rs
+++ b/crates/router/src/flow/request.rs
@@ -9,6 +9,7 @@
 use poplar_core::id::{Name, RequestId};
 use poplar_core::poison::Print;
 use poplar_core::prefix::Chain;
+use poplar_core::queue;
 
 use crate::refusal::{Code, Refusal};
 
@@ -152,18 +153,10 @@
 
     /// Urgency at backend servers: 0 is most urgent, 9 least.
     pub fn priority(&self) -> u8 {
-        priority(self.class.first.unwrap_or(self.class.finish))
+        queue::priority_of(self.class.first.unwrap_or(self.class.finish))
     }
 }
 
-/// Urgency by the target of the first token.
-fn priority(target: Duration) -> u8 {
-    /// Targets of priorities 0 to 8, in milliseconds.
-    const STEPS_MS: [u64; 9] = [300, 600, 1000, 2000, 4000, 8000, 15_000, 30_000, 60_000];
-    let ms = target.as_millis() as u64;
-    STEPS_MS.iter().position(|step| ms <= *step).unwrap_or(9) as u8
-}
-
 /// A call of a plain service.
 #[derive(Debug, Clone)]
 pub struct Call {
--- a/crates/router/src/flow/service.rs
+++ b/crates/router/src/flow/service.rs
@@ -12,7 +12,7 @@
 use poplar_core::id::Name;
 use poplar_core::retry::{Attempt, Failure, Next};
 
-use crate::backends::dispatch::{Ended, LATE, Placed, Work};
+use crate::backends::dispatch::{AGAIN_WAIT, Ended, LATE, Placed, Work};
 use crate::claims;
 use crate::flow::chat::reserve;
 use crate::flow::finish::{self, Finished, Sure};
@@ -133,7 +133,8 @@
         match next {
             Next::Send { after, .. } => {
                 crate::metrics::retried(&job.class.name);
-                tokio::time::sleep(after).await;
+                let again = tried.contains(&placed.server);
+                tokio::time::sleep(if again { after.max(AGAIN_WAIT) } else { after }).await;
             }
             Next::GiveUp { reason, .. } => {
                 let code = if job.class.repeat || runs == 0 {
@@ -168,6 +169,10 @@
     if let Some(attempt) = claim {
         claims::abandon(state, &job.id, &attempt).await;
     }
+    if refusal.code == Code::TooLong {
+        // Coming back would not help.
+        return refusal;
+    }
     let after = refusal.after.unwrap_or(CLAIM_AFTER);
     refusal.after(after)
 }
@@ -220,7 +225,7 @@
     let patience = job.class.finish + GRACE;
     let answer = match state.client.call(request, patience).await {
         Ok(answer) => answer,
-        Err(HttpError::Connect(_)) => return Attempted::Failed(Failure::Connect),
+        Err(HttpError::Connect { .. }) => return Attempted::Failed(Failure::Connect),
         Err(_) => return Attempted::Failed(Failure::Lost),
     };
     if let Failure::Refused(why) = refusal_of(&answer.body) {
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -171,6 +171,8 @@
     pub after: Option<Duration>,
     /// What exactly was found.
     pub detail: String,
+    /// Whether the budget would have covered it, fleet-wide.
+    pub wrong: bool,
 }
 
 impl Refusal {
@@ -181,6 +183,7 @@
             run: Execution::NotRun,
             after: None,
             detail: String::new(),
+            wrong: false,
         }
     }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -184,9 +184,9 @@
 fn budget(file: &mut File) -> Budget {
     let mut s = file.section_or_empty("budget");
     Budget {
-        horizon: s.duration_or("horizon", ms(1000)..=LONGEST, Duration::from_secs(360)),
+        horizon: s.duration_or("horizon", ms(1000)..=LONGEST, Duration::from_secs(480)),
         least: s.number_or("least", 1..=1 << 32, 4096),
-        exposure: s.number_or("exposure", 1..=1 << 40, 1 << 20),
+        exposure: s.number_or("exposure", 1..=1 << 40, 1 << 18),
         bill: s.duration_or("bill", ms(1)..=LONGEST, ms(400)),
         alone: s.duration_or("alone", ms(1)..=LONGEST, Duration::from_secs(2)),
     }
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -1,8 +1,10 @@
 //! Locks of the shared tables.
 //!
-//! Order: `config`, `bank`, `roster`, `dispatch`, `claims`, `journal`. A lock
-//! is held for one decision, never across an await, and a later one may be
-//! taken while an earlier one is held, never the other way.
+//! Order: the configuration, the bank's tables, the biller's queue and then its
+//! losses, the peers and then the copies held for them, the pools of
+//! `dispatch`, the notes of claims and then the open ones, the journal, the
+//! burn counts. A lock is held for one decision, never across an await, and a
+//! later one may be taken while an earlier one is held, never the other way.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/standins/tests/service.rs
+++ b/crates/standins/tests/service.rs
@@ -89,7 +89,7 @@
     let refused = async {
         loop {
             // The listener closes just after the switch was answered.
-            if let Err(Error::Connect(_)) = push(&service, "a", "1").await {
+            if let Err(Error::Connect { .. }) = push(&service, "a", "1").await {
                 return;
             }
         }
