--- a/crates/router/src/backends/roster.rs
+++ b/crates/router/src/backends/roster.rs
@@ -105,8 +105,19 @@
     }
 }
 
-/// Reads one server's load; a server that refuses connections is dead.
-pub async fn read_load(state: &State, server: &Seen) {
+/// What a look at a server showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It told its load.
+    Well,
+    /// It did not answer; nobody knows why.
+    Silent,
+    /// It refuses connections, so that its process is gone.
+    Dead,
+}
+
+/// Reads one server's load.
+pub async fn read_load(state: &State, server: &Seen) -> Health {
     let url = format!("http://{}/v1/load", server.address);
     let answer = state.client.get(&url, LOAD_TIMEOUT).await;
     let now = Instant::now();
@@ -117,9 +128,10 @@
         if state.crashes.dead(&server.name, now) {
             state.refresh.notify_waiters();
         }
+        return Health::Dead;
     }
     let Ok(load) = answer.and_then(|a| a.json::<LoadWire>()) else {
-        return;
+        return Health::Silent;
     };
     let age = Duration::from_millis(load.age_ms);
     let report = Report {
@@ -132,6 +144,7 @@
     let key = (server.engine, server.serves.clone());
     let dispatch = &state.dispatch;
     dispatch.reported(&key, &server.name, report, load.leaving, now);
+    Health::Well
 }
 
 async fn read_cache(state: &State, server: &Seen) {
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -20,7 +20,7 @@
 use tokio::sync::mpsc;
 
 use crate::backends::dispatch::{AGAIN_WAIT, Ended, LATE, Placed, Work};
-use crate::backends::roster;
+use crate::backends::roster::{self, Health};
 use crate::budget::bank::Refused;
 use crate::budget::reservation::Reservation;
 use crate::flow::chunk::{Broken, Chunk, Reader};
@@ -35,6 +35,12 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Silence after which a stream is taken for lost.
 const SILENCE: Duration = Duration::from_secs(10);
+/// Waits before each look whether a server died of a request.
+const SUSPECT_WAITS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(80),
+];
 /// When to come back after backend servers failed.
 const FAILED_AFTER: Duration = Duration::from_secs(1);
 
@@ -205,8 +211,15 @@
         let crashes = &self.state.crashes;
         crashes.lost(self.print, &placed.server, Instant::now());
         let seen = self.state.dispatch.seen();
-        if let Some(server) = seen.iter().find(|s| s.name == placed.server) {
-            roster::read_load(&self.state, server).await;
+        let Some(server) = seen.iter().find(|s| s.name == placed.server) else {
+            return;
+        };
+        // A process that dies may listen for a moment still.
+        for wait in SUSPECT_WAITS {
+            tokio::time::sleep(wait).await;
+            if roster::read_load(&self.state, server).await == Health::Dead {
+                return;
+            }
         }
     }
 
--- a/crates/router/src/flow/replay.rs
+++ b/crates/router/src/flow/replay.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use poplar_base::platform::Error;
+use poplar_base::platform::{Error, Row};
 use poplar_core::bill::{Batch, Bill, BilledRow, billed_key};
+use poplar_core::claim::claim_key;
+use poplar_core::claim::table::ClaimRow;
 
 use crate::flow::request::Job;
 use crate::refusal::{Code, Execution, Refusal};
@@ -41,6 +43,30 @@
     Ok(bill)
 }
 
+/// Whether the table shows that no try of a request was claimed or billed.
+///
+/// While the table can't be read a retry can't be told from a first try.
+pub(super) async fn is_new(state: &State, job: &Job) -> bool {
+    let keys = vec![billed_key(&job.id), claim_key(&job.id)];
+    let read = tokio::time::timeout(PATIENCE, (state.platform.read)(keys)).await;
+    let Some([billed, claim]) = read.ok().and_then(Result::ok).as_deref().map(|r| match r {
+        [billed, claim] => [billed.version, claim_version(claim)],
+        _ => [1, 1],
+    }) else {
+        return false;
+    };
+    billed == 0 && claim == 0
+}
+
+/// Version of a claim's row; 0 also where its attempt was given up.
+fn claim_version(row: &Row) -> u64 {
+    let claim = row.decode::<ClaimRow>().ok().flatten();
+    match claim {
+        Some(claim) if !claim.binds() => 0,
+        _ => row.version,
+    }
+}
+
 async fn stored(state: &State, job: &Job) -> Result<Option<Bill>, Refusal> {
     let read = tokio::time::timeout(PATIENCE, state.platform.row(billed_key(&job.id))).await;
     let row = read.ok().and_then(Result::ok);
--- a/crates/router/src/flow/service.rs
+++ b/crates/router/src/flow/service.rs
@@ -45,7 +45,16 @@
 ) -> Result<Answer, Refusal> {
     let task = tokio::spawn(async move {
         let _entry = entry;
-        let outcome = run(&state, &job, &call).await;
+        let is_new = job.class.repeat || replay::is_new(&state, &job).await;
+        let outcome = run(&state, &job, &call).await.map_err(|refusal| {
+            // An earlier try elsewhere may have run, and nobody here can know.
+            let untold = !is_new && refusal.run == Execution::NotRun;
+            if untold {
+                refusal.run(Execution::Unknown)
+            } else {
+                refusal
+            }
+        });
         if let Err(refusal) = &outcome {
             report_refusal(&state, &job, refusal);
         }
