--- a/tests/tests/scenarios.rs
+++ b/tests/tests/scenarios.rs
@@ -35,6 +35,7 @@
 }
 
 scenarios! {
+    answers_all_cut
     answers_engine_death
     answers_router_death
     answers_whole
@@ -53,22 +54,21 @@
     config_force
     config_restart
     leaving
-    once_chaos_fenced
-    once_chaos_unfenced
+    once_given_up
     once_happy
     once_paused_fenced
     once_paused_unfenced
+    once_rolling
     pair_engine_router
     pair_kill_lost
     pair_partition_topup
     pair_pause_outage
     poison
-    red_cuts_eject_all
+    poison_bystanders
     red_not_run_after_run
-    red_once_given_up
-    red_once_rolling
-    red_poison_bystanders
-    red_refusals_not_run
+    red_once_chaos_fenced
+    red_once_chaos_unfenced
     refusals_not_run
+    refusals_small_engines
     shutdown_rolling
 }
