Say unknown where a retry can't be told from a first try

Cause: the table was down, a retry of a call that had run elsewhere was refused as not run; true of the try, untrue of the call. Scenarios once_chaos_* and not_run_after_run showed it.

--- a/crates/router/src/claims/mod.rs
+++ b/crates/router/src/claims/mod.rs
@@ -76,6 +76,11 @@
         lock(&self.notes).is_active()
     }
 
+    /// Whether an attempt of a request is noted here.
+    pub fn has_note(&self, id: &RequestId) -> bool {
+        lock(&self.notes).noted(id).next().is_some()
+    }
+
     fn later(&self, id: &RequestId, attempt: &Attempt, stage: Stage) {
         lock(&self.open).push(Open {
             id: id.clone(),
--- a/crates/router/src/door/intake.rs
+++ b/crates/router/src/door/intake.rs
@@ -14,7 +14,7 @@
 use crate::state::State;
 
 /// Header that makes a request safe to repeat.
-const KEY: &str = "idempotency-key";
+pub(super) const KEY: &str = "idempotency-key";
 /// Longest idempotency key in bytes.
 const KEY_MOST: usize = 200;
 /// When to come back to a router that is not ready.
--- a/crates/router/src/door/service.rs
+++ b/crates/router/src/door/service.rs
@@ -27,7 +27,13 @@
 async fn answer(state: &Arc<State>, mut request: Request) -> Result<(Answer, RequestId), Failed> {
     let now = Instant::now();
     let early = |refusal| (refusal, None);
-    intake::open(state).map_err(early)?;
+    // A retry can't be told from a first try here.
+    let is_keyed = request.headers().contains_key(intake::KEY);
+    let untold = |refusal: Refusal| match is_keyed {
+        true => refusal.run(Execution::Unknown),
+        false => refusal,
+    };
+    intake::open(state).map_err(|r| early(untold(r)))?;
     let config = state.config();
     let workspace = intake::workspace(&config, &request).map_err(early)?.clone();
     let key = intake::key(&request).map_err(early)?;
--- a/crates/router/src/flow/replay.rs
+++ b/crates/router/src/flow/replay.rs
@@ -43,7 +43,8 @@
     Ok(bill)
 }
 
-/// Whether the table shows that no try of a request was claimed or billed.
+/// Whether no try of a request was claimed or billed, as the table and the
+/// notes of promises show.
 ///
 /// While the table can't be read a retry can't be told from a first try.
 pub(super) async fn is_new(state: &State, job: &Job) -> bool {
@@ -55,7 +56,7 @@
     }) else {
         return false;
     };
-    billed == 0 && claim == 0
+    billed == 0 && claim == 0 && !state.claims.has_note(&job.id)
 }
 
 /// Version of a claim's row; 0 also where its attempt was given up.
--- a/tests/tests/scenarios.rs
+++ b/tests/tests/scenarios.rs
@@ -65,9 +65,9 @@
     pair_pause_outage
     poison
     poison_bystanders
-    red_not_run_after_run
-    red_once_chaos_fenced
-    red_once_chaos_unfenced
+    not_run_after_run
+    once_chaos_fenced
+    once_chaos_unfenced
     refusals_not_run
     refusals_small_engines
     shutdown_rolling
