--- a/crates/spec/src/claim/mod.rs
+++ b/crates/spec/src/claim/mod.rs
@@ -45,6 +45,8 @@
     AllButOne,
     /// A joiner is active without an acknowledgement.
     Unacknowledged,
+    /// A sealed member's acknowledgement counts.
+    SealedAcker,
     /// A member that acknowledged a set goes on to promise to older ones.
     OlderSets,
     /// A joiner does not take over the notes.
@@ -310,7 +312,7 @@
             Bounds {
                 members: 2,
                 joins: 1,
-                askers: &[0, 2],
+                askers: &[1, 2],
                 seals: 1,
                 sealers: &[1],
                 ..base
--- a/crates/spec/src/claim/step/group.rs
+++ b/crates/spec/src/claim/step/group.rs
@@ -59,7 +59,12 @@
             continue;
         }
         let mut handed = None;
-        let mut next = world.with(at, |router| handed = router.notes.acknowledge(&set));
+        let mut next = world.with(at, |router| {
+            handed = router.notes.acknowledge(&set);
+            if handed.is_none() && cx.has(Fault::SealedAcker) {
+                handed = Some(router.notes.hand_over());
+            }
+        });
         if let Some(handover) = handed {
             next.handovers.push((at, joiner, handover));
             if !world
@@ -116,8 +121,9 @@
     }
     let row = &world.table.group.row;
     let acker = router.acker.map(|acker| &NAMES[acker]);
+    let taken = cx.has(Fault::SealedAcker) && acker.is_some();
     let decided = match row.activate(&NAMES[at], acker) {
-        Err(_) if cx.has(Fault::Unacknowledged) => {
+        Err(_) if cx.has(Fault::Unacknowledged) || taken => {
             let mut row = row.clone();
             row.members
                 .iter_mut()
--- a/crates/spec/tests/claim.rs
+++ b/crates/spec/tests/claim.rs
@@ -84,6 +84,7 @@
     finds(Fault::Unacknowledged, "join");
     finds(Fault::OlderSets, "join");
     finds(Fault::NotesLeft, "join");
+    finds(Fault::SealedAcker, "join and seal");
 }
 
 #[test]
