--- a/crates/core/src/route/server.rs
+++ b/crates/core/src/route/server.rs
@@ -60,7 +60,7 @@
     pub work: u32,
     /// Output tokens that are still expected.
     pub left: u32,
-    /// Whether a slot was expected to be free.
+    /// Whether a slot may have been free; the server's load has a say too.
     pub direct: bool,
     /// When its newest token came.
     pub heard: Option<Instant>,
@@ -103,6 +103,8 @@
     report: Option<Report>,
     /// Load reports so far.
     reports: u64,
+    /// Whether an answer of it was seen to come token by token.
+    streams: bool,
     /// Own requests sent since the report was taken and still in flight.
     sent: u32,
     /// Own requests that were in flight then and have ended.
@@ -130,6 +132,7 @@
             ranks: [0; PRIORITIES],
             report: None,
             reports: 0,
+            streams: false,
             sent: 0,
             ended: 0,
             ends: VecDeque::new(),
@@ -152,11 +155,10 @@
     }
 
     /// Notes that request `id` was sent.
-    pub fn dispatched(&mut self, id: u64, flight: Flight) {
+    pub fn dispatched(&mut self, id: u64, mut flight: Flight) {
+        flight.direct &= self.load() < self.slots();
         if self.flights.is_empty() {
-            let first = self.pace.prefill(flight.work) + self.step().as_secs_f64();
-            let grace = Duration::from_secs_f64(2.0 * first) + self.rtt;
-            self.expect = Some(flight.sent + grace);
+            self.expect = Some(flight.sent + self.rtt + self.patience(&flight));
         }
         self.sent += 1;
         self.ranks[rank(flight.priority)] += 1;
@@ -178,6 +180,7 @@
             None => {}
         }
         flight.heard = Some(now);
+        self.streams = true;
         flight.left = flight.left.saturating_sub(tokens).max(1);
         self.expect = Some(now + step * 4);
     }
@@ -197,11 +200,24 @@
             End::Full => self.window.shrink(now),
             End::Other => {}
         }
-        if self.flights.is_empty() {
-            self.expect = None;
+        let next = self.flights.iter().next();
+        match next.map(|(_, f)| now + self.rtt + self.patience(f)) {
+            Some(at) if !self.streams => self.expect = Some(at),
+            Some(_) => {}
+            None => self.expect = None,
         }
     }
 
+    /// How long to wait for news of a request that was sent.
+    ///
+    /// A server that streams is heard of at the first token. From one that was
+    /// never seen to stream nothing is heard until the answer is whole.
+    fn patience(&self, flight: &Flight) -> Duration {
+        let tokens = if self.streams { 1 } else { flight.left };
+        let steps = f64::from(tokens) * self.step().as_secs_f64();
+        Duration::from_secs_f64(2.0 * (self.pace.prefill(flight.work) + steps))
+    }
+
     fn note_end(&mut self, sent: Instant, now: Instant) {
         if self.report.is_some_and(|r| sent <= r.taken) {
             self.ended += 1;
