--- a/crates/spec/src/budget/mod.rs
+++ b/crates/spec/src/budget/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Three incarnations share one budget. The third may start at any time, so it
 //! stands both for a third router and for a restart of one that crashed. Every
-//! request costs [`WORST`] tokens at most. Within the bounds any commit may
+//! request costs two tokens at most. Within the bounds any commit may
 //! lose its answer, take effect late or not at all; any message may come late,
 //! twice or never; routers crash, and are sealed while they run or after.
 
