--- a/crates/core/src/claim/notes.rs
+++ b/crates/core/src/claim/notes.rs
@@ -173,9 +173,17 @@
     }
 
     /// All notes, for a joiner or for the heir of a leaver.
+    ///
+    /// A leaver hands over once its own attempts are in the table. Its heir
+    /// keeps the notes of these for it, so they go as such.
     pub fn hand_over(&self) -> Handover {
+        let leaves = self.standing == Standing::Ended;
         let all = self.notes.iter();
-        let notes = all.map(|((id, attempt), note)| (id.clone(), attempt.clone(), *note));
+        let notes = all.map(|((id, attempt), note)| {
+            let kept = leaves && attempt.claimant == self.me;
+            let tabled = note.tabled || kept;
+            (id.clone(), attempt.clone(), Note { tabled, ..*note })
+        });
         Handover {
             epoch: self.set.epoch,
             notes: notes.collect(),
