Stop reserving and giving before a grant is closed

A gift given between the last record and the close went back to the budget though its receiver held it: consumption beyond the rows, as the seeded fault shows. Ledger::end stops both and says when the close is safe.

--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -27,6 +27,8 @@
     pub given: u64,
     /// Bound on the exposure; `None` for no bound.
     pub bound: Option<u64>,
+    /// Whether the router ends its use of the budget.
+    pub ending: bool,
 }
 
 impl Holding {
@@ -48,6 +50,7 @@
     /// What may be reserved or given now.
     pub fn usable(&self) -> u64 {
         match self.bound {
+            _ if self.ending => 0,
             Some(bound) => self.free().min(bound.saturating_sub(self.exposure())),
             None => self.free(),
         }
@@ -180,10 +183,20 @@
         self.of(budget).bound = declared;
     }
 
+    /// Reserves and gives nothing more of `budget`, ahead of its close.
+    ///
+    /// Returns whether the table knows of everything. Only then may the grant
+    /// be closed: what was given and not recorded would go back too.
+    pub fn end(&mut self, budget: &Name) -> bool {
+        let holding = self.of(budget);
+        holding.ending = true;
+        holding.idle()
+    }
+
     /// The rest went back to the budget, and nothing of it is used any more.
     pub fn close(&mut self, budget: &Name) {
         let holding = self.of(budget);
         holding.held = holding.spent;
-        holding.bound = Some(0);
+        holding.ending = true;
     }
 }
--- a/crates/spec/src/budget/mod.rs
+++ b/crates/spec/src/budget/mod.rs
@@ -60,6 +60,8 @@
     UnreadBill,
     /// A late bill does not look for the mark of an earlier one.
     LateUnmarked,
+    /// A grant is closed while something is given and not recorded.
+    CloseExposed,
     /// A repeated top-up is made again.
     TopUpTwice,
 }
--- a/crates/spec/src/budget/step/change.rs
+++ b/crates/spec/src/budget/step/change.rs
@@ -45,7 +45,8 @@
         let purpose = Purpose::Record { tokens };
         start(world.clone(), at, purpose, Step::Record(at), all);
     }
-    if router.closing && router.ledger.holding(&BUDGET).idle() {
+    let idle = router.ledger.clone().end(&BUDGET) || cx.has(Fault::CloseExposed);
+    if router.closing && idle {
         start(world.clone(), at, Purpose::Close, Step::Close(at), all);
     }
 }
--- a/crates/spec/src/budget/step/end.rs
+++ b/crates/spec/src/budget/step/end.rs
@@ -5,7 +5,7 @@
 use poplar_core::budget::topup::{TopUp, top_up as decide_topup};
 
 use super::{Step, Successors};
-use crate::budget::{Cx, Fault, Life, Request, World};
+use crate::budget::{BUDGET, Cx, Fault, Life, Request, World};
 
 pub(super) fn steps(world: &World, at: usize, cx: Cx, all: &mut Successors) {
     if let Life::Up(router) = &world.lives[at] {
@@ -13,6 +13,7 @@
             let mut next = world.clone();
             if let Some(router) = next.router(at) {
                 router.closing = true;
+                router.ledger.end(&BUDGET);
             }
             all.push((Step::Stop(at), next));
         }
--- a/crates/spec/src/budget/step/gift.rs
+++ b/crates/spec/src/budget/step/gift.rs
@@ -75,9 +75,6 @@
     let Some(router) = next.router(donor) else {
         return false;
     };
-    if router.closing {
-        return false;
-    }
     let Some(tokens) = give(router, ask, cx) else {
         return true;
     };
--- a/crates/spec/tests/budget.rs
+++ b/crates/spec/tests/budget.rs
@@ -80,6 +80,7 @@
     let rows = "consumption stays within the rows";
     finds(Fault::GiftTwice, "gift and end", rows);
     finds(Fault::GiftKept, "gift and end", rows);
+    finds(Fault::CloseExposed, "gift", rows);
     let known = "a holder knows what it was granted";
     finds(Fault::GiftAnew, "gift", known);
 }
