Close a budget only once its gifts are recorded; confirm the configuration

A gift given between the record of gifts and the close went back to the budget while its receiver held it: the holding is ended first now. A configuration from a peer alone no longer makes a restarted router serve.

--- a/crates/router/src/budget/draw.rs
+++ b/crates/router/src/budget/draw.rs
@@ -152,7 +152,21 @@
     }
 
     async fn close_one(&self, budget: &Name, router: u64) -> Result<(), Refused> {
-        self.record_gifts(budget, router).await?;
+        // From now on nothing is reserved or given; what was given before has
+        // to be in the table before the rest goes back.
+        let mut is_idle = lock(&self.tables).ledger.end(budget);
+        for attempt in 0..TRIES {
+            if is_idle {
+                break;
+            }
+            // A gift that is not covered yet waits for a record of another's.
+            let _ = self.record_gifts(budget, router).await;
+            pause(attempt).await;
+            is_idle = lock(&self.tables).ledger.end(budget);
+        }
+        if !is_idle {
+            return Err(Refused::Exposed);
+        }
         let seen = self.seen(budget);
         let mut seen = seen.lock().await;
         let keys = Keys::new(budget, &self.me, None);
--- a/crates/router/src/claims/group.rs
+++ b/crates/router/src/claims/group.rs
@@ -52,8 +52,9 @@
         return join(state, version, &row).await;
     }
     if lock(&state.claims.notes).is_scanning() {
-        return scan(state, &row).await;
+        scan(state, &row).await?;
     }
+    // Where a sealing did not take effect it is tried again.
     let sealed = seal_out(state, version, &row).await?;
     if !sealed && !row.is_active(&state.me) {
         return activate(state, version, &row).await;
@@ -218,6 +219,13 @@
     Some(wire::handover(&handover, Instant::now()))
 }
 
+/// Waits until the table has the claims that were made without it.
+pub async fn flushed(state: &State) {
+    while !lock(&state.claims.open).is_empty() {
+        tokio::time::sleep(EVERY / 10).await;
+    }
+}
+
 /// Leaves the group: an active member takes the notes over first.
 ///
 /// Returns the row without this router and its version, for the transaction
--- a/crates/router/src/conf.rs
+++ b/crates/router/src/conf.rs
@@ -7,16 +7,17 @@
 use poplar_base::platform::{Error, Row};
 use poplar_core::budget::rows::incarnation_key;
 use poplar_core::config::{self, Config, ConfigWire};
+use poplar_core::generation::Source;
 
 use crate::state::State;
 
 /// Puts a configuration in force where it is newer, and tells peers at once.
-pub fn apply(state: &State, config: Config, from: &'static str) {
+pub fn apply(state: &State, config: Config, from: Source) {
     let generation = config.generation;
-    if state.apply(config) {
+    if state.apply(config, from) {
         log::info("configuration")
             .with("generation", generation)
-            .with("from", from)
+            .with("from", format_args!("{from:?}"))
             .write();
         state.refresh.notify_waiters();
     }
@@ -43,7 +44,7 @@
 fn learn(state: &State, row: &Row) -> Result<(), Error> {
     if let Some(wire) = row.decode::<ConfigWire>()? {
         let config = Config::try_from(wire).map_err(|e| Error::Malformed(e.to_string()))?;
-        apply(state, config, "table");
+        apply(state, config, Source::Table);
     }
     Ok(())
 }
--- a/crates/router/src/life.rs
+++ b/crates/router/src/life.rs
@@ -241,6 +241,7 @@
 
 async fn last_writes(state: &Arc<State>) {
     state.biller.flushed().await;
+    claims::group::flushed(state).await;
     if let Err(why) = state.bank.close(state.router()).await {
         log::warn("close").reason(why).write();
     }
--- a/crates/router/src/peers/gossip.rs
+++ b/crates/router/src/peers/gossip.rs
@@ -7,6 +7,7 @@
 use futures::future::join_all;
 use poplar_core::bill::{RouterRow, Stage};
 use poplar_core::config::{Config, ConfigWire};
+use poplar_core::generation::Source;
 use poplar_core::id::Incarnation;
 use poplar_peer::generated::{GossipRequest, Member};
 
@@ -108,6 +109,6 @@
     let wire = serde_json::from_slice::<ConfigWire>(config).ok();
     let config = wire.and_then(|wire| Config::try_from(wire).ok());
     if let Some(config) = config {
-        crate::conf::apply(state, config, "peer");
+        crate::conf::apply(state, config, Source::Peer);
     }
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -7,6 +7,7 @@
 use poplar_base::http::Client;
 use poplar_base::platform::Platform;
 use poplar_core::config::Config;
+use poplar_core::generation::{Follower, Source};
 use poplar_core::id::{Incarnation, RequestId};
 use poplar_core::sorted::SortedVec;
 use tokio::sync::Notify;
@@ -56,7 +57,7 @@
     pub open: Open,
     /// Woken where the configuration may have changed.
     pub refresh: Notify,
-    config: RwLock<Arc<Config>>,
+    config: RwLock<(Follower, Arc<Config>)>,
     router: AtomicU64,
     sealed: AtomicBool,
     draining: AtomicBool,
@@ -104,20 +105,26 @@
     /// The configuration in force.
     pub fn config(&self) -> Arc<Config> {
         let config = self.config.read();
-        config.unwrap_or_else(|e| e.into_inner()).clone()
+        config.unwrap_or_else(|e| e.into_inner()).1.clone()
     }
 
     /// Puts a configuration in force where it is newer.
-    pub fn apply(&self, config: Config) -> bool {
+    pub fn apply(&self, config: Config, from: Source) -> bool {
         let current = self.config.write();
         let mut current = current.unwrap_or_else(|e| e.into_inner());
-        let newer = config.generation > current.generation;
+        let newer = current.0.learn(config.generation, from);
         if newer {
-            *current = Arc::new(config);
+            current.1 = Arc::new(config);
         }
         newer
     }
 
+    /// Whether no earlier life can have had a newer configuration in force.
+    fn is_confirmed(&self) -> bool {
+        let config = self.config.read();
+        config.unwrap_or_else(|e| e.into_inner()).0.may_serve()
+    }
+
     /// Version of the own router row; 0 before it is written.
     pub fn router(&self) -> u64 {
         self.router.load(Ordering::Acquire)
@@ -151,7 +158,7 @@
 
     /// Whether requests are served: registered, configured and not sealed.
     pub fn serves(&self) -> bool {
-        self.router() != 0 && self.config().generation > 0 && !self.is_sealed()
+        self.router() != 0 && self.is_confirmed() && !self.is_sealed()
     }
 
     /// Whether the balancer may send requests.
