--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -159,7 +159,11 @@
     let now = Instant::now();
     let mut server = servers(1, now).remove(0);
     server.dispatched(1, flight(now));
-    server.dispatched(2, flight(now));
+    let queued = Flight {
+        direct: false,
+        ..flight(now)
+    };
+    server.dispatched(2, queued);
     // A hundred steps of 6 ms are expected of each.
     assert_eq!(server.overdue(now + MS * 900), Duration::ZERO);
     server.ended(1, End::Done(100), now + MS * 900);
@@ -170,6 +174,44 @@
     assert!(server.overdue(now + MS * 4100) > MS * 50);
     server.ended(2, End::Other, now + MS * 4100);
     assert_eq!(server.overdue(now + MS * 9000), Duration::ZERO);
+    // From then on its first token is expected soon.
+    server.dispatched(3, flight(now + MS * 9000));
+    assert!(server.overdue(now + MS * 9200) > MS * 50);
+}
+
+#[test]
+fn a_wait_that_was_not_seen_is_not_taken_for_slow_prompt_work() {
+    let now = Instant::now();
+    let mut all = servers(1, now);
+    for id in 0..40 {
+        let sent = now + MS * 2000 * id as u32;
+        all[0].dispatched(id, flight(sent));
+        let took = if id % 2 == 0 { MS * 30 } else { MS * 1000 };
+        all[0].progressed(id, 1, sent + took);
+        all[0].ended(id, End::Done(100), sent + MS * 1500);
+    }
+    let sight = look(&fleet(&all), &job(), |_| 0, &[], 1, now + MS * 80_000);
+    assert!(sight.best.unwrap().first < MS * 60, "{sight:?}");
+    // Sent to a full server it waited, whatever the sender thought.
+    let mut full = servers(1, now).remove(0);
+    full.reported(report(8, 0, now + MS));
+    for id in 0..40 {
+        full.dispatched(id, flight(now + MS * 2));
+        full.progressed(id, 1, now + MS * 3000);
+        full.ended(id, End::Done(100), now + MS * 3000);
+    }
+    full.reported(report(0, 0, now + MS * 4000));
+    let sight = look(&fleet(&[full]), &job(), |_| 0, &[], 1, now + MS * 4000);
+    assert!(sight.best.unwrap().first < MS * 60, "{sight:?}");
+    // Where all take that long, the server is slow.
+    for id in 40..140 {
+        let sent = now + MS * 2000 * id as u32;
+        all[0].dispatched(id, flight(sent));
+        all[0].progressed(id, 1, sent + MS * 1000);
+        all[0].ended(id, End::Done(100), sent + MS * 1500);
+    }
+    let sight = look(&fleet(&all), &job(), |_| 0, &[], 1, now + MS * 280_000);
+    assert!(sight.best.unwrap().first > MS * 500, "{sight:?}");
 }
 
 #[test]
--- a/crates/router/src/backends/roster.rs
+++ b/crates/router/src/backends/roster.rs
@@ -14,7 +14,10 @@
 use crate::state::State;
 
 /// How long a load report may take.
-const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
+const LOAD_TIMEOUT: Duration = Duration::from_millis(300);
+/// Rounds of load reports to one of cache events, which matter less: a router
+/// knows itself what it sent where.
+const CACHE_EVERY: u64 = 4;
 /// How often waiting requests are looked at where nothing else happens.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -81,10 +84,13 @@
 
 /// Reads every backend server's load and cache events again and again.
 pub async fn watch_load(state: Arc<State>) {
+    let mut round = 0;
     loop {
         let started = Instant::now();
         let servers = state.dispatch.seen();
-        join_all(servers.iter().map(|server| poll(&state, server))).await;
+        let cache = round % CACHE_EVERY == 0;
+        join_all(servers.iter().map(|server| poll(&state, server, cache))).await;
+        round += 1;
         state.dispatch.compare(Instant::now());
         state.crashes.expire(Instant::now());
         let every = state.settings.backends.load;
@@ -92,23 +98,40 @@
     }
 }
 
-async fn poll(state: &State, server: &Seen) {
+async fn poll(state: &State, server: &Seen, cache: bool) {
     read_load(state, server).await;
-    if server.engine {
+    if server.engine && cache {
         read_cache(state, server).await;
     }
 }
 
-/// Reads one server's load; a server that refuses connections is dead.
-pub async fn read_load(state: &State, server: &Seen) {
+/// What a look at a server showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It told its load.
+    Well,
+    /// It did not answer; nobody knows why.
+    Silent,
+    /// It refuses connections, so that its process is gone.
+    Dead,
+}
+
+/// Reads one server's load.
+pub async fn read_load(state: &State, server: &Seen) -> Health {
     let url = format!("http://{}/v1/load", server.address);
     let answer = state.client.get(&url, LOAD_TIMEOUT).await;
     let now = Instant::now();
-    if matches!(answer, Err(HttpError::Connect(_))) && state.crashes.dead(&server.name, now) {
-        state.refresh.notify_waiters();
+    // A cut network is no death: only a refusal shows that nobody listens.
+    if matches!(answer, Err(HttpError::Connect { refused: true, .. })) {
+        let key = (server.engine, server.serves.clone());
+        state.dispatch.died(&key, &server.name);
+        if state.crashes.dead(&server.name, now) {
+            state.refresh.notify_waiters();
+        }
+        return Health::Dead;
     }
     let Ok(load) = answer.and_then(|a| a.json::<LoadWire>()) else {
-        return;
+        return Health::Silent;
     };
     let age = Duration::from_millis(load.age_ms);
     let report = Report {
@@ -121,6 +144,7 @@
     let key = (server.engine, server.serves.clone());
     let dispatch = &state.dispatch;
     dispatch.reported(&key, &server.name, report, load.leaving, now);
+    Health::Well
 }
 
 async fn read_cache(state: &State, server: &Seen) {
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -19,8 +19,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
-use crate::backends::dispatch::{Ended, LATE, Placed, Work};
-use crate::backends::roster;
+use crate::backends::dispatch::{AGAIN_WAIT, Ended, LATE, Placed, Work};
+use crate::backends::roster::{self, Health};
 use crate::budget::bank::Refused;
 use crate::budget::reservation::Reservation;
 use crate::flow::chunk::{Broken, Chunk, Reader};
@@ -35,6 +35,12 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Silence after which a stream is taken for lost.
 const SILENCE: Duration = Duration::from_secs(10);
+/// Waits before each look whether a server died of a request.
+const SUSPECT_WAITS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(80),
+];
 /// When to come back after backend servers failed.
 const FAILED_AFTER: Duration = Duration::from_secs(1);
 
@@ -205,8 +211,15 @@
         let crashes = &self.state.crashes;
         crashes.lost(self.print, &placed.server, Instant::now());
         let seen = self.state.dispatch.seen();
-        if let Some(server) = seen.iter().find(|s| s.name == placed.server) {
-            roster::read_load(&self.state, server).await;
+        let Some(server) = seen.iter().find(|s| s.name == placed.server) else {
+            return;
+        };
+        // A process that dies may listen for a moment still.
+        for wait in SUSPECT_WAITS {
+            tokio::time::sleep(wait).await;
+            if roster::read_load(&self.state, server).await == Health::Dead {
+                return;
+            }
         }
     }
 
@@ -224,7 +237,8 @@
         match dispatch.after(placed, failure, &attempt, Instant::now()) {
             Next::Send { after, .. } => {
                 crate::metrics::retried(&self.job.class.name);
-                tokio::time::sleep(after).await;
+                let again = self.tried.contains(&placed.server);
+                tokio::time::sleep(if again { after.max(AGAIN_WAIT) } else { after }).await;
                 Ok(())
             }
             Next::GiveUp { reason, .. } => Err(Refusal::new(Code::BackendFailed)
@@ -288,7 +302,7 @@
         let sent = tokio::time::timeout(SILENCE, self.state.client.send(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
-            Ok(Err(HttpError::Connect(_))) => return Attempted::Failed(Failure::Connect),
+            Ok(Err(HttpError::Connect { .. })) => return Attempted::Failed(Failure::Connect),
             Ok(Err(_)) => return Attempted::Failed(Failure::Lost),
             Err(_) => return Attempted::Failed(Failure::Timeout),
         };
@@ -347,7 +361,7 @@
             .header("x-request-id", self.job.id.0.as_ref())
             .header("x-workspace", self.job.workspace.as_ref())
             .header("x-fencing-number", self.state.router())
-            .header("x-priority", u16::from(self.job.priority()));
+            .header("x-priority", u16::from(placed.priority));
         if self.tokens > 0 {
             builder = builder.header("x-resume-from", self.tokens);
         }
@@ -423,7 +437,9 @@
                 Refusal::new(Code::Unready).after(Duration::from_secs(1))
             }
         };
-        refusal.detail(refused)
+        let mut refusal = refusal.detail(refused);
+        refusal.wrong = state.bank.would_cover(&job.budget, worst);
+        refusal
     })
 }
 
--- a/crates/router/src/flow/service.rs
+++ b/crates/router/src/flow/service.rs
@@ -12,7 +12,7 @@
 use poplar_core::id::Name;
 use poplar_core::retry::{Attempt, Failure, Next};
 
-use crate::backends::dispatch::{Ended, LATE, Placed, Work};
+use crate::backends::dispatch::{AGAIN_WAIT, Ended, LATE, Placed, Work};
 use crate::claims;
 use crate::flow::chat::reserve;
 use crate::flow::finish::{self, Finished, Sure};
@@ -45,7 +45,16 @@
 ) -> Result<Answer, Refusal> {
     let task = tokio::spawn(async move {
         let _entry = entry;
-        let outcome = run(&state, &job, &call).await;
+        let is_new = job.class.repeat || replay::is_new(&state, &job).await;
+        let outcome = run(&state, &job, &call).await.map_err(|refusal| {
+            // An earlier try elsewhere may have run, and nobody here can know.
+            let untold = !is_new && refusal.run == Execution::NotRun;
+            if untold {
+                refusal.run(Execution::Unknown)
+            } else {
+                refusal
+            }
+        });
         if let Err(refusal) = &outcome {
             report_refusal(&state, &job, refusal);
         }
@@ -133,7 +142,8 @@
         match next {
             Next::Send { after, .. } => {
                 crate::metrics::retried(&job.class.name);
-                tokio::time::sleep(after).await;
+                let again = tried.contains(&placed.server);
+                tokio::time::sleep(if again { after.max(AGAIN_WAIT) } else { after }).await;
             }
             Next::GiveUp { reason, .. } => {
                 let code = if job.class.repeat || runs == 0 {
@@ -168,6 +178,10 @@
     if let Some(attempt) = claim {
         claims::abandon(state, &job.id, &attempt).await;
     }
+    if refusal.code == Code::TooLong {
+        // Coming back would not help.
+        return refusal;
+    }
     let after = refusal.after.unwrap_or(CLAIM_AFTER);
     refusal.after(after)
 }
@@ -220,7 +234,7 @@
     let patience = job.class.finish + GRACE;
     let answer = match state.client.call(request, patience).await {
         Ok(answer) => answer,
-        Err(HttpError::Connect(_)) => return Attempted::Failed(Failure::Connect),
+        Err(HttpError::Connect { .. }) => return Attempted::Failed(Failure::Connect),
         Err(_) => return Attempted::Failed(Failure::Lost),
     };
     if let Failure::Refused(why) = refusal_of(&answer.body) {
--- a/crates/spec/src/claim/mod.rs
+++ b/crates/spec/src/claim/mod.rs
@@ -45,6 +45,8 @@
     AllButOne,
     /// A joiner is active without an acknowledgement.
     Unacknowledged,
+    /// A sealed member's acknowledgement counts.
+    SealedAcker,
     /// A member that acknowledged a set goes on to promise to older ones.
     OlderSets,
     /// A joiner does not take over the notes.
@@ -291,8 +293,7 @@
             "seal and flush",
             Bounds {
                 askers: &[0, 2],
-                seals: 1,
-                finish: true,
+                seals: 2,
                 flush: true,
                 ..base
             },
@@ -311,7 +312,7 @@
             Bounds {
                 members: 2,
                 joins: 1,
-                askers: &[0, 2],
+                askers: &[1, 2],
                 seals: 1,
                 sealers: &[1],
                 ..base
@@ -334,6 +335,7 @@
                 leavers: &[0, 1],
                 any_heir: false,
                 finish: true,
+                flush: true,
                 ..base
             },
         ),
@@ -344,7 +346,13 @@
 pub fn wide() -> Vec<(&'static str, Bounds)> {
     let all = suite().into_iter();
     let widened = all.filter_map(|(name, bounds)| match name {
-        "seal and flush" => Some((name, Bounds { seals: 2, ..bounds })),
+        "seal and flush" => {
+            let bounds = Bounds {
+                finish: true,
+                ..bounds
+            };
+            Some((name, bounds))
+        }
         "join and seal" => {
             let bounds = Bounds {
                 askers: &[0, 1, 2],
--- a/crates/spec/src/claim/step/group.rs
+++ b/crates/spec/src/claim/step/group.rs
@@ -59,7 +59,12 @@
             continue;
         }
         let mut handed = None;
-        let mut next = world.with(at, |router| handed = router.notes.acknowledge(&set));
+        let mut next = world.with(at, |router| {
+            handed = router.notes.acknowledge(&set);
+            if handed.is_none() && cx.has(Fault::SealedAcker) {
+                handed = Some(router.notes.hand_over());
+            }
+        });
         if let Some(handover) = handed {
             next.handovers.push((at, joiner, handover));
             if !world
@@ -116,8 +121,9 @@
     }
     let row = &world.table.group.row;
     let acker = router.acker.map(|acker| &NAMES[acker]);
+    let taken = cx.has(Fault::SealedAcker) && acker.is_some();
     let decided = match row.activate(&NAMES[at], acker) {
-        Err(_) if cx.has(Fault::Unacknowledged) => {
+        Err(_) if cx.has(Fault::Unacknowledged) || taken => {
             let mut row = row.clone();
             row.members
                 .iter_mut()
@@ -177,19 +183,18 @@
         });
         all.push((Step::Leaving(at), next));
     }
-    if !router.leaving || router.notes.untabled().next().is_some() || world.table.sealed[at] {
+    let mut open = router.notes.untabled();
+    let foreign = open.any(|(_, attempt)| attempt.claimant != NAMES[at]);
+    if !router.leaving || foreign || world.table.sealed[at] {
         return;
     }
     if router.heir.is_none() {
-        for heir in (0..LIVES).filter(|heir| *heir != at) {
+        let may = |heir: &usize| cx.bounds.any_heir || *heir == at + 1;
+        let open = |heir: &usize| *heir != at && !handed(world, at, *heir);
+        for heir in (0..LIVES).filter(|heir| may(heir) && open(heir)) {
             let mut next = world.clone();
             next.handovers.push((at, heir, router.notes.hand_over()));
-            if !world
-                .handovers
-                .contains(&next.handovers[next.handovers.len() - 1])
-            {
-                all.push((Step::Acknowledge(at, heir), next));
-            }
+            all.push((Step::Acknowledge(at, heir), next));
         }
     }
     let heir = router.heir.map(|heir| &NAMES[heir]);
