--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -14,6 +14,10 @@
 /// Key of the configuration's row in the table.
 pub const ROW: &str = "config";
 
+/// Key of the row that holds the generation alone, written together with the
+/// configuration, so that routers need not read all of it to see no change.
+pub const GENERATION_ROW: &str = "generation";
+
 /// What a class of work runs on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -119,6 +119,12 @@
         newer
     }
 
+    /// Whether the table's generation is the one in force, confirmed by a read
+    /// of the table.
+    pub fn is_current(&self, generation: u64) -> bool {
+        self.is_confirmed() && self.config().generation == generation
+    }
+
     /// Whether no earlier life can have had a newer configuration in force.
     fn is_confirmed(&self) -> bool {
         let config = self.config.read();
