--- a/crates/router/src/backends/dispatch.rs
+++ b/crates/router/src/backends/dispatch.rs
@@ -1,7 +1,7 @@
 //! Queues requests and sends each to the backend server that was chosen.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -123,6 +123,7 @@
 pub struct Dispatch {
     pools: Mutex<SortedVec<Key, Pool>>,
     routers: AtomicU32,
+    listed: AtomicBool,
     centre: Name,
     policy: Policy,
     salt: u64,
@@ -134,6 +135,7 @@
         Self {
             pools: Mutex::default(),
             routers: AtomicU32::new(1),
+            listed: AtomicBool::new(false),
             centre: settings.centre.clone(),
             policy: settings.backends.policy,
             salt: rand::random(),
@@ -149,8 +151,14 @@
         self.routers.load(Ordering::Relaxed)
     }
 
+    /// Whether a host list was read since the start.
+    pub fn is_listed(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
     /// Takes a new host list over.
     pub fn listed(&self, hosts: &[Host], now: Instant) {
+        self.listed.store(true, Ordering::Relaxed);
         let mut pools = lock(&self.pools);
         for host in hosts {
             let key = (host.role == Role::Engine, host.serves.clone());
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -169,11 +169,12 @@
 
     /// Whether the balancer may send requests.
     ///
-    /// A router that may not claim yet would refuse calls that run once. It is
-    /// not ready then, but not for ever: all else it can serve.
+    /// Without a host list it would refuse everything. A router that may not
+    /// claim yet would refuse calls that run once; it is not ready then, but not
+    /// for ever, since all else it can serve.
     pub fn is_ready(&self) -> bool {
         let claims = self.claims.is_active() || self.started.elapsed() > CLAIMS_GRACE;
-        self.serves() && claims && !self.is_draining()
+        self.serves() && self.dispatch.is_listed() && claims && !self.is_draining()
     }
 
     /// Names a request that has no idempotency key.
