--- a/crates/router/src/door/chat.rs
+++ b/crates/router/src/door/chat.rs
@@ -16,7 +16,7 @@
 use crate::flow::request::Chat;
 use crate::journal::unix_ms;
 use crate::refusal::{Code, Execution, Refusal};
-use crate::state::{Entry, State};
+use crate::state::State;
 
 /// What the answer's head needs.
 #[derive(Debug, Clone)]
@@ -54,11 +54,7 @@
     let class = intake::class(&config, &chat.model, Kind::Model).map_err(early)?;
     let job = intake::job(state, &workspace, class, key.as_deref(), &body, now);
     let id = job.id.clone();
-    let entry = Entry::enter(state, &id).ok_or_else(|| {
-        let refusal = Refusal::new(Code::InProgress).run(Execution::Unknown);
-        let after = std::time::Duration::from_secs(1);
-        (refusal.after(after), Some(id.clone()))
-    })?;
+    let entry = intake::enter(state, &id).map_err(|r| (r, Some(id.clone())))?;
     let head = Head {
         id,
         model: job.class.name.clone(),
--- a/crates/router/src/door/intake.rs
+++ b/crates/router/src/door/intake.rs
@@ -10,8 +10,8 @@
 use viz::{Request, header};
 
 use crate::flow::request::Job;
-use crate::refusal::{Code, Refusal};
-use crate::state::State;
+use crate::refusal::{Code, Execution, Refusal};
+use crate::state::{Entry, State};
 
 /// Header that makes a request safe to repeat.
 pub(super) const KEY: &str = "idempotency-key";
@@ -19,6 +19,8 @@
 const KEY_MOST: usize = 200;
 /// When to come back to a router that is not ready.
 const UNREADY_AFTER: Duration = Duration::from_secs(1);
+/// When to come back for an answer that is under way.
+const UNDER_WAY_AFTER: Duration = Duration::from_secs(1);
 /// When to come back to a router with too many requests under way.
 const CROWDED_AFTER: Duration = Duration::from_secs(1);
 
@@ -100,6 +102,15 @@
     Ok(all.freeze())
 }
 
+/// Enters a request, unless one with its key is under way here.
+pub(super) fn enter(state: &Arc<State>, id: &RequestId) -> Result<Entry, Refusal> {
+    Entry::enter(state, id).ok_or_else(|| {
+        Refusal::new(Code::InProgress)
+            .run(Execution::Unknown)
+            .after(UNDER_WAY_AFTER)
+    })
+}
+
 /// Puts a request's job together.
 pub(super) fn job(
     state: &Arc<State>,
--- a/crates/router/src/door/service.rs
+++ b/crates/router/src/door/service.rs
@@ -12,7 +12,7 @@
 use crate::flow::request::Call;
 use crate::flow::service;
 use crate::refusal::{Code, Execution, Refusal};
-use crate::state::{Entry, State};
+use crate::state::State;
 
 /// Handles `POST /v1/services/<class>/<path>`.
 pub(super) async fn handle(state: Arc<State>, request: Request) -> Response {
@@ -49,11 +49,7 @@
     hashed.extend_from_slice(&body);
     let job = intake::job(state, &workspace, class, key.as_deref(), &hashed, now);
     let id = job.id.clone();
-    let entry = Entry::enter(state, &id).ok_or_else(|| {
-        let refusal = Refusal::new(Code::InProgress).run(Execution::Unknown);
-        let after = std::time::Duration::from_secs(1);
-        (refusal.after(after), Some(id.clone()))
-    })?;
+    let entry = intake::enter(state, &id).map_err(|r| (r, Some(id.clone())))?;
     let call = Call {
         path,
         body,
