--- a/crates/router/src/budget/bank.rs
+++ b/crates/router/src/budget/bank.rs
@@ -25,6 +25,8 @@
 
 /// How long a refusal for want of tokens is repeated without asking again.
 const MEMORY: Duration = Duration::from_millis(500);
+/// Time over which draws ahead are spread, times the live routers.
+const SPREAD: Duration = Duration::from_millis(30);
 /// Weight of the newest request in the typical worst case.
 const NEWEST: f64 = 0.1;
 
@@ -275,6 +277,9 @@
         let bank = self.clone();
         let budget = budget.clone();
         tokio::spawn(async move {
+            // Nobody waits for it, and the other routers may draw now too.
+            let spread = SPREAD * bank.routers();
+            tokio::time::sleep(spread.mul_f64(rand::random())).await;
             let seen = bank.seen(&budget);
             // A failure is no request's; the next one to need it will try.
             let _ = bank.draw(&budget, &mut *seen.lock().await, 0, router).await;
