--- a/crates/router/src/budget/reservation.rs
+++ b/crates/router/src/budget/reservation.rs
@@ -29,11 +29,6 @@
         }
     }
 
-    /// Tokens set aside.
-    pub fn worst(&self) -> u64 {
-        self.worst
-    }
-
     /// Ends it with `used` tokens consumed, which are billed.
     pub fn settle(mut self, used: u64) {
         self.end(used, 0);
--- a/crates/router/src/claims/mod.rs
+++ b/crates/router/src/claims/mod.rs
@@ -17,7 +17,7 @@
 
 use poplar_core::claim::notes::{Limits, Notes};
 use poplar_core::claim::table::Stage;
-use poplar_core::claim::{Attempt, Reason, Verdict};
+use poplar_core::claim::{Attempt, Verdict};
 use poplar_core::id::{Incarnation, RequestId};
 use poplar_peer::generated::{Attempt as AttemptWire, Handover as HandoverWire};
 
@@ -167,11 +167,6 @@
     }
 }
 
-/// Whether a verdict passes with time.
-pub fn passes(reason: Reason) -> bool {
-    !matches!(reason, Reason::Sealed)
-}
-
 /// A claimant's word that it gave an attempt up.
 pub(crate) fn released(state: &State, request: AttemptWire) {
     if let Some((id, attempt)) = wire::read_attempt(request) {
