--- /dev/null
+++ b/crates/core/src/hold/account.rs
@@ -0,0 +1,122 @@
+//! One router's spending of one budget.
+
+use std::time::{Duration, Instant};
+
+use crate::hold::Terms;
+
+/// Time over which the spending rate is averaged.
+const AVERAGE: Duration = Duration::from_secs(4);
+/// Weight of the newest request in the typical size.
+const NEWEST: f64 = 0.15;
+
+/// Terms as they were sent to the table.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    terms: Terms,
+    at: Instant,
+}
+
+/// What one router spent of one budget, and may spend.
+#[derive(Debug, Clone, Default)]
+pub struct Account {
+    consumed: u64,
+    reserved: u64,
+    /// Terms that may be in force: the last ones that were acknowledged, and
+    /// later ones whose outcome is not known.
+    terms: Vec<Sent>,
+    rate: f64,
+    rated: Option<Instant>,
+    typical: f64,
+    need: u64,
+}
+
+impl Account {
+    /// Tokens spent or reserved.
+    pub fn spent(&self) -> u64 {
+        self.consumed + self.reserved
+    }
+
+    /// Tokens under way.
+    pub fn reserved(&self) -> u64 {
+        self.reserved
+    }
+
+    /// The largest need of requests that wait for tokens.
+    pub fn need(&self) -> u64 {
+        self.need
+    }
+
+    /// The size of a typical request at its most.
+    pub fn typical(&self) -> u64 {
+        self.typical as u64
+    }
+
+    /// Tokens that this life has taken out, as far as it may rely on it.
+    pub fn granted(&self) -> u64 {
+        self.terms
+            .iter()
+            .map(|s| s.terms.granted)
+            .min()
+            .unwrap_or(0)
+    }
+
+    /// Tokens that can still be spent at `now`.
+    pub fn free(&self, now: Instant) -> u64 {
+        let bound = |sent: &Sent| {
+            let elapsed = now.saturating_duration_since(sent.at);
+            sent.terms.bound(elapsed)
+        };
+        let limit = self.terms.iter().map(bound).min().unwrap_or(0);
+        limit.saturating_sub(self.spent())
+    }
+
+    /// Tokens spent a second, averaged over the last seconds.
+    pub fn rate(&self, now: Instant) -> f64 {
+        let idle = self
+            .rated
+            .map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
+        self.rate * (-idle / AVERAGE.as_secs_f64()).exp()
+    }
+
+    /// Reserves `tokens`, or notes that they are needed.
+    pub fn reserve(&mut self, tokens: u64, now: Instant) -> bool {
+        self.typical += NEWEST * (tokens as f64 - self.typical);
+        if self.typical < 1.0 {
+            self.typical = tokens as f64;
+        }
+        if self.free(now) < tokens {
+            self.need = self.need.max(tokens);
+            return false;
+        }
+        self.reserved += tokens;
+        true
+    }
+
+    /// Ends a reservation of which `used` tokens were spent.
+    pub fn settle(&mut self, tokens: u64, used: u64, now: Instant) {
+        self.reserved -= tokens.min(self.reserved);
+        self.consumed += used;
+        self.rate = self.rate(now) + used as f64 / AVERAGE.as_secs_f64();
+        self.rated = Some(now);
+    }
+
+    /// Forgets what waiting requests needed.
+    pub fn forget_need(&mut self) {
+        self.need = 0;
+    }
+
+    /// Notes that terms are on their way to the table.
+    pub fn sent(&mut self, terms: Terms, now: Instant) {
+        self.terms.push(Sent { terms, at: now });
+    }
+
+    /// Notes that exactly the terms that were sent at `at` are in force.
+    pub fn confirmed(&mut self, at: Instant) {
+        self.terms.retain(|sent| sent.at == at);
+    }
+
+    /// Notes that the terms that were sent at `at` will never be in force.
+    pub fn failed(&mut self, at: Instant) {
+        self.terms.retain(|sent| sent.at != at);
+    }
+}
--- /dev/null
+++ b/crates/core/src/hold/mod.rs
@@ -0,0 +1,23 @@
+//! What a router may spend of prepaid budgets, and what its death strands.
+//!
+//! Each router keeps one row with its terms for each budget: how much was
+//! granted to it, how much it had spent at the last checkpoint, and a burst
+//! and a rate beyond that. A router never spends more than its terms allow at
+//! the moment, so that a successor that finds the row knows a bound on what
+//! the dead process spent, and gives the rest of the grant back. The bound
+//! grows with time, so that a router which is cut off from the table goes on,
+//! and one that dies in touch strands little.
+
+mod account;
+mod plan;
+mod rows;
+
+use std::time::Duration;
+
+pub use account::Account;
+pub use plan::{Outlook, Plan, plan};
+pub use rows::{Bound, HolderRow, Terms, Total, release, remaining};
+
+/// Time that a holding should last without the table; outages of ten seconds
+/// are ordinary.
+pub const HORIZON: Duration = Duration::from_secs(12);
--- /dev/null
+++ b/crates/core/src/hold/rows.rs
@@ -0,0 +1,84 @@
+//! Rows of budgets in the table.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::Name;
+
+/// What a router may spend of one budget.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Terms {
+    /// Tokens taken out of the budget by this life, its spending included.
+    pub granted: u64,
+    /// Tokens spent or reserved when the terms were written.
+    pub spent: u64,
+    /// Tokens that may be spent beyond that at once.
+    pub burst: u64,
+    /// Tokens that may be spent beyond that each second.
+    pub rate: u64,
+}
+
+impl Terms {
+    /// The most that can have been spent `elapsed` after they were written.
+    pub fn bound(&self, elapsed: Duration) -> u64 {
+        let grown = (self.rate as f64 * elapsed.as_secs_f64()) as u64;
+        let bound = self.spent.saturating_add(self.burst).saturating_add(grown);
+        bound.min(self.granted)
+    }
+}
+
+/// A router's row: its terms for each budget.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct HolderRow {
+    /// The life that wrote it.
+    pub life: u64,
+    /// The table's clock before it was written, in milliseconds.
+    pub clock: u64,
+    /// Terms by budget, in order of the names.
+    pub terms: Vec<(Name, Terms)>,
+}
+
+/// A budget's row.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Total {
+    /// Tokens that routers have taken out and not given back.
+    pub granted: u64,
+    /// Tokens of these that a dead router may not have spent.
+    pub stranded: u64,
+}
+
+/// What a dead router may have spent of one budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bound {
+    /// Tokens that go back to the budget.
+    pub released: u64,
+    /// Tokens that stay taken out though they may not have been spent.
+    pub stranded: u64,
+}
+
+/// What becomes of a dead router's grant, `elapsed` after its terms were written.
+pub fn release(terms: &Terms, elapsed: Duration) -> Bound {
+    let bound = terms.bound(elapsed);
+    Bound {
+        released: terms.granted - bound,
+        stranded: bound.saturating_sub(terms.spent),
+    }
+}
+
+/// Tokens of a budget that nobody is known to have spent or reserved.
+///
+/// What is stranded counts as not spent, and so does what the holders have
+/// spent since their rows were written: it is an upper bound on the truth.
+pub fn remaining(prepaid: u64, total: &Total, holders: impl IntoIterator<Item = Terms>) -> u64 {
+    let (mut granted, mut spent) = (0u64, 0u64);
+    for terms in holders {
+        granted += terms.granted;
+        spent += terms.spent;
+    }
+    let ended = total.granted.saturating_sub(granted + total.stranded);
+    prepaid.saturating_sub(ended + spent)
+}
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -7,6 +7,7 @@
 //! its deadline allows.
 
 mod budget;
+pub mod share;
 
 use std::fmt;
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/crates/core/tests/hold.rs
@@ -0,0 +1,154 @@
+//! Holdings of prepaid budgets: outages of the table, and deaths of routers.
+
+use std::time::{Duration, Instant};
+
+use poplar_core::hold::{Account, Outlook, Terms, Total, plan, release, remaining};
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn outlook(pool: u64) -> Outlook {
+    Outlook {
+        prepaid: 1_000_000,
+        pool,
+        routers: 8,
+    }
+}
+
+/// Plans, and has the plan confirmed at once.
+fn checkpoint(account: &mut Account, pool: &mut u64, now: Instant) {
+    let planned = plan(account, &outlook(*pool), now);
+    account.sent(planned.terms, now);
+    account.confirmed(now);
+    account.forget_need();
+    *pool = *pool + planned.returned - planned.drawn;
+}
+
+#[test]
+fn nothing_is_spent_before_terms_are_in_force() {
+    let mut account = Account::default();
+    assert!(!account.reserve(1, Instant::now()));
+    assert_eq!(account.need(), 1);
+}
+
+#[test]
+fn steady_spending_outlasts_a_cut_of_nine_seconds() {
+    let mut now = Instant::now();
+    let (mut account, mut pool) = (Account::default(), 1_000_000);
+    checkpoint(&mut account, &mut pool, now);
+    let spend = |account: &mut Account, now: Instant| {
+        let reserved = account.reserve(2_000, now);
+        if reserved {
+            account.settle(2_000, 1_500, now);
+        }
+        reserved
+    };
+    for _ in 0..10 {
+        now += SECOND;
+        assert!(spend(&mut account, now));
+        checkpoint(&mut account, &mut pool, now);
+    }
+    for second in 0..9 {
+        now += SECOND;
+        assert!(spend(&mut account, now), "refused after {second} s");
+    }
+}
+
+#[test]
+fn a_death_in_touch_strands_little() {
+    let terms = Terms {
+        granted: 100_000,
+        spent: 20_000,
+        burst: 4_000,
+        rate: 2_000,
+    };
+    let bound = release(&terms, 2 * SECOND);
+    assert_eq!(bound.released, 72_000);
+    assert_eq!(bound.stranded, 8_000);
+}
+
+#[test]
+fn a_death_after_a_long_cut_releases_nothing_that_was_spent() {
+    let terms = Terms {
+        granted: 100_000,
+        spent: 20_000,
+        burst: 4_000,
+        rate: 10_000,
+    };
+    assert_eq!(release(&terms, 60 * SECOND).released, 0);
+}
+
+#[test]
+fn an_empty_pool_is_filled_by_those_who_hold_much() {
+    let now = Instant::now();
+    let (mut account, mut pool) = (Account::default(), 400_000);
+    checkpoint(&mut account, &mut pool, now);
+    let planned = plan(&account, &outlook(0), now + SECOND);
+    assert!(planned.returned > 0);
+}
+
+#[test]
+fn stranded_tokens_do_not_count_as_spent() {
+    let total = Total {
+        granted: 900,
+        stranded: 100,
+    };
+    let holder = Terms {
+        granted: 500,
+        spent: 200,
+        burst: 0,
+        rate: 0,
+    };
+    // 300 of ended lives and 200 of the holder are spent.
+    assert_eq!(remaining(1_000, &total, [holder]), 500);
+}
+
+proptest! {
+    /// Whatever is lost, late or given back, what a successor releases was not
+    /// spent: the bound of each row that may be in the table covers it.
+    #[test]
+    fn a_successor_never_releases_what_was_spent(
+        steps in proptest::collection::vec((0u8..6, 1u64..40_000, 0u64..3_000), 1..80),
+    ) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut account = Account::default();
+        let mut pool = 500_000u64;
+        // Rows that the table may hold: the last confirmed, and open ones.
+        let mut rows: Vec<(Terms, Instant)> = Vec::new();
+        let mut reserved: Vec<u64> = Vec::new();
+        for (kind, tokens, wait) in steps {
+            now += Duration::from_millis(wait + 1);
+            match kind {
+                0 | 1 => if account.reserve(tokens, now) { reserved.push(tokens) },
+                2 => if let Some(worst) = reserved.pop() {
+                    account.settle(worst, worst * 2 / 3, now);
+                },
+                // A checkpoint that is confirmed.
+                3 => {
+                    let planned = plan(&account, &outlook(pool), now);
+                    account.sent(planned.terms, now);
+                    account.confirmed(now);
+                    rows = vec![(planned.terms, now)];
+                    pool = pool + planned.returned - planned.drawn;
+                }
+                // One whose answer is lost; it may or may not be in the table.
+                4 => {
+                    let planned = plan(&account, &outlook(pool), now);
+                    account.sent(planned.terms, now);
+                    rows.push((planned.terms, now));
+                }
+                // One that the table refused.
+                _ => {
+                    let planned = plan(&account, &outlook(pool), now);
+                    account.sent(planned.terms, now);
+                    account.failed(now);
+                }
+            }
+            for (terms, at) in &rows {
+                let kept = terms.granted - release(terms, now - *at).released;
+                prop_assert!(account.spent() <= kept);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/home.rs
@@ -0,0 +1,82 @@
+//! Homes of shared prompts: hot prefixes, lost engines, busy homes.
+
+use poplar_core::home::{Ask, Candidate, choose, home};
+use poplar_core::id::Name;
+use poplar_core::route::server::Gate;
+
+fn engines(count: usize) -> Vec<Candidate> {
+    let engine = |at: usize| Candidate {
+        id: format!("engine-{at}").into(),
+        near: at == 0,
+        own: 0,
+        reading: 0,
+        running: 0,
+        waiting: 0,
+        gate: Gate::Open,
+    };
+    (0..count).map(engine).collect()
+}
+
+fn ask(shared: u64, tokens: u64) -> Ask<'static> {
+    Ask {
+        shared,
+        tokens,
+        tried: &[],
+        dice: 0.5,
+    }
+}
+
+#[test]
+fn the_loss_of_an_engine_moves_only_its_own_prompts() {
+    let ids: Vec<Name> = engines(9).into_iter().map(|c| c.id).collect();
+    let moved = (0..1000u64)
+        .filter(|shared| {
+            let before = home(*shared, &ids).expect("a home");
+            let after = home(*shared, &ids[1..]).expect("a home");
+            before != after
+        })
+        .count();
+    assert!((60..160).contains(&moved), "{moved} of 1000 moved");
+}
+
+#[test]
+fn a_busy_home_keeps_its_prompt_while_reading_it_again_takes_longer() {
+    let mut all = engines(9);
+    let at = choose(&all, &ask(7, 13_000)).expect("a choice");
+    assert!(at.home);
+    let home = all.iter_mut().find(|c| c.id == at.id).expect("the home");
+    home.reading = 10_000;
+    assert_eq!(
+        choose(&all, &ask(7, 13_000)).map(|c| c.id),
+        Some(at.id.clone())
+    );
+    let home = all.iter_mut().find(|c| c.id == at.id).expect("the home");
+    home.reading = 60_000;
+    let spilled = choose(&all, &ask(7, 13_000)).expect("a choice");
+    assert!(!spilled.home);
+}
+
+#[test]
+fn short_prompts_stay_in_the_data_centre_until_it_is_loaded() {
+    let mut all = engines(4);
+    assert_eq!(
+        &*choose(&all, &ask(7, 350)).expect("a choice").id,
+        "engine-0"
+    );
+    all[0].reading = 5_000;
+    assert_ne!(
+        &*choose(&all, &ask(7, 350)).expect("a choice").id,
+        "engine-0"
+    );
+}
+
+#[test]
+fn tried_and_ejected_engines_are_the_last_resort() {
+    let mut all = engines(2);
+    let tried = [all[0].id.clone()];
+    let mut asked = ask(7, 0);
+    asked.tried = &tried;
+    assert_eq!(&*choose(&all, &asked).expect("a choice").id, "engine-1");
+    all[1].gate = Gate::Shut;
+    assert_eq!(&*choose(&all, &asked).expect("a choice").id, "engine-1");
+}
--- a/crates/router/src/bin/poplar-router.rs
+++ b/crates/router/src/bin/poplar-router.rs
@@ -5,20 +5,22 @@
 use poplar_base::args::{self, Asked, Command, Failure, Outcome};
 use poplar_base::log;
 use poplar_router::life;
+use poplar_router::relay;
 use poplar_router::settings::Settings;
+use tokio::runtime::Builder;
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    args::exit(run().await)
+fn main() -> ExitCode {
+    args::exit(run())
 }
 
-async fn run() -> Outcome {
+fn run() -> Outcome {
     let command = Command::new(
         "poplar-router",
-        "--settings FILE [--check]",
+        "--settings FILE [--check] | --platform [--check]",
         "Takes callers' requests and sends them to backend servers.",
     )
-    .flag("check", "check the settings and end");
+    .flag("check", "check the settings and end")
+    .flag("platform", "take the settings from the users' platform");
     let matches = match command.parse(std::env::args().skip(1))? {
         Asked::Run(matches) => matches,
         Asked::Print(text) => {
@@ -26,13 +28,36 @@
             return Ok(());
         }
     };
+    if matches.opt_present("platform") {
+        return run_on_platform(matches.opt_present("check"));
+    }
     let settings = Settings::open(args::settings(&matches)?);
     let settings = settings.map_err(|faults| Failure::failed(faults.to_string()))?;
     if matches.opt_present("check") {
         return Ok(());
     }
     log::open(settings.log).map_err(|e| Failure::failed(e.to_string()))?;
-    life::run(settings)
-        .await
+    let runtime = Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Failure::failed(e.to_string()))?;
+    runtime
+        .block_on(life::run(settings))
+        .map_err(|e| Failure::failed(e.to_string()))
+}
+
+/// Runs on the users' platform, on one thread: its hosts have a part of a core.
+fn run_on_platform(check: bool) -> Outcome {
+    let (path, settings) = relay::life::settings().map_err(|e| Failure::failed(e.to_string()))?;
+    if check {
+        return Ok(());
+    }
+    let logs = log::Settings {
+        destination: log::Destination::Stdout,
+        ..log::Settings::default()
+    };
+    log::open(logs).map_err(|e| Failure::failed(e.to_string()))?;
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Failure::failed(e.to_string()))?;
+    runtime
+        .block_on(relay::life::run(path, settings))
         .map_err(|e| Failure::failed(e.to_string()))
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod refusal;
+pub mod relay;
 pub mod server;
 pub mod settings;
 pub mod state;
--- a/crates/router/src/life.rs
+++ b/crates/router/src/life.rs
@@ -90,7 +90,10 @@
 }
 
 /// Binds an address; port 0 is replaced by the one that was given.
-async fn bind(what: &'static str, address: &mut SocketAddr) -> Result<TcpListener, Error> {
+pub(crate) async fn bind(
+    what: &'static str,
+    address: &mut SocketAddr,
+) -> Result<TcpListener, Error> {
     let failed = |why| Error::Bind(what, why);
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4(),
--- /dev/null
+++ b/crates/router/src/relay/fleet.rs
@@ -0,0 +1,205 @@
+//! Backend servers as this router sees them: their list, its own requests in
+//! flight, their load and their health.
+
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use poplar_base::log;
+use poplar_core::health::{Board, Change};
+use poplar_core::home::{self, Ask, Candidate, Choice};
+use poplar_core::id::Name;
+use poplar_core::site::{List, Server};
+use poplar_core::sorted::SortedVec;
+use poplar_platform::headers::Load;
+
+use crate::sync::lock;
+
+/// What is known of one server.
+#[derive(Debug, Default)]
+struct Known {
+    own: u32,
+    reading: u64,
+    load: Option<Load>,
+    born: u64,
+}
+
+#[derive(Debug, Default)]
+struct Tables {
+    list: List,
+    boards: SortedVec<Name, Board>,
+    known: SortedVec<Name, Known>,
+}
+
+/// The backend servers.
+#[derive(Debug)]
+pub struct Fleet {
+    tables: Mutex<Tables>,
+    centre: Name,
+}
+
+/// A request at a server; ends when it is dropped.
+#[derive(Debug)]
+pub struct Flight {
+    fleet: Arc<Fleet>,
+    /// The server.
+    pub server: Server,
+    /// Whether it is the home of the shared prompt.
+    pub home: bool,
+    reading: u64,
+}
+
+impl Fleet {
+    /// A fleet without servers, seen from a data centre.
+    pub fn new(centre: Name) -> Arc<Self> {
+        Arc::new(Self {
+            tables: Mutex::default(),
+            centre,
+        })
+    }
+
+    /// Whether the list was read since the start.
+    pub fn is_known(&self) -> bool {
+        lock(&self.tables).list.is_known()
+    }
+
+    /// Takes a newly read list over.
+    pub fn read(&self, servers: Vec<Server>, version: u64, now: Instant) {
+        let mut tables = lock(&self.tables);
+        let Tables {
+            list,
+            boards,
+            known,
+        } = &mut *tables;
+        let before: Vec<Server> = list.all().cloned().collect();
+        if !list.read(servers, version, now) {
+            return;
+        }
+        let mut services: SortedVec<Name, Vec<Name>> = SortedVec::new();
+        for server in list.all() {
+            let names = services.entry(server.service.clone(), Vec::new);
+            names.push(server.id.clone());
+            let seen = known.entry(server.id.clone(), Known::default);
+            if seen.born != server.born {
+                // It started again: its load before says nothing.
+                seen.born = server.born;
+                seen.load = None;
+            }
+            if !before.contains(server) {
+                log::info("server listed")
+                    .with("server", &server.id)
+                    .with("address", server.address)
+                    .with("ready", server.ready)
+                    .with("version", version)
+                    .write();
+            }
+        }
+        for server in before {
+            if !list.all().any(|s| s.id == server.id) {
+                log::info("server gone").with("server", &server.id).write();
+            }
+        }
+        known.retain(|id, seen| seen.own > 0 || list.all().any(|s| s.id == *id));
+        for (service, names) in services.iter() {
+            let board = boards.entry(service.clone(), Board::new);
+            board.set_servers(names.iter().cloned());
+        }
+    }
+
+    /// Chooses a server of `service` and enters a request there that has to
+    /// read `reading` prompt tokens; `None` where there is no server.
+    pub fn choose(
+        self: &Arc<Self>,
+        service: &Name,
+        ask: &Ask<'_>,
+        reading: u64,
+        now: Instant,
+    ) -> Option<Flight> {
+        let mut tables = lock(&self.tables);
+        let board = tables.boards.get(&**service)?;
+        let candidate = |server: &Server| {
+            let known = tables.known.get(&*server.id);
+            let load = known.and_then(|k| k.load);
+            Candidate {
+                id: server.id.clone(),
+                near: server.centre == self.centre,
+                own: known.map_or(0, |k| k.own),
+                reading: known.map_or(0, |k| k.reading),
+                running: load.map_or(0, |l| l.running),
+                waiting: load.map_or(0, |l| l.waiting),
+                gate: board.gate(&server.id, now),
+            }
+        };
+        let candidates: Vec<Candidate> = tables.list.ready(service).map(candidate).collect();
+        let Choice { id, home, .. } = home::choose(&candidates, ask)?;
+        let server = tables.list.ready(service).find(|s| s.id == id)?.clone();
+        let reading = reading.saturating_sub(if home { ask.tokens } else { 0 });
+        let known = tables.known.entry(id, Known::default);
+        known.own += 1;
+        known.reading += reading;
+        Some(Flight {
+            fleet: self.clone(),
+            server,
+            home,
+            reading,
+        })
+    }
+
+    /// Whether a server takes new requests still.
+    pub fn is_ready(&self, server: &Server) -> bool {
+        let tables = lock(&self.tables);
+        tables
+            .list
+            .ready(&server.service)
+            .any(|s| s.id == server.id)
+    }
+
+    /// Requests that run or wait at servers, as the metrics page shows them.
+    pub fn flying(&self) -> u32 {
+        let tables = lock(&self.tables);
+        tables.known.iter().map(|(_, known)| known.own).sum()
+    }
+}
+
+impl Flight {
+    /// Notes that the prompt was read: the first token came.
+    pub fn read(&mut self) {
+        let mut tables = lock(&self.fleet.tables);
+        if let Some(known) = tables.known.get_mut(&*self.server.id) {
+            known.reading = known.reading.saturating_sub(self.reading);
+        }
+        self.reading = 0;
+    }
+
+    /// Takes over what the server says of its load.
+    pub fn loaded(&self, load: Load) {
+        let mut tables = lock(&self.fleet.tables);
+        if let Some(known) = tables.known.get_mut(&*self.server.id) {
+            known.load = Some(load);
+        }
+    }
+
+    /// Notes whether the server did its work.
+    pub fn judged(&self, good: bool, now: Instant) {
+        let mut tables = lock(&self.fleet.tables);
+        let board = tables.boards.get_mut(&*self.server.service);
+        let change = board.and_then(|b| b.note(&self.server.id, good, now));
+        let event = match change {
+            Some(Change::Ejected { reason, until }) => log::warn("server ejected")
+                .reason(reason)
+                .with("for_ms", until.saturating_duration_since(now).as_millis()),
+            Some(Change::Restored) => log::info("server restored"),
+            Some(Change::Kept { .. }) | None => return,
+        };
+        event.with("server", &self.server.id).write();
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.read();
+        let mut tables = lock(&self.fleet.tables);
+        if let Some(known) = tables.known.get_mut(&*self.server.id) {
+            known.own = known.own.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/flow.rs
@@ -0,0 +1,241 @@
+//! The way of a request: identified, paid, placed, sent and settled.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header, request, response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use poplar_base::log;
+use poplar_core::retry::Failure;
+use poplar_core::site::{Limits, Site, Workspace};
+use poplar_platform::headers::{self, Head};
+use tokio::time::timeout;
+
+use crate::relay::purse::{Refused, Reservation};
+use crate::relay::refuse::{self, Body, Refusal};
+use crate::relay::run::{Job, Run};
+use crate::relay::state::{Entry, Relay};
+use crate::relay::stream;
+
+/// When to come back to a router that has no configuration yet.
+const UNREADY_AFTER: Duration = Duration::from_millis(400);
+/// When to come back to another router where this one is stopping.
+const STOPPING_AFTER: Duration = Duration::from_millis(50);
+/// When to come back where another router may hold more of the budget.
+const SHORT_AFTER: Duration = Duration::from_millis(300);
+/// Part of the grace after which streams are left to other routers.
+const STREAMS: f64 = 0.35;
+/// Part of the grace after which all requests are left to other routers.
+const REQUESTS: f64 = 0.7;
+
+/// Serves one request.
+pub async fn serve(relay: Arc<Relay>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = Instant::now();
+    let entry = relay.enter();
+    let (parts, body) = request.into_parts();
+    let head = Head::read(&parts.headers);
+    let id = head.as_ref().ok().map(|head| head.id.clone());
+    let chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
+    let handled = match head {
+        Ok(head) => handle(&relay, parts, body, head, entry, arrived).await,
+        Err(why) => {
+            log::info("malformed").reason(why).write();
+            Err(Refusal::new(StatusCode::BAD_REQUEST, "malformed headers"))
+        }
+    };
+    let mut response = handled.unwrap_or_else(|refusal| {
+        let took = arrived.elapsed();
+        log::info("refused")
+            .request(id.as_deref().unwrap_or("unknown"))
+            .with("status", refusal.status.as_u16())
+            .reason(refusal.reason)
+            .with("after_ms", took.as_millis())
+            .write();
+        metrics::counter!("poplar_refusals_total", "reason" => refusal.reason).increment(1);
+        refusal.response(id.as_deref())
+    });
+    // What follows a chunked body on the connection may have been framed
+    // another way by who sent it.
+    if chunked || relay.is_stopping() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn handle(
+    relay: &Arc<Relay>,
+    parts: request::Parts,
+    body: Incoming,
+    head: Head,
+    entry: Entry,
+    arrived: Instant,
+) -> Result<Response<Body>, Refusal> {
+    let site = relay.site();
+    let site = site.ok_or(Refusal::not_run("no configuration", UNREADY_AFTER))?;
+    let body = read(body, &site.limits).await?;
+    let job = job(&site, parts, body, head, arrived)?;
+    let streams = job.route.kind.streams();
+    let grace = relay.settings.grace;
+    let most = grace.mul_f64(if streams { STREAMS } else { REQUESTS });
+    if relay
+        .stopping_for(arrived)
+        .is_some_and(|since| since > most)
+    {
+        return Err(Refusal::not_run("stopping", STOPPING_AFTER));
+    }
+    relay.requested(&job.service, arrived);
+    let reservation = reserve(relay, &job).await?;
+    let run = Run::new(relay.clone(), job, reservation, entry);
+    if streams {
+        stream::serve(run).await
+    } else {
+        plain(run).await
+    }
+}
+
+/// Reads a body within the limits of size and time.
+async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
+    let whole = timeout(limits.patience, Limited::new(body, limits.body).collect()).await;
+    let refusal = |status, reason| Err(Refusal::new(status, reason));
+    match whole {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(why)) if why.is::<LengthLimitError>() => {
+            refusal(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
+        }
+        Ok(Err(_)) => refusal(StatusCode::BAD_REQUEST, "body broke off"),
+        Err(_) => refusal(StatusCode::REQUEST_TIMEOUT, "body too slow"),
+    }
+}
+
+/// Identifies a request.
+fn job(
+    site: &Site,
+    parts: request::Parts,
+    body: Bytes,
+    head: Head,
+    arrived: Instant,
+) -> Result<Job, Refusal> {
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let host = host.to_ascii_lowercase();
+    let route = site.route(&host, parts.uri.path());
+    let route = route.ok_or(Refusal::new(StatusCode::NOT_FOUND, "no route"))?;
+    let workspace = workspace(site, &head, route.anonymous)?;
+    let service = route.service(rand::random());
+    let service = service.ok_or(Refusal::new(StatusCode::NOT_FOUND, "no service"))?;
+    let known = site.services.get(&**service);
+    let stride = known.and_then(|s| s.engine).map_or(1, |e| e.stride);
+    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    Ok(Job {
+        stride: u64::from(stride),
+        service: service.clone(),
+        route: route.clone(),
+        head,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        workspace,
+        arrived,
+        until: arrived + patience,
+    })
+}
+
+fn workspace(site: &Site, head: &Head, anonymous: bool) -> Result<Option<Workspace>, Refusal> {
+    let found = head.key.as_deref().and_then(|key| site.opened_by(key));
+    if found.is_none() && !anonymous && !site.workspaces.is_empty() {
+        return Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown key"));
+    }
+    Ok(found.cloned())
+}
+
+/// Reserves what a request consumes at its most.
+async fn reserve(relay: &Arc<Relay>, job: &Job) -> Result<Option<Reservation>, Refusal> {
+    let (Some(workspace), Some(tokens)) = (&job.workspace, job.head.tokens) else {
+        return Ok(None);
+    };
+    let Some(prepaid) = workspace.prepaid else {
+        return Ok(None);
+    };
+    let worst = tokens.prompt + tokens.output;
+    let reserved = relay.purse.reserve(&workspace.name, prepaid, worst).await;
+    reserved.map(Some).map_err(|refused| {
+        log::info("no budget")
+            .request(&job.head.id)
+            .workspace(&workspace.name)
+            .with("worst", worst)
+            .reason(format_args!("{refused:?}"))
+            .write();
+        match refused {
+            Refused::Spent { .. } => Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget spent"),
+            Refused::Short => Refusal::not_run("budget elsewhere", SHORT_AFTER),
+            Refused::Away => Refusal::not_run("budget out of reach", SHORT_AFTER),
+        }
+    })
+}
+
+/// Serves a request whose answer is not a stream.
+async fn plain(mut run: Run) -> Result<Response<Body>, Refusal> {
+    loop {
+        let sent = match run.send().await {
+            Ok(sent) => sent,
+            Err(refusal) => return fallback(&mut run).ok_or(refusal),
+        };
+        let id = sent.flight.server.id.clone();
+        let failure = match run.collect(sent.body).await {
+            Ok(bytes) => {
+                let fault = sent.head.status.is_server_error();
+                sent.flight.judged(!fault, Instant::now());
+                if !fault || !run.job.route.kind.repeats() {
+                    finished(&run, "whole", Instant::now());
+                    return Ok(passed(sent.head, bytes));
+                }
+                run.fallback = Some((sent.head, bytes));
+                Failure::Fault
+            }
+            Err(failure) => failure,
+        };
+        if let Err(refusal) = run.again(failure, &id) {
+            return fallback(&mut run).ok_or(refusal);
+        }
+    }
+}
+
+/// A server's own failure, where it gave one.
+fn fallback(run: &mut Run) -> Option<Response<Body>> {
+    let (head, bytes) = run.fallback.take()?;
+    finished(run, "fault", Instant::now());
+    Some(passed(head, bytes))
+}
+
+/// A server's whole answer as the client gets it.
+pub fn passed(head: response::Parts, bytes: Bytes) -> Response<Body> {
+    let mut response = Response::new(refuse::whole(bytes));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = headers::backward(&head.headers);
+    response
+}
+
+/// Notes the first event of a stream.
+pub fn first(job: &Job, now: Instant) {
+    let took = now.saturating_duration_since(job.arrived);
+    metrics::histogram!("poplar_first_event_seconds").record(took);
+}
+
+/// Notes the end of a request.
+pub fn finished(run: &Run, outcome: &'static str, now: Instant) {
+    let took = now.saturating_duration_since(run.job.arrived);
+    metrics::histogram!("poplar_request_seconds").record(took);
+    metrics::counter!("poplar_requests_total", "outcome" => outcome).increment(1);
+    log::info("finished")
+        .request(&run.job.head.id)
+        .with("route", &run.job.route.name)
+        .with("outcome", outcome)
+        .with("sends", run.sends())
+        .with("took_ms", took.as_millis())
+        .write();
+}
