Hold budgets by demand; spend only what a written row covers

Terms that were on their way counted as granted before the first answer, so that a refused write could leave more spent than granted; the property test now sends a request while a write is open.

--- a/crates/core/src/hold/account.rs
+++ b/crates/core/src/hold/account.rs
@@ -5,7 +5,7 @@
 use crate::hold::Terms;
 
 /// Time over which the spending rate is averaged.
-const AVERAGE: Duration = Duration::from_secs(4);
+const AVERAGE: Duration = Duration::from_secs(8);
 /// Weight of the newest request in the typical size.
 const NEWEST: f64 = 0.15;
 
@@ -21,9 +21,11 @@
 pub struct Account {
     consumed: u64,
     reserved: u64,
-    /// Terms that may be in force: the last ones that were acknowledged, and
-    /// later ones whose outcome is not known.
-    terms: Vec<Sent>,
+    /// The last terms that were acknowledged; `None` before the first, when
+    /// nothing may be spent.
+    known: Option<Sent>,
+    /// Later ones whose outcome is not known: they may be in force too.
+    open: Vec<Sent>,
     rate: f64,
     rated: Option<Instant>,
     typical: f64,
@@ -41,7 +43,7 @@
         self.reserved
     }
 
-    /// The largest need of requests that wait for tokens.
+    /// Tokens that requests wait for, all together.
     pub fn need(&self) -> u64 {
         self.need
     }
@@ -53,11 +55,7 @@
 
     /// Tokens that this life has taken out, as far as it may rely on it.
     pub fn granted(&self) -> u64 {
-        self.terms
-            .iter()
-            .map(|s| s.terms.granted)
-            .min()
-            .unwrap_or(0)
+        self.lowest(|sent| sent.terms.granted)
     }
 
     /// Tokens that can still be spent at `now`.
@@ -66,8 +64,13 @@
             let elapsed = now.saturating_duration_since(sent.at);
             sent.terms.bound(elapsed)
         };
-        let limit = self.terms.iter().map(bound).min().unwrap_or(0);
-        limit.saturating_sub(self.spent())
+        self.lowest(bound).saturating_sub(self.spent())
+    }
+
+    /// The least of something over all terms that may be in force.
+    fn lowest(&self, of: impl Fn(&Sent) -> u64) -> u64 {
+        let known = self.known.as_ref().map_or(0, &of);
+        self.open.iter().map(of).fold(known, u64::min)
     }
 
     /// Tokens spent a second, averaged over the last seconds.
@@ -85,7 +88,7 @@
             self.typical = tokens as f64;
         }
         if self.free(now) < tokens {
-            self.need = self.need.max(tokens);
+            self.need += tokens;
             return false;
         }
         self.reserved += tokens;
@@ -100,23 +103,25 @@
         self.rated = Some(now);
     }
 
-    /// Forgets what waiting requests needed.
-    pub fn forget_need(&mut self) {
-        self.need = 0;
+    /// Notes that terms were written that cover `tokens` of the need.
+    pub fn covered(&mut self, tokens: u64) {
+        self.need = self.need.saturating_sub(tokens);
     }
 
     /// Notes that terms are on their way to the table.
     pub fn sent(&mut self, terms: Terms, now: Instant) {
-        self.terms.push(Sent { terms, at: now });
+        self.open.push(Sent { terms, at: now });
     }
 
     /// Notes that exactly the terms that were sent at `at` are in force.
     pub fn confirmed(&mut self, at: Instant) {
-        self.terms.retain(|sent| sent.at == at);
+        let found = self.open.iter().find(|sent| sent.at == at);
+        self.known = found.copied().or(self.known);
+        self.open.clear();
     }
 
     /// Notes that the terms that were sent at `at` will never be in force.
     pub fn failed(&mut self, at: Instant) {
-        self.terms.retain(|sent| sent.at != at);
+        self.open.retain(|sent| sent.at != at);
     }
 }
--- a/crates/core/src/hold/mod.rs
+++ b/crates/core/src/hold/mod.rs
@@ -12,12 +12,6 @@
 mod plan;
 mod rows;
 
-use std::time::Duration;
-
 pub use account::Account;
-pub use plan::{Outlook, Plan, plan};
+pub use plan::{Demand, Outlook, Plan, plan};
 pub use rows::{Bound, HolderRow, Terms, Total, release, remaining};
-
-/// Time that a holding should last without the table; outages of ten seconds
-/// are ordinary.
-pub const HORIZON: Duration = Duration::from_secs(12);
--- a/crates/core/src/hold/plan.rs
+++ b/crates/core/src/hold/plan.rs
@@ -1,37 +1,79 @@
 //! How much a router takes out of a budget or gives back.
+//!
+//! Nearly all of a budget is held by the routers, each in proportion to what
+//! its callers ask for, since an outage of the table may begin at any moment
+//! and nothing moves during one. A demand that moves draws the holdings after
+//! it from one checkpoint to the next.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use crate::hold::{Account, HORIZON, Terms};
+use crate::hold::{Account, Terms};
 
-/// Share of what is left and held that one router aims for at most, so that
-/// the others find something.
-const SHARE: f64 = 0.4;
-/// The part of the prepaid budget that all routers together hold in advance
-/// for callers that they have not seen yet.
-const ADVANCE: f64 = 0.25;
-/// A holding below this share of its target is filled up.
-const LOW: f64 = 0.7;
-/// A holding above this multiple of its target is reduced.
-const HIGH: f64 = 2.0;
-/// What is kept of it then, as a multiple of the target.
-const KEEP: f64 = 1.4;
-/// How many times the average rate may be spent between checkpoints.
-const SURGE: f64 = 2.5;
-/// Time over which a holding may be spent however little was spent before.
-const EVEN_S: f64 = 10.0;
-/// Typical requests that may be under way beyond the rate.
-const BURST: f64 = 2.0;
+/// Part of what is left of a budget that the routers hold; the rest is for
+/// requests that find too little at theirs.
+const HELD: f64 = 0.9;
+/// A holding below this part of its target is filled up.
+const LOW: f64 = 0.8;
+/// A holding above this multiple of its target is reduced to the target.
+const HIGH: f64 = 1.3;
+/// Weight of the router's part of this budget's demand in its share, of its
+/// part of all demand, and of an even split. One budget's demand at one router
+/// is a few requests in the time over which it is averaged.
+const WEIGHTS: (f64, f64, f64) = (0.35, 0.5, 0.15);
+/// Time of the expected demand that the burst covers.
+const BURST: Duration = Duration::from_millis(1200);
+/// Typical requests that the burst covers.
+const TYPICAL: f64 = 0.7;
+/// When more than the burst may be spent: later than a process that was killed
+/// in touch with the table is back.
+const AFTER: Duration = Duration::from_millis(1900);
+/// How many times the expected demand may be spent from then on.
+const SURGE: f64 = 2.0;
+/// Time in which a holding may be spent however small the demand was before;
+/// half of an ordinary outage.
+const SPENT_IN: Duration = Duration::from_secs(5);
+
+/// Demand in tokens a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Demand {
+    /// At this router.
+    pub own: f64,
+    /// At all routers, this one included.
+    pub fleet: f64,
+}
+
+impl Demand {
+    /// This router's part; `None` where there is no demand.
+    fn part(&self) -> Option<f64> {
+        (self.fleet > 0.0).then(|| (self.own / self.fleet).min(1.0))
+    }
+}
 
 /// What a plan needs to know besides the account.
 #[derive(Debug, Clone, Copy)]
 pub struct Outlook {
-    /// The budget.
-    pub prepaid: u64,
-    /// Tokens of it that no router has taken out.
+    /// Tokens of the budget that no router has taken out.
     pub pool: u64,
+    /// Tokens that the other routers hold and have not spent.
+    pub others: u64,
     /// Live routers.
     pub routers: u32,
+    /// Demand for this budget.
+    pub demand: Demand,
+    /// Demand for all budgets.
+    pub total: Demand,
+    /// The size of a typical request of any workspace.
+    pub typical: u64,
+}
+
+impl Outlook {
+    /// The part of a budget that this router should hold.
+    pub fn share(&self) -> f64 {
+        let even = 1.0 / f64::from(self.routers.max(1));
+        let total = self.total.part().unwrap_or(even);
+        let own = self.demand.part().unwrap_or(total);
+        WEIGHTS.0 * own + WEIGHTS.1 * total + WEIGHTS.2 * even
+    }
 }
 
 /// What to write.
@@ -43,6 +85,8 @@
     pub drawn: u64,
     /// Tokens given back.
     pub returned: u64,
+    /// What waiting requests needed when it was made.
+    pub need: u64,
 }
 
 /// Plans the next terms of an account.
@@ -51,29 +95,32 @@
     let held = account.granted().saturating_sub(spent) as f64;
     let need = account.need() as f64;
     let pool = outlook.pool as f64;
-    let rate = account.rate(now);
-    let advance = ADVANCE * outlook.prepaid as f64 / f64::from(outlook.routers.max(1));
-    let wanted = rate * HORIZON.as_secs_f64() + BURST * account.typical() as f64;
-    let most = SHARE * (pool + held);
-    let target = wanted.max(advance).min(most).max(need);
+    let share = outlook.share();
+    let target = HELD * share * (pool + held + outlook.others as f64);
     let (mut drawn, mut returned) = (0.0, 0.0);
     if held < need || held < LOW * target {
-        drawn = (target - held).min(pool);
+        drawn = (target.max(need) - held).min(pool);
     } else if held > HIGH * target {
-        returned = held - KEEP * target;
+        returned = held - target.max(need);
     }
     let (drawn, returned) = (drawn as u64, returned as u64);
     let granted = account.granted() + drawn - returned;
     let left = granted.saturating_sub(spent) as f64;
+    let expected = share * outlook.demand.fleet;
+    let burst =
+        expected * BURST.as_secs_f64() + TYPICAL * account.typical().max(outlook.typical) as f64;
     let terms = Terms {
         granted,
         spent,
-        burst: (BURST * account.typical() as f64).max(need) as u64,
-        rate: (SURGE * rate).max(left / EVEN_S) as u64,
+        burst: (burst + need) as u64,
+        after: AFTER.as_millis() as u64,
+        rate: (SURGE * expected + left / SPENT_IN.as_secs_f64()) as u64,
+        demand: account.rate(now) as u64,
     };
     Plan {
         terms,
         drawn,
         returned,
+        need: account.need(),
     }
 }
--- a/crates/core/src/hold/rows.rs
+++ b/crates/core/src/hold/rows.rs
@@ -16,14 +16,20 @@
     pub spent: u64,
     /// Tokens that may be spent beyond that at once.
     pub burst: u64,
-    /// Tokens that may be spent beyond that each second.
+    /// Milliseconds after which more than the burst may be spent; a router in
+    /// touch with the table writes new terms before.
+    pub after: u64,
+    /// Tokens that may be spent each second from then on.
     pub rate: u64,
+    /// Tokens that the router's callers asked for a second, lately.
+    pub demand: u64,
 }
 
 impl Terms {
     /// The most that can have been spent `elapsed` after they were written.
     pub fn bound(&self, elapsed: Duration) -> u64 {
-        let grown = (self.rate as f64 * elapsed.as_secs_f64()) as u64;
+        let beyond = elapsed.saturating_sub(Duration::from_millis(self.after));
+        let grown = (self.rate as f64 * beyond.as_secs_f64()) as u64;
         let bound = self.spent.saturating_add(self.burst).saturating_add(grown);
         bound.min(self.granted)
     }
@@ -35,6 +41,8 @@
 pub struct HolderRow {
     /// The life that wrote it.
     pub life: u64,
+    /// Counts that life's writes.
+    pub number: u64,
     /// The table's clock before it was written, in milliseconds.
     pub clock: u64,
     /// Terms by budget, in order of the names.
--- a/crates/core/tests/hold.rs
+++ b/crates/core/tests/hold.rs
@@ -2,25 +2,33 @@
 
 use std::time::{Duration, Instant};
 
-use poplar_core::hold::{Account, Outlook, Terms, Total, plan, release, remaining};
+use poplar_core::hold::{Account, Demand, Outlook, Terms, Total, plan, release, remaining};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn outlook(pool: u64) -> Outlook {
+fn outlook(account: &Account, pool: u64, now: Instant) -> Outlook {
+    let own = account.rate(now);
+    let demand = Demand {
+        own,
+        fleet: 8.0 * own,
+    };
     Outlook {
-        prepaid: 1_000_000,
         pool,
+        others: 500_000,
         routers: 8,
+        demand,
+        total: demand,
+        typical: 2_000,
     }
 }
 
 /// Plans, and has the plan confirmed at once.
 fn checkpoint(account: &mut Account, pool: &mut u64, now: Instant) {
-    let planned = plan(account, &outlook(*pool), now);
+    let planned = plan(account, &outlook(account, *pool, now), now);
     account.sent(planned.terms, now);
     account.confirmed(now);
-    account.forget_need();
+    account.covered(planned.need);
     *pool = *pool + planned.returned - planned.drawn;
 }
 
@@ -45,7 +53,13 @@
     };
     for _ in 0..10 {
         now += SECOND;
-        assert!(spend(&mut account, now));
+        if !spend(&mut account, now) {
+            // In touch with the table, a request waits for the next write.
+            checkpoint(&mut account, &mut pool, now);
+            now += Duration::from_millis(10);
+            assert!(spend(&mut account, now));
+        }
+        now += Duration::from_millis(10);
         checkpoint(&mut account, &mut pool, now);
     }
     for second in 0..9 {
@@ -60,11 +74,13 @@
         granted: 100_000,
         spent: 20_000,
         burst: 4_000,
+        after: 2_000,
         rate: 2_000,
+        demand: 0,
     };
     let bound = release(&terms, 2 * SECOND);
-    assert_eq!(bound.released, 72_000);
-    assert_eq!(bound.stranded, 8_000);
+    assert_eq!(bound.released, 76_000);
+    assert_eq!(bound.stranded, 4_000);
 }
 
 #[test]
@@ -73,7 +89,9 @@
         granted: 100_000,
         spent: 20_000,
         burst: 4_000,
+        after: 2_000,
         rate: 10_000,
+        demand: 0,
     };
     assert_eq!(release(&terms, 60 * SECOND).released, 0);
 }
@@ -83,8 +101,32 @@
     let now = Instant::now();
     let (mut account, mut pool) = (Account::default(), 400_000);
     checkpoint(&mut account, &mut pool, now);
-    let planned = plan(&account, &outlook(0), now + SECOND);
-    assert!(planned.returned > 0);
+    let now = now + SECOND;
+    let mut scarce = outlook(&account, 0, now);
+    scarce.others = 0;
+    assert!(plan(&account, &scarce, now).returned > 0);
+}
+
+#[test]
+fn holdings_follow_demand() {
+    let now = Instant::now();
+    let account = Account::default();
+    let hot = Outlook {
+        pool: 1_000_000,
+        others: 0,
+        routers: 8,
+        demand: Demand {
+            own: 9_000.0,
+            fleet: 10_000.0,
+        },
+        total: Demand {
+            own: 30_000.0,
+            fleet: 100_000.0,
+        },
+        typical: 0,
+    };
+    let planned = plan(&account, &hot, now);
+    assert!(planned.drawn > 400_000, "{planned:?}");
 }
 
 #[test]
@@ -96,8 +138,7 @@
     let holder = Terms {
         granted: 500,
         spent: 200,
-        burst: 0,
-        rate: 0,
+        ..Terms::default()
     };
     // 300 of ended lives and 200 of the holder are spent.
     assert_eq!(remaining(1_000, &total, [holder]), 500);
@@ -126,7 +167,7 @@
                 },
                 // A checkpoint that is confirmed.
                 3 => {
-                    let planned = plan(&account, &outlook(pool), now);
+                    let planned = plan(&account, &outlook(&account, pool, now), now);
                     account.sent(planned.terms, now);
                     account.confirmed(now);
                     rows = vec![(planned.terms, now)];
@@ -134,17 +175,25 @@
                 }
                 // One whose answer is lost; it may or may not be in the table.
                 4 => {
-                    let planned = plan(&account, &outlook(pool), now);
+                    let planned = plan(&account, &outlook(&account, pool, now), now);
                     account.sent(planned.terms, now);
                     rows.push((planned.terms, now));
                 }
-                // One that the table refused.
+                // One that the table refuses, with a request meanwhile.
                 _ => {
-                    let planned = plan(&account, &outlook(pool), now);
-                    account.sent(planned.terms, now);
-                    account.failed(now);
+                    let planned = plan(&account, &outlook(&account, pool, now), now);
+                    let at = now;
+                    account.sent(planned.terms, at);
+                    now += Duration::from_millis(1);
+                    if account.reserve(tokens, now) {
+                        reserved.push(tokens);
+                    }
+                    account.failed(at);
                 }
             }
+            // Nothing is spent that no row in the table covers.
+            let covered = rows.iter().map(|(terms, _)| terms.granted).max();
+            prop_assert!(account.spent() <= covered.unwrap_or(0));
             for (terms, at) in &rows {
                 let kept = terms.granted - release(terms, now - *at).released;
                 prop_assert!(account.spent() <= kept);
--- a/crates/router/src/relay/flow.rs
+++ b/crates/router/src/relay/flow.rs
@@ -169,6 +169,12 @@
             .workspace(&workspace.name)
             .with("worst", worst)
             .reason(format_args!("{refused:?}"))
+            .with(
+                "evidence",
+                relay
+                    .purse
+                    .evidence(&workspace.name, prepaid, Instant::now()),
+            )
             .write();
         match refused {
             Refused::Spent { .. } => Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget spent"),
--- a/crates/router/src/relay/purse.rs
+++ b/crates/router/src/relay/purse.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
-use poplar_core::hold::{self, Account, HolderRow, Outlook, Terms, Total};
+use poplar_core::hold::{self, Account, Demand, HolderRow, Outlook, Terms, Total};
 use poplar_core::id::Name;
 use poplar_core::site::Site;
 use poplar_core::sorted::SortedVec;
@@ -33,14 +33,16 @@
 /// How long a transaction may take; the store answers in milliseconds.
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Shortest time between two checkpoints without a waiting request.
-const PERIOD: Duration = Duration::from_millis(800);
+const PERIOD: Duration = Duration::from_millis(400);
 /// Time between checkpoints for each router, so that all of them together stay
 /// under half of what one part of the store takes.
 const PERIOD_EACH: Duration = Duration::from_millis(10);
 /// Age at which the totals are read again.
 const TOTALS_AGE: Duration = Duration::from_millis(700);
 /// Age at which the holders' rows are read again.
-const HOLDERS_AGE: Duration = Duration::from_secs(5);
+const HOLDERS_AGE: Duration = Duration::from_millis(700);
+/// That age for each router, so that what all of them read stays in bounds.
+const HOLDERS_AGE_EACH: Duration = Duration::from_millis(30);
 /// Age at which they are read again for a request that was refused.
 const REFUSED_AGE: Duration = Duration::from_secs(1);
 /// Age up to which they may prove that a budget is spent.
@@ -50,11 +52,14 @@
 /// How long a request waits for a write.
 const WAIT: Duration = Duration::from_millis(600);
 /// Writes that a request waits for.
-const WAITS: u32 = 2;
+const WAITS: u32 = 3;
 /// How long a failed write speaks against waiting for the next one.
 const FAILING: Duration = Duration::from_millis(900);
 /// Tries of one write against the writes of others.
-const TRIES: u32 = 8;
+const TRIES: u32 = 10;
+/// Longest wait after the first conflict, about one transaction; it grows with
+/// each further one.
+const STEP_BACK: Duration = Duration::from_millis(8);
 
 /// Why tokens can't be reserved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,10 +78,17 @@
 /// A write whose outcome is not known yet.
 #[derive(Debug, Clone, Copy)]
 struct Open {
-    clock: u64,
+    number: u64,
     at: Instant,
 }
 
+/// A checkpoint with what its requests needed, by workspace.
+#[derive(Debug)]
+struct Planned {
+    commit: Commit,
+    needs: Vec<(Name, u64)>,
+}
+
 #[derive(Debug, Default)]
 struct Tables {
     accounts: SortedVec<Name, Account>,
@@ -86,6 +98,8 @@
     holders_at: Option<Instant>,
     /// Version of the own row.
     own: u64,
+    /// Own writes so far.
+    written: u64,
     /// Writes whose outcome is not known.
     open: Vec<Open>,
     /// The store's clock, and when it was read.
@@ -123,6 +137,39 @@
         })
     }
 
+    /// The size of a typical request of any workspace.
+    fn typical(&self) -> u64 {
+        let sizes = self.accounts.iter().map(|(_, account)| account.typical());
+        let sizes: Vec<u64> = sizes.filter(|size| *size > 0).collect();
+        sizes.iter().sum::<u64>() / (sizes.len() as u64).max(1)
+    }
+
+    /// Terms of the other routers, of one budget or of all.
+    fn others<'a>(&'a self, own: &'a str, of: Option<&'a str>) -> impl Iterator<Item = &'a Terms> {
+        let rows = self.holders.iter().filter(move |(key, _)| ***key != *own);
+        let terms = rows.flat_map(|(_, row)| row.terms.iter());
+        let wanted = move |(name, _): &&(Name, Terms)| of.is_none_or(|of| **name == *of);
+        terms.filter(wanted).map(|(_, terms)| terms)
+    }
+
+    /// Tokens of a budget that the other routers hold.
+    fn held(&self, own: &str, of: &str) -> u64 {
+        let held = |terms: &Terms| terms.granted.saturating_sub(terms.spent);
+        self.others(own, Some(of)).map(held).sum()
+    }
+
+    /// Demand for one budget, or for all.
+    fn demand(&self, own: &str, of: Option<&str>, now: Instant) -> Demand {
+        let accounts = self.accounts.iter();
+        let mine = accounts.filter(|(name, _)| of.is_none_or(|of| ***name == *of));
+        let mine: f64 = mine.map(|(_, account)| account.rate(now)).sum();
+        let others: u64 = self.others(own, of).map(|terms| terms.demand).sum();
+        Demand {
+            own: mine,
+            fleet: mine + others as f64,
+        }
+    }
+
     fn routers(&self, now: Instant) -> u32 {
         let clock = self.clock(now);
         let live = |row: &HolderRow| row.clock + LIVE.as_millis() as u64 > clock;
@@ -274,6 +321,31 @@
         Refused::Short
     }
 
+    /// What the decision on a refusal rested on, for the logs.
+    pub fn evidence(&self, workspace: &Name, prepaid: u64, now: Instant) -> String {
+        let tables = lock(&self.tables);
+        let (total, _) = tables.total(workspace);
+        let age = |at: Option<Instant>| {
+            at.map_or(u128::MAX, |at| {
+                now.saturating_duration_since(at).as_millis()
+            })
+        };
+        let account = tables.accounts.get(&**workspace);
+        let spent = account.map_or(0, Account::spent);
+        let granted = account.map_or(0, Account::granted);
+        let left = hold::remaining(prepaid, &total, tables.holder_terms(workspace));
+        format!(
+            "prepaid {prepaid} taken {} left {left} granted {granted} spent {spent} \
+             free {} rate {:.0} routers {} totals_age {} holders_age {}",
+            total.granted,
+            account.map_or(0, |a| a.free(now)),
+            account.map_or(0.0, |a| a.rate(now)),
+            tables.routers(now),
+            age(tables.totals_at),
+            age(tables.holders_at),
+        )
+    }
+
     /// Keeps the row until the process ends.
     pub async fn keep(self: Arc<Self>, site: impl Fn() -> Option<Arc<Site>>) {
         self.open().await;
@@ -314,6 +386,7 @@
         let before: HolderRow = own.and_then(decode).unwrap_or_default();
         let next = HolderRow {
             life: self.life,
+            number: 0,
             clock: rows.clock,
             terms: Vec::new(),
         };
@@ -354,7 +427,7 @@
     /// Writes a checkpoint; a failure is logged, and the next one goes on.
     async fn cycle(&self, site: &Site) {
         let started = Instant::now();
-        for _ in 0..TRIES {
+        for tries in 0..TRIES {
             let result = match self.refresh(started).await {
                 Ok(()) => self.checkpoint(site).await,
                 Err(why) => Err(why),
@@ -367,7 +440,10 @@
                     }
                     return;
                 }
-                Err(Error::Conflict(rows)) => self.conflict(&rows),
+                Err(Error::Conflict(rows)) => {
+                    self.conflict(&rows);
+                    step_back(tries).await;
+                }
                 Err(why) => {
                     log::warn("checkpoint failed").reason(&why).write();
                     lock(&self.tables).failed = Some(Instant::now());
@@ -385,10 +461,11 @@
         let (holders, totals) = {
             let tables = lock(&self.tables);
             let old = |at: Option<Instant>, age| at.is_none_or(|at| now > at + age);
+            let usual = HOLDERS_AGE.max(HOLDERS_AGE_EACH * tables.routers(now));
             let age = if tables.short {
-                REFUSED_AGE
+                REFUSED_AGE.min(usual)
             } else {
-                HOLDERS_AGE
+                usual
             };
             (
                 old(tables.holders_at, age),
@@ -419,7 +496,7 @@
 
     async fn checkpoint(&self, site: &Site) -> Result<(), Error> {
         let now = Instant::now();
-        let commit = self.planned(site, now);
+        let Planned { commit, needs } = self.planned(site, now);
         let result = self.store.commit(PLACE, commit.clone(), TIMEOUT).await;
         let mut tables = lock(&self.tables);
         match &result {
@@ -439,7 +516,11 @@
                 tables.open.clear();
                 for (_, account) in tables.accounts.iter_mut() {
                     account.confirmed(now);
-                    account.forget_need();
+                }
+                for (name, need) in &needs {
+                    if let Some(account) = tables.accounts.get_mut(&**name) {
+                        account.covered(*need);
+                    }
                 }
             }
             Err(Error::Unknown(_) | Error::Malformed(_)) => {}
@@ -454,29 +535,39 @@
     }
 
     /// The next checkpoint, noted as being on its way.
-    fn planned(&self, site: &Site, now: Instant) -> Commit {
+    fn planned(&self, site: &Site, now: Instant) -> Planned {
         let mut tables = lock(&self.tables);
         let routers = tables.routers(now);
         let clock = tables.clock(now);
+        tables.written += 1;
+        let number = tables.written;
         let mut commit = Commit::default();
+        let mut needs = Vec::new();
         let mut row = HolderRow {
             life: self.life,
+            number,
             clock,
             terms: Vec::new(),
         };
+        let all = tables.demand(&self.key, None, now);
+        let typical = tables.typical();
         for (name, workspace) in site.workspaces.iter() {
             let Some(prepaid) = workspace.prepaid else {
                 continue;
             };
             let (mut total, version) = tables.total(name);
             let outlook = Outlook {
-                prepaid,
                 pool: prepaid.saturating_sub(total.granted),
+                others: tables.held(&self.key, name),
                 routers,
+                demand: tables.demand(&self.key, Some(name), now),
+                total: all,
+                typical,
             };
             let account = tables.accounts.entry(name.clone(), Account::default);
             let plan = hold::plan(account, &outlook, now);
             account.sent(plan.terms, now);
+            needs.push((name.clone(), plan.need));
             row.terms.push((name.clone(), plan.terms));
             if plan.drawn != plan.returned {
                 total.granted = (total.granted + plan.drawn).saturating_sub(plan.returned);
@@ -489,8 +580,8 @@
             }
         }
         write(&mut commit, self.key.clone(), tables.own, &row);
-        tables.open.push(Open { clock, at: now });
-        commit
+        tables.open.push(Open { number, at: now });
+        Planned { commit, needs }
     }
 
     /// Takes rows over that others wrote, or an own write whose answer was lost.
@@ -506,7 +597,7 @@
         let found: Option<HolderRow> = decode(own);
         let found = found.filter(|row| row.life == self.life);
         let known = found.and_then(|row| {
-            let open = tables.open.iter().find(|open| open.clock == row.clock);
+            let open = tables.open.iter().find(|open| open.number == row.number);
             open.map(|open| open.at)
         });
         let Some(at) = known else {
@@ -527,38 +618,54 @@
 
     /// Gives back what was not spent, at the end of a planned stop.
     pub async fn close(&self) {
-        let mut commit = Commit::default();
-        {
-            let tables = lock(&self.tables);
-            if !tables.opened {
-                return;
-            }
-            for (name, account) in tables.accounts.iter() {
-                let (mut total, version) = tables.total(name);
-                let unspent = account.granted().saturating_sub(account.spent());
-                total.granted = total.granted.saturating_sub(unspent);
-                write(
-                    &mut commit,
-                    format!("{TOTAL}{name}").into(),
-                    version,
-                    &total,
-                );
+        if !self.is_open() {
+            return;
+        }
+        for tries in 0..TRIES {
+            let commit = self.ending(Instant::now());
+            match self.store.commit(PLACE, commit, TIMEOUT).await {
+                Ok(_) => return log::info("budgets returned").write(),
+                Err(Error::Conflict(rows)) => {
+                    self.conflict(&rows);
+                    step_back(tries).await;
+                }
+                // The next life at this address finds the row and releases it.
+                Err(why) => return log::warn("budgets not returned").reason(why).write(),
             }
-            let row = HolderRow {
-                life: self.life,
-                clock: tables.clock(Instant::now()),
-                terms: Vec::new(),
-            };
-            write(&mut commit, self.key.clone(), tables.own, &row);
         }
-        match self.store.commit(PLACE, commit, TIMEOUT).await {
-            Ok(_) => log::info("budgets returned").write(),
-            // The next life at this address finds the row and releases it.
-            Err(why) => log::warn("budgets not returned").reason(why).write(),
+        log::warn("budgets not returned")
+            .with("tries", TRIES)
+            .write();
+    }
+
+    /// The last write of this life.
+    fn ending(&self, now: Instant) -> Commit {
+        let mut commit = Commit::default();
+        let tables = lock(&self.tables);
+        for (name, account) in tables.accounts.iter() {
+            let (mut total, version) = tables.total(name);
+            let unspent = account.granted().saturating_sub(account.spent());
+            total.granted = total.granted.saturating_sub(unspent);
+            let key = format!("{TOTAL}{name}").into();
+            write(&mut commit, key, version, &total);
         }
+        let row = HolderRow {
+            life: self.life,
+            number: tables.written + 1,
+            clock: tables.clock(now),
+            terms: Vec::new(),
+        };
+        write(&mut commit, self.key.clone(), tables.own, &row);
+        commit
     }
 }
 
+/// Lets other routers' writes pass after a conflict.
+async fn step_back(tries: u32) {
+    let most = STEP_BACK * (tries + 1);
+    tokio::time::sleep(most.mul_f64(rand::random())).await;
+}
+
 fn write(commit: &mut Commit, key: Name, version: u64, value: &impl Serialize) {
     commit.checks.push(Check {
         key: key.clone(),
