Give back what an unanswered write did not; write before each spending

Up to 16 routers a request now waits for a write of its own (about 8 ms); the first 1.5 s of an outage are served only from what was written. Each request now ends with one line, also where its client left.

--- a/crates/core/src/hold/account.rs
+++ b/crates/core/src/hold/account.rs
@@ -53,9 +53,10 @@
         self.typical as u64
     }
 
-    /// Tokens that this life has taken out, as far as it may rely on it.
-    pub fn granted(&self) -> u64 {
-        self.lowest(|sent| sent.terms.granted)
+    /// Tokens that the last acknowledged terms grant. The next terms start from
+    /// these: they are written only if none that are open come into force.
+    pub fn known(&self) -> u64 {
+        self.known.map_or(0, |sent| sent.terms.granted)
     }
 
     /// Tokens that can still be spent at `now`.
--- a/crates/core/src/hold/plan.rs
+++ b/crates/core/src/hold/plan.rs
@@ -20,18 +20,21 @@
 /// part of all demand, and of an even split. One budget's demand at one router
 /// is a few requests in the time over which it is averaged.
 const WEIGHTS: (f64, f64, f64) = (0.35, 0.5, 0.15);
-/// Time of the expected demand that the burst covers.
+/// Routers up to which each request may have a write of its own; the table
+/// takes a few hundred a second.
+const FEW: u32 = 16;
+/// Time of the expected demand that the burst covers where there are more.
 const BURST: Duration = Duration::from_millis(1200);
-/// Typical requests that the burst covers.
+/// Typical requests that it covers then.
 const TYPICAL: f64 = 0.7;
 /// When more than the burst may be spent: later than a process that was killed
 /// in touch with the table is back.
-const AFTER: Duration = Duration::from_millis(1900);
+const AFTER: Duration = Duration::from_millis(1500);
 /// How many times the expected demand may be spent from then on.
 const SURGE: f64 = 2.0;
 /// Time in which a holding may be spent however small the demand was before;
 /// half of an ordinary outage.
-const SPENT_IN: Duration = Duration::from_secs(5);
+const SPENT_IN: Duration = Duration::from_secs(6);
 
 /// Demand in tokens a second.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -92,7 +95,7 @@
 /// Plans the next terms of an account.
 pub fn plan(account: &Account, outlook: &Outlook, now: Instant) -> Plan {
     let spent = account.spent();
-    let held = account.granted().saturating_sub(spent) as f64;
+    let held = account.known().saturating_sub(spent) as f64;
     let need = account.need() as f64;
     let pool = outlook.pool as f64;
     let share = outlook.share();
@@ -104,11 +107,15 @@
         returned = held - target.max(need);
     }
     let (drawn, returned) = (drawn as u64, returned as u64);
-    let granted = account.granted() + drawn - returned;
+    let granted = account.known() + drawn - returned;
     let left = granted.saturating_sub(spent) as f64;
     let expected = share * outlook.demand.fleet;
-    let burst =
-        expected * BURST.as_secs_f64() + TYPICAL * account.typical().max(outlook.typical) as f64;
+    let burst = if outlook.routers > FEW {
+        let typical = account.typical().max(outlook.typical) as f64;
+        expected * BURST.as_secs_f64() + TYPICAL * typical
+    } else {
+        0.0
+    };
     let terms = Terms {
         granted,
         spent,
--- a/crates/router/src/relay/flow.rs
+++ b/crates/router/src/relay/flow.rs
@@ -197,7 +197,7 @@
                 let fault = sent.head.status.is_server_error();
                 sent.flight.judged(!fault, Instant::now());
                 if !fault || !run.job.route.kind.repeats() {
-                    finished(&run, "whole", Instant::now());
+                    run.outcome = "whole";
                     return Ok(passed(sent.head, bytes));
                 }
                 run.fallback = Some((sent.head, bytes));
@@ -214,7 +214,7 @@
 /// A server's own failure, where it gave one.
 fn fallback(run: &mut Run) -> Option<Response<Body>> {
     let (head, bytes) = run.fallback.take()?;
-    finished(run, "fault", Instant::now());
+    run.outcome = "fault";
     Some(passed(head, bytes))
 }
 
@@ -231,17 +231,3 @@
     let took = now.saturating_duration_since(job.arrived);
     metrics::histogram!("poplar_first_event_seconds").record(took);
 }
-
-/// Notes the end of a request.
-pub fn finished(run: &Run, outcome: &'static str, now: Instant) {
-    let took = now.saturating_duration_since(run.job.arrived);
-    metrics::histogram!("poplar_request_seconds").record(took);
-    metrics::counter!("poplar_requests_total", "outcome" => outcome).increment(1);
-    log::info("finished")
-        .request(&run.job.head.id)
-        .with("route", &run.job.route.name)
-        .with("outcome", outcome)
-        .with("sends", run.sends())
-        .with("took_ms", took.as_millis())
-        .write();
-}
--- a/crates/router/src/relay/purse.rs
+++ b/crates/router/src/relay/purse.rs
@@ -332,7 +332,7 @@
         };
         let account = tables.accounts.get(&**workspace);
         let spent = account.map_or(0, Account::spent);
-        let granted = account.map_or(0, Account::granted);
+        let granted = account.map_or(0, Account::known);
         let left = hold::remaining(prepaid, &total, tables.holder_terms(workspace));
         format!(
             "prepaid {prepaid} taken {} left {left} granted {granted} spent {spent} \
@@ -644,7 +644,7 @@
         let tables = lock(&self.tables);
         for (name, account) in tables.accounts.iter() {
             let (mut total, version) = tables.total(name);
-            let unspent = account.granted().saturating_sub(account.spent());
+            let unspent = account.known().saturating_sub(account.spent());
             total.granted = total.granted.saturating_sub(unspent);
             let key = format!("{TOTAL}{name}").into();
             write(&mut commit, key, version, &total);
--- a/crates/router/src/relay/run.rs
+++ b/crates/router/src/relay/run.rs
@@ -86,6 +86,7 @@
     reservation: Option<Reservation>,
     print: Print,
     tried: Vec<Name>,
+    last: Option<Name>,
     sends: u32,
     runs: u32,
     /// The last event that the client has.
@@ -93,6 +94,8 @@
     output: u64,
     /// A server's failure that is given where no other server does better.
     pub fallback: Option<(response::Parts, Bytes)>,
+    /// How it ended; a client that left drops it as it is.
+    pub outcome: &'static str,
     _entry: Entry,
 }
 
@@ -114,19 +117,16 @@
             relay,
             reservation,
             tried: Vec::new(),
+            last: None,
             sends: 0,
             runs: 0,
             output: 0,
             fallback: None,
+            outcome: "client left",
             _entry: entry,
         }
     }
 
-    /// Sends so far.
-    pub fn sends(&self) -> u32 {
-        self.sends
-    }
-
     /// What is left until its answer is due, a server's own word included.
     pub fn left(&self, now: Instant) -> Duration {
         (self.job.until + LATE).saturating_duration_since(now)
@@ -199,6 +199,7 @@
 
     async fn attempt(&mut self, flight: Flight) -> Result<Sent, Failure> {
         self.sends += 1;
+        self.last = Some(flight.server.id.clone());
         let connected = upstream::connect(flight.server.address).await;
         let now = Instant::now();
         let (link, mut sender) = match connected {
@@ -328,7 +329,8 @@
     }
 
     /// The final answer of a request that is sent no more.
-    fn give_up(&self, failure: Failure, reason: &'static str, now: Instant) -> Refusal {
+    fn give_up(&mut self, failure: Failure, reason: &'static str, now: Instant) -> Refusal {
+        self.outcome = reason;
         if self.runs == 0 && failure.not_run() {
             return Refusal::not_run(reason, FULL_AFTER);
         }
@@ -355,3 +357,23 @@
         }
     }
 }
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let took = self.job.arrived.elapsed();
+        metrics::histogram!("poplar_request_seconds").record(took);
+        metrics::counter!("poplar_requests_total", "outcome" => self.outcome).increment(1);
+        let workspace = self.job.workspace.as_ref().map_or("", |w| &*w.name);
+        log::info("finished")
+            .request(&self.job.head.id)
+            .with("route", &self.job.route.name)
+            .workspace(workspace)
+            .with("outcome", self.outcome)
+            .with("sends", self.sends)
+            .with("runs", self.runs)
+            .with("server", self.last.as_deref().unwrap_or("none"))
+            .with("tokens", self.reservation.as_ref().map_or(0, |r| r.used))
+            .with("took_ms", took.as_millis())
+            .write();
+    }
+}
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -83,7 +83,10 @@
         let id = flight.server.id.clone();
         if !head.status.is_success() {
             match run.collect(body).await {
-                Ok(bytes) => return Ok(flow::passed(head, bytes)),
+                Ok(bytes) => {
+                    run.outcome = "fault";
+                    return Ok(flow::passed(head, bytes));
+                }
                 Err(failure) => run.again(failure, &id)?,
             }
             continue;
@@ -156,7 +159,7 @@
                 Ok(None) => {
                     self.over = true;
                     self.source.flight.judged(true, Instant::now());
-                    flow::finished(&self.run, "whole", Instant::now());
+                    self.run.outcome = "whole";
                     return Ok(None);
                 }
                 Err(failure) => failure,
@@ -191,15 +194,15 @@
             if numbered { Ok(()) } else { Err(refused) }
         });
         if let Err(refusal) = may {
-            flow::finished(&self.run, "cut", Instant::now());
+            self.run.outcome = "cut";
             return Err(broken(refusal));
         }
         let sent = self.run.send().await.map_err(|refusal| {
-            flow::finished(&self.run, "cut", Instant::now());
+            self.run.outcome = "cut";
             broken(refusal)
         })?;
         if !sent.head.status.is_success() {
-            flow::finished(&self.run, "cut", Instant::now());
+            self.run.outcome = "cut";
             return Err(io::Error::other("the stream was not resumed"));
         }
         log::info("stream resumed")
