Leave nothing behind at a planned stop; say when a budget can be spent again

Cause: planned stops during a slow store could not give back and stranded a quarter of a holding; requests refused in a cut came back before the terms allowed anything; the last tokens of a budget lay in eight places.

--- a/crates/core/src/hold/account.rs
+++ b/crates/core/src/hold/account.rs
@@ -68,6 +68,17 @@
         self.lowest(bound).saturating_sub(self.spent())
     }
 
+    /// When `tokens` can be reserved without new terms; `None` where they can't.
+    pub fn available(&self, tokens: u64, now: Instant) -> Option<Duration> {
+        let all = self.spent() + tokens;
+        let mut latest = Duration::ZERO;
+        for sent in self.known.iter().chain(&self.open) {
+            let gone = now.saturating_duration_since(sent.at);
+            latest = latest.max(sent.terms.covers(all)?.saturating_sub(gone));
+        }
+        self.known.map(|_| latest)
+    }
+
     /// The least of something over all terms that may be in force.
     fn lowest(&self, of: impl Fn(&Sent) -> u64) -> u64 {
         let known = self.known.as_ref().map_or(0, &of);
--- a/crates/core/src/hold/plan.rs
+++ b/crates/core/src/hold/plan.rs
@@ -12,6 +12,9 @@
 /// Part of what is left of a budget that the routers hold; the rest is for
 /// requests that find too little at theirs.
 const HELD: f64 = 0.9;
+/// Time of the fleet's demand below which a budget is scarce. The routers hold
+/// less of it then, so that the last tokens are found by whoever needs them.
+const SCARCE: Duration = Duration::from_secs(15);
 /// A holding below this part of its target is filled up.
 const LOW: f64 = 0.8;
 /// A holding above this multiple of its target is reduced to the target.
@@ -67,11 +70,16 @@
     pub total: Demand,
     /// The size of a typical request of any workspace.
     pub typical: u64,
+    /// Whether the router is stopping: it holds no more than is needed.
+    pub leaving: bool,
 }
 
 impl Outlook {
     /// The part of a budget that this router should hold.
     pub fn share(&self) -> f64 {
+        if self.leaving {
+            return 0.0;
+        }
         let even = 1.0 / f64::from(self.routers.max(1));
         let total = self.total.part().unwrap_or(even);
         let own = self.demand.part().unwrap_or(total);
@@ -99,7 +107,10 @@
     let need = account.need() as f64;
     let pool = outlook.pool as f64;
     let share = outlook.share();
-    let target = HELD * share * (pool + held + outlook.others as f64);
+    let left = pool + held + outlook.others as f64;
+    let lasting = outlook.demand.fleet * SCARCE.as_secs_f64();
+    let plenty = if lasting > left { left / lasting } else { 1.0 };
+    let target = HELD * plenty * share * left;
     let (mut drawn, mut returned) = (0.0, 0.0);
     if held < need || held < LOW * target {
         drawn = (target.max(need) - held).min(pool);
@@ -116,12 +127,17 @@
     } else {
         0.0
     };
+    let rate = if outlook.leaving {
+        0
+    } else {
+        (SURGE * expected + left / SPENT_IN.as_secs_f64()) as u64
+    };
     let terms = Terms {
         granted,
         spent,
         burst: (burst + need) as u64,
         after: AFTER.as_millis() as u64,
-        rate: (SURGE * expected + left / SPENT_IN.as_secs_f64()) as u64,
+        rate,
         demand: account.rate(now) as u64,
     };
     Plan {
--- a/crates/core/src/hold/rows.rs
+++ b/crates/core/src/hold/rows.rs
@@ -35,6 +35,25 @@
     }
 }
 
+impl Terms {
+    /// How long after they were written `tokens` in all can have been spent;
+    /// `None` where the grant does not cover them.
+    pub fn covers(&self, tokens: u64) -> Option<Duration> {
+        if tokens > self.granted {
+            return None;
+        }
+        let beyond = tokens.saturating_sub(self.spent + self.burst);
+        if beyond == 0 {
+            return Some(Duration::ZERO);
+        }
+        if self.rate == 0 {
+            return None;
+        }
+        let seconds = beyond as f64 / self.rate as f64;
+        Some(Duration::from_millis(self.after) + Duration::from_secs_f64(seconds))
+    }
+}
+
 /// A router's row: its terms for each budget.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/core/tests/hold.rs
+++ b/crates/core/tests/hold.rs
@@ -20,6 +20,7 @@
         demand,
         total: demand,
         typical: 2_000,
+        leaving: false,
     }
 }
 
@@ -127,6 +128,7 @@
             fleet: 100_000.0,
         },
         typical: 0,
+        leaving: false,
     };
     let planned = plan(&account, &hot, now);
     assert!(planned.drawn > 400_000, "{planned:?}");
@@ -151,6 +153,50 @@
     assert_eq!(kept, held + next.drawn);
 }
 
+#[test]
+fn a_cut_off_router_says_when_it_can_spend_again() {
+    let now = Instant::now();
+    let (mut account, mut pool) = (Account::default(), 1_000_000);
+    checkpoint(&mut account, &mut pool, now);
+    assert!(!account.reserve(3_000, now));
+    let wait = account.available(3_000, now).expect("it holds enough");
+    let then = now + wait + Duration::from_millis(5);
+    assert!(account.reserve(3_000, then));
+    assert_eq!(account.available(900_000, now), None);
+}
+
+#[test]
+fn a_leaving_router_gives_everything_back_and_strands_nothing() {
+    let now = Instant::now();
+    let (mut account, mut pool) = (Account::default(), 1_000_000);
+    checkpoint(&mut account, &mut pool, now);
+    let leaving = Outlook {
+        leaving: true,
+        ..outlook(&account, pool, now)
+    };
+    let planned = plan(&account, &leaving, now);
+    assert_eq!(planned.returned, account.known());
+    assert_eq!(release(&planned.terms, 60 * SECOND).stranded, 0);
+}
+
+#[test]
+fn the_last_tokens_lie_where_all_find_them() {
+    let now = Instant::now();
+    let account = Account::default();
+    let demand = Demand {
+        own: 5_000.0,
+        fleet: 40_000.0,
+    };
+    let scarce = Outlook {
+        others: 0,
+        demand,
+        total: demand,
+        ..outlook(&account, 100_000, now)
+    };
+    let planned = plan(&account, &scarce, now);
+    assert!(planned.drawn < 5_000, "{planned:?}");
+}
+
 #[test]
 fn stranded_tokens_do_not_count_as_spent() {
     let total = Total {
--- a/crates/router/src/relay/flow.rs
+++ b/crates/router/src/relay/flow.rs
@@ -25,6 +25,12 @@
 const STOPPING_AFTER: Duration = Duration::from_millis(50);
 /// When to come back where another router may hold more of the budget.
 const SHORT_AFTER: Duration = Duration::from_millis(300);
+/// When to come back where the budget's table can't be reached.
+const AWAY_AFTER: Duration = Duration::from_millis(1500);
+/// Time over which returns are spread, so that they don't come all at once.
+const SPREAD: Duration = Duration::from_millis(300);
+/// Part of its target that a request may wait for its budget.
+const PATIENCE: f64 = 0.4;
 /// Part of the grace after which streams are left to other routers.
 const STREAMS: f64 = 0.35;
 /// Part of the grace after which all requests are left to other routers.
@@ -162,7 +168,11 @@
         return Ok(None);
     };
     let worst = tokens.prompt + tokens.output;
-    let reserved = relay.purse.reserve(&workspace.name, prepaid, worst).await;
+    let patience = job.route.target.mul_f64(PATIENCE);
+    let reserved = relay
+        .purse
+        .reserve(&workspace.name, prepaid, worst, patience);
+    let reserved = reserved.await;
     reserved.map(Some).map_err(|refused| {
         log::info("no budget")
             .request(&job.head.id)
@@ -179,7 +189,10 @@
         match refused {
             Refused::Spent { .. } => Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget spent"),
             Refused::Short => Refusal::not_run("budget elsewhere", SHORT_AFTER),
-            Refused::Away => Refusal::not_run("budget out of reach", SHORT_AFTER),
+            Refused::Away { after } => {
+                let after = after.unwrap_or(AWAY_AFTER) + SPREAD.mul_f64(rand::random());
+                Refusal::not_run("budget out of reach", after)
+            }
         }
     })
 }
--- a/crates/router/src/relay/life.rs
+++ b/crates/router/src/relay/life.rs
@@ -22,7 +22,9 @@
 /// a second and believes the second miss.
 const LINGER: Duration = Duration::from_millis(3200);
 /// What is kept of the grace for the last writes and the exit.
-const RESERVE: Duration = Duration::from_millis(600);
+const RESERVE: Duration = Duration::from_millis(900);
+/// What is kept of the grace for the exit itself.
+const EXIT: Duration = Duration::from_millis(150);
 /// How often the settings file is looked at; it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(1);
 
@@ -67,6 +69,7 @@
     wait_for_end().await?;
     let began = Instant::now();
     relay.stop(began);
+    relay.purse.leave();
     log::info("stopping").with("open", relay.open()).write();
     let last = began + relay.settings.grace.saturating_sub(RESERVE);
     drain(&relay, began, last, stop).await;
@@ -74,7 +77,8 @@
     let left = last.saturating_duration_since(Instant::now());
     let _ = tokio::time::timeout(left, doors).await;
     keeper.abort();
-    relay.purse.close().await;
+    let left = (began + relay.settings.grace).saturating_duration_since(Instant::now());
+    relay.purse.close(left.saturating_sub(EXIT)).await;
     log::info("stopped").with("open", relay.open()).write();
     Ok(())
 }
--- a/crates/router/src/relay/purse.rs
+++ b/crates/router/src/relay/purse.rs
@@ -71,8 +71,11 @@
     },
     /// The router holds too little, and others may hold more.
     Short,
-    /// The store can't be reached, and the router holds too little.
-    Away,
+    /// The store can't be reached, and the router may not spend as much yet.
+    Away {
+        /// When it may, where it holds enough.
+        after: Option<Duration>,
+    },
 }
 
 /// A write whose outcome is not known yet.
@@ -105,6 +108,7 @@
     /// The store's clock, and when it was read.
     clock: Option<(u64, Instant)>,
     opened: bool,
+    leaving: bool,
     failed: Option<Instant>,
     short: bool,
 }
@@ -256,7 +260,8 @@
         tables.accounts.iter().map(free).collect()
     }
 
-    /// Reserves `worst` tokens of a workspace's budget.
+    /// Reserves `worst` tokens of a workspace's budget, within `patience`
+    /// where waiting helps.
     ///
     /// # Errors
     /// Says why not; nothing is reserved then.
@@ -265,34 +270,69 @@
         workspace: &Name,
         prepaid: u64,
         worst: u64,
+        patience: Duration,
     ) -> Result<Reservation, Refused> {
         for _ in 0..WAITS {
             let done = self.done.notified();
-            if self.try_reserve(workspace, worst, Instant::now()) {
-                return Ok(Reservation {
-                    purse: self.clone(),
-                    workspace: workspace.clone(),
-                    worst,
-                    used: 0,
-                });
+            let now = Instant::now();
+            if self.try_reserve(workspace, worst, now) {
+                return Ok(self.reserved(workspace, worst));
             }
-            if self.is_failing(Instant::now()) {
-                return Err(Refused::Away);
+            if self.is_failing(now) {
+                return self.outlast(workspace, worst, patience, now).await;
             }
             self.wake.notify_one();
             if tokio::time::timeout(WAIT, done).await.is_err() {
-                return Err(Refused::Away);
+                let now = Instant::now();
+                return self.outlast(workspace, worst, patience, now).await;
             }
         }
+        let now = Instant::now();
+        if self.try_reserve(workspace, worst, now) {
+            return Ok(self.reserved(workspace, worst));
+        }
+        Err(self.why(workspace, prepaid, worst, now))
+    }
+
+    fn reserved(self: &Arc<Self>, workspace: &Name, worst: u64) -> Reservation {
+        Reservation {
+            purse: self.clone(),
+            workspace: workspace.clone(),
+            worst,
+            used: 0,
+        }
+    }
+
+    /// Reserves while the store is away, as far as the terms allow it.
+    async fn outlast(
+        self: &Arc<Self>,
+        workspace: &Name,
+        worst: u64,
+        patience: Duration,
+        now: Instant,
+    ) -> Result<Reservation, Refused> {
+        let after = self.available(workspace, worst, now);
+        let refused = Refused::Away { after };
+        let Some(wait) = after.filter(|wait| *wait <= patience) else {
+            return Err(refused);
+        };
+        tokio::time::sleep(wait).await;
         if self.try_reserve(workspace, worst, Instant::now()) {
-            return Ok(Reservation {
-                purse: self.clone(),
-                workspace: workspace.clone(),
-                worst,
-                used: 0,
-            });
+            return Ok(self.reserved(workspace, worst));
         }
-        Err(self.why(workspace, prepaid, worst, Instant::now()))
+        Err(refused)
+    }
+
+    fn available(&self, workspace: &Name, worst: u64, now: Instant) -> Option<Duration> {
+        let tables = lock(&self.tables);
+        let account = tables.accounts.get(&**workspace)?;
+        account.available(worst, now)
+    }
+
+    /// Begins a planned stop: what is not needed is given back from now on.
+    pub fn leave(&self) {
+        lock(&self.tables).leaving = true;
+        self.wake.notify_one();
     }
 
     fn try_reserve(&self, workspace: &Name, worst: u64, now: Instant) -> bool {
@@ -309,7 +349,9 @@
     fn why(&self, workspace: &Name, prepaid: u64, worst: u64, now: Instant) -> Refused {
         let mut tables = lock(&self.tables);
         if tables.failed.is_some_and(|at| now < at + FAILING) {
-            return Refused::Away;
+            let account = tables.accounts.get(&**workspace);
+            let after = account.and_then(|a| a.available(worst, now));
+            return Refused::Away { after };
         }
         tables.short = true;
         let (total, _) = tables.total(workspace);
@@ -367,14 +409,12 @@
     /// Takes the row of the life before over and gives back what it can't have
     /// spent; the process that wrote it is gone, since its address is ours.
     async fn open(&self) {
-        let mut wait = Duration::from_millis(50);
-        loop {
+        for tries in 0.. {
             match self.try_open().await {
                 Ok(()) => break,
                 Err(why) => log::warn("budgets not opened").reason(why).write(),
             }
-            tokio::time::sleep(wait).await;
-            wait = (wait * 2).min(Duration::from_millis(400));
+            step_back(tries.min(TRIES)).await;
         }
     }
 
@@ -563,6 +603,7 @@
                 demand: tables.demand(&self.key, Some(name), now),
                 total: all,
                 typical,
+                leaving: tables.leaving,
             };
             let account = tables.accounts.entry(name.clone(), Account::default);
             let plan = hold::plan(account, &outlook, now);
@@ -617,13 +658,13 @@
     }
 
     /// Gives back what was not spent, at the end of a planned stop.
-    pub async fn close(&self) {
+    pub async fn close(&self, timeout: Duration) {
         if !self.is_open() {
             return;
         }
         for tries in 0..TRIES {
             let commit = self.ending(Instant::now());
-            match self.store.commit(PLACE, commit, TIMEOUT).await {
+            match self.store.commit(PLACE, commit, timeout).await {
                 Ok(_) => return log::info("budgets returned").write(),
                 Err(Error::Conflict(rows)) => {
                     self.conflict(&rows);
