--- a/crates/core/src/hold/account.rs
+++ b/crates/core/src/hold/account.rs
@@ -85,7 +85,7 @@
         self.open.iter().map(of).fold(known, u64::min)
     }
 
-    /// Tokens spent a second, averaged over the last seconds.
+    /// Tokens asked for a second, averaged over the last seconds.
     pub fn rate(&self, now: Instant) -> f64 {
         let idle = self
             .rated
@@ -93,12 +93,15 @@
         self.rate * (-idle / AVERAGE.as_secs_f64()).exp()
     }
 
+    /// Notes that a request for `tokens` came, whatever becomes of it.
+    pub fn asked(&mut self, tokens: u64, now: Instant) {
+        self.typical += NEWEST * (tokens as f64 - self.typical);
+        self.rate = self.rate(now) + tokens as f64 / AVERAGE.as_secs_f64();
+        self.rated = Some(now);
+    }
+
     /// Reserves `tokens`, or notes that they are needed.
     pub fn reserve(&mut self, tokens: u64, now: Instant) -> bool {
-        self.typical += NEWEST * (tokens as f64 - self.typical);
-        if self.typical < 1.0 {
-            self.typical = tokens as f64;
-        }
         if self.free(now) < tokens {
             self.need += tokens;
             return false;
@@ -108,11 +111,9 @@
     }
 
     /// Ends a reservation of which `used` tokens were spent.
-    pub fn settle(&mut self, tokens: u64, used: u64, now: Instant) {
+    pub fn settle(&mut self, tokens: u64, used: u64) {
         self.reserved -= tokens.min(self.reserved);
         self.consumed += used;
-        self.rate = self.rate(now) + used as f64 / AVERAGE.as_secs_f64();
-        self.rated = Some(now);
     }
 
     /// Notes that terms were written that cover `tokens` of the need.
--- a/crates/core/tests/hold.rs
+++ b/crates/core/tests/hold.rs
@@ -48,9 +48,10 @@
     let (mut account, mut pool) = (Account::default(), 1_000_000);
     checkpoint(&mut account, &mut pool, now);
     let spend = |account: &mut Account, now: Instant| {
+        account.asked(2_000, now);
         let reserved = account.reserve(2_000, now);
         if reserved {
-            account.settle(2_000, 1_500, now);
+            account.settle(2_000, 1_500);
         }
         reserved
     };
@@ -197,6 +198,15 @@
     assert!(planned.drawn < 5_000, "{planned:?}");
 }
 
+#[test]
+fn refused_requests_count_as_demand() {
+    let now = Instant::now();
+    let mut account = Account::default();
+    account.asked(8_000, now);
+    assert!(!account.reserve(8_000, now));
+    assert!(account.rate(now) > 0.0);
+}
+
 #[test]
 fn stranded_tokens_do_not_count_as_spent() {
     let total = Total {
@@ -231,7 +241,7 @@
             match kind {
                 0 | 1 => if account.reserve(tokens, now) { reserved.push(tokens) },
                 2 => if let Some(worst) = reserved.pop() {
-                    account.settle(worst, worst * 2 / 3, now);
+                    account.settle(worst, worst * 2 / 3);
                 },
                 // A checkpoint that is confirmed.
                 3 => {
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -45,6 +45,8 @@
     pub server: Server,
     /// Whether it is the home of the shared prompt.
     pub home: bool,
+    /// Work ahead of the request there, in prompt tokens.
+    pub ahead: f64,
     reading: u64,
 }
 
@@ -130,7 +132,7 @@
             }
         };
         let candidates: Vec<Candidate> = tables.list.ready(service).map(candidate).collect();
-        let Choice { id, home, .. } = home::choose(&candidates, ask)?;
+        let Choice { id, home, work } = home::choose(&candidates, ask)?;
         let server = tables.list.ready(service).find(|s| s.id == id)?.clone();
         let reading = reading.saturating_sub(if home { ask.tokens } else { 0 });
         let known = tables.known.entry(id, Known::default);
@@ -140,6 +142,7 @@
             fleet: self.clone(),
             server,
             home,
+            ahead: work,
             reading,
         })
     }
--- a/crates/router/src/relay/purse.rs
+++ b/crates/router/src/relay/purse.rs
@@ -207,7 +207,7 @@
     fn drop(&mut self) {
         let mut tables = lock(&self.purse.tables);
         if let Some(account) = tables.accounts.get_mut(&*self.workspace) {
-            account.settle(self.worst, self.used.min(self.worst), Instant::now());
+            account.settle(self.worst, self.used.min(self.worst));
         }
     }
 }
@@ -272,6 +272,7 @@
         worst: u64,
         patience: Duration,
     ) -> Result<Reservation, Refused> {
+        self.asked(workspace, worst, Instant::now());
         for _ in 0..WAITS {
             let done = self.done.notified();
             let now = Instant::now();
@@ -335,6 +336,12 @@
         self.wake.notify_one();
     }
 
+    fn asked(&self, workspace: &Name, worst: u64, now: Instant) {
+        let mut tables = lock(&self.tables);
+        let account = tables.accounts.entry(workspace.clone(), Account::default);
+        account.asked(worst, now);
+    }
+
     fn try_reserve(&self, workspace: &Name, worst: u64, now: Instant) -> bool {
         let mut tables = lock(&self.tables);
         let account = tables.accounts.entry(workspace.clone(), Account::default);
--- a/crates/router/src/relay/run.rs
+++ b/crates/router/src/relay/run.rs
@@ -94,6 +94,8 @@
     output: u64,
     /// A server's failure that is given where no other server does better.
     pub fallback: Option<(response::Parts, Bytes)>,
+    /// When its first event came.
+    pub first: Option<Instant>,
     /// How it ended; a client that left drops it as it is.
     pub outcome: &'static str,
     _entry: Entry,
@@ -122,6 +124,7 @@
             runs: 0,
             output: 0,
             fallback: None,
+            first: None,
             outcome: "client left",
             _entry: entry,
         }
@@ -192,9 +195,19 @@
             dice: rand::random(),
         };
         let reading = self.job.head.tokens.map_or(0, |t| t.prompt);
-        self.relay
+        let flight = self
+            .relay
             .fleet
-            .choose(&self.job.service, &ask, reading, now)
+            .choose(&self.job.service, &ask, reading, now)?;
+        log::info("placed")
+            .request(&self.job.head.id)
+            .with("server", &flight.server.id)
+            .with("home", flight.home)
+            .with("ahead", flight.ahead as u64)
+            .with("shared", tokens)
+            .with("prompt", reading)
+            .write();
+        Some(flight)
     }
 
     async fn attempt(&mut self, flight: Flight) -> Result<Sent, Failure> {
@@ -361,6 +374,8 @@
 impl Drop for Run {
     fn drop(&mut self) {
         let took = self.job.arrived.elapsed();
+        let first = self.first.unwrap_or_else(Instant::now);
+        let first = first.saturating_duration_since(self.job.arrived);
         metrics::histogram!("poplar_request_seconds").record(took);
         metrics::counter!("poplar_requests_total", "outcome" => self.outcome).increment(1);
         let workspace = self.job.workspace.as_ref().map_or("", |w| &*w.name);
@@ -373,6 +388,7 @@
             .with("runs", self.runs)
             .with("server", self.last.as_deref().unwrap_or("none"))
             .with("tokens", self.reservation.as_ref().map_or(0, |r| r.used))
+            .with("first_ms", first.as_millis())
             .with("took_ms", took.as_millis())
             .write();
     }
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -99,7 +99,9 @@
         };
         match source.next(run.patience(Instant::now())).await {
             Ok(first) => {
-                flow::first(&run.job, Instant::now());
+                let now = Instant::now();
+                flow::first(&run.job, now);
+                run.first = Some(now);
                 let mut response = Response::new(());
                 *response.status_mut() = head.status;
                 *response.headers_mut() = headers::backward(&head.headers);
