--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -31,9 +31,9 @@
     pub id: Name,
     /// Whether it is in the own data centre.
     pub near: bool,
-    /// Own requests there.
+    /// Requests there, of this router and as the others told.
     pub own: u32,
-    /// Prompt tokens of own requests there that have no first token yet.
+    /// Prompt tokens of these that have no first token yet.
     pub reading: u64,
     /// Requests that it last said it runs, from all routers.
     pub running: u32,
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -1,8 +1,9 @@
 //! Backend servers as this router sees them: their list, its own requests in
 //! flight, their load and their health.
 
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use poplar_base::log;
 use poplar_core::health::{Board, Change};
@@ -12,8 +13,12 @@
 use poplar_core::sorted::SortedVec;
 use poplar_platform::headers::Load;
 
+use crate::relay::gossip::Work;
 use crate::sync::lock;
 
+/// How long a peer's word on its work counts: several messages may be lost.
+const HEARD: Duration = Duration::from_millis(600);
+
 /// What is known of one server.
 #[derive(Debug, Default)]
 struct Known {
@@ -28,6 +33,18 @@
     list: List,
     boards: SortedVec<Name, Board>,
     known: SortedVec<Name, Known>,
+    peers: SortedVec<IpAddr, (Instant, Vec<Work>)>,
+}
+
+impl Tables {
+    /// Requests and prompt tokens that the other routers have at a server.
+    fn others(&self, id: &str, now: Instant) -> (u32, u64) {
+        let fresh = |(_, (at, _)): &(&IpAddr, &(Instant, Vec<Work>))| now < *at + HEARD;
+        let peers = self.peers.iter().filter(fresh);
+        let work = peers.flat_map(|(_, (_, work))| work);
+        let here = work.filter(|w| *w.server == *id);
+        here.fold((0, 0), |sum, w| (sum.0 + w.requests, sum.1 + w.reading))
+    }
 }
 
 /// The backend servers.
@@ -71,6 +88,7 @@
             list,
             boards,
             known,
+            ..
         } = &mut *tables;
         let before: Vec<Server> = list.all().cloned().collect();
         if !list.read(servers, version, now) {
@@ -121,11 +139,12 @@
         let candidate = |server: &Server| {
             let known = tables.known.get(&*server.id);
             let load = known.and_then(|k| k.load);
+            let (requests, reading) = tables.others(&server.id, now);
             Candidate {
                 id: server.id.clone(),
                 near: server.centre == self.centre,
-                own: known.map_or(0, |k| k.own),
-                reading: known.map_or(0, |k| k.reading),
+                own: requests + known.map_or(0, |k| k.own),
+                reading: reading + known.map_or(0, |k| k.reading),
                 running: load.map_or(0, |l| l.running),
                 waiting: load.map_or(0, |l| l.waiting),
                 gate: board.gate(&server.id, now),
@@ -147,6 +166,24 @@
         })
     }
 
+    /// The own work at each server that has some.
+    pub fn work(&self) -> Vec<Work> {
+        let tables = lock(&self.tables);
+        let busy = tables.known.iter().filter(|(_, known)| known.own > 0);
+        let work = busy.map(|(id, known)| Work {
+            server: id.clone(),
+            requests: known.own,
+            reading: known.reading,
+        });
+        work.collect()
+    }
+
+    /// Takes over what another router has at the servers.
+    pub fn heard(&self, from: IpAddr, work: Vec<Work>, now: Instant) {
+        let mut tables = lock(&self.tables);
+        tables.peers.insert(from, (now, work));
+    }
+
     /// Whether a server takes new requests still.
     pub fn is_ready(&self, server: &Server) -> bool {
         let tables = lock(&self.tables);
--- /dev/null
+++ b/crates/router/src/relay/gossip.rs
@@ -0,0 +1,115 @@
+//! Routers tell one another the work that they have at backend servers.
+//!
+//! One datagram to each other router, several times a second while there is
+//! work; a lost one is made good by the next. What a peer said counts for a
+//! moment only, so that one that falls silent is forgotten.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use poplar_base::log;
+use poplar_core::id::Name;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::relay::state::Relay;
+
+/// Shortest time between two messages: less than the reading of a long prompt.
+const PERIOD: Duration = Duration::from_millis(60);
+/// That time for each router, so that what all of them send stays in bounds.
+const PERIOD_EACH: Duration = Duration::from_millis(5);
+/// Largest datagram that is read, in bytes.
+const MESSAGE: usize = 16 << 10;
+/// Servers in one message at the most; the busiest go first.
+const SERVERS: usize = 200;
+
+/// One router's work at one server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Work {
+    /// The server.
+    pub server: Name,
+    /// Requests there.
+    pub requests: u32,
+    /// Prompt tokens of requests without a first event.
+    pub reading: u64,
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct MessageWire {
+    work: Vec<(Name, u32, u64)>,
+}
+
+impl From<&[Work]> for MessageWire {
+    fn from(work: &[Work]) -> Self {
+        let entry = |w: &Work| (w.server.clone(), w.requests, w.reading);
+        Self {
+            work: work.iter().map(entry).collect(),
+        }
+    }
+}
+
+impl From<MessageWire> for Vec<Work> {
+    fn from(wire: MessageWire) -> Self {
+        let entry = |(server, requests, reading)| Work {
+            server,
+            requests,
+            reading,
+        };
+        wire.work.into_iter().map(entry).collect()
+    }
+}
+
+/// Tells the other routers, and listens to them, until the process ends.
+pub async fn run(relay: Arc<Relay>) {
+    let address = SocketAddr::new(relay.settings.ip, relay.settings.internal.0);
+    let socket = match UdpSocket::bind(address).await {
+        Ok(socket) => Arc::new(socket),
+        // Placement goes by the own work and the servers' word then.
+        Err(why) => return log::error("no gossip").reason(why).write(),
+    };
+    tokio::spawn(tell(relay.clone(), socket.clone()));
+    listen(relay, socket).await;
+}
+
+async fn tell(relay: Arc<Relay>, socket: Arc<UdpSocket>) {
+    let mut told = false;
+    loop {
+        let peers = relay.purse.peers();
+        let period = PERIOD.max(PERIOD_EACH * peers.len() as u32);
+        tokio::time::sleep(period).await;
+        let mut work = relay.fleet.work();
+        work.sort_by_key(|w| std::cmp::Reverse(w.reading));
+        work.truncate(SERVERS);
+        // The end of all work is told once.
+        if work.is_empty() && !std::mem::replace(&mut told, !work.is_empty()) {
+            continue;
+        }
+        told = !work.is_empty();
+        let message = MessageWire::from(&work[..]);
+        let bytes = serde_json::to_vec(&message).expect("work is plain data");
+        for peer in peers {
+            let to = SocketAddr::new(peer, relay.settings.internal.0);
+            // A lost datagram is made good by the next.
+            let _ = socket.try_send_to(&bytes, to);
+        }
+    }
+}
+
+async fn listen(relay: Arc<Relay>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; MESSAGE];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            tokio::time::sleep(PERIOD).await;
+            continue;
+        };
+        match serde_json::from_slice::<MessageWire>(&buffer[..length]) {
+            Ok(message) => {
+                let from: IpAddr = from.ip();
+                relay.fleet.heard(from, message.into(), Instant::now());
+            }
+            Err(why) => log::debug("gossip unreadable").reason(why).write(),
+        }
+    }
+}
--- a/crates/router/src/relay/life.rs
+++ b/crates/router/src/relay/life.rs
@@ -14,7 +14,7 @@
 use crate::life::{Error, bind};
 use crate::metrics;
 use crate::relay::state::Relay;
-use crate::relay::{door, watch};
+use crate::relay::{door, gossip, watch};
 
 /// Port of the metrics page; the deploy file names it too.
 pub const METRICS_PORT: u16 = 9464;
@@ -56,6 +56,7 @@
     }
     tokio::spawn(watch::configuration(relay.clone()));
     tokio::spawn(watch::list(relay.clone()));
+    tokio::spawn(gossip::run(relay.clone()));
     let purse = relay.purse.clone();
     let of = relay.clone();
     let keeper = tokio::spawn(purse.keep(move || of.site()));
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -9,6 +9,7 @@
 pub mod events;
 pub mod fleet;
 pub mod flow;
+pub mod gossip;
 pub mod life;
 pub mod purse;
 pub mod refuse;
--- a/crates/router/src/relay/purse.rs
+++ b/crates/router/src/relay/purse.rs
@@ -4,6 +4,7 @@
 //! transaction. A request that finds too little waits for the next write and
 //! is refused where that does not help.
 
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -253,6 +254,14 @@
         lock(&self.tables).routers(now)
     }
 
+    /// Addresses of the other routers, as their rows tell.
+    pub fn peers(&self) -> Vec<IpAddr> {
+        let tables = lock(&self.tables);
+        let others = tables.holders.iter().filter(|(key, _)| **key != self.key);
+        let address = |(key, _): (&Name, &HolderRow)| key.strip_prefix(HOLDER)?.parse().ok();
+        others.filter_map(address).collect()
+    }
+
     /// Tokens that can be spent of each budget, for the metrics page.
     pub fn free(&self, now: Instant) -> Vec<(Name, u64)> {
         let tables = lock(&self.tables);
