--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -12,8 +12,9 @@
 /// Shared prompts below this many tokens have no home: reading them again
 /// takes less than a wait of a few steps.
 const SHARED_LEAST: u64 = 800;
-/// How many times the reading of the shared part the wait at its home may be.
-const STAY: f64 = 1.5;
+/// How many times the reading of the shared part the wait at its home may be:
+/// elsewhere the part is fetched from the home, in a third of that time.
+const STAY: f64 = 0.8;
 /// Work in prompt tokens that a request which is running stands for: it slows
 /// each step and its memory is read in each.
 const RUNNING: f64 = 60.0;
@@ -63,6 +64,8 @@
     pub id: Name,
     /// Whether it is the home of the shared prompt.
     pub home: bool,
+    /// The home, where it is another server.
+    pub holder: Option<Name>,
     /// Work ahead of the request there, in prompt tokens.
     pub work: f64,
 }
@@ -129,6 +132,7 @@
             let choice = Choice {
                 id,
                 home: is_home,
+                holder: home.filter(|_| !is_home).cloned(),
                 work,
             };
             best = Some((cost, choice));
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -1,7 +1,7 @@
 //! Backend servers as this router sees them: their list, its own requests in
 //! flight, their load and their health.
 
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,8 @@
 use crate::relay::gossip::Work;
 use crate::sync::lock;
 
+/// How many times faster a part is fetched than read.
+const FETCH: u64 = 3;
 /// How long a peer's word on its work counts: several messages may be lost.
 const HEARD: Duration = Duration::from_millis(600);
 
@@ -62,6 +64,8 @@
     pub server: Server,
     /// Whether it is the home of the shared prompt.
     pub home: bool,
+    /// Another server that holds the shared prompt.
+    pub holder: Option<SocketAddr>,
     /// Work ahead of the request there, in prompt tokens.
     pub ahead: f64,
     reading: u64,
@@ -151,9 +155,22 @@
             }
         };
         let candidates: Vec<Candidate> = tables.list.ready(service).map(candidate).collect();
-        let Choice { id, home, work } = home::choose(&candidates, ask)?;
+        let Choice {
+            id,
+            home,
+            holder,
+            work,
+        } = home::choose(&candidates, ask)?;
         let server = tables.list.ready(service).find(|s| s.id == id)?.clone();
-        let reading = reading.saturating_sub(if home { ask.tokens } else { 0 });
+        let holder = holder.and_then(|id| tables.list.ready(service).find(|s| s.id == id));
+        let holder = holder.map(|server| server.address);
+        // A part that is fetched counts for the time that the fetch takes.
+        let spared = match holder {
+            _ if home => ask.tokens,
+            Some(_) => ask.tokens - ask.tokens / FETCH,
+            None => 0,
+        };
+        let reading = reading.saturating_sub(spared);
         let known = tables.known.entry(id, Known::default);
         known.own += 1;
         known.reading += reading;
@@ -161,6 +178,7 @@
             fleet: self.clone(),
             server,
             home,
+            holder,
             ahead: work,
             reading,
         })
--- a/crates/router/src/relay/run.rs
+++ b/crates/router/src/relay/run.rs
@@ -299,7 +299,7 @@
             left: self.job.until.saturating_duration_since(now),
             priority: route.kind.streams().then_some(priority.min(9)),
             last_event: self.last_event,
-            holder: None,
+            holder: flight.holder,
         };
         if order.left.is_zero() {
             return None;
