Test the platform's door between stand-ins; bound the log; one lost answer is none

The stand-ins speak the store's and the engines' published protocol. Log lines beyond 300 a second are dropped and counted, and a thread of its own writes them.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod args;
 pub mod ending;
 pub mod http;
+pub mod limit;
 pub mod log;
 pub mod platform;
 pub mod settings;
--- a/crates/base/src/log.rs
+++ b/crates/base/src/log.rs
@@ -2,20 +2,28 @@
 //!
 //! An event never carries a prompt, an answer or an access key. Values with
 //! blanks, quotes or control characters are quoted, so that an event stays one
-//! line whatever a caller sent.
+//! line whatever a caller sent. Lines beyond a bound are dropped and counted,
+//! and a thread of its own writes them, so that nobody waits for who reads.
 
 use std::fmt::{Display, Write};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
 
 use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::sink::{StdStream, StdStreamSink};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
 use spdlog::terminal_style::StyleMode;
-use spdlog::{Level, LevelFilter, Logger};
+use spdlog::{ErrorHandler, Level, LevelFilter, Logger, ThreadPool};
 
+use crate::limit::{Limit, Verdict};
 use crate::settings::Section;
 
 /// Longest value of a field in bytes; the rest is cut off.
 const VALUE: usize = 400;
+/// Lines that wait to be written at the most; some hundred bytes each.
+const WAITING: usize = 4096;
+
+/// The bound on this process's lines.
+static LIMIT: Mutex<Option<Limit>> = Mutex::new(None);
 
 /// Where events go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,6 +91,17 @@
         .style_mode(StyleMode::Never)
         .formatter(PatternFormatter::new(line))
         .build_arc()?;
+    let pool = ThreadPool::builder()
+        .capacity(WAITING.try_into().expect("not zero"))
+        .build_arc()?;
+    // Lines that find the queue full are dropped: whoever reads them is stuck,
+    // and could not be told.
+    let sink = AsyncPoolSink::builder()
+        .sink(sink)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(ErrorHandler::new(|_| {}))
+        .build_arc()?;
     let filter = match settings.level {
         Some(level) => LevelFilter::MoreSevereEqual(level),
         None => LevelFilter::Off,
@@ -165,12 +184,27 @@
 
     /// Writes the event.
     pub fn write(self) {
-        if let Some(line) = self.line {
-            spdlog::log!(self.level, "{line}");
+        let Some(line) = self.line else {
+            return;
+        };
+        let limit = LIMIT.lock();
+        let mut limit = limit.unwrap_or_else(PoisonError::into_inner);
+        let limit = limit.get_or_insert_default();
+        let Verdict::Write { dropped } = limit.line(Instant::now()) else {
+            return;
+        };
+        if dropped > 0 {
+            spdlog::warn!("event=\"lines dropped\" count={dropped}");
         }
+        spdlog::log!(self.level, "{line}");
     }
 }
 
+/// Writes what waits, at the end of a program.
+pub fn close() {
+    spdlog::default_logger().flush();
+}
+
 /// A value as it stands in a line, quoted where it would not be one word.
 fn quoted(value: &str) -> String {
     let cut = value.floor_char_boundary(VALUE);
--- a/crates/router/src/bin/poplar-router.rs
+++ b/crates/router/src/bin/poplar-router.rs
@@ -10,7 +10,9 @@
 use tokio::runtime::Builder;
 
 fn main() -> ExitCode {
-    args::exit(run())
+    let outcome = run();
+    log::close();
+    args::exit(outcome)
 }
 
 fn run() -> Outcome {
--- a/crates/router/src/relay/purse.rs
+++ b/crates/router/src/relay/purse.rs
@@ -54,6 +54,9 @@
 const WAIT: Duration = Duration::from_millis(600);
 /// Writes that a request waits for.
 const WAITS: u32 = 3;
+/// Failed writes in a row after which requests don't wait for the next one; a
+/// single answer may be lost.
+const FAILURES: u32 = 2;
 /// How long a failed write speaks against waiting for the next one.
 const FAILING: Duration = Duration::from_millis(900);
 /// Tries of one write against the writes of others.
@@ -110,6 +113,8 @@
     clock: Option<(u64, Instant)>,
     opened: bool,
     leaving: bool,
+    /// Writes in a row that failed, and when the last one did.
+    failures: u32,
     failed: Option<Instant>,
     short: bool,
 }
@@ -122,6 +127,12 @@
         })
     }
 
+    /// Whether it is no use to wait for the next write.
+    fn is_failing(&self, now: Instant) -> bool {
+        let lately = self.failed.is_some_and(|at| now < at + FAILING);
+        lately && self.failures >= FAILURES
+    }
+
     fn total(&self, name: &str) -> (Total, u64) {
         self.totals.get(name).copied().unwrap_or_default()
     }
@@ -289,6 +300,8 @@
                 return Ok(self.reserved(workspace, worst));
             }
             if self.is_failing(now) {
+                // The next write may find the store back.
+                self.wake.notify_one();
                 return self.outlast(workspace, worst, patience, now).await;
             }
             self.wake.notify_one();
@@ -358,13 +371,12 @@
     }
 
     fn is_failing(&self, now: Instant) -> bool {
-        let tables = lock(&self.tables);
-        tables.failed.is_some_and(|at| now < at + FAILING)
+        lock(&self.tables).is_failing(now)
     }
 
     fn why(&self, workspace: &Name, prepaid: u64, worst: u64, now: Instant) -> Refused {
         let mut tables = lock(&self.tables);
-        if tables.failed.is_some_and(|at| now < at + FAILING) {
+        if tables.is_failing(now) {
             let account = tables.accounts.get(&**workspace);
             let after = account.and_then(|a| a.available(worst, now));
             return Refused::Away { after };
@@ -491,7 +503,7 @@
             match result {
                 Ok(()) => {
                     let mut tables = lock(&self.tables);
-                    if tables.failed.take().is_some() {
+                    if std::mem::take(&mut tables.failures) >= FAILURES {
                         log::info("budgets in touch").write();
                     }
                     return;
@@ -502,7 +514,9 @@
                 }
                 Err(why) => {
                     log::warn("checkpoint failed").reason(&why).write();
-                    lock(&self.tables).failed = Some(Instant::now());
+                    let mut tables = lock(&self.tables);
+                    tables.failures += 1;
+                    tables.failed = Some(Instant::now());
                     return;
                 }
             }
--- /dev/null
+++ b/crates/router/tests/site/mod.rs
@@ -0,0 +1,147 @@
+//! Stand-ins for the users' platform, written from its pages: the store, a
+//! backend server, and a relay between them.
+
+pub(crate) mod backend;
+pub(crate) mod store;
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use poplar_base::http::{Answer, Client, Error};
+use poplar_platform::settings::Settings;
+use poplar_router::relay::state::Relay;
+use poplar_router::relay::{door, watch};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use store::Store;
+
+/// The body of a stand-in's answer.
+pub(crate) type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// A whole body.
+pub(crate) fn whole(bytes: impl Into<Bytes>) -> Body {
+    let never = |never: Infallible| match never {};
+    Full::new(bytes.into()).map_err(never).boxed_unsync()
+}
+
+/// Serves on a free port; `None` as an answer closes the connection.
+pub(crate) async fn serve<F>(
+    handle: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+) -> SocketAddr
+where
+    F: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let handle = handle.clone();
+            let service = service_fn(move |request| {
+                let answer = handle(request);
+                async { answer.await.ok_or(std::io::Error::other("cut")) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(async move {
+                let _ = connection.await;
+            });
+        }
+    });
+    address
+}
+
+/// A relay that follows a store, at its own door.
+pub(crate) struct Door {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl Door {
+    /// Starts a relay and waits until it is ready.
+    pub(crate) async fn open(store: SocketAddr) -> Self {
+        let text = format!(
+            "node_name=front-a-1\nip=127.0.0.1\nzone=a\nlisten.front=127.0.0.1:1\n\
+             listen.ready=127.0.0.1:2\ninternal_ports=7340,7355\nplatform.address={store}\n\
+             bounds.grace_s=8\nbounds.retry_ratio=0.2\nbounds.retry_slack=56\n\
+             bounds.retry_window_s=10\n"
+        );
+        let settings = Settings::parse(&text).expect("settings");
+        let relay = Relay::new(settings);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let of = relay.clone();
+        tokio::spawn(watch::configuration(relay.clone()));
+        tokio::spawn(watch::list(relay.clone()));
+        tokio::spawn(relay.purse.clone().keep(move || of.site()));
+        tokio::spawn(door::callers(
+            listener,
+            relay.clone(),
+            CancellationToken::new(),
+        ));
+        while !relay.is_ready() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Self {
+            address,
+            client: Client::open(),
+        }
+    }
+
+    /// Sends a request to a path and waits for its whole answer.
+    pub(crate) async fn ask(
+        &self,
+        path: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Result<Answer, Error> {
+        let mut request = Request::post(format!("http://{}{path}", self.address))
+            .header("host", "site.example")
+            .header("x-poplarreel-deadline-ms", "2000");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::from("a body")).expect("a request");
+        self.client.call(request, Duration::from_secs(10)).await
+    }
+}
+
+/// A store with a configuration of one route of each kind, and no servers yet.
+pub(crate) fn configured(prepaid: u64) -> Arc<Store> {
+    let store = Store::new();
+    let route = |name: &str, kind: &str, attempts: u32, resumable: bool, service: &str| {
+        serde_json::json!({
+            "name": name, "host": "site.example", "path_prefix": format!("/{name}/"),
+            "kind": kind, "timeout_ms": 2000, "target_latency_ms": 500, "priority": 1,
+            "service": service, "max_attempts": attempts, "resumable": resumable,
+        })
+    };
+    let config = serde_json::json!({
+        "version": 7,
+        "routes": [
+            route("stream", "streaming", 1, false, "engines"),
+            route("resume", "streaming", 2, true, "engines"),
+            route("once", "unsafe", 1, false, "plain"),
+            route("read", "safe", 2, false, "plain"),
+        ],
+        "services": [
+            {"name": "engines", "max_conns": 99,
+             "engine": {"slots": 8, "kv_capacity": 90000, "stride": 5}},
+            {"name": "plain", "max_conns": 99},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "acme", "api_keys": ["key-1"], "prepaid": prepaid}],
+    });
+    store.set("op", "", "config", &config.to_string());
+    store
+}
--- /dev/null
+++ b/crates/router/tests/site/store.rs
@@ -0,0 +1,172 @@
+//! A stand-in for the platform's store: rows, transactions, lost answers.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use poplar_core::sorted::SortedVec;
+use serde_json::{Value, json};
+
+use super::{Body, serve, whole};
+
+type Key = (String, String, String);
+
+/// What becomes of a transaction.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// It takes effect and is answered.
+    #[default]
+    Answer,
+    /// It takes effect, and the connection is cut.
+    Lose,
+    /// It takes no effect, and that is said.
+    Refuse,
+}
+
+#[derive(Debug, Default)]
+struct Tables {
+    rows: SortedVec<Key, (u64, String)>,
+    version: u64,
+    fate: Fate,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub(crate) struct Store {
+    tables: Mutex<Tables>,
+    started: Instant,
+}
+
+fn text(value: &Value, name: &str) -> String {
+    value[name].as_str().unwrap_or_default().to_owned()
+}
+
+fn key(value: &Value) -> Key {
+    (
+        text(value, "table"),
+        text(value, "part"),
+        text(value, "key"),
+    )
+}
+
+impl Store {
+    pub(crate) fn new() -> Arc<Self> {
+        Arc::new(Self {
+            tables: Mutex::default(),
+            started: Instant::now(),
+        })
+    }
+
+    /// Starts to serve it.
+    pub(crate) async fn open(self: &Arc<Self>) -> SocketAddr {
+        let store = self.clone();
+        serve(move |request| store.clone().handle(request)).await
+    }
+
+    /// Writes a row as the operator or a server does.
+    pub(crate) fn set(&self, table: &str, part: &str, key: &str, value: &str) {
+        let mut tables = self.tables.lock().expect("no panic");
+        tables.version += 1;
+        let entry = (tables.version, STANDARD.encode(value));
+        let key = (table.to_owned(), part.to_owned(), key.to_owned());
+        tables.rows.insert(key, entry);
+    }
+
+    /// Registers a backend server.
+    pub(crate) fn register(&self, id: &str, service: &str, address: SocketAddr) {
+        let entry = json!({"service": service, "address": address.to_string(), "zone": "a",
+                           "version": "v1", "slots": 8, "state": "ready", "sequence": 1});
+        self.set("servers", "", id, &entry.to_string());
+    }
+
+    /// Sets what becomes of the next transaction.
+    pub(crate) fn fate(&self, fate: Fate) {
+        self.tables.lock().expect("no panic").fate = fate;
+    }
+
+    /// The value of a row.
+    pub(crate) fn value(&self, table: &str, part: &str, key: &str) -> Option<Value> {
+        let tables = self.tables.lock().expect("no panic");
+        let key = (table.to_owned(), part.to_owned(), key.to_owned());
+        let bytes = STANDARD.decode(&tables.rows.get(&key)?.1).expect("base64");
+        serde_json::from_slice(&bytes).ok()
+    }
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        let (status, answer) = match head.uri.path() {
+            "/api/rows-get" => self.get(head.uri.query().unwrap_or_default()),
+            "/api/rows-tx" => self.transact(&serde_json::from_slice(&body).ok()?)?,
+            _ => (StatusCode::NOT_FOUND, json!({})),
+        };
+        let mut response = Response::new(whole(answer.to_string()));
+        *response.status_mut() = status;
+        Some(response)
+    }
+
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn get(&self, query: &str) -> (StatusCode, Value) {
+        let pairs = query.split('&').filter_map(|p| p.split_once('='));
+        let field = |name: &str| {
+            let found = pairs.clone().find(|(key, _)| *key == name);
+            found.map_or(String::new(), |(_, v)| v.replace("%2F", "/"))
+        };
+        let (from, to) = (field("from"), field("to"));
+        let tables = self.tables.lock().expect("no panic");
+        let here = tables.rows.iter().filter(|((table, part, key), _)| {
+            let place = *table == field("table") && *part == field("part");
+            place && *key >= from && (to.is_empty() || *key < to)
+        });
+        let rows: Vec<Value> = here.map(|(key, row)| shown(key, row)).collect();
+        let answer = json!({"rows": rows, "has_more": false, "ver": tables.version,
+                            "now_ms": self.now()});
+        (StatusCode::OK, answer)
+    }
+
+    fn transact(&self, wire: &Value) -> Option<(StatusCode, Value)> {
+        let mut tables = self.tables.lock().expect("no panic");
+        let fate = std::mem::take(&mut tables.fate);
+        if fate == Fate::Refuse {
+            return Some((StatusCode::SERVICE_UNAVAILABLE, json!({})));
+        }
+        let checks = wire["expected_rev"].as_array()?;
+        let version = |key: &Key| tables.rows.get(key).map_or(0, |row| row.0);
+        if !checks
+            .iter()
+            .all(|c| version(&key(c)) == c["ver"].as_u64().unwrap_or(0))
+        {
+            let found = checks.iter().filter_map(|c| {
+                let key = key(c);
+                tables.rows.get(&key).map(|row| shown(&key, row))
+            });
+            let rows: Vec<Value> = found.collect();
+            return Some((StatusCode::PRECONDITION_FAILED, json!({"rows": rows})));
+        }
+        tables.version += 1;
+        let version = tables.version;
+        for put in wire["put"].as_array()? {
+            let value = text(put, "value");
+            tables.rows.insert(key(put), (version, value));
+        }
+        if fate == Fate::Lose {
+            return None;
+        }
+        Some((
+            StatusCode::OK,
+            json!({"ver": version, "now_ms": self.now()}),
+        ))
+    }
+}
+
+fn shown((table, part, key): &Key, (version, value): &(u64, String)) -> Value {
+    json!({"table": table, "part": part, "key": key, "value": value, "ver": version})
+}
