--- /dev/null
+++ b/crates/core/tests/site.rs
@@ -0,0 +1,55 @@
+//! The list of backend servers through outages of the store.
+
+use std::time::{Duration, Instant};
+
+use poplar_core::site::{List, Server};
+
+fn server(id: &str, ready: bool) -> Server {
+    Server {
+        id: id.into(),
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        centre: "a".into(),
+        ready,
+        born: 1,
+        slots: 8,
+    }
+}
+
+fn ready(list: &List) -> usize {
+    list.ready("s").count()
+}
+
+#[test]
+fn an_older_list_is_passed_over() {
+    let now = Instant::now();
+    let mut list = List::default();
+    assert!(list.read(vec![server("a", false)], 9, now));
+    assert!(!list.read(vec![server("a", true)], 8, now));
+    assert_eq!(ready(&list), 0);
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_for_a_moment() {
+    let now = Instant::now();
+    let mut list = List::default();
+    list.read(vec![server("a", true), server("b", true)], 1, now);
+    let back = now + Duration::from_secs(9);
+    list.read(vec![server("a", true)], 2, back);
+    assert_eq!(ready(&list), 2);
+    list.read(
+        vec![server("a", true)],
+        3,
+        back + Duration::from_millis(2500),
+    );
+    assert_eq!(ready(&list), 1);
+}
+
+#[test]
+fn an_entry_that_is_gone_in_touch_is_gone_at_once() {
+    let now = Instant::now();
+    let mut list = List::default();
+    list.read(vec![server("a", true), server("b", true)], 1, now);
+    list.read(vec![server("a", true)], 2, now + Duration::from_millis(400));
+    assert_eq!(ready(&list), 1);
+}
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -41,7 +41,7 @@
     }
 
     /// The next whole event.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn take(&mut self) -> Option<Event> {
         let bytes = self.buffer.split_to(end(&self.buffer)?).freeze();
         let number = number(&bytes);
         Some(Event { bytes, number })
--- a/crates/router/src/relay/flow.rs
+++ b/crates/router/src/relay/flow.rs
@@ -29,8 +29,9 @@
 const AWAY_AFTER: Duration = Duration::from_millis(1500);
 /// Time over which returns are spread, so that they don't come all at once.
 const SPREAD: Duration = Duration::from_millis(300);
-/// Part of its target that a request may wait for its budget.
-const PATIENCE: f64 = 0.4;
+/// Multiple of its target that a request waits for its budget where the terms
+/// allow it then: coming back would take longer.
+const PATIENCE: f64 = 2.0;
 /// Part of the grace after which streams are left to other routers.
 const STREAMS: f64 = 0.35;
 /// Part of the grace after which all requests are left to other routers.
--- a/crates/router/src/relay/purse.rs
+++ b/crates/router/src/relay/purse.rs
@@ -50,6 +50,8 @@
 const PROOF_AGE: Duration = Duration::from_millis(2500);
 /// How long a holder's row speaks for a live router.
 const LIVE: Duration = Duration::from_secs(6);
+/// Shortest wait for terms that grow.
+const OUTLAST_STEP: Duration = Duration::from_millis(5);
 /// How long a request waits for a write.
 const WAIT: Duration = Duration::from_millis(600);
 /// Writes that a request waits for.
@@ -292,6 +294,7 @@
         worst: u64,
         patience: Duration,
     ) -> Result<Reservation, Refused> {
+        let until = Instant::now() + patience;
         self.asked(workspace, worst, Instant::now());
         for _ in 0..WAITS {
             let done = self.done.notified();
@@ -302,12 +305,11 @@
             if self.is_failing(now) {
                 // The next write may find the store back.
                 self.wake.notify_one();
-                return self.outlast(workspace, worst, patience, now).await;
+                return self.outlast(workspace, worst, until).await;
             }
             self.wake.notify_one();
             if tokio::time::timeout(WAIT, done).await.is_err() {
-                let now = Instant::now();
-                return self.outlast(workspace, worst, patience, now).await;
+                return self.outlast(workspace, worst, until).await;
             }
         }
         let now = Instant::now();
@@ -326,24 +328,27 @@
         }
     }
 
-    /// Reserves while the store is away, as far as the terms allow it.
+    /// Reserves while the store is away, as soon as the terms allow it.
     async fn outlast(
         self: &Arc<Self>,
         workspace: &Name,
         worst: u64,
-        patience: Duration,
-        now: Instant,
+        until: Instant,
     ) -> Result<Reservation, Refused> {
-        let after = self.available(workspace, worst, now);
-        let refused = Refused::Away { after };
-        let Some(wait) = after.filter(|wait| *wait <= patience) else {
-            return Err(refused);
-        };
-        tokio::time::sleep(wait).await;
-        if self.try_reserve(workspace, worst, Instant::now()) {
-            return Ok(self.reserved(workspace, worst));
+        loop {
+            let done = self.done.notified();
+            let now = Instant::now();
+            if self.try_reserve(workspace, worst, now) {
+                return Ok(self.reserved(workspace, worst));
+            }
+            let after = self.available(workspace, worst, now);
+            let wait = after.filter(|wait| now + *wait <= until);
+            let Some(wait) = wait else {
+                return Err(Refused::Away { after });
+            };
+            // The store may be back before; others may spend what grew.
+            let _ = tokio::time::timeout(wait.max(OUTLAST_STEP), done).await;
         }
-        Err(refused)
     }
 
     fn available(&self, workspace: &Name, worst: u64, now: Instant) -> Option<Duration> {
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -40,7 +40,7 @@
     /// The next event; `None` at the end.
     async fn next(&mut self, patience: Duration) -> Result<Option<Event>, Failure> {
         loop {
-            if let Some(event) = self.reader.next() {
+            if let Some(event) = self.reader.take() {
                 self.flight.read();
                 return Ok(Some(event));
             }
