--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -11,7 +11,7 @@
 
 /// Shared prompts below this many tokens have no home: reading them again
 /// takes less than a wait of a few steps.
-const SHARED_LEAST: u64 = 800;
+pub const SHARED_LEAST: u64 = 800;
 /// How many times the reading of the shared part the wait at its home may be:
 /// elsewhere the part is fetched from the home, in a third of that time.
 const STAY: f64 = 0.8;
--- a/crates/router/src/relay/fleet.rs
+++ b/crates/router/src/relay/fleet.rs
@@ -13,9 +13,13 @@
 use poplar_core::sorted::SortedVec;
 use poplar_platform::headers::Load;
 
-use crate::relay::gossip::Work;
+use crate::relay::gossip::{News, Work};
 use crate::sync::lock;
 
+/// Shared prompts of which the holder is remembered; then all are forgotten.
+const PROMPTS: usize = 4096;
+/// Holders that wait to be told at the most.
+const UNTOLD: usize = 64;
 /// How many times faster a part is fetched than read.
 const FETCH: u64 = 3;
 /// How long a peer's word on its work counts: several messages may be lost.
@@ -36,9 +40,20 @@
     boards: SortedVec<Name, Board>,
     known: SortedVec<Name, Known>,
     peers: SortedVec<IpAddr, (Instant, Vec<Work>)>,
+    /// The server at which each shared prompt was last read.
+    holders: SortedVec<u64, Name>,
+    /// Those of them that the other routers were not told yet.
+    untold: Vec<(u64, Name)>,
 }
 
 impl Tables {
+    fn held(&mut self, shared: u64, server: Name) {
+        if self.holders.len() >= PROMPTS && !self.holders.contains(&shared) {
+            self.holders = SortedVec::new();
+        }
+        self.holders.insert(shared, server);
+    }
+
     /// Requests and prompt tokens that the other routers have at a server.
     fn others(&self, id: &str, now: Instant) -> (u32, u64) {
         let fresh = |(_, (at, _)): &(&IpAddr, &(Instant, Vec<Work>))| now < *at + HEARD;
@@ -68,6 +83,7 @@
     pub holder: Option<SocketAddr>,
     /// Work ahead of the request there, in prompt tokens.
     pub ahead: f64,
+    shared: Option<u64>,
     reading: u64,
 }
 
@@ -162,12 +178,19 @@
             work,
         } = home::choose(&candidates, ask)?;
         let server = tables.list.ready(service).find(|s| s.id == id)?.clone();
+        let known = tables.holders.get(&ask.shared).cloned();
+        let holder = match known {
+            _ if ask.tokens < home::SHARED_LEAST => None,
+            Some(holder) if holder == id => None,
+            Some(holder) => Some(holder),
+            None => holder,
+        };
         let holder = holder.and_then(|id| tables.list.ready(service).find(|s| s.id == id));
         let holder = holder.map(|server| server.address);
         // A part that is fetched counts for the time that the fetch takes.
         let spared = match holder {
-            _ if home => ask.tokens,
             Some(_) => ask.tokens - ask.tokens / FETCH,
+            None if home => ask.tokens,
             None => 0,
         };
         let reading = reading.saturating_sub(spared);
@@ -180,6 +203,7 @@
             home,
             holder,
             ahead: work,
+            shared: (ask.tokens >= home::SHARED_LEAST).then_some(ask.shared),
             reading,
         })
     }
@@ -196,10 +220,19 @@
         work.collect()
     }
 
-    /// Takes over what another router has at the servers.
-    pub fn heard(&self, from: IpAddr, work: Vec<Work>, now: Instant) {
+    /// Holders of shared prompts that the other routers were not told yet.
+    pub fn take_untold(&self) -> Vec<(u64, Name)> {
+        std::mem::take(&mut lock(&self.tables).untold)
+    }
+
+    /// Takes over what another router has at the servers, and where prompts
+    /// were read.
+    pub fn heard(&self, from: IpAddr, news: News, now: Instant) {
         let mut tables = lock(&self.tables);
-        tables.peers.insert(from, (now, work));
+        tables.peers.insert(from, (now, news.work));
+        for (shared, server) in news.held {
+            tables.held(shared, server);
+        }
     }
 
     /// Whether a server takes new requests still.
@@ -222,10 +255,13 @@
     /// Notes that the prompt was read: the first token came.
     pub fn read(&mut self) {
         let mut tables = lock(&self.fleet.tables);
-        if let Some(known) = tables.known.get_mut(&*self.server.id) {
-            known.reading = known.reading.saturating_sub(self.reading);
+        if let Some(shared) = self.shared.take() {
+            tables.held(shared, self.server.id.clone());
+            if tables.untold.len() < UNTOLD {
+                tables.untold.push((shared, self.server.id.clone()));
+            }
         }
-        self.reading = 0;
+        release(&mut tables, &self.server.id, &mut self.reading);
     }
 
     /// Takes over what the server says of its load.
@@ -252,10 +288,18 @@
     }
 }
 
+/// Takes a request's prompt off what a server has to read.
+fn release(tables: &mut Tables, id: &str, reading: &mut u64) {
+    if let Some(known) = tables.known.get_mut(id) {
+        known.reading = known.reading.saturating_sub(*reading);
+    }
+    *reading = 0;
+}
+
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.read();
         let mut tables = lock(&self.fleet.tables);
+        release(&mut tables, &self.server.id, &mut self.reading);
         if let Some(known) = tables.known.get_mut(&*self.server.id) {
             known.own = known.own.saturating_sub(1);
         }
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -1,4 +1,5 @@
-//! Routers tell one another the work that they have at backend servers.
+//! Routers tell one another the work that they have at backend servers, and
+//! where shared prompts were read.
 //!
 //! One datagram to each other router, several times a second while there is
 //! work; a lost one is made good by the next. What a peer said counts for a
@@ -35,29 +36,43 @@
     pub reading: u64,
 }
 
+/// What one router tells another.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct News {
+    /// Its work at servers.
+    pub work: Vec<Work>,
+    /// Servers at which shared prompts were just read.
+    pub held: Vec<(u64, Name)>,
+}
+
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
-struct MessageWire {
+struct NewsWire {
     work: Vec<(Name, u32, u64)>,
+    held: Vec<(u64, Name)>,
 }
 
-impl From<&[Work]> for MessageWire {
-    fn from(work: &[Work]) -> Self {
-        let entry = |w: &Work| (w.server.clone(), w.requests, w.reading);
+impl From<News> for NewsWire {
+    fn from(news: News) -> Self {
+        let entry = |w: Work| (w.server, w.requests, w.reading);
         Self {
-            work: work.iter().map(entry).collect(),
+            work: news.work.into_iter().map(entry).collect(),
+            held: news.held,
         }
     }
 }
 
-impl From<MessageWire> for Vec<Work> {
-    fn from(wire: MessageWire) -> Self {
+impl From<NewsWire> for News {
+    fn from(wire: NewsWire) -> Self {
         let entry = |(server, requests, reading)| Work {
             server,
             requests,
             reading,
         };
-        wire.work.into_iter().map(entry).collect()
+        Self {
+            work: wire.work.into_iter().map(entry).collect(),
+            held: wire.held,
+        }
     }
 }
 
@@ -82,13 +97,15 @@
         let mut work = relay.fleet.work();
         work.sort_by_key(|w| std::cmp::Reverse(w.reading));
         work.truncate(SERVERS);
+        let held = relay.fleet.take_untold();
+        let news = News { work, held };
+        let empty = news == News::default();
         // The end of all work is told once.
-        if work.is_empty() && !std::mem::replace(&mut told, !work.is_empty()) {
+        if !std::mem::replace(&mut told, !empty) && empty {
             continue;
         }
-        told = !work.is_empty();
-        let message = MessageWire::from(&work[..]);
-        let bytes = serde_json::to_vec(&message).expect("work is plain data");
+        let wire = NewsWire::from(news);
+        let bytes = serde_json::to_vec(&wire).expect("news are plain data");
         for peer in peers {
             let to = SocketAddr::new(peer, relay.settings.internal.0);
             // A lost datagram is made good by the next.
@@ -104,10 +121,10 @@
             tokio::time::sleep(PERIOD).await;
             continue;
         };
-        match serde_json::from_slice::<MessageWire>(&buffer[..length]) {
-            Ok(message) => {
+        match serde_json::from_slice::<NewsWire>(&buffer[..length]) {
+            Ok(news) => {
                 let from: IpAddr = from.ip();
-                relay.fleet.heard(from, message.into(), Instant::now());
+                relay.fleet.heard(from, news.into(), Instant::now());
             }
             Err(why) => log::debug("gossip unreadable").reason(why).write(),
         }
