--- a/crates/core/src/hold/mod.rs
+++ b/crates/core/src/hold/mod.rs
@@ -9,9 +9,11 @@
 //! and one that dies in touch strands little.
 
 mod account;
+mod pace;
 mod plan;
 mod rows;
 
 pub use account::Account;
+pub use pace::Pace;
 pub use plan::{Demand, Outlook, Plan, plan};
 pub use rows::{Bound, HolderRow, Terms, Total, release, remaining};
--- a/crates/core/tests/hold.rs
+++ b/crates/core/tests/hold.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use poplar_core::hold::{Account, Demand, Outlook, Terms, Total, plan, release, remaining};
+use poplar_core::hold::{Account, Demand, Outlook, Pace, Terms, Total, plan, release, remaining};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -207,6 +207,25 @@
     assert!(account.rate(now) > 0.0);
 }
 
+#[test]
+fn a_lost_answer_costs_little_and_a_slow_table_is_waited_for() {
+    let mut pace = Pace::default();
+    for _ in 0..10 {
+        pace.answered(Duration::from_millis(8));
+    }
+    assert!(pace.patience() <= Duration::from_millis(150));
+    // It turns fifty times as slow.
+    let slow = Duration::from_millis(400);
+    let mut misses = 0;
+    while pace.patience() < slow {
+        pace.missed();
+        misses += 1;
+    }
+    assert!(misses <= 2, "{misses}");
+    pace.answered(slow);
+    assert!(pace.patience() >= slow);
+}
+
 #[test]
 fn stranded_tokens_do_not_count_as_spent() {
     let total = Total {
--- a/crates/router/src/relay/purse.rs
+++ b/crates/router/src/relay/purse.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
-use poplar_core::hold::{self, Account, Demand, HolderRow, Outlook, Terms, Total};
+use poplar_core::hold::{self, Account, Demand, HolderRow, Outlook, Pace, Terms, Total};
 use poplar_core::id::Name;
 use poplar_core::site::Site;
 use poplar_core::sorted::SortedVec;
@@ -31,7 +31,7 @@
 const TOTAL: &str = "total/";
 /// The first key after those of totals.
 const TOTAL_END: &str = "total0";
-/// How long a transaction may take; the store answers in milliseconds.
+/// How long the first read and the last write of a life may take.
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Shortest time between two checkpoints without a waiting request.
 const PERIOD: Duration = Duration::from_millis(400);
@@ -58,7 +58,7 @@
 const WAITS: u32 = 3;
 /// Failed writes in a row after which requests don't wait for the next one; a
 /// single answer may be lost.
-const FAILURES: u32 = 2;
+const FAILURES: u32 = 3;
 /// How long a failed write speaks against waiting for the next one.
 const FAILING: Duration = Duration::from_millis(900);
 /// Tries of one write against the writes of others.
@@ -115,6 +115,7 @@
     clock: Option<(u64, Instant)>,
     opened: bool,
     leaving: bool,
+    pace: Pace,
     /// Writes in a row that failed, and when the last one did.
     failures: u32,
     failed: Option<Instant>,
@@ -555,7 +556,9 @@
         } else {
             (TOTAL, TOTAL_END)
         };
-        let rows = self.store.read(PLACE, from, to, TIMEOUT).await?;
+        let patience = lock(&self.tables).pace.patience();
+        let read = self.store.read(PLACE, from, to, patience).await;
+        let rows = read.inspect_err(|_| lock(&self.tables).pace.missed())?;
         let mut tables = lock(&self.tables);
         tables.clock = Some((rows.clock, Instant::now()));
         tables.totals_at = Some(now);
@@ -572,8 +575,14 @@
     async fn checkpoint(&self, site: &Site) -> Result<(), Error> {
         let now = Instant::now();
         let Planned { commit, needs } = self.planned(site, now);
-        let result = self.store.commit(PLACE, commit.clone(), TIMEOUT).await;
+        let patience = lock(&self.tables).pace.patience();
+        let result = self.store.commit(PLACE, commit.clone(), patience).await;
         let mut tables = lock(&self.tables);
+        match &result {
+            Err(Error::Unknown(_)) => tables.pace.missed(),
+            Ok(_) | Err(Error::Conflict(_)) => tables.pace.answered(now.elapsed()),
+            Err(_) => {}
+        }
         match &result {
             Ok(done) => {
                 tables.own = done.version;
