--- a/crates/router/src/relay/purse.rs
+++ b/crates/router/src/relay/purse/writer.rs
@@ -1,23 +1,18 @@
-//! Prepaid budgets: reservations against the terms in the store.
-//!
-//! One task writes this router's row and the totals that it changes in one
-//! transaction. A request that finds too little waits for the next write and
-//! is refused where that does not help.
+//! Writes the router's row and the totals that it changes, in one transaction.
 
-use std::net::IpAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
-use poplar_core::hold::{self, Account, Demand, HolderRow, Outlook, Pace, Terms, Total};
+use poplar_core::hold::{self, Account, HolderRow, Outlook, Total};
 use poplar_core::id::Name;
 use poplar_core::site::Site;
-use poplar_core::sorted::SortedVec;
 use poplar_platform::rows::{Check, Commit, Place, Row, Write};
-use poplar_platform::store::{Error, Store};
+use poplar_platform::store::Error;
 use serde::Serialize;
-use tokio::sync::Notify;
 
+use super::Purse;
+use super::tables::{FAILURES, Open, TOTAL, decode};
 use crate::sync::lock;
 
 /// Where the rows of budgets lie; one part, so that a transaction spans them.
@@ -25,10 +20,6 @@
     table: "budgets",
     part: "all",
 };
-/// Start of the keys of holders' rows.
-const HOLDER: &str = "holder/";
-/// Start of the keys of totals.
-const TOTAL: &str = "total/";
 /// The first key after those of totals.
 const TOTAL_END: &str = "total0";
 /// How long the first read and the last write of a life may take.
@@ -46,51 +37,12 @@
 const HOLDERS_AGE_EACH: Duration = Duration::from_millis(30);
 /// Age at which they are read again for a request that was refused.
 const REFUSED_AGE: Duration = Duration::from_secs(1);
-/// Age up to which they may prove that a budget is spent.
-const PROOF_AGE: Duration = Duration::from_millis(2500);
-/// How long a holder's row speaks for a live router.
-const LIVE: Duration = Duration::from_secs(6);
-/// Shortest wait for terms that grow.
-const OUTLAST_STEP: Duration = Duration::from_millis(5);
-/// How long a request waits for a write.
-const WAIT: Duration = Duration::from_millis(600);
-/// Writes that a request waits for.
-const WAITS: u32 = 3;
-/// Failed writes in a row after which requests don't wait for the next one; a
-/// single answer may be lost.
-const FAILURES: u32 = 3;
-/// How long a failed write speaks against waiting for the next one.
-const FAILING: Duration = Duration::from_millis(900);
 /// Tries of one write against the writes of others.
 const TRIES: u32 = 10;
 /// Longest wait after the first conflict, about one transaction; it grows with
 /// each further one.
 const STEP_BACK: Duration = Duration::from_millis(8);
 
-/// Why tokens can't be reserved.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refused {
-    /// The budget is spent, as far as the whole fleet is concerned.
-    Spent {
-        /// What is left of it.
-        left: u64,
-    },
-    /// The router holds too little, and others may hold more.
-    Short,
-    /// The store can't be reached, and the router may not spend as much yet.
-    Away {
-        /// When it may, where it holds enough.
-        after: Option<Duration>,
-    },
-}
-
-/// A write whose outcome is not known yet.
-#[derive(Debug, Clone, Copy)]
-struct Open {
-    number: u64,
-    at: Instant,
-}
-
 /// A checkpoint with what its requests needed, by workspace.
 #[derive(Debug)]
 struct Planned {
@@ -98,330 +50,7 @@
     needs: Vec<(Name, u64)>,
 }
 
-#[derive(Debug, Default)]
-struct Tables {
-    accounts: SortedVec<Name, Account>,
-    totals: SortedVec<Name, (Total, u64)>,
-    totals_at: Option<Instant>,
-    holders: SortedVec<Name, HolderRow>,
-    holders_at: Option<Instant>,
-    /// Version of the own row.
-    own: u64,
-    /// Own writes so far.
-    written: u64,
-    /// Writes whose outcome is not known.
-    open: Vec<Open>,
-    /// The store's clock, and when it was read.
-    clock: Option<(u64, Instant)>,
-    opened: bool,
-    leaving: bool,
-    pace: Pace,
-    /// Writes in a row that failed, and when the last one did.
-    failures: u32,
-    failed: Option<Instant>,
-    short: bool,
-}
-
-impl Tables {
-    /// The store's clock now, never ahead of it.
-    fn clock(&self, now: Instant) -> u64 {
-        self.clock.map_or(0, |(clock, at)| {
-            clock + now.saturating_duration_since(at).as_millis() as u64
-        })
-    }
-
-    /// Whether it is no use to wait for the next write.
-    fn is_failing(&self, now: Instant) -> bool {
-        let lately = self.failed.is_some_and(|at| now < at + FAILING);
-        lately && self.failures >= FAILURES
-    }
-
-    fn total(&self, name: &str) -> (Total, u64) {
-        self.totals.get(name).copied().unwrap_or_default()
-    }
-
-    fn learn_total(&mut self, row: &Row) {
-        let Some(name) = row.key.strip_prefix(TOTAL) else {
-            return;
-        };
-        let total = decode::<Total>(row).unwrap_or_default();
-        self.totals.insert(name.into(), (total, row.version));
-    }
-
-    fn holder_terms(&self, name: &str) -> impl Iterator<Item = Terms> {
-        let rows = self.holders.iter();
-        rows.filter_map(move |(_, row)| {
-            let found = row.terms.iter().find(|(n, _)| **n == *name);
-            found.map(|(_, terms)| *terms)
-        })
-    }
-
-    /// The size of a typical request of any workspace.
-    fn typical(&self) -> u64 {
-        let sizes = self.accounts.iter().map(|(_, account)| account.typical());
-        let sizes: Vec<u64> = sizes.filter(|size| *size > 0).collect();
-        sizes.iter().sum::<u64>() / (sizes.len() as u64).max(1)
-    }
-
-    /// Terms of the other routers, of one budget or of all.
-    fn others<'a>(&'a self, own: &'a str, of: Option<&'a str>) -> impl Iterator<Item = &'a Terms> {
-        let rows = self.holders.iter().filter(move |(key, _)| ***key != *own);
-        let terms = rows.flat_map(|(_, row)| row.terms.iter());
-        let wanted = move |(name, _): &&(Name, Terms)| of.is_none_or(|of| **name == *of);
-        terms.filter(wanted).map(|(_, terms)| terms)
-    }
-
-    /// Tokens of a budget that the other routers hold.
-    fn held(&self, own: &str, of: &str) -> u64 {
-        let held = |terms: &Terms| terms.granted.saturating_sub(terms.spent);
-        self.others(own, Some(of)).map(held).sum()
-    }
-
-    /// Demand for one budget, or for all.
-    fn demand(&self, own: &str, of: Option<&str>, now: Instant) -> Demand {
-        let accounts = self.accounts.iter();
-        let mine = accounts.filter(|(name, _)| of.is_none_or(|of| ***name == *of));
-        let mine: f64 = mine.map(|(_, account)| account.rate(now)).sum();
-        let others: u64 = self.others(own, of).map(|terms| terms.demand).sum();
-        Demand {
-            own: mine,
-            fleet: mine + others as f64,
-        }
-    }
-
-    fn routers(&self, now: Instant) -> u32 {
-        let clock = self.clock(now);
-        let live = |row: &HolderRow| row.clock + LIVE.as_millis() as u64 > clock;
-        let live = self.holders.iter().filter(|(_, row)| live(row)).count();
-        (live as u32).max(1)
-    }
-}
-
-/// What this router may spend of each workspace's budget.
-#[derive(Debug)]
-pub struct Purse {
-    tables: Mutex<Tables>,
-    store: Store,
-    key: Name,
-    life: u64,
-    wake: Notify,
-    done: Notify,
-}
-
-/// Tokens that are reserved for a request; settled when it is dropped.
-#[derive(Debug)]
-pub struct Reservation {
-    purse: Arc<Purse>,
-    workspace: Name,
-    worst: u64,
-    /// What has been spent of it.
-    pub used: u64,
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        let mut tables = lock(&self.purse.tables);
-        if let Some(account) = tables.accounts.get_mut(&*self.workspace) {
-            account.settle(self.worst, self.used.min(self.worst));
-        }
-    }
-}
-
-fn decode<T: serde::de::DeserializeOwned>(row: &Row) -> Option<T> {
-    if row.version == 0 {
-        return None;
-    }
-    let read = serde_json::from_slice(&row.value);
-    read.inspect_err(|why| {
-        log::error("budget row unreadable")
-            .with("key", &row.key)
-            .reason(why)
-            .write();
-    })
-    .ok()
-}
-
-fn encode(value: &impl Serialize) -> Option<Vec<u8>> {
-    Some(serde_json::to_vec(value).expect("rows are plain data"))
-}
-
 impl Purse {
-    /// A purse of the router at `address` that holds nothing yet.
-    pub fn new(store: Store, address: &str, life: u64) -> Arc<Self> {
-        Arc::new(Self {
-            tables: Mutex::default(),
-            store,
-            key: format!("{HOLDER}{address}").into(),
-            life,
-            wake: Notify::new(),
-            done: Notify::new(),
-        })
-    }
-
-    /// Whether the predecessor's row was taken over, so that it can spend.
-    pub fn is_open(&self) -> bool {
-        lock(&self.tables).opened
-    }
-
-    /// Live routers, as their rows tell.
-    pub fn routers(&self, now: Instant) -> u32 {
-        lock(&self.tables).routers(now)
-    }
-
-    /// Addresses of the other routers, as their rows tell.
-    pub fn peers(&self) -> Vec<IpAddr> {
-        let tables = lock(&self.tables);
-        let others = tables.holders.iter().filter(|(key, _)| **key != self.key);
-        let address = |(key, _): (&Name, &HolderRow)| key.strip_prefix(HOLDER)?.parse().ok();
-        others.filter_map(address).collect()
-    }
-
-    /// Tokens that can be spent of each budget, for the metrics page.
-    pub fn free(&self, now: Instant) -> Vec<(Name, u64)> {
-        let tables = lock(&self.tables);
-        let free = |(name, account): (&Name, &Account)| (name.clone(), account.free(now));
-        tables.accounts.iter().map(free).collect()
-    }
-
-    /// Reserves `worst` tokens of a workspace's budget, within `patience`
-    /// where waiting helps.
-    ///
-    /// # Errors
-    /// Says why not; nothing is reserved then.
-    pub async fn reserve(
-        self: &Arc<Self>,
-        workspace: &Name,
-        prepaid: u64,
-        worst: u64,
-        patience: Duration,
-    ) -> Result<Reservation, Refused> {
-        let until = Instant::now() + patience;
-        self.asked(workspace, worst, Instant::now());
-        for _ in 0..WAITS {
-            let done = self.done.notified();
-            let now = Instant::now();
-            if self.try_reserve(workspace, worst, now) {
-                return Ok(self.reserved(workspace, worst));
-            }
-            if self.is_failing(now) {
-                // The next write may find the store back.
-                self.wake.notify_one();
-                return self.outlast(workspace, worst, until).await;
-            }
-            self.wake.notify_one();
-            if tokio::time::timeout(WAIT, done).await.is_err() {
-                return self.outlast(workspace, worst, until).await;
-            }
-        }
-        let now = Instant::now();
-        if self.try_reserve(workspace, worst, now) {
-            return Ok(self.reserved(workspace, worst));
-        }
-        Err(self.why(workspace, prepaid, worst, now))
-    }
-
-    fn reserved(self: &Arc<Self>, workspace: &Name, worst: u64) -> Reservation {
-        Reservation {
-            purse: self.clone(),
-            workspace: workspace.clone(),
-            worst,
-            used: 0,
-        }
-    }
-
-    /// Reserves while the store is away, as soon as the terms allow it.
-    async fn outlast(
-        self: &Arc<Self>,
-        workspace: &Name,
-        worst: u64,
-        until: Instant,
-    ) -> Result<Reservation, Refused> {
-        loop {
-            let done = self.done.notified();
-            let now = Instant::now();
-            if self.try_reserve(workspace, worst, now) {
-                return Ok(self.reserved(workspace, worst));
-            }
-            let after = self.available(workspace, worst, now);
-            let wait = after.filter(|wait| now + *wait <= until);
-            let Some(wait) = wait else {
-                return Err(Refused::Away { after });
-            };
-            // The store may be back before; others may spend what grew.
-            let _ = tokio::time::timeout(wait.max(OUTLAST_STEP), done).await;
-        }
-    }
-
-    fn available(&self, workspace: &Name, worst: u64, now: Instant) -> Option<Duration> {
-        let tables = lock(&self.tables);
-        let account = tables.accounts.get(&**workspace)?;
-        account.available(worst, now)
-    }
-
-    /// Begins a planned stop: what is not needed is given back from now on.
-    pub fn leave(&self) {
-        lock(&self.tables).leaving = true;
-        self.wake.notify_one();
-    }
-
-    fn asked(&self, workspace: &Name, worst: u64, now: Instant) {
-        let mut tables = lock(&self.tables);
-        let account = tables.accounts.entry(workspace.clone(), Account::default);
-        account.asked(worst, now);
-    }
-
-    fn try_reserve(&self, workspace: &Name, worst: u64, now: Instant) -> bool {
-        let mut tables = lock(&self.tables);
-        let account = tables.accounts.entry(workspace.clone(), Account::default);
-        account.reserve(worst, now)
-    }
-
-    fn is_failing(&self, now: Instant) -> bool {
-        lock(&self.tables).is_failing(now)
-    }
-
-    fn why(&self, workspace: &Name, prepaid: u64, worst: u64, now: Instant) -> Refused {
-        let mut tables = lock(&self.tables);
-        if tables.is_failing(now) {
-            let account = tables.accounts.get(&**workspace);
-            let after = account.and_then(|a| a.available(worst, now));
-            return Refused::Away { after };
-        }
-        tables.short = true;
-        let (total, _) = tables.total(workspace);
-        let left = hold::remaining(prepaid, &total, tables.holder_terms(workspace));
-        let proved = tables.holders_at.is_some_and(|at| now < at + PROOF_AGE);
-        if proved && left < worst {
-            return Refused::Spent { left };
-        }
-        Refused::Short
-    }
-
-    /// What the decision on a refusal rested on, for the logs.
-    pub fn evidence(&self, workspace: &Name, prepaid: u64, now: Instant) -> String {
-        let tables = lock(&self.tables);
-        let (total, _) = tables.total(workspace);
-        let age = |at: Option<Instant>| {
-            at.map_or(u128::MAX, |at| {
-                now.saturating_duration_since(at).as_millis()
-            })
-        };
-        let account = tables.accounts.get(&**workspace);
-        let spent = account.map_or(0, Account::spent);
-        let granted = account.map_or(0, Account::known);
-        let left = hold::remaining(prepaid, &total, tables.holder_terms(workspace));
-        format!(
-            "prepaid {prepaid} taken {} left {left} granted {granted} spent {spent} \
-             free {} rate {:.0} routers {} totals_age {} holders_age {}",
-            total.granted,
-            account.map_or(0, |a| a.free(now)),
-            account.map_or(0.0, |a| a.rate(now)),
-            tables.routers(now),
-            age(tables.totals_at),
-            age(tables.holders_at),
-        )
-    }
-
     /// Keeps the row until the process ends.
     pub async fn keep(self: Arc<Self>, site: impl Fn() -> Option<Arc<Site>>) {
         self.open().await;
@@ -494,7 +123,7 @@
         for row in &rows.rows {
             tables.learn_total(row);
         }
-        learn_holders(&mut tables, &rows.rows, now);
+        tables.learn_holders(&rows.rows, now);
         Ok(())
     }
 
@@ -566,7 +195,7 @@
             tables.learn_total(row);
         }
         if holders {
-            learn_holders(&mut tables, &rows.rows, now);
+            tables.learn_holders(&rows.rows, now);
             tables.short = false;
         }
         Ok(())
@@ -745,6 +374,10 @@
     }
 }
 
+fn encode(value: &impl Serialize) -> Option<Vec<u8>> {
+    Some(serde_json::to_vec(value).expect("rows are plain data"))
+}
+
 /// Lets other routers' writes pass after a conflict.
 async fn step_back(tries: u32) {
     let most = STEP_BACK * (tries + 1);
@@ -761,10 +394,3 @@
         value: encode(value),
     });
 }
-
-fn learn_holders(tables: &mut Tables, rows: &[Row], now: Instant) {
-    let rows = rows.iter().filter(|row| row.key.starts_with(HOLDER));
-    let read = rows.filter_map(|row| Some((row.key.clone(), decode(row)?)));
-    tables.holders = read.collect();
-    tables.holders_at = Some(now);
-}
