--- a/crates/core/tests/site.rs
+++ b/crates/core/tests/site.rs
@@ -37,11 +37,11 @@
     let back = now + Duration::from_secs(9);
     list.read(vec![server("a", true)], 2, back);
     assert_eq!(ready(&list), 2);
-    list.read(
-        vec![server("a", true)],
-        3,
-        back + Duration::from_millis(2500),
-    );
+    // Read on as often as a router does.
+    for step in 1..=6u32 {
+        let now = back + Duration::from_millis(400) * step;
+        list.read(vec![server("a", true)], 2 + u64::from(step), now);
+    }
     assert_eq!(ready(&list), 1);
 }
 
