--- a/crates/router/tests/relay.rs
+++ b/crates/router/tests/relay.rs
@@ -12,6 +12,10 @@
 
 const KEY: (&str, &str) = ("api-key", "key-1");
 const ID: &str = "x-poplarreel-attempt-id";
+/// Tries of a client that is told to come back.
+const RETRIES: usize = 40;
+/// Requests that a budget of 100,000 tokens serves before it is nearly spent.
+const NEARLY: usize = 85;
 const TOKENS: (&str, &str) = ("x-poplarreel-token-counts", "1000,20");
 
 /// A door before backend servers that each do one deed.
@@ -221,13 +225,19 @@
             4 => Fate::Refuse,
             _ => Fate::Answer,
         });
-        let id = format!("b{n}");
-        let answer = door.ask("/stream/x", &[KEY, TOKENS, (ID, &id)]).await;
-        let status = answer.expect("an answer").status.as_u16();
-        assert!([200, 402, 503].contains(&status), "{status}");
+        for retry in 0..RETRIES {
+            let id = format!("b{n}.{retry}");
+            let answer = door.ask("/stream/x", &[KEY, TOKENS, (ID, &id)]).await;
+            let status = answer.expect("an answer").status.as_u16();
+            assert!([200, 402, 503].contains(&status), "{status}");
+            if status != 503 || runs(&backends) >= NEARLY {
+                break;
+            }
+            // A machine with other work misses the store's pace now and then.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
     }
     // Each consumes 1,020 of 100,000.
     let ran = runs(&backends);
-    assert!(ran <= 98, "{ran}");
-    assert!(ran > 50, "{ran}");
+    assert!((NEARLY..=98).contains(&ran), "{ran}");
 }
