Budgets among many routers: sums for all, patience after conflicts, ends settled later

Now: a wait by the number of routers and a fresh reading before each try; a start writes its own row only and carries what lives before left until the totals have it; one router sums up the holders' rows for the others; rows as arrays.

--- /dev/null
+++ b/crates/core/src/hold/contend.rs
@@ -0,0 +1,88 @@
+//! Which totals a checkpoint changes, and when it is tried again.
+//!
+//! All routers change the same totals, each write on condition that nobody else
+//! changed a row since it was read. A write that comes too late has cost the
+//! table as much as one that succeeds, so that routers which try again at once
+//! keep each other from succeeding. The wait grows with their number, and each
+//! try rests on a fresh reading.
+
+use std::time::Duration;
+
+/// Most totals that one write changes; the table takes 100 entries a call, and
+/// each total is two of them.
+const MOST: usize = 40;
+/// Routers up to which a conflict is rare enough to try again at once.
+const FEW: u32 = 16;
+/// Longest wait after the first conflict among few routers, about one
+/// transaction; it grows with each further one.
+const STEP: Duration = Duration::from_millis(8);
+/// Longest wait after a conflict for each router where there are more; two
+/// transactions, so that they take half of what the table can do.
+const STEP_EACH: Duration = Duration::from_millis(6);
+/// Age up to which a reading of the totals serves for a write, among few.
+const READ_AGE: Duration = Duration::from_millis(700);
+/// The same among many, who change them all the time.
+const READ_AGE_MANY: Duration = Duration::from_millis(10);
+
+/// What a router would like to change of one budget's total.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Change {
+    /// Tokens that requests wait for.
+    pub need: u64,
+    /// Tokens that would be taken out of the budget.
+    pub drawn: u64,
+    /// Tokens that would be given back, also for lives before.
+    pub returned: u64,
+}
+
+impl Change {
+    /// The same need without any change.
+    pub fn none(&self) -> Self {
+        Self {
+            need: self.need,
+            ..Self::default()
+        }
+    }
+
+    /// Whether there is anything to change.
+    pub fn is_none(&self) -> bool {
+        self.drawn == 0 && self.returned == 0
+    }
+
+    fn urgency(&self) -> (bool, u64) {
+        let waited = self.need > 0 && self.drawn > 0;
+        (waited, self.drawn.max(self.returned))
+    }
+}
+
+/// The changes to make, by index: those that requests wait for first, then
+/// the largest.
+pub fn choose(changes: &[Change]) -> Vec<usize> {
+    let mut wanted: Vec<usize> = (0..changes.len())
+        .filter(|index| !changes[*index].is_none())
+        .collect();
+    wanted.sort_by_key(|index| std::cmp::Reverse(changes[*index].urgency()));
+    wanted.truncate(MOST);
+    wanted.sort_unstable();
+    wanted
+}
+
+/// How long to wait after the conflict number `tries`, counted from zero;
+/// `random` lies between 0 and 1.
+pub fn back_off(tries: u32, routers: u32, random: f64) -> Duration {
+    let most = if routers > FEW {
+        STEP_EACH * routers
+    } else {
+        STEP * (tries + 1)
+    };
+    most.mul_f64(random)
+}
+
+/// Age at which the totals are read again before a write.
+pub fn read_age(routers: u32) -> Duration {
+    if routers > FEW {
+        READ_AGE_MANY
+    } else {
+        READ_AGE
+    }
+}
--- a/crates/core/src/hold/mod.rs
+++ b/crates/core/src/hold/mod.rs
@@ -9,11 +9,15 @@
 //! and one that dies in touch strands little.
 
 mod account;
+mod contend;
 mod pace;
 mod plan;
 mod rows;
+mod summary;
 
 pub use account::Account;
+pub use contend::{Change, back_off, choose, read_age};
 pub use pace::Pace;
-pub use plan::{Demand, Outlook, Plan, plan};
-pub use rows::{Bound, HolderRow, Terms, Total, release, remaining};
+pub use plan::{Demand, Outlook, Plan, change, plan};
+pub use rows::{Bound, HolderRow, Terms, Total, release};
+pub use summary::{Sum, Summary};
--- a/crates/core/src/hold/plan.rs
+++ b/crates/core/src/hold/plan.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::hold::{Account, Terms};
+use crate::hold::{Account, Change, Terms};
 
 /// Part of what is left of a budget that the routers hold; the rest is for
 /// requests that find too little at theirs.
@@ -92,35 +92,38 @@
 pub struct Plan {
     /// The new terms.
     pub terms: Terms,
-    /// Tokens taken out of the budget.
-    pub drawn: u64,
-    /// Tokens given back.
-    pub returned: u64,
-    /// What waiting requests needed when it was made.
-    pub need: u64,
+    /// What it changes of the budget's total.
+    pub change: Change,
 }
 
-/// Plans the next terms of an account.
-pub fn plan(account: &Account, outlook: &Outlook, now: Instant) -> Plan {
-    let spent = account.spent();
-    let held = account.known().saturating_sub(spent) as f64;
+/// What an account should draw or give back.
+pub fn change(account: &Account, outlook: &Outlook) -> Change {
+    let held = account.known().saturating_sub(account.spent()) as f64;
     let need = account.need() as f64;
     let pool = outlook.pool as f64;
-    let share = outlook.share();
     let left = pool + held + outlook.others as f64;
     let lasting = outlook.demand.fleet * SCARCE.as_secs_f64();
     let plenty = if lasting > left { left / lasting } else { 1.0 };
-    let target = HELD * plenty * share * left;
+    let target = HELD * plenty * outlook.share() * left;
     let (mut drawn, mut returned) = (0.0, 0.0);
     if held < need || held < LOW * target {
         drawn = (target.max(need) - held).min(pool);
     } else if held > HIGH * target {
         returned = held - target.max(need);
     }
-    let (drawn, returned) = (drawn as u64, returned as u64);
-    let granted = account.known() + drawn - returned;
+    Change {
+        need: account.need(),
+        drawn: drawn as u64,
+        returned: returned as u64,
+    }
+}
+
+/// Plans the next terms of an account that makes a change, or none.
+pub fn plan(account: &Account, outlook: &Outlook, change: &Change, now: Instant) -> Plan {
+    let spent = account.spent();
+    let granted = account.known() + change.drawn - change.returned;
     let left = granted.saturating_sub(spent) as f64;
-    let expected = share * outlook.demand.fleet;
+    let expected = outlook.share() * outlook.demand.fleet;
     let burst = if outlook.routers > FEW {
         let typical = account.typical().max(outlook.typical) as f64;
         expected * BURST.as_secs_f64() + TYPICAL * typical
@@ -135,15 +138,13 @@
     let terms = Terms {
         granted,
         spent,
-        burst: (burst + need) as u64,
+        burst: burst as u64 + change.need,
         after: AFTER.as_millis() as u64,
         rate,
         demand: account.rate(now) as u64,
     };
     Plan {
         terms,
-        drawn,
-        returned,
-        need: account.need(),
+        change: *change,
     }
 }
--- a/crates/core/src/hold/rows.rs
+++ b/crates/core/src/hold/rows.rs
@@ -5,10 +5,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::Name;
+use crate::sorted::SortedVec;
 
 /// What a router may spend of one budget.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
+#[serde(from = "TermsWire", into = "TermsWire")]
 pub struct Terms {
     /// Tokens taken out of the budget by this life, its spending included.
     pub granted: u64,
@@ -54,6 +56,35 @@
     }
 }
 
+/// The fields in their order: rows are read by small hosts.
+type TermsWire = [u64; 6];
+
+impl From<TermsWire> for Terms {
+    fn from([granted, spent, burst, after, rate, demand]: TermsWire) -> Self {
+        Self {
+            granted,
+            spent,
+            burst,
+            after,
+            rate,
+            demand,
+        }
+    }
+}
+
+impl From<Terms> for TermsWire {
+    fn from(terms: Terms) -> Self {
+        [
+            terms.granted,
+            terms.spent,
+            terms.burst,
+            terms.after,
+            terms.rate,
+            terms.demand,
+        ]
+    }
+}
+
 /// A router's row: its terms for each budget.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -66,6 +97,28 @@
     pub clock: u64,
     /// Terms by budget, in order of the names.
     pub terms: Vec<(Name, Terms)>,
+    /// What became of the grants of lives before, by budget, where the totals
+    /// don't have it yet.
+    #[serde(default)]
+    pub ended: Vec<(Name, Bound)>,
+}
+
+impl HolderRow {
+    /// What becomes of all that this life holds, or still owes to the totals,
+    /// if it ended `elapsed` after the row was written.
+    pub fn end(&self, elapsed: Duration) -> Vec<(Name, Bound)> {
+        let terms = self.terms.iter();
+        let bounds = terms.map(|(name, terms)| (name.clone(), release(terms, elapsed)));
+        let mut all: SortedVec<Name, Bound> = self.ended.iter().cloned().collect();
+        for (name, bound) in bounds {
+            let sum = all.entry(name, Bound::default);
+            sum.released += bound.released;
+            sum.stranded += bound.stranded;
+        }
+        let all = all.iter().map(|(name, bound)| (name.clone(), *bound));
+        all.filter(|(_, bound)| *bound != Bound::default())
+            .collect()
+    }
 }
 
 /// A budget's row.
@@ -78,8 +131,17 @@
     pub stranded: u64,
 }
 
+impl Total {
+    /// Takes the end of a life into account.
+    pub fn settle(&mut self, bound: &Bound) {
+        self.granted = self.granted.saturating_sub(bound.released);
+        self.stranded += bound.stranded;
+    }
+}
+
 /// What a dead router may have spent of one budget.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Bound {
     /// Tokens that go back to the budget.
     pub released: u64,
@@ -95,17 +157,3 @@
         stranded: bound.saturating_sub(terms.spent),
     }
 }
-
-/// Tokens of a budget that nobody is known to have spent or reserved.
-///
-/// What is stranded counts as not spent, and so does what the holders have
-/// spent since their rows were written: it is an upper bound on the truth.
-pub fn remaining(prepaid: u64, total: &Total, holders: impl IntoIterator<Item = Terms>) -> u64 {
-    let (mut granted, mut spent) = (0u64, 0u64);
-    for terms in holders {
-        granted += terms.granted;
-        spent += terms.spent;
-    }
-    let ended = total.granted.saturating_sub(granted + total.stranded);
-    prepaid.saturating_sub(ended + spent)
-}
--- a/crates/core/tests/hold.rs
+++ b/crates/core/tests/hold.rs
@@ -1,8 +1,12 @@
 //! Holdings of prepaid budgets: outages of the table, and deaths of routers.
 
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
-use poplar_core::hold::{Account, Demand, Outlook, Pace, Terms, Total, plan, release, remaining};
+use poplar_core::hold::{
+    self, Account, Bound, Demand, HolderRow, Outlook, Pace, Plan, Sum, Summary, Terms, Total,
+    change, release,
+};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -24,13 +28,18 @@
     }
 }
 
+/// Plans with all that the account would like to change.
+fn plan(account: &Account, outlook: &Outlook, now: Instant) -> Plan {
+    hold::plan(account, outlook, &change(account, outlook), now)
+}
+
 /// Plans, and has the plan confirmed at once.
 fn checkpoint(account: &mut Account, pool: &mut u64, now: Instant) {
     let planned = plan(account, &outlook(account, *pool, now), now);
     account.sent(planned.terms, now);
     account.confirmed(now);
-    account.covered(planned.need);
-    *pool = *pool + planned.returned - planned.drawn;
+    account.covered(planned.change.need);
+    *pool = *pool + planned.change.returned - planned.change.drawn;
 }
 
 #[test]
@@ -109,7 +118,7 @@
     let now = now + SECOND;
     let mut scarce = outlook(&account, 0, now);
     scarce.others = 0;
-    assert!(plan(&account, &scarce, now).returned > 0);
+    assert!(plan(&account, &scarce, now).change.returned > 0);
 }
 
 #[test]
@@ -132,7 +141,7 @@
         leaving: false,
     };
     let planned = plan(&account, &hot, now);
-    assert!(planned.drawn > 400_000, "{planned:?}");
+    assert!(planned.change.drawn > 400_000, "{planned:?}");
 }
 
 #[test]
@@ -146,12 +155,12 @@
         ..outlook(&account, 0, now)
     };
     let lost = plan(&account, &scarce, now);
-    assert!(lost.returned > 0);
+    assert!(lost.change.returned > 0);
     account.sent(lost.terms, now);
     // It never came to the table: the next one gives the same back again.
     let next = plan(&account, &scarce, now + SECOND);
-    let kept = next.terms.granted + next.returned;
-    assert_eq!(kept, held + next.drawn);
+    let kept = next.terms.granted + next.change.returned;
+    assert_eq!(kept, held + next.change.drawn);
 }
 
 #[test]
@@ -176,7 +185,7 @@
         ..outlook(&account, pool, now)
     };
     let planned = plan(&account, &leaving, now);
-    assert_eq!(planned.returned, account.known());
+    assert_eq!(planned.change.returned, account.known());
     assert_eq!(release(&planned.terms, 60 * SECOND).stranded, 0);
 }
 
@@ -195,7 +204,7 @@
         ..outlook(&account, 100_000, now)
     };
     let planned = plan(&account, &scarce, now);
-    assert!(planned.drawn < 5_000, "{planned:?}");
+    assert!(planned.change.drawn < 5_000, "{planned:?}");
 }
 
 #[test]
@@ -232,13 +241,113 @@
         granted: 900,
         stranded: 100,
     };
-    let holder = Terms {
-        granted: 500,
-        spent: 200,
-        ..Terms::default()
+    let holder = HolderRow {
+        terms: vec![(
+            "council".into(),
+            Terms {
+                granted: 400,
+                spent: 200,
+                ..Terms::default()
+            },
+        )],
+        ended: vec![(
+            "council".into(),
+            Bound {
+                released: 60,
+                stranded: 40,
+            },
+        )],
+        ..HolderRow::default()
     };
+    let at = "127.0.0.1".parse().unwrap();
+    let name = "council".into();
+    let summary = Summary::of([(at, &holder)], [(&name, &total)], 1_000);
     // 300 of ended lives and 200 of the holder are spent.
-    assert_eq!(remaining(1_000, &total, [holder]), 500);
+    assert_eq!(summary.sum("council").used, 500);
+    assert_eq!(summary.sum("council").held, 200);
+    assert_eq!(summary.sum("depot"), Sum::default());
+}
+
+#[test]
+fn what_lives_before_left_is_carried_on_until_the_totals_have_it() {
+    let bound = |released, stranded| Bound { released, stranded };
+    let terms = |granted, spent| Terms {
+        granted,
+        spent,
+        ..Terms::default()
+    };
+    let row = HolderRow {
+        terms: vec![
+            ("council".into(), terms(900, 300)),
+            ("port".into(), terms(50, 50)),
+        ],
+        ended: vec![
+            ("council".into(), bound(40, 10)),
+            ("depot".into(), bound(7, 0)),
+        ],
+        ..HolderRow::default()
+    };
+    let ended = row.end(SECOND);
+    assert_eq!(
+        ended,
+        [
+            ("council".into(), bound(640, 10)),
+            ("depot".into(), bound(7, 0)),
+        ]
+    );
+    let mut total = Total {
+        granted: 1_000,
+        stranded: 5,
+    };
+    total.settle(&ended[0].1);
+    assert_eq!((total.granted, total.stranded), (360, 15));
+}
+
+#[test]
+fn few_routers_make_new_sums_at_once() {
+    let routers: Vec<IpAddr> = (1..=58).map(|at| IpAddr::from([127, 0, 0, at])).collect();
+    let summary = Summary {
+        clock: 40_000,
+        routers: routers.clone(),
+        sums: Vec::new(),
+    };
+    let due = |age| {
+        let due = |at: &&IpAddr| summary.is_old(**at, summary.clock + age);
+        routers.iter().filter(due).count()
+    };
+    assert_eq!(due(600), 0);
+    // A checkpoint each 580 ms: about one of those in turn reads first.
+    assert!((1..=8).contains(&due(900)), "{}", due(900));
+    assert_eq!(due(4_000), 58);
+    // The next time, it is another's turn.
+    let next = Summary {
+        clock: 40_731,
+        ..summary.clone()
+    };
+    let first = |s: &Summary| routers.iter().position(|at| s.is_old(*at, s.clock + 700));
+    assert_ne!(first(&summary), first(&next));
+}
+
+#[test]
+fn a_holder_row_of_24_budgets_fits_into_1500_bytes() {
+    // 58 of them pass a link of 10 Mbit/s in less than a tenth of a second.
+    let terms = Terms {
+        granted: 1_234_567,
+        spent: 234_567,
+        burst: 12_345,
+        after: 1_500,
+        rate: 123_456,
+        demand: 12_345,
+    };
+    let row = HolderRow {
+        terms: (0..24)
+            .map(|at| (format!("name{at:04}").into(), terms))
+            .collect(),
+        ..HolderRow::default()
+    };
+    let bytes = serde_json::to_vec(&row).unwrap();
+    assert!(bytes.len() <= 1_500, "{}", bytes.len());
+    assert_eq!(serde_json::from_slice::<HolderRow>(&bytes).unwrap(), row);
 }
 
 proptest! {
@@ -268,7 +377,7 @@
                     account.sent(planned.terms, now);
                     account.confirmed(now);
                     rows = vec![(planned.terms, now)];
-                    pool = pool + planned.returned - planned.drawn;
+                    pool = pool + planned.change.returned - planned.change.drawn;
                 }
                 // One whose answer is lost; it may or may not be in the table.
                 4 => {
--- a/crates/router/src/relay/door.rs
+++ b/crates/router/src/relay/door.rs
@@ -66,7 +66,7 @@
         let now = std::time::Instant::now();
         metrics::gauge!("poplar_requests_open").set(relay.open() as f64);
         metrics::gauge!("poplar_requests_at_servers").set(f64::from(relay.fleet.flying()));
-        metrics::gauge!("poplar_routers").set(f64::from(relay.purse.routers(now)));
+        metrics::gauge!("poplar_routers").set(f64::from(relay.purse.routers()));
         let version = relay.site().map_or(0, |site| site.version);
         metrics::gauge!("poplar_configuration_version").set(version as f64);
         for (workspace, free) in relay.purse.free(now) {
--- a/crates/router/src/relay/purse/mod.rs
+++ b/crates/router/src/relay/purse/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use poplar_core::hold::{self, Account, HolderRow};
+use poplar_core::hold::Account;
 use poplar_core::id::Name;
 use poplar_platform::store::Store;
 use tokio::sync::Notify;
@@ -50,6 +50,7 @@
 pub struct Purse {
     tables: Mutex<Tables>,
     store: Store,
+    address: IpAddr,
     key: Name,
     life: u64,
     wake: Notify,
@@ -77,10 +78,11 @@
 
 impl Purse {
     /// A purse of the router at `address` that holds nothing yet.
-    pub fn new(store: Store, address: &str, life: u64) -> Arc<Self> {
+    pub fn new(store: Store, address: IpAddr, life: u64) -> Arc<Self> {
         Arc::new(Self {
             tables: Mutex::default(),
             store,
+            address,
             key: format!("{HOLDER}{address}").into(),
             life,
             wake: Notify::new(),
@@ -94,16 +96,15 @@
     }
 
     /// Live routers, as their rows tell.
-    pub fn routers(&self, now: Instant) -> u32 {
-        lock(&self.tables).routers(now)
+    pub fn routers(&self) -> u32 {
+        lock(&self.tables).routers()
     }
 
     /// Addresses of the other routers, as their rows tell.
     pub fn peers(&self) -> Vec<IpAddr> {
         let tables = lock(&self.tables);
-        let others = tables.holders.iter().filter(|(key, _)| **key != self.key);
-        let address = |(key, _): (&Name, &HolderRow)| key.strip_prefix(HOLDER)?.parse().ok();
-        others.filter_map(address).collect()
+        let others = tables.summary.routers.iter();
+        others.copied().filter(|at| *at != self.address).collect()
     }
 
     /// Tokens that can be spent of each budget, for the metrics page.
@@ -211,16 +212,14 @@
     }
 
     fn why(&self, workspace: &Name, prepaid: u64, worst: u64, now: Instant) -> Refused {
-        let mut tables = lock(&self.tables);
+        let tables = lock(&self.tables);
         if tables.is_failing(now) {
             let account = tables.accounts.get(&**workspace);
             let after = account.and_then(|a| a.available(worst, now));
             return Refused::Away { after };
         }
-        tables.short = true;
-        let (total, _) = tables.total(workspace);
-        let left = hold::remaining(prepaid, &total, tables.holder_terms(workspace));
-        let proved = tables.holders_at.is_some_and(|at| now < at + PROOF_AGE);
+        let left = tables.left(workspace, prepaid);
+        let proved = tables.summed_at.is_some_and(|at| now < at + PROOF_AGE);
         if proved && left < worst {
             return Refused::Spent { left };
         }
@@ -232,23 +231,24 @@
         let tables = lock(&self.tables);
         let (total, _) = tables.total(workspace);
         let age = |at: Option<Instant>| {
-            at.map_or(u128::MAX, |at| {
-                now.saturating_duration_since(at).as_millis()
+            at.map_or("none".to_owned(), |at| {
+                let age = now.saturating_duration_since(at);
+                age.as_millis().to_string()
             })
         };
         let account = tables.accounts.get(&**workspace);
         let spent = account.map_or(0, Account::spent);
         let granted = account.map_or(0, Account::known);
-        let left = hold::remaining(prepaid, &total, tables.holder_terms(workspace));
+        let left = tables.left(workspace, prepaid);
         format!(
             "prepaid {prepaid} taken {} left {left} granted {granted} spent {spent} \
-             free {} rate {:.0} routers {} totals_age {} holders_age {}",
+             free {} rate {:.0} routers {} totals_age {} sums_age {}",
             total.granted,
             account.map_or(0, |a| a.free(now)),
             account.map_or(0.0, |a| a.rate(now)),
-            tables.routers(now),
+            tables.routers(),
             age(tables.totals_at),
-            age(tables.holders_at),
+            age(tables.summed_at),
         )
     }
 }
--- a/crates/router/src/relay/purse/tables.rs
+++ b/crates/router/src/relay/purse/tables.rs
@@ -1,19 +1,20 @@
 //! What a router knows of the budgets' rows.
 
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
-use poplar_core::hold::{Account, Demand, HolderRow, Pace, Terms, Total};
+use poplar_core::hold::{Account, Bound, Demand, HolderRow, Pace, Summary, Total};
 use poplar_core::id::Name;
 use poplar_core::sorted::SortedVec;
-use poplar_platform::rows::Row;
+use poplar_platform::rows::{Row, Rows};
 
 /// Start of the keys of holders' rows.
 pub(super) const HOLDER: &str = "holder/";
 /// Start of the keys of totals.
 pub(super) const TOTAL: &str = "total/";
-/// How long a holder's row speaks for a live router.
-const LIVE: Duration = Duration::from_secs(6);
+/// The key of the sums; a range from here on has the totals too.
+pub(super) const SUMMARY: &str = "summary";
 /// Failed writes in a row after which requests don't wait for the next one; a
 /// single answer may be lost.
 pub(super) const FAILURES: u32 = 3;
@@ -32,8 +33,11 @@
     pub(super) accounts: SortedVec<Name, Account>,
     pub(super) totals: SortedVec<Name, (Total, u64)>,
     pub(super) totals_at: Option<Instant>,
-    pub(super) holders: SortedVec<Name, HolderRow>,
-    pub(super) holders_at: Option<Instant>,
+    /// Sums of the holders' rows, the version of their own row, and when they
+    /// were read.
+    pub(super) summary: Summary,
+    pub(super) summed: u64,
+    pub(super) summed_at: Option<Instant>,
     /// Version of the own row.
     pub(super) own: u64,
     /// Own writes so far.
@@ -45,10 +49,11 @@
     pub(super) opened: bool,
     pub(super) leaving: bool,
     pub(super) pace: Pace,
+    /// Ends of lives before that the totals don't have yet.
+    pub(super) ended: SortedVec<Name, Bound>,
     /// Writes in a row that failed, and when the last one did.
     pub(super) failures: u32,
     pub(super) failed: Option<Instant>,
-    pub(super) short: bool,
 }
 
 impl Tables {
@@ -77,12 +82,27 @@
         self.totals.insert(name.into(), (total, row.version));
     }
 
-    pub(super) fn holder_terms(&self, name: &str) -> impl Iterator<Item = Terms> {
-        let rows = self.holders.iter();
-        rows.filter_map(move |(_, row)| {
-            let found = row.terms.iter().find(|(n, _)| **n == *name);
-            found.map(|(_, terms)| *terms)
-        })
+    /// Tokens of a budget that nobody is known to have spent; an upper bound.
+    pub(super) fn left(&self, name: &str, prepaid: u64) -> u64 {
+        prepaid.saturating_sub(self.summary.sum(name).used)
+    }
+
+    /// Takes in a reading of the table that was asked for at `now`.
+    pub(super) fn learn(&mut self, rows: &Rows, now: Instant) {
+        self.clock = Some((rows.clock, Instant::now()));
+        self.totals_at = Some(now);
+        for row in &rows.rows {
+            self.learn_total(row);
+        }
+        let Some(row) = rows.rows.iter().find(|row| *row.key == *SUMMARY) else {
+            return;
+        };
+        if let Some(summary) = decode::<Summary>(row) {
+            let age = rows.clock.saturating_sub(summary.clock);
+            self.summed_at = now.checked_sub(Duration::from_millis(age));
+            self.summed = row.version;
+            self.summary = summary;
+        }
     }
 
     /// The size of a typical request of any workspace.
@@ -92,48 +112,42 @@
         sizes.iter().sum::<u64>() / (sizes.len() as u64).max(1)
     }
 
-    /// Terms of the other routers, of one budget or of all.
-    pub(super) fn others<'a>(
-        &'a self,
-        own: &'a str,
-        of: Option<&'a str>,
-    ) -> impl Iterator<Item = &'a Terms> {
-        let rows = self.holders.iter().filter(move |(key, _)| ***key != *own);
-        let terms = rows.flat_map(|(_, row)| row.terms.iter());
-        let wanted = move |(name, _): &&(Name, Terms)| of.is_none_or(|of| **name == *of);
-        terms.filter(wanted).map(|(_, terms)| terms)
-    }
-
     /// Tokens of a budget that the other routers hold.
-    pub(super) fn held(&self, own: &str, of: &str) -> u64 {
-        let held = |terms: &Terms| terms.granted.saturating_sub(terms.spent);
-        self.others(own, Some(of)).map(held).sum()
+    pub(super) fn held(&self, name: &str) -> u64 {
+        let account = self.accounts.get(name);
+        let own = account.map_or(0, |a| a.known().saturating_sub(a.spent()));
+        self.summary.sum(name).held.saturating_sub(own)
     }
 
     /// Demand for one budget, or for all.
-    pub(super) fn demand(&self, own: &str, of: Option<&str>, now: Instant) -> Demand {
+    pub(super) fn demand(&self, of: Option<&str>, now: Instant) -> Demand {
         let accounts = self.accounts.iter();
-        let mine = accounts.filter(|(name, _)| of.is_none_or(|of| ***name == *of));
-        let mine: f64 = mine.map(|(_, account)| account.rate(now)).sum();
-        let others: u64 = self.others(own, of).map(|terms| terms.demand).sum();
+        let own = accounts.filter(|(name, _)| of.is_none_or(|of| ***name == *of));
+        let own: f64 = own.map(|(_, account)| account.rate(now)).sum();
+        let fleet = match of {
+            Some(name) => self.summary.sum(name).demand,
+            None => self.summary.demand(),
+        };
         Demand {
-            own: mine,
-            fleet: mine + others as f64,
+            own,
+            fleet: own.max(fleet as f64),
         }
     }
 
-    pub(super) fn routers(&self, now: Instant) -> u32 {
-        let clock = self.clock(now);
-        let live = |row: &HolderRow| row.clock + LIVE.as_millis() as u64 > clock;
-        let live = self.holders.iter().filter(|(_, row)| live(row)).count();
-        (live as u32).max(1)
+    pub(super) fn routers(&self) -> u32 {
+        (self.summary.routers.len() as u32).max(1)
     }
 
-    pub(super) fn learn_holders(&mut self, rows: &[Row], now: Instant) {
-        let rows = rows.iter().filter(|row| row.key.starts_with(HOLDER));
-        let read = rows.filter_map(|row| Some((row.key.clone(), decode(row)?)));
-        self.holders = read.collect();
-        self.holders_at = Some(now);
+    /// Sums up all rows of the table.
+    pub(super) fn sum_up(&mut self, rows: &Rows) -> Summary {
+        let holders = rows.rows.iter().filter_map(|row| {
+            let address = row.key.strip_prefix(HOLDER)?.parse().ok()?;
+            Some((address, decode::<HolderRow>(row)?))
+        });
+        let holders: Vec<(IpAddr, HolderRow)> = holders.collect();
+        let holders = holders.iter().map(|(address, row)| (*address, row));
+        let totals = self.totals.iter().map(|(name, (total, _))| (name, total));
+        Summary::of(holders, totals, rows.clock)
     }
 }
 
--- a/crates/router/src/relay/purse/writer.rs
+++ b/crates/router/src/relay/purse/writer.rs
@@ -4,15 +4,16 @@
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
-use poplar_core::hold::{self, Account, HolderRow, Outlook, Total};
+use poplar_core::hold::{self, Account, Bound, Change, HolderRow, Outlook};
 use poplar_core::id::Name;
 use poplar_core::site::Site;
+use poplar_core::sorted::SortedVec;
 use poplar_platform::rows::{Check, Commit, Place, Row, Write};
 use poplar_platform::store::Error;
 use serde::Serialize;
 
 use super::Purse;
-use super::tables::{FAILURES, Open, TOTAL, decode};
+use super::tables::{FAILURES, Open, SUMMARY, TOTAL, decode};
 use crate::sync::lock;
 
 /// Where the rows of budgets lie; one part, so that a transaction spans them.
@@ -29,25 +30,16 @@
 /// Time between checkpoints for each router, so that all of them together stay
 /// under half of what one part of the store takes.
 const PERIOD_EACH: Duration = Duration::from_millis(10);
-/// Age at which the totals are read again.
-const TOTALS_AGE: Duration = Duration::from_millis(700);
-/// Age at which the holders' rows are read again.
-const HOLDERS_AGE: Duration = Duration::from_millis(700);
-/// That age for each router, so that what all of them read stays in bounds.
-const HOLDERS_AGE_EACH: Duration = Duration::from_millis(30);
-/// Age at which they are read again for a request that was refused.
-const REFUSED_AGE: Duration = Duration::from_secs(1);
 /// Tries of one write against the writes of others.
 const TRIES: u32 = 10;
-/// Longest wait after the first conflict, about one transaction; it grows with
-/// each further one.
-const STEP_BACK: Duration = Duration::from_millis(8);
 
 /// A checkpoint with what its requests needed, by workspace.
 #[derive(Debug)]
 struct Planned {
     commit: Commit,
     needs: Vec<(Name, u64)>,
+    /// Ends of lives before that the totals won't have then.
+    ended: SortedVec<Name, Bound>,
 }
 
 impl Purse {
@@ -59,14 +51,14 @@
                 self.cycle(&site).await;
             }
             self.done.notify_waiters();
-            let period = self.period(Instant::now());
+            let period = self.period();
             // A wake is a request that waits; without one the time passes.
             let _ = tokio::time::timeout(period, self.wake.notified()).await;
         }
     }
 
-    fn period(&self, now: Instant) -> Duration {
-        PERIOD.max(PERIOD_EACH * self.routers(now))
+    fn period(&self) -> Duration {
+        PERIOD.max(PERIOD_EACH * self.routers())
     }
 
     /// Takes the row of the life before over and gives back what it can't have
@@ -77,61 +69,57 @@
                 Ok(()) => break,
                 Err(why) => log::warn("budgets not opened").reason(why).write(),
             }
-            step_back(tries.min(TRIES)).await;
+            self.step_back(tries.min(TRIES)).await;
         }
     }
 
     async fn try_open(&self) -> Result<(), Error> {
-        let rows = self.store.read(PLACE, "", "", TIMEOUT).await?;
-        let now = Instant::now();
+        let after = format!("{}/", self.key);
+        let rows = self.store.read(PLACE, &self.key, &after, TIMEOUT).await?;
         let own = rows.rows.iter().find(|row| row.key == self.key);
         let version = own.map_or(0, |row| row.version);
         let before: HolderRow = own.and_then(decode).unwrap_or_default();
+        let elapsed = Duration::from_millis(rows.clock.saturating_sub(before.clock));
+        // The totals learn of it from later checkpoints, a few at a time: after
+        // a loss of power, all routers are here at once.
+        let ended = before.end(elapsed);
         let next = HolderRow {
             life: self.life,
             number: 0,
             clock: rows.clock,
             terms: Vec::new(),
+            ended: ended.clone(),
         };
         let mut commit = Commit::default();
-        let elapsed = Duration::from_millis(rows.clock.saturating_sub(before.clock));
-        for (name, terms) in &before.terms {
-            let key: Name = format!("{TOTAL}{name}").into();
-            let row = rows.rows.iter().find(|row| row.key == key);
-            let total: Total = row.and_then(decode).unwrap_or_default();
-            let bound = hold::release(terms, elapsed);
-            log::info("grant released")
+        write(&mut commit, self.key.clone(), version, &next);
+        let done = self.store.commit(PLACE, commit, TIMEOUT).await?;
+        for (name, bound) in &ended {
+            log::info("grant ended")
                 .workspace(name)
-                .with("granted", terms.granted)
                 .with("released", bound.released)
                 .with("stranded", bound.stranded)
                 .with("age_ms", elapsed.as_millis())
                 .write();
-            let total = Total {
-                granted: total.granted.saturating_sub(bound.released),
-                stranded: total.stranded + bound.stranded,
-            };
-            let version = row.map_or(0, |row| row.version);
-            write(&mut commit, key, version, &total);
         }
-        write(&mut commit, self.key.clone(), version, &next);
-        let done = self.store.commit(PLACE, commit, TIMEOUT).await?;
         let mut tables = lock(&self.tables);
         tables.own = done.version;
-        tables.clock = Some((done.clock, Instant::now()));
+        tables.ended = ended.into_iter().collect();
         tables.opened = true;
-        for row in &rows.rows {
-            tables.learn_total(row);
-        }
-        tables.learn_holders(&rows.rows, now);
+        tables.clock = Some((done.clock, Instant::now()));
         Ok(())
     }
 
+    /// Lets other routers' writes pass after a conflict.
+    async fn step_back(&self, tries: u32) {
+        let routers = self.routers();
+        let wait = hold::back_off(tries, routers, rand::random());
+        tokio::time::sleep(wait).await;
+    }
+
     /// Writes a checkpoint; a failure is logged, and the next one goes on.
     async fn cycle(&self, site: &Site) {
-        let started = Instant::now();
         for tries in 0..TRIES {
-            let result = match self.refresh(started).await {
+            let result = match self.refresh(Instant::now()).await {
                 Ok(()) => self.checkpoint(site).await,
                 Err(why) => Err(why),
             };
@@ -145,7 +133,7 @@
                 }
                 Err(Error::Conflict(rows)) => {
                     self.conflict(&rows);
-                    step_back(tries).await;
+                    self.step_back(tries).await;
                 }
                 Err(why) => {
                     log::warn("checkpoint failed").reason(&why).write();
@@ -161,49 +149,64 @@
             .write();
     }
 
-    /// Reads the totals and the holders' rows where they are old.
+    /// Reads the totals and the sums of the holders' rows where they are old,
+    /// and makes new sums where it is this router's turn.
     async fn refresh(&self, now: Instant) -> Result<(), Error> {
-        let (holders, totals) = {
+        let patience = {
             let tables = lock(&self.tables);
-            let old = |at: Option<Instant>, age| at.is_none_or(|at| now > at + age);
-            let usual = HOLDERS_AGE.max(HOLDERS_AGE_EACH * tables.routers(now));
-            let age = if tables.short {
-                REFUSED_AGE.min(usual)
-            } else {
-                usual
-            };
-            (
-                old(tables.holders_at, age),
-                old(tables.totals_at, TOTALS_AGE),
-            )
-        };
-        if !holders && !totals {
-            return Ok(());
-        }
-        let (from, to) = if holders {
-            ("", "")
-        } else {
-            (TOTAL, TOTAL_END)
+            let age = hold::read_age(tables.routers());
+            if tables.totals_at.is_some_and(|at| now <= at + age) {
+                return Ok(());
+            }
+            tables.pace.patience()
         };
-        let patience = lock(&self.tables).pace.patience();
-        let read = self.store.read(PLACE, from, to, patience).await;
+        let read = self.store.read(PLACE, SUMMARY, TOTAL_END, patience).await;
         let rows = read.inspect_err(|_| lock(&self.tables).pace.missed())?;
-        let mut tables = lock(&self.tables);
-        tables.clock = Some((rows.clock, Instant::now()));
-        tables.totals_at = Some(now);
-        for row in &rows.rows {
-            tables.learn_total(row);
+        {
+            let mut tables = lock(&self.tables);
+            tables.learn(&rows, now);
+            let exist = tables.summed > 0;
+            if exist && !tables.summary.is_old(self.address, rows.clock) {
+                return Ok(());
+            }
         }
-        if holders {
-            tables.learn_holders(&rows.rows, now);
-            tables.short = false;
+        // Without new sums the old ones serve on.
+        if let Err(why) = self.sum_up().await {
+            log::warn("no new sums").reason(why).write();
+        }
+        Ok(())
+    }
+
+    /// Reads all rows and writes their sums for the other routers.
+    async fn sum_up(&self) -> Result<(), Error> {
+        let now = Instant::now();
+        let rows = self.store.read(PLACE, "", "", TIMEOUT).await?;
+        let commit = {
+            let mut tables = lock(&self.tables);
+            tables.learn(&rows, now);
+            let summary = tables.sum_up(&rows);
+            let mut commit = Commit::default();
+            write(&mut commit, SUMMARY.into(), tables.summed, &summary);
+            tables.summary = summary;
+            tables.summed_at = Some(now);
+            commit
+        };
+        match self.store.commit(PLACE, commit, TIMEOUT).await {
+            Ok(done) => lock(&self.tables).summed = done.version,
+            // Another router was first; the next reading has its sums.
+            Err(Error::Conflict(_)) => {}
+            Err(why) => return Err(why),
         }
         Ok(())
     }
 
     async fn checkpoint(&self, site: &Site) -> Result<(), Error> {
         let now = Instant::now();
-        let Planned { commit, needs } = self.planned(site, now);
+        let Planned {
+            commit,
+            needs,
+            ended,
+        } = self.planned(site, now);
         let patience = lock(&self.tables).pace.patience();
         let result = self.store.commit(PLACE, commit.clone(), patience).await;
         let mut tables = lock(&self.tables);
@@ -214,6 +217,7 @@
         }
         match &result {
             Ok(done) => {
+                tables.ended = ended;
                 tables.own = done.version;
                 tables.clock = Some((done.clock, Instant::now()));
                 for write in &commit.writes {
@@ -250,52 +254,75 @@
     /// The next checkpoint, noted as being on its way.
     fn planned(&self, site: &Site, now: Instant) -> Planned {
         let mut tables = lock(&self.tables);
-        let routers = tables.routers(now);
+        let routers = tables.routers();
         let clock = tables.clock(now);
         tables.written += 1;
         let number = tables.written;
-        let mut commit = Commit::default();
-        let mut needs = Vec::new();
-        let mut row = HolderRow {
-            life: self.life,
-            number,
-            clock,
-            terms: Vec::new(),
-        };
-        let all = tables.demand(&self.key, None, now);
+        let all = tables.demand(None, now);
         let typical = tables.typical();
+        let mut accounts = Vec::new();
         for (name, workspace) in site.workspaces.iter() {
             let Some(prepaid) = workspace.prepaid else {
                 continue;
             };
-            let (mut total, version) = tables.total(name);
+            let (total, version) = tables.total(name);
             let outlook = Outlook {
                 pool: prepaid.saturating_sub(total.granted),
-                others: tables.held(&self.key, name),
+                others: tables.held(name),
                 routers,
-                demand: tables.demand(&self.key, Some(name), now),
+                demand: tables.demand(Some(name), now),
                 total: all,
                 typical,
                 leaving: tables.leaving,
             };
             let account = tables.accounts.entry(name.clone(), Account::default);
-            let plan = hold::plan(account, &outlook, now);
+            let change = hold::change(account, &outlook);
+            accounts.push((name, total, version, outlook, change));
+        }
+        let changes = accounts.iter().map(|(name, .., change)| {
+            let released = tables.ended.get(&**name).map_or(0, |bound| bound.released);
+            Change {
+                returned: change.returned + released,
+                ..*change
+            }
+        });
+        let chosen = hold::choose(&changes.collect::<Vec<_>>());
+        let mut commit = Commit::default();
+        let mut needs = Vec::new();
+        let mut terms = Vec::new();
+        let mut ended = tables.ended.clone();
+        for (index, (name, mut total, version, outlook, change)) in accounts.into_iter().enumerate()
+        {
+            let chosen = chosen.binary_search(&index).is_ok();
+            let change = if chosen { change } else { change.none() };
+            let account = tables.accounts.entry(name.clone(), Account::default);
+            let plan = hold::plan(account, &outlook, &change, now);
             account.sent(plan.terms, now);
-            needs.push((name.clone(), plan.need));
-            row.terms.push((name.clone(), plan.terms));
-            if plan.drawn != plan.returned {
-                total.granted = (total.granted + plan.drawn).saturating_sub(plan.returned);
-                write(
-                    &mut commit,
-                    format!("{TOTAL}{name}").into(),
-                    version,
-                    &total,
-                );
+            needs.push((name.clone(), change.need));
+            terms.push((name.clone(), plan.terms));
+            if chosen {
+                if let Some(bound) = ended.remove(&**name) {
+                    total.settle(&bound);
+                }
+                total.granted = (total.granted + change.drawn).saturating_sub(change.returned);
+                let key = format!("{TOTAL}{name}").into();
+                write(&mut commit, key, version, &total);
             }
         }
+        let row = HolderRow {
+            life: self.life,
+            number,
+            clock,
+            terms,
+            ended: listed(&ended),
+        };
         write(&mut commit, self.key.clone(), tables.own, &row);
         tables.open.push(Open { number, at: now });
-        Planned { commit, needs }
+        Planned {
+            commit,
+            needs,
+            ended,
+        }
     }
 
     /// Takes rows over that others wrote, or an own write whose answer was lost.
@@ -312,15 +339,16 @@
         let found = found.filter(|row| row.life == self.life);
         let known = found.and_then(|row| {
             let open = tables.open.iter().find(|open| open.number == row.number);
-            open.map(|open| open.at)
+            open.map(|open| (open.at, row.ended))
         });
-        let Some(at) = known else {
+        let Some((at, ended)) = known else {
             log::error("holder row written by another")
                 .with("key", &self.key)
                 .write();
             return;
         };
         tables.own = own.version;
+        tables.ended = ended.into_iter().collect();
         tables.open.clear();
         for (_, account) in tables.accounts.iter_mut() {
             account.confirmed(at);
@@ -336,52 +364,96 @@
             return;
         }
         for tries in 0..TRIES {
-            let commit = self.ending(Instant::now());
-            match self.store.commit(PLACE, commit, timeout).await {
-                Ok(_) => return log::info("budgets returned").write(),
-                Err(Error::Conflict(rows)) => {
-                    self.conflict(&rows);
-                    step_back(tries).await;
+            loop {
+                let Some(planned) = self.ending(Instant::now()) else {
+                    return log::info("budgets returned").write();
+                };
+                let result = self.store.commit(PLACE, planned.commit, timeout).await;
+                let mut tables = lock(&self.tables);
+                match result {
+                    Ok(done) => {
+                        tables.own = done.version;
+                        tables.ended = planned.ended;
+                        tables.accounts = SortedVec::new();
+                        tables.open.clear();
+                    }
+                    Err(Error::Conflict(rows)) => {
+                        drop(tables);
+                        self.conflict(&rows);
+                        break;
+                    }
+                    // The next life at this address finds the row and goes on.
+                    Err(why) => return log::warn("budgets not returned").reason(why).write(),
                 }
-                // The next life at this address finds the row and releases it.
-                Err(why) => return log::warn("budgets not returned").reason(why).write(),
             }
+            self.step_back(tries).await;
         }
         log::warn("budgets not returned")
             .with("tries", TRIES)
             .write();
     }
 
-    /// The last write of this life.
-    fn ending(&self, now: Instant) -> Commit {
-        let mut commit = Commit::default();
-        let tables = lock(&self.tables);
+    /// One of the last writes of this life; `None` after them.
+    fn ending(&self, now: Instant) -> Option<Planned> {
+        let mut tables = lock(&self.tables);
+        let mut all = tables.ended.clone();
         for (name, account) in tables.accounts.iter() {
-            let (mut total, version) = tables.total(name);
             let unspent = account.known().saturating_sub(account.spent());
-            total.granted = total.granted.saturating_sub(unspent);
-            let key = format!("{TOTAL}{name}").into();
-            write(&mut commit, key, version, &total);
+            all.entry(name.clone(), Bound::default).released += unspent;
+        }
+        all.retain(|_, bound| *bound != Bound::default());
+        let bounds = all.iter().map(|(_, bound)| Change {
+            returned: bound.released + bound.stranded,
+            ..Change::default()
+        });
+        let chosen = hold::choose(&bounds.collect::<Vec<_>>());
+        if chosen.is_empty() {
+            return None;
+        }
+        let mut commit = Commit::default();
+        let mut ended = SortedVec::new();
+        for (index, (name, bound)) in all.iter().enumerate() {
+            if chosen.binary_search(&index).is_err() {
+                ended.insert(name.clone(), *bound);
+                continue;
+            }
+            let (mut total, version) = tables.total(name);
+            total.settle(bound);
+            write(
+                &mut commit,
+                format!("{TOTAL}{name}").into(),
+                version,
+                &total,
+            );
         }
+        tables.written += 1;
         let row = HolderRow {
             life: self.life,
-            number: tables.written + 1,
+            number: tables.written,
             clock: tables.clock(now),
             terms: Vec::new(),
+            ended: listed(&ended),
         };
         write(&mut commit, self.key.clone(), tables.own, &row);
-        commit
+        let number = tables.written;
+        tables.open.push(Open { number, at: now });
+        Some(Planned {
+            commit,
+            needs: Vec::new(),
+            ended,
+        })
     }
 }
 
-fn encode(value: &impl Serialize) -> Option<Vec<u8>> {
-    Some(serde_json::to_vec(value).expect("rows are plain data"))
+fn listed(ended: &SortedVec<Name, Bound>) -> Vec<(Name, Bound)> {
+    let entries = ended.iter();
+    entries
+        .map(|(name, bound)| (name.clone(), *bound))
+        .collect()
 }
 
-/// Lets other routers' writes pass after a conflict.
-async fn step_back(tries: u32) {
-    let most = STEP_BACK * (tries + 1);
-    tokio::time::sleep(most.mul_f64(rand::random())).await;
+fn encode(value: &impl Serialize) -> Option<Vec<u8>> {
+    Some(serde_json::to_vec(value).expect("rows are plain data"))
 }
 
 fn write(commit: &mut Commit, key: Name, version: u64, value: &impl Serialize) {
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -52,7 +52,7 @@
         let repeats = terms(&settings);
         Arc::new(Self {
             fleet: Fleet::new(settings.centre.clone()),
-            purse: Purse::new(store.clone(), &settings.ip.to_string(), life),
+            purse: Purse::new(store.clone(), settings.ip.into(), life),
             crashes: Crashes::open(&Incarnation::new(&settings.name, life)),
             site: RwLock::default(),
             repeats: RwLock::new(repeats),
@@ -99,7 +99,7 @@
     /// Takes one repeated send from the service's budget; false where it is
     /// used up.
     pub fn repeat(&self, service: &Name, now: Instant) -> bool {
-        let routers = self.purse.routers(now);
+        let routers = self.purse.routers();
         let terms = self.repeats();
         let mut shares = lock(&self.shares);
         let share = shares.entry(service.clone(), Share::default);
--- a/crates/router/tests/relay.rs
+++ b/crates/router/tests/relay.rs
@@ -68,7 +68,7 @@
     // 1,000 of the prompt and four events of five tokens.
     let spent = || {
         let row = store.value("budgets", "all", "holder/127.0.0.1");
-        row.and_then(|row| row["terms"][0][1]["spent"].as_u64())
+        row.and_then(|row| row["terms"][0][1][1].as_u64())
     };
     while spent() != Some(1_020) {
         tokio::time::sleep(Duration::from_millis(20)).await;
