Draw for waiting callers first after a conflict, write the own row in any case; bounded gossip

Cause: at a router with a rush of one workspace and a full link, the time from reading the totals to their change was some 300 ms, in which another router always changed one of them: pool 10 M tokens, its own holding empty. Its own row was not written either while totals conflicted, so that a kill found rows up to 10 s old and stranded 17.3 M of 39.4 M tokens; its news took 2.4 of 10 Mbit/s.

Now: all totals at first, after a conflict what callers wait for, then the greatest need alone; the own row alone after three; wider bands, a larger pool and a later growth among many; news within 64 kB/s.

--- a/crates/core/src/hold/contend.rs
+++ b/crates/core/src/hold/contend.rs
@@ -49,20 +49,37 @@
         self.drawn == 0 && self.returned == 0
     }
 
+    /// Whether requests wait for it, and its size.
     fn urgency(&self) -> (bool, u64) {
         let waited = self.need > 0 && self.drawn > 0;
-        (waited, self.drawn.max(self.returned))
+        let size = if waited {
+            self.need
+        } else {
+            self.drawn.max(self.returned)
+        };
+        (waited, size)
     }
 }
 
-/// The changes to make, by index: those that requests wait for first, then
-/// the largest.
-pub fn choose(changes: &[Change]) -> Vec<usize> {
+/// The changes to make after so many conflicts, by index.
+///
+/// All that are wanted at first; then only what requests wait for, and in the
+/// end the greatest need alone. A router with a slow link and a rush of one
+/// workspace's callers would lose to the others each time otherwise.
+pub fn choose(changes: &[Change], tries: u32) -> Vec<usize> {
     let mut wanted: Vec<usize> = (0..changes.len())
         .filter(|index| !changes[*index].is_none())
         .collect();
     wanted.sort_by_key(|index| std::cmp::Reverse(changes[*index].urgency()));
-    wanted.truncate(MOST);
+    let waited = |index: &&usize| changes[**index].urgency().0;
+    let waited = wanted.iter().take_while(waited).count();
+    let most = match tries {
+        0 => MOST,
+        _ if waited == 0 => MOST,
+        1 => waited.min(MOST),
+        _ => 1,
+    };
+    wanted.truncate(most);
     wanted.sort_unstable();
     wanted
 }
--- a/crates/core/src/hold/plan.rs
+++ b/crates/core/src/hold/plan.rs
@@ -12,6 +12,10 @@
 /// Part of what is left of a budget that the routers hold; the rest is for
 /// requests that find too little at theirs.
 const HELD: f64 = 0.9;
+/// The same where there are more than a few routers: each finds what it needs
+/// less surely in its own part, and all holdings at the top of their band must
+/// leave something.
+const HELD_MANY: f64 = 0.6;
 /// Time of the fleet's demand below which a budget is scarce. The routers hold
 /// less of it then, so that the last tokens are found by whoever needs them.
 const SCARCE: Duration = Duration::from_secs(15);
@@ -19,6 +23,9 @@
 const LOW: f64 = 0.8;
 /// A holding above this multiple of its target is reduced to the target.
 const HIGH: f64 = 1.3;
+/// The same bands among many, where each change is one more that others meet.
+const LOW_MANY: f64 = 0.5;
+const HIGH_MANY: f64 = 1.6;
 /// Weight of the router's part of this budget's demand in its share, of its
 /// part of all demand, and of an even split. One budget's demand at one router
 /// is a few requests in the time over which it is averaged.
@@ -30,9 +37,13 @@
 const BURST: Duration = Duration::from_millis(1200);
 /// Typical requests that it covers then.
 const TYPICAL: f64 = 0.7;
+/// Most of a holding that the burst may be: what a kill of everything strands.
+const BURST_PART: f64 = 0.15;
 /// When more than the burst may be spent: later than a process that was killed
 /// in touch with the table is back.
-const AFTER: Duration = Duration::from_millis(1500);
+const AFTER: Duration = Duration::from_millis(1400);
+/// Further time for each router; checkpoints are as much rarer.
+const AFTER_EACH: Duration = Duration::from_millis(12);
 /// How many times the expected demand may be spent from then on.
 const SURGE: f64 = 2.0;
 /// Time in which a holding may be spent however small the demand was before;
@@ -104,11 +115,16 @@
     let left = pool + held + outlook.others as f64;
     let lasting = outlook.demand.fleet * SCARCE.as_secs_f64();
     let plenty = if lasting > left { left / lasting } else { 1.0 };
-    let target = HELD * plenty * outlook.share() * left;
+    let (part, low, high) = if outlook.routers > FEW {
+        (HELD_MANY, LOW_MANY, HIGH_MANY)
+    } else {
+        (HELD, LOW, HIGH)
+    };
+    let target = part * plenty * outlook.share() * left;
     let (mut drawn, mut returned) = (0.0, 0.0);
-    if held < need || held < LOW * target {
+    if held < need || held < low * target {
         drawn = (target.max(need) - held).min(pool);
-    } else if held > HIGH * target {
+    } else if held > high * target {
         returned = held - target.max(need);
     }
     Change {
@@ -126,7 +142,8 @@
     let expected = outlook.share() * outlook.demand.fleet;
     let burst = if outlook.routers > FEW {
         let typical = account.typical().max(outlook.typical) as f64;
-        expected * BURST.as_secs_f64() + TYPICAL * typical
+        let burst = expected * BURST.as_secs_f64() + TYPICAL * typical;
+        burst.min(BURST_PART * left)
     } else {
         0.0
     };
@@ -139,7 +156,7 @@
         granted,
         spent,
         burst: burst as u64 + change.need,
-        after: AFTER.as_millis() as u64,
+        after: (AFTER + AFTER_EACH * outlook.routers).as_millis() as u64,
         rate,
         demand: account.rate(now) as u64,
     };
--- a/crates/core/tests/crowd.rs
+++ b/crates/core/tests/crowd.rs
@@ -101,7 +101,7 @@
             ..changes[at]
         })
         .collect();
-    let chosen = hold::choose(&wanted);
+    let chosen = hold::choose(&wanted, router.tries);
     let current = |at: &usize| table.totals[*at].1 == router.known[*at].1;
     if chosen.iter().all(current) {
         for at in 0..BUDGETS {
@@ -209,3 +209,26 @@
     assert!(hasty < ROUTERS, "{hasty} settled without patience");
     assert_eq!(patient, ROUTERS, "{hasty} settled without patience");
 }
+
+#[test]
+fn a_rush_of_one_workspace_narrows_its_write_to_what_callers_wait_for() {
+    let change = |need, drawn, returned| Change {
+        need,
+        drawn,
+        returned,
+    };
+    let wanted = [
+        change(0, 90_000, 0),
+        change(7_000, 9_000, 0),
+        change(0, 0, 50_000),
+        change(300_000, 400_000, 0),
+        change(0, 0, 0),
+        // Nothing can be drawn for it now.
+        change(1_000_000, 0, 0),
+    ];
+    assert_eq!(hold::choose(&wanted, 0), [0, 1, 2, 3]);
+    assert_eq!(hold::choose(&wanted, 1), [1, 3]);
+    assert_eq!(hold::choose(&wanted, 2), [3]);
+    // Where nobody waits, all of it can wait for the next try.
+    assert_eq!(hold::choose(&wanted[..1], 2), [0]);
+}
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -18,12 +18,16 @@
 
 /// Shortest time between two messages: less than the reading of a long prompt.
 const PERIOD: Duration = Duration::from_millis(60);
-/// That time for each router, so that what all of them send stays in bounds.
-const PERIOD_EACH: Duration = Duration::from_millis(5);
+/// Bytes a second that a router sends to all others together, about a twentieth
+/// of the smallest link: at a router with many callers, the requests need it.
+const RATE: f64 = 64_000.0;
+/// Bytes of a datagram's headers on the link.
+const HEADERS: usize = 28;
 /// Largest datagram that is read, in bytes.
 const MESSAGE: usize = 16 << 10;
-/// Servers in one message at the most; the busiest go first.
-const SERVERS: usize = 200;
+/// Servers in one message at the most; those with the most to read go first,
+/// the others matter little to where a prompt goes.
+const SERVERS: usize = 16;
 
 /// One router's work at one server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -90,10 +94,10 @@
 
 async fn tell(relay: Arc<Relay>, socket: Arc<UdpSocket>) {
     let mut told = false;
+    let mut pause = PERIOD;
     loop {
+        tokio::time::sleep(pause).await;
         let peers = relay.purse.peers();
-        let period = PERIOD.max(PERIOD_EACH * peers.len() as u32);
-        tokio::time::sleep(period).await;
         let mut work = relay.fleet.work();
         work.sort_by_key(|w| std::cmp::Reverse(w.reading));
         work.truncate(SERVERS);
@@ -106,6 +110,7 @@
         }
         let wire = NewsWire::from(news);
         let bytes = serde_json::to_vec(&wire).expect("news are plain data");
+        pause = period(bytes.len(), peers.len());
         for peer in peers {
             let to = SocketAddr::new(peer, relay.settings.internal.0);
             // A lost datagram is made good by the next.
@@ -114,6 +119,12 @@
     }
 }
 
+/// Time until the next message after one of `bytes` to so many peers.
+fn period(bytes: usize, peers: usize) -> Duration {
+    let sent = ((bytes + HEADERS) * peers) as f64;
+    PERIOD.max(Duration::from_secs_f64(sent / RATE))
+}
+
 async fn listen(relay: Arc<Relay>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MESSAGE];
     loop {
--- a/crates/router/src/relay/purse/mod.rs
+++ b/crates/router/src/relay/purse/mod.rs
@@ -23,8 +23,9 @@
 const PROOF_AGE: Duration = Duration::from_millis(2500);
 /// Shortest wait for terms that grow.
 const OUTLAST_STEP: Duration = Duration::from_millis(5);
-/// How long a request waits for a write.
-const WAIT: Duration = Duration::from_millis(600);
+/// How long a request waits for a write; one takes some ten milliseconds, and a
+/// few conflicts among many routers a few hundred.
+const WAIT: Duration = Duration::from_millis(300);
 /// Writes that a request waits for.
 const WAITS: u32 = 3;
 
--- a/crates/router/src/relay/purse/writer.rs
+++ b/crates/router/src/relay/purse/writer.rs
@@ -30,9 +30,20 @@
 /// Time between checkpoints for each router, so that all of them together stay
 /// under half of what one part of the store takes.
 const PERIOD_EACH: Duration = Duration::from_millis(10);
-/// Tries of one write against the writes of others.
+/// Conflicts of one checkpoint after which it changes the own row only.
+const CONFLICTS: u32 = 3;
+/// Tries of the first and the last writes of a life.
 const TRIES: u32 = 10;
 
+/// What a checkpoint may change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    /// Totals and the own row, after so many conflicts.
+    Totals(u32),
+    /// The own row alone.
+    Own,
+}
+
 /// A checkpoint with what its requests needed, by workspace.
 #[derive(Debug)]
 struct Planned {
@@ -118,9 +129,10 @@
 
     /// Writes a checkpoint; a failure is logged, and the next one goes on.
     async fn cycle(&self, site: &Site) {
-        for tries in 0..TRIES {
+        let mut scope = Scope::Totals(0);
+        for tries in 0..=CONFLICTS {
             let result = match self.refresh(Instant::now()).await {
-                Ok(()) => self.checkpoint(site).await,
+                Ok(()) => self.checkpoint(site, scope).await,
                 Err(why) => Err(why),
             };
             match result {
@@ -129,11 +141,23 @@
                     if std::mem::take(&mut tables.failures) >= FAILURES {
                         log::info("budgets in touch").write();
                     }
+                    if scope == Scope::Own {
+                        log::info("totals left as they are")
+                            .with("conflicts", CONFLICTS)
+                            .write();
+                    }
                     return;
                 }
                 Err(Error::Conflict(rows)) => {
                     self.conflict(&rows);
-                    self.step_back(tries).await;
+                    if tries + 1 == CONFLICTS {
+                        // What was spent is written at least: nobody else
+                        // changes the own row.
+                        scope = Scope::Own;
+                    } else {
+                        scope = Scope::Totals(tries + 1);
+                        self.step_back(tries).await;
+                    }
                 }
                 Err(why) => {
                     log::warn("checkpoint failed").reason(&why).write();
@@ -145,7 +169,7 @@
             }
         }
         log::warn("checkpoint given up")
-            .with("tries", TRIES)
+            .with("tries", CONFLICTS + 1)
             .write();
     }
 
@@ -200,13 +224,13 @@
         Ok(())
     }
 
-    async fn checkpoint(&self, site: &Site) -> Result<(), Error> {
+    async fn checkpoint(&self, site: &Site, scope: Scope) -> Result<(), Error> {
         let now = Instant::now();
         let Planned {
             commit,
             needs,
             ended,
-        } = self.planned(site, now);
+        } = self.planned(site, scope, now);
         let patience = lock(&self.tables).pace.patience();
         let result = self.store.commit(PLACE, commit.clone(), patience).await;
         let mut tables = lock(&self.tables);
@@ -252,7 +276,7 @@
     }
 
     /// The next checkpoint, noted as being on its way.
-    fn planned(&self, site: &Site, now: Instant) -> Planned {
+    fn planned(&self, site: &Site, scope: Scope, now: Instant) -> Planned {
         let mut tables = lock(&self.tables);
         let routers = tables.routers();
         let clock = tables.clock(now);
@@ -286,7 +310,10 @@
                 ..*change
             }
         });
-        let chosen = hold::choose(&changes.collect::<Vec<_>>());
+        let chosen = match scope {
+            Scope::Totals(tries) => hold::choose(&changes.collect::<Vec<_>>(), tries),
+            Scope::Own => Vec::new(),
+        };
         let mut commit = Commit::default();
         let mut needs = Vec::new();
         let mut terms = Vec::new();
@@ -406,7 +433,7 @@
             returned: bound.released + bound.stranded,
             ..Change::default()
         });
-        let chosen = hold::choose(&bounds.collect::<Vec<_>>());
+        let chosen = hold::choose(&bounds.collect::<Vec<_>>(), 0);
         if chosen.is_empty() {
             return None;
         }
