Follow configuration and servers by the store's feed

Now: platform::mirror reads a table once, follows the feed, reads again after a lost history and every 15 s, and passes an older state over.

--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -6,25 +6,30 @@
 use poplar_base::log;
 use poplar_core::site::Server;
 use poplar_platform::configuration;
+use poplar_platform::mirror::Mirror;
 use poplar_platform::rows::{Place, Rows};
 use poplar_platform::servers;
 use poplar_platform::store::{Error, OPERATOR, SERVERS};
 
 use crate::relay::state::Relay;
 
-/// How often each table is read: a change has two seconds to be in force, and
-/// two calls may fail on the way.
-const PERIOD: Duration = Duration::from_millis(400);
-/// How long a read may take; a connection that fell silent is left then.
+/// Shortest time between two looks at a table: changes come in series.
+const PERIOD: Duration = Duration::from_millis(100);
+/// Time until the next look after one that failed: a change has two seconds to
+/// be in force, and two calls may fail on the way.
+const RETRY: Duration = Duration::from_millis(400);
+/// How long a look may take; a connection that fell silent is left then.
 const TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Follows the configuration until the process ends.
 pub async fn configuration(relay: Arc<Relay>) {
-    let mut contact = Contact::new("configuration");
+    let mut contact = Contact::new("configuration", OPERATOR);
+    let mut seen = 0;
     loop {
-        if let Some(rows) = contact.read(&relay, OPERATOR).await {
+        if let Some(rows) = contact.next(&relay).await {
             let row = rows.rows.iter().find(|row| *row.key == *configuration::KEY);
-            if let Some(row) = row {
+            if let Some(row) = row.filter(|row| row.version != seen) {
+                seen = row.version;
                 match configuration::read(&row.value) {
                     Ok(site) => {
                         let version = site.version;
@@ -42,16 +47,16 @@
                 }
             }
         }
-        tokio::time::sleep(PERIOD).await;
+        tokio::time::sleep(contact.pause()).await;
     }
 }
 
 /// Follows the list of backend servers until the process ends.
 pub async fn list(relay: Arc<Relay>) {
-    let mut contact = Contact::new("servers");
+    let mut contact = Contact::new("servers", SERVERS);
     let mut unreadable: Vec<(String, u64)> = Vec::new();
     loop {
-        if let Some(rows) = contact.read(&relay, SERVERS).await {
+        if let Some(rows) = contact.next(&relay).await {
             let mut known: Vec<Server> = Vec::with_capacity(rows.rows.len());
             let mut bad = Vec::new();
             for row in &rows.rows {
@@ -73,24 +78,33 @@
             unreadable = bad;
             relay.fleet.read(known, rows.version, Instant::now());
         }
-        tokio::time::sleep(PERIOD).await;
+        tokio::time::sleep(contact.pause()).await;
     }
 }
 
-/// Whether a table answers, logged where it changes.
+/// A table that is followed; whether it answers is logged where that changes.
 struct Contact {
     what: &'static str,
+    mirror: Mirror,
     lost: bool,
 }
 
 impl Contact {
-    fn new(what: &'static str) -> Self {
-        Self { what, lost: false }
+    fn new(what: &'static str, place: Place) -> Self {
+        Self {
+            what,
+            mirror: Mirror::new(place),
+            lost: false,
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        if self.lost { RETRY } else { PERIOD }
     }
 
-    async fn read(&mut self, relay: &Relay, place: Place) -> Option<Rows> {
-        let read: Result<Rows, Error> = relay.store.read(place, "", "", TIMEOUT).await;
-        match read {
+    async fn next(&mut self, relay: &Relay) -> Option<Rows> {
+        let rows: Result<Rows, Error> = self.mirror.next(&relay.store, TIMEOUT).await;
+        match rows {
             Ok(rows) => {
                 if std::mem::take(&mut self.lost) {
                     log::info("store regained").with("table", self.what).write();
--- a/crates/router/tests/site/store.rs
+++ b/crates/router/tests/site/store.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -33,6 +33,14 @@
     rows: SortedVec<Key, (u64, String)>,
     version: u64,
     fate: Fate,
+    /// Rows that were removed, with the version of that.
+    removed: Vec<(u64, Key)>,
+    /// The feed knows what changed after this version.
+    history: u64,
+    /// What reads show in place of the newest state, once.
+    stale: Option<Value>,
+    /// Whole reads of tables so far.
+    reads: u32,
 }
 
 /// The stand-in.
@@ -77,6 +85,33 @@
         tables.rows.insert(key, entry);
     }
 
+    /// Removes a row as the operator or a lapse does.
+    pub(crate) fn remove(&self, table: &str, part: &str, key: &str) {
+        let mut tables = self.tables.lock().expect("no panic");
+        tables.version += 1;
+        let version = tables.version;
+        let key = (table.to_owned(), part.to_owned(), key.to_owned());
+        tables.rows.remove(&key);
+        tables.removed.push((version, key));
+    }
+
+    /// Forgets what changed so far, as after a restart.
+    pub(crate) fn forget(&self) {
+        let mut tables = self.tables.lock().expect("no panic");
+        tables.history = tables.version;
+    }
+
+    /// Answers the next read of `table` as it would be answered now.
+    pub(crate) fn hold(&self, table: &str) {
+        let (_, answer) = self.get(&format!("table={table}&part="));
+        self.tables.lock().expect("no panic").stale = Some(answer);
+    }
+
+    /// Whole reads of tables so far.
+    pub(crate) fn reads(&self) -> u32 {
+        self.tables.lock().expect("no panic").reads
+    }
+
     /// Registers a backend server.
     pub(crate) fn register(&self, id: &str, service: &str, address: SocketAddr) {
         let entry = json!({"service": service, "address": address.to_string(), "zone": "a",
@@ -102,6 +137,7 @@
         let body = body.collect().await.ok()?.to_bytes();
         let (status, answer) = match head.uri.path() {
             "/api/rows-get" => self.get(head.uri.query().unwrap_or_default()),
+            "/api/rows-feed" => self.feed(head.uri.query().unwrap_or_default()).await,
             "/api/rows-tx" => self.transact(&serde_json::from_slice(&body).ok()?)?,
             _ => (StatusCode::NOT_FOUND, json!({})),
         };
@@ -121,7 +157,11 @@
             found.map_or(String::new(), |(_, v)| v.replace("%2F", "/"))
         };
         let (from, to) = (field("from"), field("to"));
-        let tables = self.tables.lock().expect("no panic");
+        let mut tables = self.tables.lock().expect("no panic");
+        tables.reads += 1;
+        if let Some(stale) = tables.stale.take() {
+            return (StatusCode::OK, stale);
+        }
         let here = tables.rows.iter().filter(|((table, part, key), _)| {
             let place = *table == field("table") && *part == field("part");
             place && *key >= from && (to.is_empty() || *key < to)
@@ -132,6 +172,44 @@
         (StatusCode::OK, answer)
     }
 
+    async fn feed(&self, query: &str) -> (StatusCode, Value) {
+        let number = |name: &str| {
+            let pairs = query.split('&').filter_map(|p| p.split_once('='));
+            let mut found = pairs.filter(|(key, _)| *key == name);
+            found.next().and_then(|(_, v)| v.parse().ok()).unwrap_or(0)
+        };
+        let table = query.split("table=").nth(1).unwrap_or_default();
+        let table = table.split('&').next().unwrap_or_default();
+        let (after, wait) = (number("after"), number("wait_ms"));
+        let until = Instant::now() + Duration::from_millis(wait);
+        loop {
+            {
+                let tables = self.tables.lock().expect("no panic");
+                if after < tables.history {
+                    return (StatusCode::GONE, json!({}));
+                }
+                let changed = tables.rows.iter();
+                let changed = changed.filter(|(key, row)| key.0 == table && row.0 > after);
+                let mut rows: Vec<(u64, Value)> =
+                    changed.map(|(key, row)| (row.0, shown(key, row))).collect();
+                let removed = tables.removed.iter();
+                let removed = removed.filter(|(version, key)| key.0 == table && *version > after);
+                rows.extend(removed.map(|(version, key)| {
+                    let mut row = shown(key, &(*version, String::new()));
+                    row["deleted"] = json!(true);
+                    (*version, row)
+                }));
+                if !rows.is_empty() || Instant::now() >= until {
+                    rows.sort_by_key(|(version, _)| *version);
+                    let rows: Vec<Value> = rows.into_iter().map(|(_, row)| row).collect();
+                    let answer = json!({"rows": rows, "ver": tables.version, "now_ms": self.now()});
+                    return (StatusCode::OK, answer);
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     fn transact(&self, wire: &Value) -> Option<(StatusCode, Value)> {
         let mut tables = self.tables.lock().expect("no panic");
         let fate = std::mem::take(&mut tables.fate);
