What a holding can pay waits for the router's own row only

Now: such requests are covered by a write of the own row, which never conflicts; totals are looked at once a period, or where a holding is too small.

--- a/crates/core/src/hold/account.rs
+++ b/crates/core/src/hold/account.rs
@@ -59,6 +59,11 @@
         self.known.map_or(0, |sent| sent.terms.granted)
     }
 
+    /// Tokens of the grant that are not spent.
+    pub fn held(&self) -> u64 {
+        self.known().saturating_sub(self.spent())
+    }
+
     /// Tokens that can still be spent at `now`.
     pub fn free(&self, now: Instant) -> u64 {
         let bound = |sent: &Sent| {
--- a/crates/core/src/hold/plan.rs
+++ b/crates/core/src/hold/plan.rs
@@ -109,7 +109,7 @@
 
 /// What an account should draw or give back.
 pub fn change(account: &Account, outlook: &Outlook) -> Change {
-    let held = account.known().saturating_sub(account.spent()) as f64;
+    let held = account.held() as f64;
     let need = account.need() as f64;
     let pool = outlook.pool as f64;
     let left = pool + held + outlook.others as f64;
--- a/crates/router/src/relay/purse/mod.rs
+++ b/crates/router/src/relay/purse/mod.rs
@@ -4,6 +4,7 @@
 //! transaction. A request that finds too little waits for the next write and
 //! is refused where that does not help.
 
+mod life;
 mod tables;
 mod writer;
 
--- a/crates/router/src/relay/purse/tables.rs
+++ b/crates/router/src/relay/purse/tables.rs
@@ -54,6 +54,8 @@
     /// Writes in a row that failed, and when the last one did.
     pub(super) failures: u32,
     pub(super) failed: Option<Instant>,
+    /// When totals were last looked at for a change.
+    pub(super) balanced: Option<Instant>,
 }
 
 impl Tables {
@@ -70,6 +72,18 @@
         lately && self.failures >= FAILURES
     }
 
+    /// Whether requests wait that the own holdings can pay.
+    pub(super) fn is_payable(&self) -> bool {
+        let mut accounts = self.accounts.iter();
+        accounts.any(|(_, account)| account.need() > 0 && account.held() >= account.need())
+    }
+
+    /// Whether requests wait that they can't.
+    pub(super) fn is_short(&self) -> bool {
+        let mut accounts = self.accounts.iter();
+        accounts.any(|(_, account)| account.held() < account.need())
+    }
+
     pub(super) fn total(&self, name: &str) -> (Total, u64) {
         self.totals.get(name).copied().unwrap_or_default()
     }
@@ -115,7 +129,7 @@
     /// Tokens of a budget that the other routers hold.
     pub(super) fn held(&self, name: &str) -> u64 {
         let account = self.accounts.get(name);
-        let own = account.map_or(0, |a| a.known().saturating_sub(a.spent()));
+        let own = account.map_or(0, Account::held);
         self.summary.sum(name).held.saturating_sub(own)
     }
 
--- a/crates/router/src/relay/purse/writer.rs
+++ b/crates/router/src/relay/purse/writer.rs
@@ -17,13 +17,13 @@
 use crate::sync::lock;
 
 /// Where the rows of budgets lie; one part, so that a transaction spans them.
-const PLACE: Place = Place {
+pub(super) const PLACE: Place = Place {
     table: "budgets",
     part: "all",
 };
 /// The first key after those of totals.
 const TOTAL_END: &str = "total0";
-/// How long the first read and the last write of a life may take.
+/// How long the reading of all rows may take, also over a small link.
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Shortest time between two checkpoints without a waiting request.
 const PERIOD: Duration = Duration::from_millis(400);
@@ -32,8 +32,6 @@
 const PERIOD_EACH: Duration = Duration::from_millis(10);
 /// Conflicts of one checkpoint after which it changes the own row only.
 const CONFLICTS: u32 = 3;
-/// Tries of the first and the last writes of a life.
-const TRIES: u32 = 10;
 
 /// What a checkpoint may change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,11 +44,11 @@
 
 /// A checkpoint with what its requests needed, by workspace.
 #[derive(Debug)]
-struct Planned {
-    commit: Commit,
-    needs: Vec<(Name, u64)>,
+pub(super) struct Planned {
+    pub(super) commit: Commit,
+    pub(super) needs: Vec<(Name, u64)>,
     /// Ends of lives before that the totals won't have then.
-    ended: SortedVec<Name, Bound>,
+    pub(super) ended: SortedVec<Name, Bound>,
 }
 
 impl Purse {
@@ -72,100 +70,56 @@
         PERIOD.max(PERIOD_EACH * self.routers())
     }
 
-    /// Takes the row of the life before over and gives back what it can't have
-    /// spent; the process that wrote it is gone, since its address is ours.
-    async fn open(&self) {
-        for tries in 0.. {
-            match self.try_open().await {
-                Ok(()) => break,
-                Err(why) => log::warn("budgets not opened").reason(why).write(),
-            }
-            self.step_back(tries.min(TRIES)).await;
-        }
-    }
-
-    async fn try_open(&self) -> Result<(), Error> {
-        let after = format!("{}/", self.key);
-        let rows = self.store.read(PLACE, &self.key, &after, TIMEOUT).await?;
-        let own = rows.rows.iter().find(|row| row.key == self.key);
-        let version = own.map_or(0, |row| row.version);
-        let before: HolderRow = own.and_then(decode).unwrap_or_default();
-        let elapsed = Duration::from_millis(rows.clock.saturating_sub(before.clock));
-        // The totals learn of it from later checkpoints, a few at a time: after
-        // a loss of power, all routers are here at once.
-        let ended = before.end(elapsed);
-        let next = HolderRow {
-            life: self.life,
-            number: 0,
-            clock: rows.clock,
-            terms: Vec::new(),
-            ended: ended.clone(),
-        };
-        let mut commit = Commit::default();
-        write(&mut commit, self.key.clone(), version, &next);
-        let done = self.store.commit(PLACE, commit, TIMEOUT).await?;
-        for (name, bound) in &ended {
-            log::info("grant ended")
-                .workspace(name)
-                .with("released", bound.released)
-                .with("stranded", bound.stranded)
-                .with("age_ms", elapsed.as_millis())
-                .write();
-        }
-        let mut tables = lock(&self.tables);
-        tables.own = done.version;
-        tables.ended = ended.into_iter().collect();
-        tables.opened = true;
-        tables.clock = Some((done.clock, Instant::now()));
-        Ok(())
-    }
-
     /// Lets other routers' writes pass after a conflict.
-    async fn step_back(&self, tries: u32) {
+    pub(super) async fn step_back(&self, tries: u32) {
         let routers = self.routers();
         let wait = hold::back_off(tries, routers, rand::random());
         tokio::time::sleep(wait).await;
     }
 
-    /// Writes a checkpoint; a failure is logged, and the next one goes on.
+    /// Writes what is due. Requests that the own holding can pay wait for the
+    /// own row only, which no other router changes.
     async fn cycle(&self, site: &Site) {
-        let mut scope = Scope::Totals(0);
+        let period = self.period();
+        let (payable, more) = {
+            let tables = lock(&self.tables);
+            let lately = |at| Instant::now() < at + period;
+            let balanced = tables.balanced.is_some_and(lately);
+            (tables.is_payable(), !balanced || tables.is_short())
+        };
+        if payable {
+            let written = self.checkpoint(site, Scope::Own).await;
+            if !self.took(written, Scope::Own) {
+                return;
+            }
+            self.done.notify_waiters();
+        }
+        if more {
+            self.balance(site).await;
+        }
+    }
+
+    /// Draws and gives back, against the writes of others.
+    async fn balance(&self, site: &Site) {
         for tries in 0..=CONFLICTS {
+            // What was spent is written at least.
+            let scope = if tries < CONFLICTS {
+                Scope::Totals(tries)
+            } else {
+                Scope::Own
+            };
             let result = match self.refresh(Instant::now()).await {
                 Ok(()) => self.checkpoint(site, scope).await,
                 Err(why) => Err(why),
             };
-            match result {
-                Ok(()) => {
-                    let mut tables = lock(&self.tables);
-                    if std::mem::take(&mut tables.failures) >= FAILURES {
-                        log::info("budgets in touch").write();
-                    }
-                    if scope == Scope::Own {
-                        log::info("totals left as they are")
-                            .with("conflicts", CONFLICTS)
-                            .write();
-                    }
-                    return;
-                }
-                Err(Error::Conflict(rows)) => {
-                    self.conflict(&rows);
-                    if tries + 1 == CONFLICTS {
-                        // What was spent is written at least: nobody else
-                        // changes the own row.
-                        scope = Scope::Own;
-                    } else {
-                        scope = Scope::Totals(tries + 1);
-                        self.step_back(tries).await;
-                    }
-                }
-                Err(why) => {
-                    log::warn("checkpoint failed").reason(&why).write();
-                    let mut tables = lock(&self.tables);
-                    tables.failures += 1;
-                    tables.failed = Some(Instant::now());
-                    return;
-                }
+            let conflict = matches!(result, Err(Error::Conflict(_)));
+            self.took(result, scope);
+            if !conflict {
+                lock(&self.tables).balanced = Some(Instant::now());
+                return;
+            }
+            if tries + 1 < CONFLICTS {
+                self.step_back(tries).await;
             }
         }
         log::warn("checkpoint given up")
@@ -173,6 +127,33 @@
             .write();
     }
 
+    /// Takes in how a checkpoint ended; returns whether it is in force.
+    fn took(&self, result: Result<(), Error>, scope: Scope) -> bool {
+        match result {
+            Ok(()) => {
+                let failures = std::mem::take(&mut lock(&self.tables).failures);
+                if failures >= FAILURES {
+                    log::info("budgets in touch").write();
+                }
+                log::debug("checkpoint")
+                    .with("scope", format_args!("{scope:?}"))
+                    .write();
+                true
+            }
+            Err(Error::Conflict(rows)) => {
+                self.conflict(&rows);
+                false
+            }
+            Err(why) => {
+                log::warn("checkpoint failed").reason(&why).write();
+                let mut tables = lock(&self.tables);
+                tables.failures += 1;
+                tables.failed = Some(Instant::now());
+                false
+            }
+        }
+    }
+
     /// Reads the totals and the sums of the holders' rows where they are old,
     /// and makes new sums where it is this router's turn.
     async fn refresh(&self, now: Instant) -> Result<(), Error> {
@@ -325,7 +306,10 @@
             let account = tables.accounts.entry(name.clone(), Account::default);
             let plan = hold::plan(account, &outlook, &change, now);
             account.sent(plan.terms, now);
-            needs.push((name.clone(), change.need));
+            // Requests that only a change of the total can pay wait for that.
+            if scope != Scope::Own || account.held() >= change.need {
+                needs.push((name.clone(), change.need));
+            }
             terms.push((name.clone(), plan.terms));
             if chosen {
                 if let Some(bound) = ended.remove(&**name) {
@@ -353,7 +337,7 @@
     }
 
     /// Takes rows over that others wrote, or an own write whose answer was lost.
-    fn conflict(&self, rows: &[Row]) {
+    pub(super) fn conflict(&self, rows: &[Row]) {
         let mut tables = lock(&self.tables);
         for row in rows {
             tables.learn_total(row);
@@ -384,95 +368,9 @@
             .with("version", own.version)
             .write();
     }
-
-    /// Gives back what was not spent, at the end of a planned stop.
-    pub async fn close(&self, timeout: Duration) {
-        if !self.is_open() {
-            return;
-        }
-        for tries in 0..TRIES {
-            loop {
-                let Some(planned) = self.ending(Instant::now()) else {
-                    return log::info("budgets returned").write();
-                };
-                let result = self.store.commit(PLACE, planned.commit, timeout).await;
-                let mut tables = lock(&self.tables);
-                match result {
-                    Ok(done) => {
-                        tables.own = done.version;
-                        tables.ended = planned.ended;
-                        tables.accounts = SortedVec::new();
-                        tables.open.clear();
-                    }
-                    Err(Error::Conflict(rows)) => {
-                        drop(tables);
-                        self.conflict(&rows);
-                        break;
-                    }
-                    // The next life at this address finds the row and goes on.
-                    Err(why) => return log::warn("budgets not returned").reason(why).write(),
-                }
-            }
-            self.step_back(tries).await;
-        }
-        log::warn("budgets not returned")
-            .with("tries", TRIES)
-            .write();
-    }
-
-    /// One of the last writes of this life; `None` after them.
-    fn ending(&self, now: Instant) -> Option<Planned> {
-        let mut tables = lock(&self.tables);
-        let mut all = tables.ended.clone();
-        for (name, account) in tables.accounts.iter() {
-            let unspent = account.known().saturating_sub(account.spent());
-            all.entry(name.clone(), Bound::default).released += unspent;
-        }
-        all.retain(|_, bound| *bound != Bound::default());
-        let bounds = all.iter().map(|(_, bound)| Change {
-            returned: bound.released + bound.stranded,
-            ..Change::default()
-        });
-        let chosen = hold::choose(&bounds.collect::<Vec<_>>(), 0);
-        if chosen.is_empty() {
-            return None;
-        }
-        let mut commit = Commit::default();
-        let mut ended = SortedVec::new();
-        for (index, (name, bound)) in all.iter().enumerate() {
-            if chosen.binary_search(&index).is_err() {
-                ended.insert(name.clone(), *bound);
-                continue;
-            }
-            let (mut total, version) = tables.total(name);
-            total.settle(bound);
-            write(
-                &mut commit,
-                format!("{TOTAL}{name}").into(),
-                version,
-                &total,
-            );
-        }
-        tables.written += 1;
-        let row = HolderRow {
-            life: self.life,
-            number: tables.written,
-            clock: tables.clock(now),
-            terms: Vec::new(),
-            ended: listed(&ended),
-        };
-        write(&mut commit, self.key.clone(), tables.own, &row);
-        let number = tables.written;
-        tables.open.push(Open { number, at: now });
-        Some(Planned {
-            commit,
-            needs: Vec::new(),
-            ended,
-        })
-    }
 }
 
-fn listed(ended: &SortedVec<Name, Bound>) -> Vec<(Name, Bound)> {
+pub(super) fn listed(ended: &SortedVec<Name, Bound>) -> Vec<(Name, Bound)> {
     let entries = ended.iter();
     entries
         .map(|(name, bound)| (name.clone(), *bound))
@@ -483,7 +381,7 @@
     Some(serde_json::to_vec(value).expect("rows are plain data"))
 }
 
-fn write(commit: &mut Commit, key: Name, version: u64, value: &impl Serialize) {
+pub(super) fn write(commit: &mut Commit, key: Name, version: u64, value: &impl Serialize) {
     commit.checks.push(Check {
         key: key.clone(),
         version,
