Among many routers, small holdings go back to the pool and a low pool is filled

Cause: on the grown sites the pool of most workspaces was empty while 80 routers held less than one request each; two thirds of the refusals after a kill.

--- a/crates/core/src/hold/plan.rs
+++ b/crates/core/src/hold/plan.rs
@@ -26,6 +26,12 @@
 /// The same bands among many, where each change is one more that others meet.
 const LOW_MANY: f64 = 0.5;
 const HIGH_MANY: f64 = 1.6;
+/// Typical requests below which a holding among many is not worth having: it
+/// pays none of them, and those of all routers are most of what is left.
+const WORTHWHILE: f64 = 2.0;
+/// Part of what is left below which the pool among many is low, and whoever
+/// holds more than the target gives it back.
+const POOL_LOW: f64 = 0.1;
 /// Weight of the router's part of this budget's demand in its share, of its
 /// part of all demand, and of an even split. One budget's demand at one router
 /// is a few requests in the time over which it is averaged.
@@ -38,12 +44,12 @@
 /// Typical requests that it covers then.
 const TYPICAL: f64 = 0.7;
 /// Most of a holding that the burst may be: what a kill of everything strands.
-const BURST_PART: f64 = 0.15;
+const BURST_PART: f64 = 0.08;
 /// When more than the burst may be spent: later than a process that was killed
 /// in touch with the table is back.
 const AFTER: Duration = Duration::from_millis(1400);
 /// Further time for each router; checkpoints are as much rarer.
-const AFTER_EACH: Duration = Duration::from_millis(12);
+const AFTER_EACH: Duration = Duration::from_millis(15);
 /// How many times the expected demand may be spent from then on.
 const SURGE: f64 = 2.0;
 /// Time in which a holding may be spent however small the demand was before;
@@ -120,7 +126,17 @@
     } else {
         (HELD, LOW, HIGH)
     };
-    let target = part * plenty * outlook.share() * left;
+    let mut target = part * plenty * outlook.share() * left;
+    let mut high = high;
+    if outlook.routers > FEW {
+        let typical = account.typical().max(outlook.typical) as f64;
+        if target < WORTHWHILE * typical {
+            target = 0.0;
+        }
+        if pool < POOL_LOW * left {
+            high = 1.0;
+        }
+    }
     let (mut drawn, mut returned) = (0.0, 0.0);
     if held < need || held < low * target {
         drawn = (target.max(need) - held).min(pool);
