--- a/crates/core/src/hold/contend.rs
+++ b/crates/core/src/hold/contend.rs
@@ -11,7 +11,9 @@
 /// Most totals that one write changes; the table takes 100 entries a call, and
 /// each total is two of them.
 const MOST: usize = 40;
-/// Routers up to which a conflict is rare enough to try again at once.
+/// Routers up to which each request may have a write of its own, and conflicts
+/// are rare enough to try again at once; the table takes a few hundred writes a
+/// second.
 const FEW: u32 = 16;
 /// Longest wait after the first conflict among few routers, about one
 /// transaction; it grows with each further one.
@@ -22,7 +24,12 @@
 /// Age up to which a reading of the totals serves for a write, among few.
 const READ_AGE: Duration = Duration::from_millis(700);
 /// The same among many, who change them all the time.
-const READ_AGE_MANY: Duration = Duration::from_millis(10);
+const READ_AGE_MANY: Duration = Duration::from_millis(50);
+
+/// Whether the routers are too many for a write with each request.
+pub fn is_many(routers: u32) -> bool {
+    routers > FEW
+}
 
 /// What a router would like to change of one budget's total.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -87,7 +94,7 @@
 /// How long to wait after the conflict number `tries`, counted from zero;
 /// `random` lies between 0 and 1.
 pub fn back_off(tries: u32, routers: u32, random: f64) -> Duration {
-    let most = if routers > FEW {
+    let most = if is_many(routers) {
         STEP_EACH * routers
     } else {
         STEP * (tries + 1)
@@ -97,7 +104,7 @@
 
 /// Age at which the totals are read again before a write.
 pub fn read_age(routers: u32) -> Duration {
-    if routers > FEW {
+    if is_many(routers) {
         READ_AGE_MANY
     } else {
         READ_AGE
--- a/crates/core/src/hold/mod.rs
+++ b/crates/core/src/hold/mod.rs
@@ -16,7 +16,7 @@
 mod summary;
 
 pub use account::Account;
-pub use contend::{Change, back_off, choose, read_age};
+pub use contend::{Change, back_off, choose, is_many, read_age};
 pub use pace::Pace;
 pub use plan::{Demand, Outlook, Plan, change, plan};
 pub use rows::{Bound, HolderRow, Terms, Total, release};
--- a/crates/core/src/hold/plan.rs
+++ b/crates/core/src/hold/plan.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::hold::{Account, Change, Terms};
+use crate::hold::{Account, Change, Terms, is_many};
 
 /// Part of what is left of a budget that the routers hold; the rest is for
 /// requests that find too little at theirs.
@@ -36,9 +36,6 @@
 /// part of all demand, and of an even split. One budget's demand at one router
 /// is a few requests in the time over which it is averaged.
 const WEIGHTS: (f64, f64, f64) = (0.35, 0.5, 0.15);
-/// Routers up to which each request may have a write of its own; the table
-/// takes a few hundred a second.
-const FEW: u32 = 16;
 /// Time of the expected demand that the burst covers where there are more.
 const BURST: Duration = Duration::from_millis(1200);
 /// Typical requests that it covers then.
@@ -121,14 +118,14 @@
     let left = pool + held + outlook.others as f64;
     let lasting = outlook.demand.fleet * SCARCE.as_secs_f64();
     let plenty = if lasting > left { left / lasting } else { 1.0 };
-    let (part, low, high) = if outlook.routers > FEW {
+    let (part, low, high) = if is_many(outlook.routers) {
         (HELD_MANY, LOW_MANY, HIGH_MANY)
     } else {
         (HELD, LOW, HIGH)
     };
     let mut target = part * plenty * outlook.share() * left;
     let mut high = high;
-    if outlook.routers > FEW {
+    if is_many(outlook.routers) {
         let typical = account.typical().max(outlook.typical) as f64;
         if target < WORTHWHILE * typical {
             target = 0.0;
@@ -156,7 +153,7 @@
     let granted = account.known() + change.drawn - change.returned;
     let left = granted.saturating_sub(spent) as f64;
     let expected = outlook.share() * outlook.demand.fleet;
-    let burst = if outlook.routers > FEW {
+    let burst = if is_many(outlook.routers) {
         let typical = account.typical().max(outlook.typical) as f64;
         let burst = expected * BURST.as_secs_f64() + TYPICAL * typical;
         burst.min(BURST_PART * left)
--- a/crates/router/src/relay/purse/mod.rs
+++ b/crates/router/src/relay/purse/mod.rs
@@ -133,8 +133,8 @@
         for _ in 0..WAITS {
             let done = self.done.notified();
             let now = Instant::now();
-            if self.try_reserve(workspace, worst, now) {
-                return Ok(self.reserved(workspace, worst));
+            if let Some(reserved) = self.try_reserve(workspace, worst, now) {
+                return Ok(reserved);
             }
             if self.is_failing(now) {
                 // The next write may find the store back.
@@ -147,19 +147,8 @@
             }
         }
         let now = Instant::now();
-        if self.try_reserve(workspace, worst, now) {
-            return Ok(self.reserved(workspace, worst));
-        }
-        Err(self.why(workspace, prepaid, worst, now))
-    }
-
-    fn reserved(self: &Arc<Self>, workspace: &Name, worst: u64) -> Reservation {
-        Reservation {
-            purse: self.clone(),
-            workspace: workspace.clone(),
-            worst,
-            used: 0,
-        }
+        let reserved = self.try_reserve(workspace, worst, now);
+        reserved.ok_or_else(|| self.why(workspace, prepaid, worst, now))
     }
 
     /// Reserves while the store is away, as soon as the terms allow it.
@@ -172,8 +161,8 @@
         loop {
             let done = self.done.notified();
             let now = Instant::now();
-            if self.try_reserve(workspace, worst, now) {
-                return Ok(self.reserved(workspace, worst));
+            if let Some(reserved) = self.try_reserve(workspace, worst, now) {
+                return Ok(reserved);
             }
             let after = self.available(workspace, worst, now);
             let wait = after.filter(|wait| now + *wait <= until);
@@ -186,9 +175,7 @@
     }
 
     fn available(&self, workspace: &Name, worst: u64, now: Instant) -> Option<Duration> {
-        let tables = lock(&self.tables);
-        let account = tables.accounts.get(&**workspace)?;
-        account.available(worst, now)
+        lock(&self.tables).available(workspace, worst, now)
     }
 
     /// Begins a planned stop: what is not needed is given back from now on.
@@ -203,10 +190,20 @@
         account.asked(worst, now);
     }
 
-    fn try_reserve(&self, workspace: &Name, worst: u64, now: Instant) -> bool {
+    fn try_reserve(
+        self: &Arc<Self>,
+        workspace: &Name,
+        worst: u64,
+        now: Instant,
+    ) -> Option<Reservation> {
         let mut tables = lock(&self.tables);
         let account = tables.accounts.entry(workspace.clone(), Account::default);
-        account.reserve(worst, now)
+        account.reserve(worst, now).then(|| Reservation {
+            purse: self.clone(),
+            workspace: workspace.clone(),
+            worst,
+            used: 0,
+        })
     }
 
     fn is_failing(&self, now: Instant) -> bool {
@@ -216,8 +213,7 @@
     fn why(&self, workspace: &Name, prepaid: u64, worst: u64, now: Instant) -> Refused {
         let tables = lock(&self.tables);
         if tables.is_failing(now) {
-            let account = tables.accounts.get(&**workspace);
-            let after = account.and_then(|a| a.available(worst, now));
+            let after = tables.available(workspace, worst, now);
             return Refused::Away { after };
         }
         let left = tables.left(workspace, prepaid);
--- a/crates/router/src/relay/purse/tables.rs
+++ b/crates/router/src/relay/purse/tables.rs
@@ -40,8 +40,9 @@
     pub(super) summed_at: Option<Instant>,
     /// Version of the own row.
     pub(super) own: u64,
-    /// Own writes so far.
+    /// Own writes so far, and when the last one that came into force was sent.
     pub(super) written: u64,
+    pub(super) written_at: Option<Instant>,
     /// Writes whose outcome is not known.
     pub(super) open: Vec<Open>,
     /// The store's clock, and when it was read.
@@ -72,6 +73,11 @@
         lately && self.failures >= FAILURES
     }
 
+    /// When tokens can be reserved without a write, if at all.
+    pub(super) fn available(&self, name: &str, tokens: u64, now: Instant) -> Option<Duration> {
+        self.accounts.get(name)?.available(tokens, now)
+    }
+
     /// Whether requests wait that the own holdings can pay.
     pub(super) fn is_payable(&self) -> bool {
         let mut accounts = self.accounts.iter();
--- a/crates/router/src/relay/purse/writer.rs
+++ b/crates/router/src/relay/purse/writer.rs
@@ -207,11 +207,14 @@
 
     async fn checkpoint(&self, site: &Site, scope: Scope) -> Result<(), Error> {
         let now = Instant::now();
-        let Planned {
+        let Some(Planned {
             commit,
             needs,
             ended,
-        } = self.planned(site, scope, now);
+        }) = self.planned(site, scope, now)
+        else {
+            return Ok(());
+        };
         let patience = lock(&self.tables).pace.patience();
         let result = self.store.commit(PLACE, commit.clone(), patience).await;
         let mut tables = lock(&self.tables);
@@ -223,6 +226,7 @@
         match &result {
             Ok(done) => {
                 tables.ended = ended;
+                tables.written_at = Some(now);
                 tables.own = done.version;
                 tables.clock = Some((done.clock, Instant::now()));
                 for write in &commit.writes {
@@ -256,13 +260,12 @@
         result.map(|_| ())
     }
 
-    /// The next checkpoint, noted as being on its way.
-    fn planned(&self, site: &Site, scope: Scope, now: Instant) -> Planned {
+    /// The next checkpoint, noted as being on its way; `None` where there is
+    /// nothing to change and the table has other routers' writes to do.
+    fn planned(&self, site: &Site, scope: Scope, now: Instant) -> Option<Planned> {
+        let period = self.period();
         let mut tables = lock(&self.tables);
         let routers = tables.routers();
-        let clock = tables.clock(now);
-        tables.written += 1;
-        let number = tables.written;
         let all = tables.demand(None, now);
         let typical = tables.typical();
         let mut accounts = Vec::new();
@@ -295,6 +298,17 @@
             Scope::Totals(tries) => hold::choose(&changes.collect::<Vec<_>>(), tries),
             Scope::Own => Vec::new(),
         };
+        let fresh = tables.written_at.is_some_and(|at| now < at + period);
+        if hold::is_many(routers) && chosen.is_empty() && fresh && !tables.is_payable() {
+            // Whoever waits is told that there is none.
+            for (_, account) in tables.accounts.iter_mut() {
+                account.covered(account.need());
+            }
+            return None;
+        }
+        let clock = tables.clock(now);
+        tables.written += 1;
+        let number = tables.written;
         let mut commit = Commit::default();
         let mut needs = Vec::new();
         let mut terms = Vec::new();
@@ -329,11 +343,11 @@
         };
         write(&mut commit, self.key.clone(), tables.own, &row);
         tables.open.push(Open { number, at: now });
-        Planned {
+        Some(Planned {
             commit,
             needs,
             ended,
-        }
+        })
     }
 
     /// Takes rows over that others wrote, or an own write whose answer was lost.
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -52,7 +52,7 @@
         let repeats = terms(&settings);
         Arc::new(Self {
             fleet: Fleet::new(settings.centre.clone()),
-            purse: Purse::new(store.clone(), settings.ip.into(), life),
+            purse: Purse::new(store.clone(), settings.ip, life),
             crashes: Crashes::open(&Incarnation::new(&settings.name, life)),
             site: RwLock::default(),
             repeats: RwLock::new(repeats),
--- a/crates/router/tests/relay.rs
+++ b/crates/router/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! The door on the users' platform, between stand-ins.
 
+mod mirror;
 mod site;
 
 use std::sync::Arc;
--- a/crates/router/tests/mirror.rs
+++ b/crates/router/tests/relay/mirror.rs
@@ -1,14 +1,12 @@
 //! The copy of a table that the store's feed keeps current.
 
-mod site;
-
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::site::store::Store;
 use poplar_platform::mirror::Mirror;
 use poplar_platform::rows::Rows;
 use poplar_platform::store::{SERVERS, Store as Client};
-use site::store::Store;
 
 const TIMEOUT: Duration = Duration::from_millis(500);
 
