Larger bursts and shorter waits among many routers

Cause: a cut took three of ten routers from 0.9 to 0.4 of their credit, most of it in the first 2.3 s, in which only the burst may be spent; and the wait after one conflict was longer than a request waits.

--- a/crates/core/src/hold/contend.rs
+++ b/crates/core/src/hold/contend.rs
@@ -20,7 +20,7 @@
 const STEP: Duration = Duration::from_millis(8);
 /// Longest wait after a conflict for each router where there are more; two
 /// transactions, so that they take half of what the table can do.
-const STEP_EACH: Duration = Duration::from_millis(6);
+const STEP_EACH: Duration = Duration::from_micros(2500);
 /// Age up to which a reading of the totals serves for a write, among few.
 const READ_AGE: Duration = Duration::from_millis(700);
 /// The same among many, who change them all the time.
--- a/crates/core/src/hold/plan.rs
+++ b/crates/core/src/hold/plan.rs
@@ -37,11 +37,11 @@
 /// is a few requests in the time over which it is averaged.
 const WEIGHTS: (f64, f64, f64) = (0.35, 0.5, 0.15);
 /// Time of the expected demand that the burst covers where there are more.
-const BURST: Duration = Duration::from_millis(1200);
+const BURST: Duration = Duration::from_millis(2000);
 /// Typical requests that it covers then.
-const TYPICAL: f64 = 0.7;
+const TYPICAL: f64 = 1.0;
 /// Most of a holding that the burst may be: what a kill of everything strands.
-const BURST_PART: f64 = 0.08;
+const BURST_PART: f64 = 0.3;
 /// When more than the burst may be spent: later than a process that was killed
 /// in touch with the table is back.
 const AFTER: Duration = Duration::from_millis(1400);
