--- a/crates/router/src/relay/purse/mod.rs
+++ b/crates/router/src/relay/purse/mod.rs
@@ -139,11 +139,11 @@
             if self.is_failing(now) {
                 // The next write may find the store back.
                 self.wake.notify_one();
-                return self.outlast(workspace, worst, until).await;
+                return self.outlast(workspace, prepaid, worst, until).await;
             }
             self.wake.notify_one();
             if tokio::time::timeout(WAIT, done).await.is_err() {
-                return self.outlast(workspace, worst, until).await;
+                return self.outlast(workspace, prepaid, worst, until).await;
             }
         }
         let now = Instant::now();
@@ -151,10 +151,11 @@
         reserved.ok_or_else(|| self.why(workspace, prepaid, worst, now))
     }
 
-    /// Reserves while the store is away, as soon as the terms allow it.
+    /// Reserves without a write, as soon as the terms allow it.
     async fn outlast(
         self: &Arc<Self>,
         workspace: &Name,
+        prepaid: u64,
         worst: u64,
         until: Instant,
     ) -> Result<Reservation, Refused> {
@@ -167,7 +168,7 @@
             let after = self.available(workspace, worst, now);
             let wait = after.filter(|wait| now + *wait <= until);
             let Some(wait) = wait else {
-                return Err(Refused::Away { after });
+                return Err(self.why(workspace, prepaid, worst, now));
             };
             // The store may be back before; others may spend what grew.
             let _ = tokio::time::timeout(wait.max(OUTLAST_STEP), done).await;
