Don't ask a lost store to wait for a change

Cause: after a cut the feed was asked to wait 0.6 s, beside 0.6 s of time-out and a pause, so that the store's return was seen up to 1.4 s late. From there on, entries that are missing are kept for 2.2 s, as lapsed ones come back; a server whose entry was removed 1.5 s after the cut got a request 2,085 ms later (bound 2,000).

Ruled out: a change that the feed left out; all routers had it when the 2.2 s ended.

--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -18,7 +18,11 @@
 /// Time until the next look after one that failed: a change has two seconds to
 /// be in force, and two calls may fail on the way.
 const RETRY: Duration = Duration::from_millis(400);
-/// How long a look may take; a connection that fell silent is left then.
+/// How long the feed waits for a change before it answers without one, so that
+/// a longer silence is a lost store. A store that is lost is not asked to wait:
+/// how soon its return is seen counts for servers that leave soon after it.
+const WAIT: Duration = Duration::from_millis(600);
+/// How long a look may take beside that; a connection that fell silent is left then.
 const TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Follows the configuration until the process ends.
@@ -103,7 +107,8 @@
     }
 
     async fn next(&mut self, relay: &Relay) -> Option<Rows> {
-        let rows: Result<Rows, Error> = self.mirror.next(&relay.store, TIMEOUT).await;
+        let wait = if self.lost { Duration::ZERO } else { WAIT };
+        let rows: Result<Rows, Error> = self.mirror.next(&relay.store, wait, TIMEOUT).await;
         match rows {
             Ok(rows) => {
                 if std::mem::take(&mut self.lost) {
--- a/crates/router/tests/relay/mirror.rs
+++ b/crates/router/tests/relay/mirror.rs
@@ -27,21 +27,21 @@
     let (store, client, mut mirror) = opened().await;
     store.set("servers", "", "a", "1");
     store.set("servers", "", "b", "1");
-    let rows = mirror.next(&client, TIMEOUT).await.unwrap();
+    let rows = mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     assert_eq!(shown(&rows), [("a", "1"), ("b", "1")]);
     store.set("servers", "", "b", "2");
     store.set("servers", "other", "c", "1");
     store.set("budgets", "", "d", "1");
     store.remove("servers", "", "a");
     let began = Instant::now();
-    let rows = mirror.next(&client, TIMEOUT).await.unwrap();
+    let rows = mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     assert_eq!(shown(&rows), [("b", "2")]);
     assert!(
         began.elapsed() < TIMEOUT,
         "waited though there was a change"
     );
     // Nothing new: the same again, with a newer version.
-    let again = mirror.next(&client, TIMEOUT).await.unwrap();
+    let again = mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     assert_eq!(shown(&again), [("b", "2")]);
     assert_eq!(store.reads(), 1);
 }
@@ -50,10 +50,10 @@
 async fn a_row_that_was_removed_and_written_again_is_there() {
     let (store, client, mut mirror) = opened().await;
     store.set("servers", "", "a", "1");
-    mirror.next(&client, TIMEOUT).await.unwrap();
+    mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     store.remove("servers", "", "a");
     store.set("servers", "", "a", "2");
-    let rows = mirror.next(&client, TIMEOUT).await.unwrap();
+    let rows = mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     assert_eq!(shown(&rows), [("a", "2")]);
 }
 
@@ -61,11 +61,11 @@
 async fn a_lost_history_is_made_good_by_a_whole_read() {
     let (store, client, mut mirror) = opened().await;
     store.set("servers", "", "a", "1");
-    mirror.next(&client, TIMEOUT).await.unwrap();
+    mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     store.remove("servers", "", "a");
     store.set("servers", "", "b", "1");
     store.forget();
-    let rows = mirror.next(&client, TIMEOUT).await.unwrap();
+    let rows = mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     assert_eq!(shown(&rows), [("b", "1")]);
     assert_eq!(store.reads(), 2);
 }
@@ -74,15 +74,26 @@
 async fn a_whole_read_of_an_older_state_is_passed_over() {
     let (store, client, mut mirror) = opened().await;
     store.set("servers", "", "a", "1");
-    mirror.next(&client, TIMEOUT).await.unwrap();
+    mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     store.hold("servers");
     store.set("servers", "", "a", "2");
-    mirror.next(&client, TIMEOUT).await.unwrap();
+    mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     store.set("servers", "", "a", "3");
     store.forget();
     // The history is lost, and the read is answered from before.
-    let rows = mirror.next(&client, TIMEOUT).await.unwrap();
+    let rows = mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     assert_eq!(shown(&rows), [("a", "2")]);
-    let rows = mirror.next(&client, TIMEOUT).await.unwrap();
+    let rows = mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
     assert_eq!(shown(&rows), [("a", "3")]);
 }
+
+#[tokio::test]
+async fn a_store_that_was_lost_answers_without_a_change() {
+    let (store, client, mut mirror) = opened().await;
+    store.set("servers", "", "a", "1");
+    mirror.next(&client, TIMEOUT, TIMEOUT).await.unwrap();
+    let began = Instant::now();
+    let rows = mirror.next(&client, Duration::ZERO, TIMEOUT).await.unwrap();
+    assert_eq!(shown(&rows), [("a", "1")]);
+    assert!(began.elapsed() < TIMEOUT, "waited for a change");
+}
