Log every failed read of a table, with what arrived of it

A router that did not have the configuration in time logged one line, `store lost`, with the reason `timeout`, until the next success. It did not say whether an answer had begun, how large it was, or how old the copy in use was, so that an answer too large for the link looked like a store out of reach.

Change: a failed call says how much of the answer arrived; every failed read of a table is logged, with the number of failures and the age of the copy; `store regained` says how long that took and how much was read; `request refused` has the version and age of the configuration. Counters of reads and bytes and the age of the copies are on the metrics page.

No decision changes.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -3,10 +3,10 @@
 use std::fmt;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::{Client as Pool, Error as PoolError};
 use hyper_util::rt::TokioExecutor;
@@ -104,6 +104,25 @@
     }
 }
 
+/// How much of an answer has arrived.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Bytes of the body; `None` before the head.
+    received: Option<usize>,
+    /// Length of the body, if the head says it.
+    length: Option<u64>,
+}
+
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (self.received, self.length) {
+            (None, _) => write!(f, "no answer"),
+            (Some(received), Some(length)) => write!(f, "received {received} of {length} bytes"),
+            (Some(received), None) => write!(f, "received {received} bytes"),
+        }
+    }
+}
+
 /// An HTTP client with a connection pool; clones share the pool.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -156,19 +175,36 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Answer, Error> {
-        let complete = async {
-            let (head, body) = self.send(request).await?.into_parts();
-            let body = body.collect().await;
-            let body = body.map_err(|e| Error::Lost(e.to_string()))?.to_bytes();
-            Ok(Answer {
-                status: head.status,
-                body,
-            })
-        };
+        let mut progress = Progress::default();
+        let complete = self.receive(request, &mut progress);
         match tokio::time::timeout(timeout, complete).await {
             Ok(answer) => answer,
-            Err(_) => Err(Error::Lost(format!("timeout after {timeout:?}"))),
+            Err(_) => Err(Error::Lost(format!(
+                "timeout after {timeout:?}, {progress}"
+            ))),
+        }
+    }
+
+    async fn receive(
+        &self,
+        request: Request<Full<Bytes>>,
+        progress: &mut Progress,
+    ) -> Result<Answer, Error> {
+        let (head, mut body) = self.send(request).await?.into_parts();
+        progress.length = body.size_hint().exact();
+        progress.received = Some(0);
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| Error::Lost(e.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+                progress.received = Some(bytes.len());
+            }
         }
+        Ok(Answer {
+            status: head.status,
+            body: bytes.freeze(),
+        })
     }
 
     /// Sends a GET request to `url`.
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -60,11 +60,14 @@
     };
     let mut response = handled.unwrap_or_else(|refusal| {
         let took = arrived.elapsed();
+        let version = relay.deployment().map_or(0, |d| d.version);
         log::info("request refused")
             .request(id.as_deref().unwrap_or("unknown"))
             .with("status", refusal.status.as_u16())
             .reason(refusal.reason)
             .with("after_ms", took.as_millis())
+            .with("configuration", version)
+            .with("age_ms", relay.configuration_read.age_ms(Instant::now()))
             .write();
         metrics::counter!("poplar_refusals_total", "reason" => refusal.reason).increment(1);
         refusal.response(id.as_deref())
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -84,6 +84,15 @@
             .deployment()
             .map_or(0, |deployment| deployment.version);
         metrics::gauge!("poplar_configuration_version").set(version as f64);
+        let tables = [
+            ("configuration", &relay.configuration_read),
+            ("servers", &relay.server_list_read),
+        ];
+        for (table, last_read) in tables {
+            if let Some(age) = last_read.age(now) {
+                metrics::gauge!("poplar_table_age_seconds", "table" => table).set(age);
+            }
+        }
         for (workspace, free) in relay.budgets.spendable(now) {
             let labels = [("workspace", workspace.to_string())];
             metrics::gauge!("poplar_budget_free_tokens", &labels).set(free as f64);
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -31,6 +31,10 @@
     /// Crashes of backend servers and the requests that caused them.
     pub crashes: Crashes,
     deployment: RwLock<Option<Arc<Deployment>>>,
+    /// When the copy of the configuration was last current.
+    pub configuration_read: LastRead,
+    /// When the copy of the list of servers was last current.
+    pub server_list_read: LastRead,
     retry_limits: RwLock<SharedBudget>,
     retry_shares: Mutex<SortedVec<Name, Share>>,
     stop_began: Mutex<Option<Instant>>,
@@ -38,6 +42,29 @@
     became_idle: Notify,
 }
 
+/// When the copy of a table was last known to be current.
+#[derive(Debug, Default)]
+pub struct LastRead(Mutex<Option<Instant>>);
+
+impl LastRead {
+    /// Records that the copy contains what the store had at `at`.
+    pub fn record(&self, at: Instant) {
+        *lock(&self.0) = Some(at);
+    }
+
+    /// Age of the copy; `None` before the first read.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let at = *lock(&self.0);
+        at.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// The age in milliseconds for the log, `none` before the first read.
+    pub fn age_ms(&self, now: Instant) -> String {
+        let age = self.age(now);
+        age.map_or("none".to_owned(), |age| age.as_millis().to_string())
+    }
+}
+
 /// An open request, which counts as open until this is dropped.
 #[derive(Debug)]
 pub struct OpenRequest {
@@ -55,6 +82,8 @@
             budgets: Budgets::new(store.clone(), settings.ip, incarnation),
             crashes: Crashes::open(&Incarnation::new(&settings.name, incarnation)),
             deployment: RwLock::default(),
+            configuration_read: LastRead::default(),
+            server_list_read: LastRead::default(),
             retry_limits: RwLock::new(limits),
             retry_shares: Mutex::default(),
             stop_began: Mutex::default(),
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -9,9 +9,9 @@
 use poplar_platform::mirror::Mirror;
 use poplar_platform::rows::Partition;
 use poplar_platform::servers;
-use poplar_platform::store::{OPERATOR_TABLE, SERVERS_TABLE};
+use poplar_platform::store::{OPERATOR_TABLE, SERVERS_TABLE, Store};
 
-use crate::relay::state::Relay;
+use crate::relay::state::{LastRead, Relay};
 
 /// Pause between two updates of a table, since changes come in bursts.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
@@ -32,7 +32,8 @@
     let mut watch = TableWatch::new("configuration", OPERATOR_TABLE);
     let mut applied_version = 0;
     loop {
-        if watch.update(&relay).await {
+        let requested = Instant::now();
+        if watch.update(&relay.store, &relay.configuration_read).await {
             let mut rows = watch.mirror.rows();
             let row = rows.find(|row| *row.key == *configuration::KEY);
             if let Some(row) = row.filter(|row| row.version != applied_version) {
@@ -53,6 +54,7 @@
                         .write(),
                 }
             }
+            relay.configuration_read.record(requested);
         }
         tokio::time::sleep(watch.pause()).await;
     }
@@ -63,7 +65,8 @@
     let mut watch = TableWatch::new("servers", SERVERS_TABLE);
     let mut logged: Vec<(String, u64)> = Vec::new();
     loop {
-        if watch.update(&relay).await {
+        let requested = Instant::now();
+        if watch.update(&relay.store, &relay.server_list_read).await {
             let mut listed: Vec<Server> = Vec::new();
             let mut invalid = Vec::new();
             for row in watch.mirror.rows() {
@@ -85,17 +88,19 @@
             logged = invalid;
             let version = watch.mirror.version();
             relay.servers.update(listed, version, Instant::now());
+            relay.server_list_read.record(requested);
         }
         tokio::time::sleep(watch.pause()).await;
     }
 }
 
-/// A table that is followed. Logs when the store can no longer be reached, and
-/// when it can be again.
+/// A table that is followed. Logs when the store can no longer be reached,
+/// each further failure, and when it can be reached again.
 struct TableWatch {
     name: &'static str,
     mirror: Mirror,
-    lost: bool,
+    /// When the first of the failures in a row was noticed, and their number.
+    lost: Option<(Instant, u32)>,
 }
 
 impl TableWatch {
@@ -103,12 +108,12 @@
         Self {
             name,
             mirror: Mirror::new(partition),
-            lost: false,
+            lost: None,
         }
     }
 
     fn pause(&self) -> Duration {
-        if self.lost {
+        if self.lost.is_some() {
             RETRY_INTERVAL
         } else {
             UPDATE_INTERVAL
@@ -116,24 +121,53 @@
     }
 
     /// Brings the local copy up to date; false if the store did not answer.
-    async fn update(&mut self, relay: &Relay) -> bool {
-        let wait = if self.lost { Duration::ZERO } else { FEED_WAIT };
-        match self.mirror.update(&relay.store, wait, TIMEOUT).await {
-            Ok(()) => {
-                if std::mem::take(&mut self.lost) {
-                    log::info("store regained").with("table", self.name).write();
+    async fn update(&mut self, store: &Store, last_read: &LastRead) -> bool {
+        let wait = if self.lost.is_some() {
+            Duration::ZERO
+        } else {
+            FEED_WAIT
+        };
+        let result = self.mirror.update(store, wait, TIMEOUT).await;
+        let now = Instant::now();
+        match result {
+            Ok(update) => {
+                let kind = if update.full { "full" } else { "changes" };
+                self.count(kind);
+                metrics::counter!("poplar_table_read_bytes_total", "table" => self.name)
+                    .increment(update.bytes as u64);
+                if let Some((since, failures)) = self.lost.take() {
+                    log::info("store regained")
+                        .with("table", self.name)
+                        .with("for_ms", now.duration_since(since).as_millis())
+                        .with("failures", failures)
+                        .with("read", kind)
+                        .with("bytes", update.bytes)
+                        .write();
                 }
                 true
             }
             Err(why) => {
-                if !std::mem::replace(&mut self.lost, true) {
+                self.count("failed");
+                let (since, failures) = self.lost.unwrap_or((now, 0));
+                let event = if failures == 0 {
                     log::warn("store lost")
-                        .with("table", self.name)
-                        .reason(why)
-                        .write();
-                }
+                } else {
+                    log::warn("table read failed")
+                };
+                event
+                    .with("table", self.name)
+                    .with("failures", failures + 1)
+                    .with("age_ms", last_read.age_ms(now))
+                    .reason(why)
+                    .write();
+                self.lost = Some((since, failures + 1));
                 false
             }
         }
     }
+
+    fn count(&self, result: &'static str) {
+        metrics::counter!("poplar_table_reads_total", "table" => self.name, "result" => result)
+            .increment(1);
+    }
 }
