Add failing tests of tables that are large for the link

A read of a table must be complete within a fixed time, and the change feed returns every version that was missed, so that a router behind a small link discards what it received, begins anew, and needs more with each try.

Tests: the stand-in for the store has a link of limited bandwidth and, like the platform's store, returns every version of a row in the feed.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -3,6 +3,7 @@
 
 mod mirror;
 mod site;
+mod slow_link;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 
 const KEY: (&str, &str) = ("api-key", "key-1");
 const ID: &str = "x-poplarreel-attempt-id";
+/// Prepaid tokens of the workspace.
+const PREPAID: u64 = 100_000;
 /// Attempts of a client that is told to retry.
 const MAX_ATTEMPTS: usize = 40;
 /// Requests that a budget of 100,000 tokens must serve before it is nearly
@@ -26,7 +29,7 @@
     service: &str,
     behaviours: &[Behaviour],
 ) -> (TestRelay, Vec<Arc<Backend>>, Arc<Store>) {
-    let store = configured_store(100_000);
+    let store = configured_store(PREPAID);
     let mut backends = Vec::new();
     for (at, behaviour) in behaviours.iter().enumerate() {
         let (backend, address) = Backend::open(*behaviour).await;
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -2,6 +2,7 @@
 //! store and backend servers; and a relay that runs between them.
 
 pub(crate) mod backend;
+pub(crate) mod link;
 pub(crate) mod store;
 
 use std::convert::Infallible;
@@ -74,6 +75,7 @@
         let text = format!(
             "node_name=front-a-1\nip=127.0.0.1\nzone=a\nlisten.front=127.0.0.1:1\n\
              listen.ready=127.0.0.1:2\ninternal_ports=7340,7355\nplatform.address={store}\n\
+             bounds.config_apply_ms=1500\n\
              bounds.grace_s=8\nbounds.retry_ratio=0.2\nbounds.retry_slack=56\n\
              bounds.retry_window_s=10\n"
         );
@@ -119,6 +121,13 @@
 /// A store whose configuration has one route of each kind, and no servers yet.
 pub(crate) fn configured_store(prepaid: u64) -> Arc<Store> {
     let store = Store::new();
+    store.set("op", "", "config", &configuration(7, prepaid, 0));
+    store
+}
+
+/// A configuration with one route of each kind and `added` more, whose paths
+/// begin with `/added-1/` and so on.
+pub(crate) fn configuration(version: u64, prepaid: u64, added: u32) -> String {
     let route = |name: &str, kind: &str, attempts: u32, resumable: bool, service: &str| {
         serde_json::json!({
             "name": name, "host": "site.example", "path_prefix": format!("/{name}/"),
@@ -126,14 +135,16 @@
             "service": service, "max_attempts": attempts, "resumable": resumable,
         })
     };
+    let mut routes = vec![
+        route("stream", "streaming", 1, false, "engines"),
+        route("resume", "streaming", 2, true, "engines"),
+        route("once", "unsafe", 1, false, "plain"),
+        route("read", "safe", 2, false, "plain"),
+    ];
+    routes.extend((1..=added).map(|n| route(&format!("added-{n}"), "safe", 2, false, "plain")));
     let config = serde_json::json!({
-        "version": 7,
-        "routes": [
-            route("stream", "streaming", 1, false, "engines"),
-            route("resume", "streaming", 2, true, "engines"),
-            route("once", "unsafe", 1, false, "plain"),
-            route("read", "safe", 2, false, "plain"),
-        ],
+        "version": version,
+        "routes": routes,
         "services": [
             {"name": "engines", "max_conns": 99,
              "engine": {"slots": 8, "kv_capacity": 90000, "stride": 5}},
@@ -143,6 +154,5 @@
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": "acme", "api_keys": ["key-1"], "prepaid": prepaid}],
     });
-    store.set("op", "", "config", &config.to_string());
-    store
+    config.to_string()
 }
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the platform's store: rows, transactions and the change feed,
-//! with answers that can be lost or out of date.
+//! with answers that can be lost, late or out of date. Like the platform's, the
+//! change feed returns every version of a row.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -7,13 +8,16 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use poplar_core::sorted::SortedVec;
 use serde_json::{Value, json};
 
-use super::{Body, full_body, serve};
+use super::link::Link;
+use super::{Body, serve};
 
 type Key = (String, String, String);
 
@@ -34,14 +38,25 @@
     rows: SortedVec<Key, (u64, String)>,
     version: u64,
     next_commit: CommitOutcome,
-    /// Rows that were removed, with the versions of their removal.
-    removed: Vec<(u64, Key)>,
+    /// All changes with their versions; the value is `None` if the row was
+    /// removed.
+    history: Vec<(u64, Key, Option<String>)>,
     /// The feed has the changes after this version.
     history_start: u64,
     /// The answer of the next read, in place of the current state.
     held_read: Option<Value>,
     /// Reads of tables so far, without the feed.
     reads: u32,
+    /// Tables for which connections are closed without an answer.
+    unreachable: Vec<&'static str>,
+}
+
+impl Tables {
+    fn put(&mut self, key: Key, value: String) {
+        let version = self.version;
+        self.rows.insert(key.clone(), (version, value.clone()));
+        self.history.push((version, key, Some(value)));
+    }
 }
 
 /// The stand-in.
@@ -49,6 +64,8 @@
 pub(crate) struct Store {
     tables: Mutex<Tables>,
     started: Instant,
+    /// The link to the router.
+    pub(crate) link: Arc<Link>,
 }
 
 fn text(value: &Value, name: &str) -> String {
@@ -68,6 +85,7 @@
         Arc::new(Self {
             tables: Mutex::default(),
             started: Instant::now(),
+            link: Arc::default(),
         })
     }
 
@@ -81,9 +99,8 @@
     pub(crate) fn set(&self, table: &str, part: &str, key: &str, value: &str) {
         let mut tables = self.tables.lock().expect("no panic");
         tables.version += 1;
-        let entry = (tables.version, STANDARD.encode(value));
         let key = (table.to_owned(), part.to_owned(), key.to_owned());
-        tables.rows.insert(key, entry);
+        tables.put(key, STANDARD.encode(value));
     }
 
     /// Removes a row, as the operator or its expiry would.
@@ -93,7 +110,13 @@
         let version = tables.version;
         let key = (table.to_owned(), part.to_owned(), key.to_owned());
         tables.rows.remove(&key);
-        tables.removed.push((version, key));
+        tables.history.push((version, key, None));
+    }
+
+    /// Closes connections for reads of these tables without an answer; reads
+    /// of all others are answered.
+    pub(crate) fn set_unreachable(&self, tables: &[&'static str]) {
+        self.tables.lock().expect("no panic").unreachable = tables.to_vec();
     }
 
     /// Drops the history of changes so far, as a restart would.
@@ -136,14 +159,29 @@
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
+        let query = head.uri.query().unwrap_or_default();
+        let rejects = |table: &&str| query.contains(&format!("table={table}&"));
+        if self
+            .tables
+            .lock()
+            .expect("no panic")
+            .unreachable
+            .iter()
+            .any(rejects)
+        {
+            return None;
+        }
         let (status, answer) = match head.uri.path() {
             "/api/rows-get" => self.get(head.uri.query().unwrap_or_default()),
             "/api/rows-feed" => self.feed(head.uri.query().unwrap_or_default()).await,
             "/api/rows-tx" => self.transact(&serde_json::from_slice(&body).ok()?)?,
             _ => (StatusCode::NOT_FOUND, json!({})),
         };
-        let mut response = Response::new(full_body(answer.to_string()));
+        let answer = Bytes::from(answer.to_string());
+        let length = answer.len().into();
+        let mut response = Response::new(self.link.clone().body(answer));
         *response.status_mut() = status;
+        response.headers_mut().insert(CONTENT_LENGTH, length);
         Some(response)
     }
 
@@ -189,21 +227,17 @@
                 if after < tables.history_start {
                     return (StatusCode::GONE, json!({}));
                 }
-                let changed = tables.rows.iter();
-                let changed = changed.filter(|(key, row)| key.0 == table && row.0 > after);
-                let mut rows: Vec<(u64, Value)> = changed
-                    .map(|(key, row)| (row.0, row_json(key, row)))
+                let changes = tables.history.iter();
+                let changes =
+                    changes.filter(|(version, key, _)| key.0 == table && *version > after);
+                let rows: Vec<Value> = changes
+                    .map(|(version, key, value)| {
+                        let mut row = row_json(key, &(*version, value.clone().unwrap_or_default()));
+                        row["deleted"] = json!(value.is_none());
+                        row
+                    })
                     .collect();
-                let removed = tables.removed.iter();
-                let removed = removed.filter(|(version, key)| key.0 == table && *version > after);
-                rows.extend(removed.map(|(version, key)| {
-                    let mut row = row_json(key, &(*version, String::new()));
-                    row["deleted"] = json!(true);
-                    (*version, row)
-                }));
                 if !rows.is_empty() || Instant::now() >= until {
-                    rows.sort_by_key(|(version, _)| *version);
-                    let rows: Vec<Value> = rows.into_iter().map(|(_, row)| row).collect();
                     let answer = json!({"rows": rows, "ver": tables.version, "now_ms": self.now()});
                     return (StatusCode::OK, answer);
                 }
@@ -234,8 +268,7 @@
         tables.version += 1;
         let version = tables.version;
         for put in wire["put"].as_array()? {
-            let value = text(put, "value");
-            tables.rows.insert(key(put), (version, value));
+            tables.put(key(put), text(put, "value"));
         }
         if outcome == CommitOutcome::LoseAnswer {
             return None;
