Add a failing test of refusals by a stale configuration

Cause: a router that has not been able to read the configuration for seconds still refuses what it does not know with 404, 401 and 402. Callers don't retry after these, though another router, or this one a moment later, would serve the request.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod mirror;
 mod site;
 mod slow_link;
+mod stale_configuration;
 
 use std::sync::Arc;
 use std::time::Duration;
