Read a table's answer for as long as it keeps arriving

Cause: a read of a table had to be complete within 0.6 s, or 1.2 s while the change feed waits. Whether it was depended on the size of the answer and the bandwidth left, and what had arrived was discarded, so that each try cost the link as much and got no further.

Change: `http::Client::read` limits the wait for the head of an answer and for each further part of its body, not the whole. A connection that goes silent is given up as early as before.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -104,6 +104,15 @@
     }
 }
 
+/// Time limits of a call whose answer may be large.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadLimits {
+    /// Longest wait for the head of the answer.
+    pub head_timeout: Duration,
+    /// Longest wait for each further part of its body.
+    pub read_timeout: Duration,
+}
+
 /// How much of an answer has arrived.
 #[derive(Debug, Default)]
 struct Progress {
@@ -176,25 +185,52 @@
         timeout: Duration,
     ) -> Result<Answer, Error> {
         let mut progress = Progress::default();
-        let complete = self.receive(request, &mut progress);
+        let limits = ReadLimits {
+            head_timeout: timeout,
+            read_timeout: timeout,
+        };
+        let complete = self.receive(request, limits, &mut progress);
         match tokio::time::timeout(timeout, complete).await {
             Ok(answer) => answer,
-            Err(_) => Err(Error::Lost(format!(
-                "timeout after {timeout:?}, {progress}"
-            ))),
+            Err(_) => Err(timed_out(timeout, &progress)),
         }
     }
 
+    /// Sends a request and reads the answer for as long as it keeps arriving,
+    /// so that its size doesn't decide whether it does.
+    ///
+    /// # Errors
+    /// [`Error::Connect`] if nothing was sent, else [`Error::Lost`].
+    pub async fn read(
+        &self,
+        request: Request<Full<Bytes>>,
+        limits: ReadLimits,
+    ) -> Result<Answer, Error> {
+        let mut progress = Progress::default();
+        self.receive(request, limits, &mut progress).await
+    }
+
     async fn receive(
         &self,
         request: Request<Full<Bytes>>,
+        limits: ReadLimits,
         progress: &mut Progress,
     ) -> Result<Answer, Error> {
-        let (head, mut body) = self.send(request).await?.into_parts();
+        let ReadLimits {
+            head_timeout,
+            read_timeout,
+        } = limits;
+        let response = tokio::time::timeout(head_timeout, self.send(request)).await;
+        let response = response.map_err(|_| timed_out(head_timeout, progress))??;
+        let (head, mut body) = response.into_parts();
         progress.length = body.size_hint().exact();
         progress.received = Some(0);
         let mut bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
+        loop {
+            let frame = tokio::time::timeout(read_timeout, body.frame()).await;
+            let Some(frame) = frame.map_err(|_| timed_out(read_timeout, progress))? else {
+                break;
+            };
             let frame = frame.map_err(|e| Error::Lost(e.to_string()))?;
             if let Ok(data) = frame.into_data() {
                 bytes.extend_from_slice(&data);
@@ -212,7 +248,7 @@
     /// # Errors
     /// Those of [`Client::call`].
     pub async fn get(&self, url: &str, timeout: Duration) -> Result<Answer, Error> {
-        self.call(empty_request(Method::GET, url)?, timeout).await
+        self.call(get_request(url)?, timeout).await
     }
 
     /// Sends a POST request with `body` as JSON to `url`.
@@ -225,12 +261,7 @@
         body: &impl Serialize,
         timeout: Duration,
     ) -> Result<Answer, Error> {
-        let bytes = serde_json::to_vec(body).map_err(|e| Error::Malformed(e.to_string()))?;
-        let request = Request::post(url)
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .body(Full::from(bytes))
-            .map_err(Error::invalid_request)?;
-        self.call(request, timeout).await
+        self.call(post_request(url, body)?, timeout).await
     }
 
     /// Sends a PUT request with `body` to `url`.
@@ -245,10 +276,29 @@
     }
 }
 
-fn empty_request(method: Method, url: &str) -> Result<Request<Full<Bytes>>, Error> {
-    Request::builder()
-        .method(method)
-        .uri(url)
+/// A GET request to `url`.
+///
+/// # Errors
+/// [`Error::Connect`] if `url` is not valid.
+pub fn get_request(url: &str) -> Result<Request<Full<Bytes>>, Error> {
+    Request::get(url)
         .body(Full::default())
         .map_err(Error::invalid_request)
 }
+
+/// A POST request with `body` as JSON to `url`.
+///
+/// # Errors
+/// [`Error::Malformed`] if `body` can't be encoded, [`Error::Connect`] if `url`
+/// is not valid.
+pub fn post_request(url: &str, body: &impl Serialize) -> Result<Request<Full<Bytes>>, Error> {
+    let bytes = serde_json::to_vec(body).map_err(|e| Error::Malformed(e.to_string()))?;
+    Request::post(url)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::from(bytes))
+        .map_err(Error::invalid_request)
+}
+
+fn timed_out(timeout: Duration, progress: &Progress) -> Error {
+    Error::Lost(format!("timeout after {timeout:?}, {progress}"))
+}
--- a/crates/router/src/relay/budgets/checkpoint.rs
+++ b/crates/router/src/relay/budgets/checkpoint.rs
@@ -25,8 +25,8 @@
 };
 /// The first key after those of totals.
 const TOTAL_END: &str = "total0";
-/// Time-out for reading or writing the summary; all rows must fit in it over a
-/// small link too.
+/// Time-out for each part of an answer to a read for the summary, and for its
+/// write.
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Shortest time between two checkpoints while no request waits.
 const MIN_PERIOD: Duration = Duration::from_millis(400);
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -23,8 +23,8 @@
 /// could not be reached is asked to answer at once instead, so that its return is
 /// noticed early: servers may leave soon after it.
 const FEED_WAIT: Duration = Duration::from_millis(600);
-/// Time-out of an update beyond [`FEED_WAIT`]. It also ends the wait on a
-/// connection that no longer delivers data.
+/// Longest silence of the store during an update, beyond [`FEED_WAIT`]. An
+/// answer that keeps arriving is read to its end.
 const TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Follows the configuration until the process ends.
