--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -33,6 +33,8 @@
     /// The request was sent, but no complete answer arrived in time; the
     /// server may have carried it out.
     Lost(String),
+    /// The answer has more bytes than this limit; the rest was not read.
+    TooLarge(u64),
     /// The answer could not be decoded.
     Malformed(String),
 }
@@ -42,6 +44,7 @@
         match self {
             Self::Connect { reason, .. } => write!(f, "no connection: {reason}"),
             Self::Lost(reason) => write!(f, "answer lost: {reason}"),
+            Self::TooLarge(limit) => write!(f, "answer larger than {limit} bytes"),
             Self::Malformed(reason) => write!(f, "malformed answer: {reason}"),
         }
     }
@@ -104,13 +107,15 @@
     }
 }
 
-/// Time limits of a call whose answer may be large.
+/// Limits of a call whose answer may be large.
 #[derive(Debug, Clone, Copy)]
 pub struct ReadLimits {
     /// Longest wait for the head of the answer.
     pub head_timeout: Duration,
     /// Longest wait for each further part of its body.
     pub read_timeout: Duration,
+    /// Longest body in bytes.
+    pub max_bytes: u64,
 }
 
 /// How much of an answer has arrived.
@@ -188,6 +193,7 @@
         let limits = ReadLimits {
             head_timeout: timeout,
             read_timeout: timeout,
+            max_bytes: u64::MAX,
         };
         let complete = self.receive(request, limits, &mut progress);
         match tokio::time::timeout(timeout, complete).await {
@@ -200,7 +206,8 @@
     /// so that its size doesn't decide whether it does.
     ///
     /// # Errors
-    /// [`Error::Connect`] if nothing was sent, else [`Error::Lost`].
+    /// [`Error::Connect`] if nothing was sent, [`Error::TooLarge`] as soon as
+    /// the answer is known to exceed the limit, else [`Error::Lost`].
     pub async fn read(
         &self,
         request: Request<Full<Bytes>>,
@@ -219,12 +226,16 @@
         let ReadLimits {
             head_timeout,
             read_timeout,
+            max_bytes,
         } = limits;
         let response = tokio::time::timeout(head_timeout, self.send(request)).await;
         let response = response.map_err(|_| timed_out(head_timeout, progress))??;
         let (head, mut body) = response.into_parts();
         progress.length = body.size_hint().exact();
         progress.received = Some(0);
+        if body.size_hint().lower() > max_bytes {
+            return Err(Error::TooLarge(max_bytes));
+        }
         let mut bytes = BytesMut::new();
         loop {
             let frame = tokio::time::timeout(read_timeout, body.frame()).await;
@@ -235,6 +246,9 @@
             if let Ok(data) = frame.into_data() {
                 bytes.extend_from_slice(&data);
                 progress.received = Some(bytes.len());
+                if bytes.len() as u64 > max_bytes {
+                    return Err(Error::TooLarge(max_bytes));
+                }
             }
         }
         Ok(Answer {
--- a/crates/base/src/platform/client.rs
+++ b/crates/base/src/platform/client.rs
@@ -19,6 +19,7 @@
         match error {
             web::Error::Connect { reason, .. } => Self::Unavailable(reason),
             web::Error::Lost(reason) => Self::OutcomeUnknown(reason),
+            web::Error::TooLarge(_) => Self::Malformed(error.to_string()),
             web::Error::Malformed(reason) => Self::Malformed(reason),
         }
     }
