Refuse nothing for good by a stale configuration

Seen: in the incident, two requests on a route that the operator had added 4.2 s before were refused with 404. Callers do not retry after 401, 402 and 404, though another router would have served them.

Cause: a router refused by the configuration that it had, whatever its age. What it has read shows that a route, a key or tokens existed then; that they are missing shows nothing once a change may have come.

Change: the settings say within which time a change must be in force. A refusal that another version of the configuration might not give is answered 503 with a short Retry-After, as not run, if the copy is older than that. The age counts from when the read was sent, so that a copy which is not stale contains every change acknowledged before that time.

--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -23,8 +23,9 @@
 
 /// When the client should retry if this router has no configuration yet.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// When the client should retry, at another router, if this one is stopping.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// When the client should retry, at another router, if this one is stopping or
+/// may lack the configuration that allows the request.
+const OTHER_ROUTER_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// When the client should retry if another router may hold enough of the
 /// budget.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -59,7 +60,9 @@
         }
     };
     let mut response = handled.unwrap_or_else(|refusal| {
-        let took = arrived.elapsed();
+        let now = Instant::now();
+        let refusal = if_current(refusal, &relay, now);
+        let took = now.saturating_duration_since(arrived);
         let version = relay.deployment().map_or(0, |d| d.version);
         log::info("request refused")
             .request(id.as_deref().unwrap_or("unknown"))
@@ -67,7 +70,7 @@
             .reason(refusal.reason)
             .with("after_ms", took.as_millis())
             .with("configuration", version)
-            .with("age_ms", relay.configuration_read.age_ms(Instant::now()))
+            .with("age_ms", relay.configuration_read.age_ms(now))
             .write();
         metrics::counter!("poplar_refusals_total", "reason" => refusal.reason).increment(1);
         refusal.response(id.as_deref())
@@ -81,6 +84,15 @@
     response
 }
 
+/// A refusal, unless a newer configuration might allow the request: then the
+/// client should ask another router, since it does not retry a final refusal.
+fn if_current(refusal: Refusal, relay: &Relay, now: Instant) -> Refusal {
+    if refusal.by_configuration && relay.is_configuration_stale(now) {
+        return Refusal::not_run("stale configuration", OTHER_ROUTER_RETRY_AFTER);
+    }
+    refusal
+}
+
 async fn handle(
     relay: &Arc<Relay>,
     parts: request::Parts,
@@ -104,7 +116,7 @@
         .stopping_for(arrived)
         .is_some_and(|since| since > accept_for)
     {
-        return Err(Refusal::not_run("stopping", STOPPING_RETRY_AFTER));
+        return Err(Refusal::not_run("stopping", OTHER_ROUTER_RETRY_AFTER));
     }
     relay.record_request(&request.service, arrived);
     let reservation = reserve(relay, &request).await?;
@@ -147,10 +159,13 @@
     let host = host.split(':').next().unwrap_or_default();
     let host = host.to_ascii_lowercase();
     let route = deployment.route(&host, parts.uri.path());
-    let route = route.ok_or(Refusal::new(StatusCode::NOT_FOUND, "no route"))?;
+    let route = route.ok_or(Refusal::by_configuration(StatusCode::NOT_FOUND, "no route"))?;
     let workspace = find_workspace(deployment, &head, route.allow_anonymous)?;
     let service = route.pick_service(rand::random());
-    let service = service.ok_or(Refusal::new(StatusCode::NOT_FOUND, "no service"))?;
+    let service = service.ok_or(Refusal::by_configuration(
+        StatusCode::NOT_FOUND,
+        "no service",
+    ))?;
     let known = deployment.services.get(&**service);
     let stride = known.and_then(|s| s.engine).map_or(1, |e| e.stride);
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -179,7 +194,10 @@
         .as_deref()
         .and_then(|key| deployment.workspace_by_key(key));
     if found.is_none() && !anonymous && !deployment.workspaces.is_empty() {
-        return Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown key"));
+        return Err(Refusal::by_configuration(
+            StatusCode::UNAUTHORIZED,
+            "unknown key",
+        ));
     }
     Ok(found.cloned())
 }
@@ -217,7 +235,7 @@
             .write();
         match refused {
             ReserveError::Spent { .. } => {
-                Refusal::new(StatusCode::PAYMENT_REQUIRED, "budget spent")
+                Refusal::by_configuration(StatusCode::PAYMENT_REQUIRED, "budget spent")
             }
             ReserveError::Short => Refusal::not_run("budget elsewhere", SHORT_RETRY_AFTER),
             ReserveError::Away { after } => {
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -23,6 +23,8 @@
     pub reason: &'static str,
     /// When the client should retry; `None` if a retry does not help.
     pub retry_after: Option<Duration>,
+    /// Whether another version of the configuration might allow the request.
+    pub by_configuration: bool,
 }
 
 impl Refusal {
@@ -32,15 +34,23 @@
             status,
             reason,
             retry_after: None,
+            by_configuration: false,
+        }
+    }
+
+    /// A refusal of a request that the configuration does not allow.
+    pub fn by_configuration(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            by_configuration: true,
+            ..Self::new(status, reason)
         }
     }
 
     /// A refusal of a request that has not run and may be retried after a time.
     pub fn not_run(reason: &'static str, retry_after: Duration) -> Self {
         Self {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            reason,
             retry_after: Some(retry_after),
+            ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason)
         }
     }
 
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -100,6 +100,13 @@
         deployment.unwrap_or_else(|e| e.into_inner()).clone()
     }
 
+    /// Whether the operator may have changed the configuration without this
+    /// router knowing, for longer than a change may take.
+    pub fn is_configuration_stale(&self, now: Instant) -> bool {
+        let age = self.configuration_read.age(now);
+        age.is_none_or(|age| age > self.settings.apply_time)
+    }
+
     /// Applies a configuration if it is newer than the one in force; returns
     /// whether it is.
     pub fn apply(&self, deployment: Deployment) -> bool {
