--- a/crates/router/tests/relay/mirror.rs
+++ b/crates/router/tests/relay/mirror.rs
@@ -101,3 +101,18 @@
     assert_eq!(contents(&mirror), [("a", "1")]);
     assert!(began.elapsed() < TIMEOUT, "waited for a change");
 }
+
+/// Guards against a change that is never seen because it was made to rows that
+/// had been read while later pages of the table were still to be read.
+#[tokio::test]
+async fn a_change_between_two_pages_of_a_full_read_is_not_missed() {
+    let (store, client, mut mirror) = start().await;
+    for key in ["a", "b", "c"] {
+        store.set("servers", "", key, "1");
+    }
+    store.set_page_rows(2);
+    store.write_after_read("servers", "", "a", "2");
+    mirror.update(&client, TIMEOUT, TIMEOUT).await.unwrap();
+    mirror.update(&client, TIMEOUT, TIMEOUT).await.unwrap();
+    assert_eq!(contents(&mirror), [("a", "2"), ("b", "1"), ("c", "1")]);
+}
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -47,6 +47,10 @@
     held_read: Option<Value>,
     /// Reads of tables so far, without the feed.
     reads: u32,
+    /// Most rows in one answer to a read; 0 for no limit.
+    page_rows: usize,
+    /// A row that is written after the next read.
+    write_after_read: Option<(Key, String)>,
     /// Tables for which connections are closed without an answer.
     unreachable: Vec<&'static str>,
 }
@@ -131,6 +135,18 @@
         self.tables.lock().expect("no panic").held_read = Some(answer);
     }
 
+    /// Splits answers to reads into pages of so many rows.
+    pub(crate) fn set_page_rows(&self, rows: usize) {
+        self.tables.lock().expect("no panic").page_rows = rows;
+    }
+
+    /// Writes a row right after the next read.
+    pub(crate) fn write_after_read(&self, table: &str, part: &str, key: &str, value: &str) {
+        let key = (table.to_owned(), part.to_owned(), key.to_owned());
+        let mut tables = self.tables.lock().expect("no panic");
+        tables.write_after_read = Some((key, STANDARD.encode(value)));
+    }
+
     /// Reads of tables so far, without the feed.
     pub(crate) fn reads(&self) -> u32 {
         self.tables.lock().expect("no panic").reads
@@ -193,7 +209,9 @@
         let pairs = query.split('&').filter_map(|p| p.split_once('='));
         let field = |name: &str| {
             let found = pairs.clone().find(|(key, _)| *key == name);
-            found.map_or(String::new(), |(_, v)| v.replace("%2F", "/"))
+            found.map_or(String::new(), |(_, v)| {
+                v.replace("%2F", "/").replace("%00", "\0")
+            })
         };
         let (from, to) = (field("from"), field("to"));
         let mut tables = self.tables.lock().expect("no panic");
@@ -205,9 +223,17 @@
             let in_part = *table == field("table") && *part == field("part");
             in_part && *key >= from && (to.is_empty() || *key < to)
         });
-        let rows: Vec<Value> = in_range.map(|(key, row)| row_json(key, row)).collect();
-        let answer = json!({"rows": rows, "has_more": false, "ver": tables.version,
+        let mut rows: Vec<Value> = in_range.map(|(key, row)| row_json(key, row)).collect();
+        let has_more = tables.page_rows > 0 && rows.len() > tables.page_rows;
+        if has_more {
+            rows.truncate(tables.page_rows);
+        }
+        let answer = json!({"rows": rows, "has_more": has_more, "ver": tables.version,
                             "now_ms": self.now()});
+        if let Some((key, value)) = tables.write_after_read.take() {
+            tables.version += 1;
+            tables.put(key, value);
+        }
         (StatusCode::OK, answer)
     }
 
