--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -115,7 +115,7 @@
     fn from(error: Error) -> Self {
         match error {
             Error::Connect { .. } => Self::ConnectError,
-            Error::Lost(_) | Error::Malformed(_) => Self::Lost,
+            Error::Lost(_) | Error::TooLarge(_) | Error::Malformed(_) => Self::Lost,
         }
     }
 }
