Read large answers of the platform in the product's own client too

Cause: the client of the table and the object store, which the product's own API uses, limited each call to a total time of `timeout`, 1 s. A configuration, a scan of bills or a list of hosts that takes longer to arrive could never be read, and each try transferred the same part again.

Change: reads, scans, objects and the list of hosts limit the wait for each part of the answer. Commits and puts keep the total: their answers are small, and a caller waits for them.

Test: an_answer_that_keeps_arriving_is_read_to_its_end, failing before (no read of an answer that takes 0.8 s succeeds with a time-out of 0.3 s). an_answer_that_stops_midway_is_an_error passed before and after.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -118,6 +118,17 @@
     pub max_bytes: u64,
 }
 
+impl ReadLimits {
+    /// The same time-out for each part of the answer, of any size.
+    pub fn with_timeout(timeout: Duration) -> Self {
+        Self {
+            head_timeout: timeout,
+            read_timeout: timeout,
+            max_bytes: u64::MAX,
+        }
+    }
+}
+
 /// How much of an answer has arrived.
 #[derive(Debug, Default)]
 struct Progress {
@@ -190,11 +201,7 @@
         timeout: Duration,
     ) -> Result<Answer, Error> {
         let mut progress = Progress::default();
-        let limits = ReadLimits {
-            head_timeout: timeout,
-            read_timeout: timeout,
-            max_bytes: u64::MAX,
-        };
+        let limits = ReadLimits::with_timeout(timeout);
         let complete = self.receive(request, limits, &mut progress);
         match tokio::time::timeout(timeout, complete).await {
             Ok(answer) => answer,
--- a/crates/base/src/platform/client.rs
+++ b/crates/base/src/platform/client.rs
@@ -7,12 +7,13 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use http::StatusCode;
+use http::{Request, StatusCode};
+use http_body_util::Full;
 use serde::Serialize;
 
 use super::wire::{CommitWire, CommittedWire, HostsWire, ReadWire, RowsWire, ScanWire};
 use super::{Commit, Error, Host, Platform, PlatformFuture, Row};
-use crate::http as web;
+use crate::http::{self as web, ReadLimits};
 
 impl<R> From<web::Error> for Error<R> {
     fn from(error: web::Error) -> Self {
@@ -25,7 +26,8 @@
     }
 }
 
-/// Address of the platform and timeout of each call.
+/// Address of the platform and timeout of each call. For reads, whose answers
+/// may be large, it limits the wait for each part of the answer.
 #[derive(Debug, Clone)]
 struct Endpoint {
     client: web::Client,
@@ -39,6 +41,18 @@
         let answer = self.client.post(&url, body, self.timeout).await?;
         check_status(answer)
     }
+
+    async fn read(&self, request: Request<Full<Bytes>>) -> Result<web::Answer, Error> {
+        let limits = ReadLimits::with_timeout(self.timeout);
+        check_status(self.client.read(request, limits).await?)
+    }
+
+    async fn read_rows(&self, path: &str, body: &impl Serialize) -> Result<Vec<Row>, Error> {
+        let url = format!("{}{path}", self.base_url);
+        let answer = self.read(web::post_request(&url, body)?).await?;
+        let rows: RowsWire = answer.json()?;
+        Ok(rows.rows.into_iter().map(Row::from).collect())
+    }
 }
 
 fn check_status(answer: web::Answer) -> Result<web::Answer, Error> {
@@ -75,14 +89,14 @@
     };
     Platform {
         read: boxed_call(&endpoint, |endpoint, keys| async move {
-            let answer = endpoint.post("/v1/table/read", &ReadWire { keys }).await?;
-            rows(&answer)
+            endpoint
+                .read_rows("/v1/table/read", &ReadWire { keys })
+                .await
         }),
         scan: boxed_call(&endpoint, |endpoint, prefix| async move {
-            let answer = endpoint
-                .post("/v1/table/scan", &ScanWire { prefix })
-                .await?;
-            rows(&answer)
+            endpoint
+                .read_rows("/v1/table/scan", &ScanWire { prefix })
+                .await
         }),
         commit: boxed_call(&endpoint, |endpoint, commit: Commit| async move {
             let body = CommitWire::from(commit);
@@ -112,11 +126,6 @@
     Arc::new(move |input| -> BoxFuture<'static, _> { Box::pin(call(endpoint.clone(), input)) })
 }
 
-fn rows(answer: &web::Answer) -> Result<Vec<Row>, Error> {
-    let rows: RowsWire = answer.json()?;
-    Ok(rows.rows.into_iter().map(Row::from).collect())
-}
-
 async fn put(endpoint: Endpoint, name: String, body: Bytes) -> Result<(), Error> {
     let url = format!("{}/v1/objects/{name}", endpoint.base_url);
     let answer = endpoint.client.put(&url, body, endpoint.timeout).await?;
@@ -125,13 +134,13 @@
 
 async fn get(endpoint: Endpoint, name: String) -> Result<Option<Bytes>, Error> {
     let url = format!("{}/v1/objects/{name}", endpoint.base_url);
-    let answer = check_status(endpoint.client.get(&url, endpoint.timeout).await?)?;
+    let answer = endpoint.read(web::get_request(&url)?).await?;
     Ok((answer.status != StatusCode::NOT_FOUND).then_some(answer.body))
 }
 
 async fn hosts(endpoint: Endpoint) -> Result<Vec<Host>, Error> {
     let url = format!("{}/v1/hosts", endpoint.base_url);
-    let answer = check_status(endpoint.client.get(&url, endpoint.timeout).await?)?;
+    let answer = endpoint.read(web::get_request(&url)?).await?;
     let list: HostsWire = answer.json()?;
     let hosts: Result<Vec<_>, _> = list.hosts.into_iter().map(Host::try_from).collect();
     hosts.map_err(|e| Error::Malformed(e.to_string()))
--- /dev/null
+++ b/crates/base/tests/http.rs
@@ -0,0 +1,66 @@
+//! Reads of the platform over a slow connection.
+
+use std::time::Duration;
+
+use poplar_base::platform::{Platform, client};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+/// Parts in which an answer is sent.
+const PARTS: usize = 8;
+/// Time between two of them, less than the time-out; all take longer.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Requests at most until one passes on a busy machine, where a pause may be
+/// longer than the time-out.
+const MAX_TRIES: usize = 20;
+
+/// A platform that sends an answer in parts, of which the last `withheld` never
+/// come.
+async fn open(answer: &'static str, withheld: usize) -> Platform {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let _ = stream.read(&mut [0; 4096]).await;
+                let length = answer.len();
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+                let _ = stream.write_all(head.as_bytes()).await;
+                let parts = answer.as_bytes().chunks(length.div_ceil(PARTS));
+                for part in parts.take(PARTS - withheld) {
+                    let _ = stream.write_all(part).await;
+                    tokio::time::sleep(PAUSE).await;
+                }
+                std::future::pending::<()>().await;
+            });
+        }
+    });
+    client::open(address, TIMEOUT)
+}
+
+/// Guards against reads that can't succeed because the whole answer takes
+/// longer than the time-out, however steadily it arrives.
+#[tokio::test]
+async fn an_answer_that_keeps_arriving_is_read_to_its_end() {
+    const ROWS: &str = r#"{"rows":[{"key":"configuration","version":3,"value":"large"}]}"#;
+    let platform = open(ROWS, 0).await;
+    for _ in 0..MAX_TRIES {
+        if let Ok(rows) = (platform.scan)("configuration".to_owned()).await {
+            assert_eq!(rows[0].version, 3);
+            return;
+        }
+    }
+    panic!("no read succeeded");
+}
+
+/// Guards against a read that waits forever on a silent connection; the error
+/// says what arrived.
+#[tokio::test]
+async fn an_answer_that_stops_midway_is_an_error() {
+    const ROWS: &str = r#"{"rows":[]}....."#;
+    let platform = open(ROWS, 4).await;
+    let why = (platform.scan)("configuration".to_owned()).await;
+    let why = why.expect_err("no complete answer").to_string();
+    assert!(why.contains("of 16 bytes"), "{why}");
+}
