Keep missing servers only after reads that failed

Seen: no failure; found by looking for what else depends on how long a read takes.

Cause: a list that had not been read for 1.5 s counted as read after an outage of the store, so that servers that were missing stayed listed for 2.2 s more. A server that has left would get requests beyond the time that it serves them.

Change: the list counts as read after an outage only if a read failed since the last one.

Tests: a_server_missing_after_a_slow_read_is_removed_at_once, failing before (2 servers instead of 1). servers_missing_after_an_outage_stay_listed_for_the_grace_period now says that a read failed in its outage, and checks the same.

--- a/crates/core/src/deployment/servers.rs
+++ b/crates/core/src/deployment/servers.rs
@@ -10,8 +10,9 @@
 use crate::id::Name;
 use crate::sorted::SortedVec;
 
-/// Time between two reads of the list from which on the store counts as having
-/// been unreachable, so that registrations may have expired.
+/// Time between two reads of the list, with a failed one in between, from which
+/// on the store counts as having been unreachable, so that registrations may
+/// have expired. Without a failed read, the answer only took long to arrive.
 const OUTAGE_AFTER: Duration = Duration::from_millis(1500);
 /// Time after an outage within which expired registrations are renewed.
 const GRACE_PERIOD: Duration = Duration::from_millis(2200);
@@ -41,6 +42,8 @@
     servers: SortedVec<Name, Server>,
     version: u64,
     last_read: Option<Instant>,
+    /// Whether a read failed since the last one that succeeded.
+    read_failed: bool,
     /// When the last outage of the store ended.
     outage_end: Option<Instant>,
 }
@@ -51,6 +54,11 @@
         self.last_read.is_some()
     }
 
+    /// Records a read that failed.
+    pub fn record_failed_read(&mut self) {
+        self.read_failed = true;
+    }
+
     /// Replaces the list by a newly read one, unless that is older.
     ///
     /// Returns whether the list was replaced.
@@ -58,8 +66,8 @@
         if version < self.version {
             return false;
         }
-        let after_outage = self.last_read.is_some_and(|at| now > at + OUTAGE_AFTER);
-        if after_outage {
+        let long_ago = self.last_read.is_some_and(|at| now > at + OUTAGE_AFTER);
+        if std::mem::take(&mut self.read_failed) && long_ago {
             self.outage_end = Some(now);
         }
         self.last_read = Some(now);
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -34,6 +34,7 @@
     let now = Instant::now();
     let mut list = ServerList::default();
     list.update(vec![server("a", true), server("b", true)], 1, now);
+    list.record_failed_read();
     let outage_end = now + Duration::from_secs(9);
     list.update(vec![server("a", true)], 2, outage_end);
     assert_eq!(ready(&list), 2);
@@ -53,3 +54,14 @@
     list.update(vec![server("a", true)], 2, now + Duration::from_millis(400));
     assert_eq!(ready(&list), 1);
 }
+
+/// Guards against a list that counts as read after an outage, and keeps servers
+/// that have left, because its reads take long over a small link.
+#[test]
+fn a_server_missing_after_a_slow_read_is_removed_at_once() {
+    let now = Instant::now();
+    let mut list = ServerList::default();
+    list.update(vec![server("a", true), server("b", true)], 1, now);
+    list.update(vec![server("a", true)], 2, now + Duration::from_secs(3));
+    assert_eq!(ready(&list), 1);
+}
--- a/crates/router/src/relay/servers.rs
+++ b/crates/router/src/relay/servers.rs
@@ -120,6 +120,11 @@
         lock(&self.state).list.is_known()
     }
 
+    /// Records that the list of servers could not be read.
+    pub fn record_failed_read(&self) {
+        lock(&self.state).list.record_failed_read();
+    }
+
     /// Replaces the list of servers by a newly read one, unless it is older.
     pub fn update(&self, servers: Vec<Server>, version: u64, now: Instant) {
         let mut state = lock(&self.state);
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -89,6 +89,8 @@
             let version = watch.mirror.version();
             relay.servers.update(listed, version, Instant::now());
             relay.server_list_read.record(requested);
+        } else {
+            relay.servers.record_failed_read();
         }
         tokio::time::sleep(watch.pause()).await;
     }
