End the grace period of missing servers by the clock

Cause: a server that is missing after an outage stays listed for 2.2 s, but it was dropped only by the next read of the list, which waits up to 0.6 s for a change and follows the last one after 0.1 s, and takes longer over a small link.

Change: missing servers are kept apart, and requests are sent to them only while the grace period lasts.

Test: a_missing_server_gets_no_requests_after_the_grace_period, failing before (2 servers instead of 1, 2.3 s after the outage).

--- a/crates/core/src/deployment/servers.rs
+++ b/crates/core/src/deployment/servers.rs
@@ -40,6 +40,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerList {
     servers: SortedVec<Name, Server>,
+    /// Servers missing since an outage, which count as listed until the end of
+    /// the grace period.
+    missing: SortedVec<Name, Server>,
     version: u64,
     last_read: Option<Instant>,
     /// Whether a read failed since the last one that succeeded.
@@ -73,26 +76,41 @@
         self.last_read = Some(now);
         self.version = version;
         let current = servers.into_iter().map(|s| (s.id.clone(), s));
-        let mut current: SortedVec<Name, Server> = current.collect();
-        if self.outage_end.is_some_and(|at| now < at + GRACE_PERIOD) {
-            for (id, server) in self.servers.iter() {
-                if !current.contains(&**id) {
-                    current.insert(id.clone(), server.clone());
-                }
+        let current: SortedVec<Name, Server> = current.collect();
+        let mut missing = SortedVec::new();
+        if self.in_grace_period(now) {
+            let previous = self.servers.iter().chain(self.missing.iter());
+            for (id, server) in previous.filter(|(id, _)| !current.contains(&***id)) {
+                missing.insert(id.clone(), server.clone());
             }
         }
         self.servers = current;
+        self.missing = missing;
         true
     }
 
+    fn in_grace_period(&self, now: Instant) -> bool {
+        self.outage_end.is_some_and(|at| now < at + GRACE_PERIOD)
+    }
+
     /// Servers of a service that accept new requests.
-    pub fn ready_servers<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
-        let servers = self.servers.iter().map(|(_, server)| server);
+    pub fn ready_servers<'a>(
+        &'a self,
+        service: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Server> {
+        let missing = self
+            .missing
+            .iter()
+            .filter(move |_| self.in_grace_period(now));
+        let servers = self.servers.iter().chain(missing);
+        let servers = servers.map(|(_, server)| server);
         servers.filter(move |s| *s.service == *service && s.ready)
     }
 
-    /// All servers.
+    /// All servers, those included that are missing since an outage.
     pub fn all(&self) -> impl Iterator<Item = &Server> {
-        self.servers.iter().map(|(_, server)| server)
+        let servers = self.servers.iter().chain(self.missing.iter());
+        servers.map(|(_, server)| server)
     }
 }
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -16,8 +16,8 @@
     }
 }
 
-fn ready(list: &ServerList) -> usize {
-    list.ready_servers("s").count()
+fn ready(list: &ServerList, now: Instant) -> usize {
+    list.ready_servers("s", now).count()
 }
 
 #[test]
@@ -26,7 +26,7 @@
     let mut list = ServerList::default();
     assert!(list.update(vec![server("a", false)], 9, now));
     assert!(!list.update(vec![server("a", true)], 8, now));
-    assert_eq!(ready(&list), 0);
+    assert_eq!(ready(&list, now), 0);
 }
 
 #[test]
@@ -37,13 +37,13 @@
     list.record_failed_read();
     let outage_end = now + Duration::from_secs(9);
     list.update(vec![server("a", true)], 2, outage_end);
-    assert_eq!(ready(&list), 2);
+    assert_eq!(ready(&list, outage_end), 2);
     // A router reads the list about this often.
     for step in 1..=6u32 {
         let now = outage_end + Duration::from_millis(400) * step;
         list.update(vec![server("a", true)], 2 + u64::from(step), now);
     }
-    assert_eq!(ready(&list), 1);
+    assert_eq!(ready(&list, outage_end + Duration::from_millis(2400)), 1);
 }
 
 #[test]
@@ -51,8 +51,9 @@
     let now = Instant::now();
     let mut list = ServerList::default();
     list.update(vec![server("a", true), server("b", true)], 1, now);
-    list.update(vec![server("a", true)], 2, now + Duration::from_millis(400));
-    assert_eq!(ready(&list), 1);
+    let next = now + Duration::from_millis(400);
+    list.update(vec![server("a", true)], 2, next);
+    assert_eq!(ready(&list, next), 1);
 }
 
 /// Guards against a list that counts as read after an outage, and keeps servers
@@ -62,6 +63,21 @@
     let now = Instant::now();
     let mut list = ServerList::default();
     list.update(vec![server("a", true), server("b", true)], 1, now);
-    list.update(vec![server("a", true)], 2, now + Duration::from_secs(3));
-    assert_eq!(ready(&list), 1);
+    let next = now + Duration::from_secs(3);
+    list.update(vec![server("a", true)], 2, next);
+    assert_eq!(ready(&list, next), 1);
+}
+
+/// Guards against requests to a server that left during an outage, in the time
+/// between the end of the grace period and the next read of the list.
+#[test]
+fn a_missing_server_gets_no_requests_after_the_grace_period() {
+    let now = Instant::now();
+    let mut list = ServerList::default();
+    list.update(vec![server("a", true), server("b", true)], 1, now);
+    list.record_failed_read();
+    let outage_end = now + Duration::from_secs(9);
+    list.update(vec![server("a", true)], 2, outage_end);
+    assert_eq!(ready(&list, outage_end + Duration::from_millis(2100)), 2);
+    assert_eq!(ready(&list, outage_end + Duration::from_millis(2300)), 1);
 }
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -257,7 +257,11 @@
                 return Err(Failure::Connect);
             }
         };
-        if !self.relay.servers.is_ready(&in_flight.server) {
+        if !self
+            .relay
+            .servers
+            .is_ready(&in_flight.server, Instant::now())
+        {
             return Err(Failure::Connect);
         }
         let request = self
--- a/crates/router/src/relay/servers.rs
+++ b/crates/router/src/relay/servers.rs
@@ -197,7 +197,11 @@
                 health: tracker.state(&server.id, now),
             }
         };
-        let candidates: Vec<Candidate> = state.list.ready_servers(service).map(candidate).collect();
+        let candidates: Vec<Candidate> = state
+            .list
+            .ready_servers(service, now)
+            .map(candidate)
+            .collect();
         let Choice {
             id,
             is_home,
@@ -206,7 +210,7 @@
         } = affinity::choose(&candidates, query)?;
         let server = state
             .list
-            .ready_servers(service)
+            .ready_servers(service, now)
             .find(|s| s.id == id)?
             .clone();
         let recorded = state.holders.get(&query.prompt_id).cloned();
@@ -216,7 +220,8 @@
             Some(holder) => Some(holder),
             None => home_server,
         };
-        let holder = holder.and_then(|id| state.list.ready_servers(service).find(|s| s.id == id));
+        let holder =
+            holder.and_then(|id| state.list.ready_servers(service, now).find(|s| s.id == id));
         let fetch_from = holder.map(|server| server.address);
         // A part that is fetched counts only for the time that the fetch takes; one
         // whose home is this server does not count.
@@ -269,11 +274,11 @@
     }
 
     /// Whether a server still takes new requests.
-    pub fn is_ready(&self, server: &Server) -> bool {
+    pub fn is_ready(&self, server: &Server, now: Instant) -> bool {
         let state = lock(&self.state);
         state
             .list
-            .ready_servers(&server.service)
+            .ready_servers(&server.service, now)
             .any(|s| s.id == server.id)
     }
 
