Judge the configuration's age when a request arrives

Seen: no failure on a deployment; found by reading the check of stale configurations again.

Cause: a request is judged by the configuration of its arrival, but the age of the copy was checked when the refusal was sent, after the body had arrived and after a wait for the budget. If the newer configuration was read in between, the refusal counted as one by a current configuration.

Change: whether the copy is stale is recorded on arrival, before the configuration is taken.

Test: a_configuration_that_was_stale_on_arrival_refuses_nothing_for_good, failing before (404 instead of 503).

--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -47,6 +47,8 @@
 /// Serves one request.
 pub async fn serve(relay: Arc<Relay>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
+    // Before the configuration is taken, which may become current later.
+    let stale = relay.is_configuration_stale(arrived);
     let open = relay.open_request();
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(&parts.headers);
@@ -60,8 +62,12 @@
         }
     };
     let mut response = handled.unwrap_or_else(|refusal| {
+        let refusal = if stale {
+            by_stale_configuration(refusal)
+        } else {
+            refusal
+        };
         let now = Instant::now();
-        let refusal = if_current(refusal, &relay, now);
         let took = now.saturating_duration_since(arrived);
         let version = relay.deployment().map_or(0, |d| d.version);
         log::info("request refused")
@@ -84,10 +90,11 @@
     response
 }
 
-/// A refusal, unless a newer configuration might allow the request: then the
-/// client should ask another router, since it does not retry a final refusal.
-fn if_current(refusal: Refusal, relay: &Relay, now: Instant) -> Refusal {
-    if refusal.by_configuration && relay.is_configuration_stale(now) {
+/// A refusal by a stale configuration. If a newer one might allow the request,
+/// the client should ask another router, since it does not retry a final
+/// refusal.
+fn by_stale_configuration(refusal: Refusal) -> Refusal {
+    if refusal.by_configuration {
         return Refusal::not_run("stale configuration", OTHER_ROUTER_RETRY_AFTER);
     }
     refusal
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -65,7 +65,7 @@
 
 /// A relay that uses a store, and a client of the relay.
 pub(crate) struct TestRelay {
-    address: SocketAddr,
+    pub(crate) address: SocketAddr,
     client: Client,
 }
 
--- a/crates/router/tests/relay/stale_configuration.rs
+++ b/crates/router/tests/relay/stale_configuration.rs
@@ -2,6 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
 use crate::site::TestRelay;
 use crate::site::backend::Behaviour;
 use crate::site::configuration;
@@ -91,3 +94,26 @@
     };
     assert_eq!(unknown.status(&relay).await, unknown.refused);
 }
+
+/// Guards against a request that is refused for good by the configuration of
+/// its arrival because a newer one was read while its body arrived.
+#[tokio::test]
+async fn a_configuration_that_was_stale_on_arrival_refuses_nothing_for_good() {
+    let (relay, _, store) = start("plain", &[Behaviour::Answer]).await;
+    let case = &CASES[0];
+    store.set_unreachable(&["op"]);
+    store.set("op", "", "config", &configuration(8, PREPAID, 1));
+    case.wait_for(&relay, 503, &[case.refused]).await;
+    let mut stream = TcpStream::connect(relay.address).await.expect("connects");
+    let head = "POST /added-1/x HTTP/1.1\r\nhost: site.example\r\napi-key: key-1\r\n\
+                x-poplarreel-attempt-id: slow\r\ncontent-length: 2\r\n\r\na";
+    stream.write_all(head.as_bytes()).await.expect("is sent");
+    // Time in which the head arrives before the next configuration.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    store.set_unreachable(&[]);
+    case.wait_for(&relay, 200, &[503]).await;
+    stream.write_all(b"b").await.expect("is sent");
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).await.expect("is answered");
+    assert_eq!(&answer, b"HTTP/1.1 503");
+}
