Soak routers as separate processes

Checked by what callers and backend servers saw: answers complete, calls run at most once, `not run` is true, nothing that the configuration allows refused for good later than a change may take, budgets not overspent, planned stops complete in time and cutting off no request that ran, and every router serves the newest route in the end.

Others: POPLAR_SOAK_SEEDS=1..50, POPLAR_SOAK_ROUTERS=40.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod mirror;
 mod site;
 mod slow_link;
+mod soak;
 mod stale_configuration;
 
 use std::sync::Arc;
--- a/crates/router/tests/relay/site/link.rs
+++ b/crates/router/tests/relay/site/link.rs
@@ -33,6 +33,13 @@
         self.0.lock().expect("no panic").bytes_per_s = Some(bytes_per_s);
     }
 
+    /// Takes the limit away.
+    pub(crate) fn clear_bandwidth(&self) {
+        let mut state = self.0.lock().expect("no panic");
+        state.bytes_per_s = None;
+        state.free_at = None;
+    }
+
     /// Makes the next answer that is longer than `bytes` go silent after them.
     pub(crate) fn stall_after(&self, bytes: usize) {
         self.0.lock().expect("no panic").stall_after = Some(bytes);
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -53,6 +53,8 @@
     write_after_read: Option<(Key, String)>,
     /// Tables for which connections are closed without an answer.
     unreachable: Vec<&'static str>,
+    /// Whether all connections are closed without an answer.
+    down: bool,
 }
 
 impl Tables {
@@ -172,20 +174,21 @@
         serde_json::from_slice(&bytes).ok()
     }
 
+    /// Closes all connections without an answer, or serves again.
+    pub(crate) fn set_down(&self, down: bool) {
+        self.tables.lock().expect("no panic").down = down;
+    }
+
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
         let query = head.uri.query().unwrap_or_default();
         let rejects = |table: &&str| query.contains(&format!("table={table}&"));
-        if self
-            .tables
-            .lock()
-            .expect("no panic")
-            .unreachable
-            .iter()
-            .any(rejects)
         {
-            return None;
+            let tables = self.tables.lock().expect("no panic");
+            if tables.down || tables.unreachable.iter().any(rejects) {
+                return None;
+            }
         }
         let (status, answer) = match head.uri.path() {
             "/api/rows-get" => self.get(head.uri.query().unwrap_or_default()),
--- /dev/null
+++ b/crates/router/tests/relay/soak/faults.rs
@@ -0,0 +1,126 @@
+//! Faults and changes that come in series and overlap, from a seed.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::{PREPAID, Soak};
+use crate::site::configuration;
+use crate::site::store::CommitOutcome;
+
+/// Longest time for a process to end after SIGTERM.
+const STOP_LIMIT: Duration = Duration::from_secs(8);
+
+async fn pause(random: &mut StdRng, from_ms: u64, to_ms: u64) {
+    let pause = random.random_range(from_ms..to_ms);
+    tokio::time::sleep(Duration::from_millis(pause)).await;
+}
+
+/// Signals and restarts of one router.
+pub(crate) async fn processes(soak: Arc<Soak>, router: usize) {
+    let mut random = StdRng::seed_from_u64(soak.seed * 1000 + 500 + router as u64);
+    loop {
+        pause(&mut random, 200, 2500).await;
+        if soak.faults_ended() {
+            return;
+        }
+        let mut process = soak.routers[router].lock().await;
+        match random.random_range(0..5) {
+            0 => {
+                process.kill();
+                pause(&mut random, 0, 600).await;
+                process.start();
+            }
+            1 | 2 => {
+                process.signal("TERM");
+                // A signal that comes again changes nothing.
+                if random.random_bool(0.3) {
+                    process.signal("TERM");
+                }
+                if random.random_bool(0.2) {
+                    process.signal("HUP");
+                }
+                soak.note_stop(process.wait_end(STOP_LIMIT).await);
+                process.start();
+            }
+            3 => {
+                process.signal("STOP");
+                pause(&mut random, 50, 3000).await;
+                process.signal("CONT");
+            }
+            _ => {
+                process.write_settings(random.random_range(20..100));
+                for _ in 0..random.random_range(1..4) {
+                    process.signal("HUP");
+                }
+            }
+        }
+    }
+}
+
+/// Changes of the configuration, alone and in quick succession.
+pub(crate) async fn changes(soak: Arc<Soak>) {
+    let mut random = StdRng::seed_from_u64(soak.seed * 1000 + 900);
+    while !soak.faults_ended() {
+        pause(&mut random, 50, 1200).await;
+        let series = if random.random_bool(0.2) { 12 } else { 1 };
+        for _ in 0..series {
+            let more = random.random_range(0..60);
+            soak.change_configuration(more);
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+    }
+}
+
+/// Outages of the store, lost answers, lost history, and a small link.
+pub(crate) async fn store(soak: Arc<Soak>) {
+    let mut random = StdRng::seed_from_u64(soak.seed * 1000 + 901);
+    while !soak.faults_ended() {
+        pause(&mut random, 100, 900).await;
+        let store = &soak.store;
+        match random.random_range(0..6) {
+            0 => {
+                store.set_down(true);
+                pause(&mut random, 200, 2500).await;
+                store.set_down(false);
+            }
+            1 => {
+                let tables: &[&[&str]] = &[&["op"], &["servers"], &["op", "servers"]];
+                store.set_unreachable(tables[random.random_range(0..tables.len())]);
+                pause(&mut random, 200, 2500).await;
+                store.set_unreachable(&[]);
+            }
+            2 => store.drop_history(),
+            3 => {
+                for _ in 0..6 {
+                    store.set_next_commit(CommitOutcome::LoseAnswer);
+                    pause(&mut random, 10, 120).await;
+                }
+            }
+            4 => store.link.stall_after(random.random_range(0..60_000)),
+            _ => {
+                store
+                    .link
+                    .set_bandwidth(random.random_range(100_000..1_500_000));
+                pause(&mut random, 500, 2500).await;
+                store.link.clear_bandwidth();
+            }
+        }
+    }
+    soak.store.link.clear_bandwidth();
+}
+
+impl Soak {
+    /// Writes the next version of the configuration, with `more` routes added.
+    pub(crate) fn change_configuration(&self, more: usize) {
+        let mut added = self.added.lock().expect("no panic");
+        let mut version = self.version.lock().expect("no panic");
+        *version += 1;
+        let routes = added.len() + more;
+        let text = configuration(*version, PREPAID, routes as u32);
+        self.store.set("op", "", "config", &text);
+        added.resize(routes, Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/router/tests/relay/soak/mod.rs
@@ -0,0 +1,256 @@
+//! A soak of routers as separate processes: random signals, restarts, changes
+//! and faults of the store from a seed, in series that overlap. It checks what
+//! callers and backend servers saw, not what a router reports.
+//!
+//! `POPLAR_SOAK_SEEDS`, as `1..50`, and `POPLAR_SOAK_ROUTERS` replace the seeds
+//! and the number of routers.
+
+mod callers;
+mod faults;
+mod process;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex as StdMutex};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Mutex;
+
+use crate::site::backend::{Backend, Behaviour};
+use crate::site::configured_store;
+use crate::site::store::Store;
+use callers::{Attempt, Record, Seen};
+use process::{Life, Lives, Router};
+
+/// Time within which a change must be in force.
+const APPLY_TIME: Duration = Duration::from_millis(1500);
+const PREPAID: u64 = 600_000;
+/// Tokens of a stream's prompt, which a run consumes in any case.
+const PROMPT_TOKENS: u64 = 1000;
+const CALLERS: u64 = 10;
+/// How long faults come.
+const FAULT_TIME: Duration = Duration::from_secs(9);
+/// Ends a soak in which the routers don't recover.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(40);
+/// Seeds of a short run.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
+const ROUTERS: usize = 4;
+
+/// A running soak.
+#[derive(Debug)]
+pub(crate) struct Soak {
+    seed: u64,
+    store: Arc<Store>,
+    routers: Vec<Mutex<Router>>,
+    addresses: Vec<SocketAddr>,
+    lives: Vec<Lives>,
+    began: Instant,
+    /// When the store acknowledged each added route.
+    added: StdMutex<Vec<Instant>>,
+    version: StdMutex<u64>,
+    record: Record,
+    ended: AtomicUsize,
+    /// Planned stops that were not complete in time.
+    late_stops: AtomicUsize,
+}
+
+impl Soak {
+    fn faults_ended(&self) -> bool {
+        self.began.elapsed() > FAULT_TIME
+    }
+
+    fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Acquire) > 0
+    }
+
+    fn note_stop(&self, complete: bool) {
+        if !complete {
+            self.late_stops.fetch_add(1, Ordering::AcqRel);
+        }
+    }
+}
+
+/// A loopback address that no other test uses.
+fn address(seed: u64, router: usize) -> IpAddr {
+    let process = std::process::id();
+    let second = 1 + (process % 200) as u8;
+    let third = 1 + ((u64::from(process) / 200 + seed) % 250) as u8;
+    Ipv4Addr::new(127, second, third, 1 + router as u8).into()
+}
+
+/// Runs a soak and returns what was wrong in it.
+async fn run(seed: u64, routers: usize, folder: &Path) -> Vec<String> {
+    let store = configured_store(PREPAID);
+    let mut backends = Vec::new();
+    for (service, n) in [("plain", 1), ("plain", 2), ("engines", 1), ("engines", 2)] {
+        let (backend, address) = Backend::open(Behaviour::Answer).await;
+        store.register(&format!("{service}-{n}"), service, address);
+        backends.push(backend);
+    }
+    let store_address = store.open().await;
+    let mut processes: Vec<Router> = (0..routers)
+        .map(|n| Router::new(address(seed, n), store_address, folder))
+        .collect();
+    processes.iter_mut().for_each(Router::start);
+    let soak = Arc::new(Soak {
+        seed,
+        store,
+        addresses: processes.iter().map(Router::callers).collect(),
+        lives: processes.iter().map(|p| p.lives.clone()).collect(),
+        routers: processes.into_iter().map(Mutex::new).collect(),
+        began: Instant::now(),
+        added: StdMutex::default(),
+        version: StdMutex::new(7),
+        record: Record::default(),
+        ended: AtomicUsize::new(0),
+        late_stops: AtomicUsize::new(0),
+    });
+    let mut faults = Vec::new();
+    for router in 0..routers {
+        faults.push(tokio::spawn(faults::processes(soak.clone(), router)));
+    }
+    faults.push(tokio::spawn(faults::changes(soak.clone())));
+    faults.push(tokio::spawn(faults::store(soak.clone())));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| tokio::spawn(callers::run(soak.clone(), caller)))
+        .collect();
+    for fault in faults {
+        fault.await.expect("no panic");
+    }
+    let mut wrong = wait_for_recovery(&soak).await;
+    soak.ended.store(1, Ordering::Release);
+    for caller in callers {
+        caller.await.expect("no panic");
+    }
+    let attempts = soak.record.attempts();
+    let runs = Runs::of(&backends);
+    wrong.extend(attempts.iter().filter_map(|a| check(a, &runs, &soak)));
+    let streams = attempts.iter().filter(|a| callers::is_stream(&a.path));
+    let streams: usize = streams.map(|a| runs.count(&a.id)).sum();
+    if streams as u64 * PROMPT_TOKENS > PREPAID {
+        wrong.push(format!(
+            "overspent: {streams} runs of {PROMPT_TOKENS} tokens"
+        ));
+    }
+    let late = soak.late_stops.load(Ordering::Acquire);
+    if late > 0 {
+        wrong.push(format!("{late} planned stops were not complete in time"));
+    }
+    let count = |seen: fn(&Seen) -> bool| attempts.iter().filter(|a| seen(&a.seen)).count();
+    println!(
+        "seed {seed}: {} requests, {} answered with 200, {} with 503, {} broken, {streams} streams, \
+         {} routes added, {} faults found",
+        attempts.len(),
+        count(|s| matches!(s, Seen::Answer(200, _))),
+        count(|s| matches!(s, Seen::Answer(503, _))),
+        count(|s| *s == Seen::Broken),
+        soak.added.lock().expect("no panic").len(),
+        wrong.len(),
+    );
+    wrong
+}
+
+/// Starts what was left stopped, changes the configuration once more, and waits
+/// until each router has it in force.
+async fn wait_for_recovery(soak: &Soak) -> Vec<String> {
+    soak.store.set_down(false);
+    soak.store.set_unreachable(&[]);
+    for router in &soak.routers {
+        let mut router = router.lock().await;
+        router.signal("CONT");
+        router.start();
+    }
+    soak.change_configuration(1);
+    let newest = soak.added.lock().expect("no panic").len();
+    let path = format!("/added-{newest}/x");
+    let began = Instant::now();
+    for (router, address) in soak.addresses.iter().enumerate() {
+        loop {
+            let seen = callers::ask_once(*address, &path, "recovery").await;
+            if seen == Some(Seen::Answer(200, true)) {
+                break;
+            }
+            if began.elapsed() > RECOVERY_LIMIT {
+                return vec![format!("router {router} does not recover: {seen:?}")];
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Vec::new()
+}
+
+/// How often the backend servers ran each request.
+struct Runs(Vec<String>);
+
+impl Runs {
+    fn of(backends: &[Arc<Backend>]) -> Self {
+        let runs = backends.iter().flat_map(|b| b.executed_requests());
+        let mut ids: Vec<String> = runs.map(|run| run.id).collect();
+        ids.sort();
+        Self(ids)
+    }
+
+    fn count(&self, id: &str) -> usize {
+        let from = self.0.partition_point(|run| run.as_str() < id);
+        self.0[from..].iter().take_while(|run| *run == id).count()
+    }
+}
+
+/// What is wrong with an attempt, if anything.
+fn check(attempt: &Attempt, runs: &Runs, soak: &Soak) -> Option<String> {
+    let ran = runs.count(&attempt.id);
+    let repeatable = !attempt.path.starts_with("/once/") && !attempt.path.starts_with("/stream/");
+    let life = attempt
+        .process
+        .and_then(|p| soak.lives[attempt.router].get(p));
+    let fault = match attempt.seen {
+        Seen::Broken if ran > 0 && life == Some(Life::Undisturbed) => {
+            "broken off by a planned stop"
+        }
+        Seen::Answer(200, false) => "not complete",
+        Seen::Answer(200, true) if ran == 0 => "answered without a run",
+        Seen::Answer(429 | 503, _) if ran > 0 => "refused as not run",
+        Seen::Answer(401 | 404, _) if attempt.sent > attempt.route_since + APPLY_TIME => {
+            "refused for good by an old configuration"
+        }
+        _ if ran > 1 && !repeatable => "ran twice",
+        _ => return None,
+    };
+    let at = attempt.sent.saturating_duration_since(soak.began);
+    Some(format!("{fault}, {ran} runs, sent at {at:?}: {attempt:?}"))
+}
+
+fn seeds() -> Vec<u64> {
+    let parse = |text: String| {
+        let (from, to) = text.split_once("..")?;
+        Some((from.parse().ok()?..=to.parse().ok()?).collect())
+    };
+    let chosen = std::env::var("POPLAR_SOAK_SEEDS").ok().and_then(parse);
+    chosen.unwrap_or_else(|| SEEDS.collect())
+}
+
+fn routers() -> usize {
+    let chosen = std::env::var("POPLAR_SOAK_ROUTERS").ok();
+    chosen.and_then(|n| n.parse().ok()).unwrap_or(ROUTERS)
+}
+
+/// Guards against faults that show only where signals, restarts, changes and
+/// outages overlap.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_of_separate_processes() {
+    let mut wrong = Vec::new();
+    for seed in seeds() {
+        let folder =
+            std::env::temp_dir().join(format!("poplar-soak-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let found = run(seed, routers(), &folder).await;
+        if found.is_empty() {
+            let _ = std::fs::remove_dir_all(&folder);
+        } else {
+            println!("seed {seed}: logs in {}", folder.display());
+        }
+        wrong.extend(found.into_iter().map(|w| format!("seed {seed}: {w}")));
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
--- /dev/null
+++ b/crates/router/tests/relay/soak/process.rs
@@ -0,0 +1,162 @@
+//! A router as a process of its own, at a loopback address of its own.
+
+use std::fs::{self, File};
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Ports of all routers; each has its own address.
+const CALLERS_PORT: u16 = 7400;
+const READINESS_PORT: u16 = 7401;
+const INTERNAL_PORTS: &str = "7340,7355";
+
+/// How a process ended, or that it still runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Life {
+    /// It runs, or ended only after SIGTERM.
+    Undisturbed,
+    /// It was frozen or killed.
+    Disturbed,
+}
+
+/// The processes that a router has had.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Lives(Arc<Mutex<Vec<Life>>>);
+
+impl Lives {
+    /// Number of processes.
+    pub(crate) fn count(&self) -> usize {
+        self.0.lock().expect("no panic").len()
+    }
+
+    /// What became of the process with this number, from 1.
+    pub(crate) fn get(&self, number: usize) -> Option<Life> {
+        let lives = self.0.lock().expect("no panic");
+        lives.get(number.checked_sub(1)?).copied()
+    }
+
+    fn begin(&self) {
+        self.0.lock().expect("no panic").push(Life::Undisturbed);
+    }
+
+    fn mark_disturbed(&self) {
+        if let Some(life) = self.0.lock().expect("no panic").last_mut() {
+            *life = Life::Disturbed;
+        }
+    }
+}
+
+/// A router, of which one process runs at a time.
+#[derive(Debug)]
+pub(crate) struct Router {
+    ip: IpAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    store: SocketAddr,
+    child: Option<Child>,
+    pub(crate) lives: Lives,
+}
+
+impl Router {
+    /// A router at `ip` that is not started yet; its files are in `folder`.
+    pub(crate) fn new(ip: IpAddr, store: SocketAddr, folder: &Path) -> Self {
+        let router = Self {
+            ip,
+            settings: folder.join(format!("{ip}.conf")),
+            log: folder.join(format!("{ip}.log")),
+            store,
+            child: None,
+            lives: Lives::default(),
+        };
+        router.write_settings(56);
+        router
+    }
+
+    /// Writes the settings file.
+    pub(crate) fn write_settings(&self, retry_slack: u32) {
+        let Self { ip, store, .. } = self;
+        let text = format!(
+            "node_name=front-{ip}\nip={ip}\nzone=a\nlisten.front={ip}:{CALLERS_PORT}\n\
+             listen.ready={ip}:{READINESS_PORT}\ninternal_ports={INTERNAL_PORTS}\n\
+             platform.address={store}\nbounds.config_apply_ms={}\nbounds.grace_s=8\n\
+             bounds.retry_ratio=0.2\nbounds.retry_slack={retry_slack}\n\
+             bounds.retry_window_s=10\n",
+            super::APPLY_TIME.as_millis()
+        );
+        fs::write(&self.settings, text).expect("the settings are written");
+    }
+
+    /// Where it takes requests.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS_PORT)
+    }
+
+    /// Starts a process, if none runs.
+    pub(crate) fn start(&mut self) {
+        if self.child.is_some() {
+            return;
+        }
+        let log = File::options().create(true).append(true).open(&self.log);
+        let child = Command::new(env!("CARGO_BIN_EXE_poplar-router"))
+            .arg("--platform")
+            .env("POPLARREEL_BOOT", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.expect("the log file opens"))
+            .stderr(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("the router starts"));
+        self.lives.begin();
+    }
+
+    /// Sends a signal by its name.
+    pub(crate) fn signal(&mut self, name: &str) {
+        let Some(child) = &self.child else {
+            return;
+        };
+        if name == "STOP" {
+            self.lives.mark_disturbed();
+        }
+        let id = child.id().to_string();
+        let sent = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
+        assert!(sent.is_ok(), "{sent:?}");
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) {
+        self.lives.mark_disturbed();
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits up to `limit` until the process has ended; kills it after that, as
+    /// the platform does. Returns whether it ended by itself.
+    pub(crate) async fn wait_end(&mut self, limit: Duration) -> bool {
+        const STEP: Duration = Duration::from_millis(20);
+        let mut waited = Duration::ZERO;
+        while let Some(child) = &mut self.child {
+            if matches!(child.try_wait(), Ok(Some(_))) {
+                self.child = None;
+                return true;
+            }
+            if waited >= limit {
+                self.kill();
+                return false;
+            }
+            tokio::time::sleep(STEP).await;
+            waited += STEP;
+        }
+        true
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
