Log the configuration by which a request was refused

Cause: `request refused` had the version and the age of the configuration at the time of the refusal, which may be newer than the one by which the request was judged, on its arrival; and the age was formatted twice in two ways.

Change: both are those of the arrival.

--- a/crates/router/src/relay/budgets/mod.rs
+++ b/crates/router/src/relay/budgets/mod.rs
@@ -21,6 +21,7 @@
 use poplar_platform::store::Store;
 use tokio::sync::Notify;
 
+use crate::relay::state::format_age;
 use crate::sync::lock;
 use state::{HOLDER_PREFIX, State};
 
@@ -259,12 +260,7 @@
     pub fn evidence(&self, workspace: &Name, prepaid: u64, now: Instant) -> String {
         let state = lock(&self.state);
         let (total, _) = state.total_row(workspace);
-        let age = |at: Option<Instant>| {
-            at.map_or("none".to_owned(), |at| {
-                let age = now.saturating_duration_since(at);
-                age.as_millis().to_string()
-            })
-        };
+        let age = |at: Option<Instant>| format_age(at.map(|at| now.saturating_duration_since(at)));
         let account = state.accounts.get(&**workspace);
         let spent = account.map_or(0, Account::spent);
         let granted = account.map_or(0, Account::granted);
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -18,7 +18,7 @@
 use crate::relay::budgets::{Reservation, ReserveError};
 use crate::relay::exchange::{ClientRequest, Exchange};
 use crate::relay::refusal::{self, Body, Refusal};
-use crate::relay::state::{OpenRequest, Relay};
+use crate::relay::state::{OpenRequest, Relay, format_age};
 use crate::relay::stream;
 
 /// When the client should retry if this router has no configuration yet.
@@ -47,36 +47,36 @@
 /// Serves one request.
 pub async fn serve(relay: Arc<Relay>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
-    // Before the configuration is taken, which may become current later.
-    let stale = relay.is_configuration_stale(arrived);
+    // The age comes first: the configuration is then at least as new.
+    let age = relay.configuration_read.age(arrived);
+    let deployment = relay.deployment();
+    let version = deployment.as_ref().map_or(0, |d| d.version);
     let open = relay.open_request();
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(&parts.headers);
     let id = head.as_ref().ok().map(|head| head.attempt_id.clone());
     let chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
     let handled = match head {
-        Ok(head) => handle(&relay, parts, body, head, open, arrived).await,
+        Ok(head) => handle(&relay, deployment, parts, body, head, open, arrived).await,
         Err(why) => {
             log::info("request headers invalid").reason(why).write();
             Err(Refusal::new(StatusCode::BAD_REQUEST, "malformed headers"))
         }
     };
     let mut response = handled.unwrap_or_else(|refusal| {
-        let refusal = if stale {
+        let refusal = if relay.is_stale(age) {
             by_stale_configuration(refusal)
         } else {
             refusal
         };
-        let now = Instant::now();
-        let took = now.saturating_duration_since(arrived);
-        let version = relay.deployment().map_or(0, |d| d.version);
+        let took = arrived.elapsed();
         log::info("request refused")
             .request(id.as_deref().unwrap_or("unknown"))
             .with("status", refusal.status.as_u16())
             .reason(refusal.reason)
             .with("after_ms", took.as_millis())
             .with("configuration", version)
-            .with("age_ms", relay.configuration_read.age_ms(now))
+            .with("age_ms", format_age(age))
             .write();
         metrics::counter!("poplar_refusals_total", "reason" => refusal.reason).increment(1);
         refusal.response(id.as_deref())
@@ -102,13 +102,13 @@
 
 async fn handle(
     relay: &Arc<Relay>,
+    deployment: Option<Arc<Deployment>>,
     parts: request::Parts,
     body: Incoming,
     head: RequestHead,
     open: OpenRequest,
     arrived: Instant,
 ) -> Result<Response<Body>, Refusal> {
-    let deployment = relay.deployment();
     let deployment = deployment.ok_or(Refusal::not_run("no configuration", UNREADY_RETRY_AFTER))?;
     let body = read_body(body, &deployment.limits).await?;
     let request = identify(&deployment, parts, body, head, arrived)?;
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -57,12 +57,11 @@
         let at = *lock(&self.0);
         at.map(|at| now.saturating_duration_since(at))
     }
+}
 
-    /// The age in milliseconds for the log, `none` before the first read.
-    pub fn age_ms(&self, now: Instant) -> String {
-        let age = self.age(now);
-        age.map_or("none".to_owned(), |age| age.as_millis().to_string())
-    }
+/// An age in milliseconds as it is logged, `none` if nothing was read yet.
+pub fn format_age(age: Option<Duration>) -> String {
+    age.map_or("none".to_owned(), |age| age.as_millis().to_string())
 }
 
 /// An open request, which counts as open until this is dropped.
@@ -100,10 +99,9 @@
         deployment.unwrap_or_else(|e| e.into_inner()).clone()
     }
 
-    /// Whether the operator may have changed the configuration without this
-    /// router knowing, for longer than a change may take.
-    pub fn is_configuration_stale(&self, now: Instant) -> bool {
-        let age = self.configuration_read.age(now);
+    /// Whether a copy of the configuration of this age may lack a change for
+    /// longer than a change may take.
+    pub fn is_stale(&self, age: Option<Duration>) -> bool {
         age.is_none_or(|age| age > self.settings.apply_time)
     }
 
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -11,7 +11,7 @@
 use poplar_platform::servers;
 use poplar_platform::store::{OPERATOR_TABLE, SERVERS_TABLE, Store};
 
-use crate::relay::state::{LastRead, Relay};
+use crate::relay::state::{LastRead, Relay, format_age};
 
 /// Pause between two updates of a table, since changes come in bursts.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
@@ -159,7 +159,7 @@
                 event
                     .with("table", self.name)
                     .with("failures", failures + 1)
-                    .with("age_ms", last_read.age_ms(now))
+                    .with("age_ms", format_age(last_read.age(now)))
                     .reason(why)
                     .write();
                 self.lost = Some((since, failures + 1));
