--- a/crates/router/tests/relay/soak/mod.rs
+++ b/crates/router/tests/relay/soak/mod.rs
@@ -11,7 +11,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex as StdMutex};
 use std::time::{Duration, Instant};
 
@@ -50,7 +50,7 @@
     added: StdMutex<Vec<Instant>>,
     version: StdMutex<u64>,
     record: Record,
-    ended: AtomicUsize,
+    ended: AtomicBool,
     /// Planned stops that were not complete in time.
     late_stops: AtomicUsize,
 }
@@ -61,7 +61,7 @@
     }
 
     fn has_ended(&self) -> bool {
-        self.ended.load(Ordering::Acquire) > 0
+        self.ended.load(Ordering::Acquire)
     }
 
     fn note_stop(&self, complete: bool) {
@@ -103,7 +103,7 @@
         added: StdMutex::default(),
         version: StdMutex::new(7),
         record: Record::default(),
-        ended: AtomicUsize::new(0),
+        ended: AtomicBool::new(false),
         late_stops: AtomicUsize::new(0),
     });
     let mut faults = Vec::new();
@@ -119,13 +119,19 @@
         fault.await.expect("no panic");
     }
     let mut wrong = wait_for_recovery(&soak).await;
-    soak.ended.store(1, Ordering::Release);
+    soak.ended.store(true, Ordering::Release);
     for caller in callers {
         caller.await.expect("no panic");
     }
+    wrong.extend(judge(&soak, &Runs::of(&backends)));
+    wrong
+}
+
+/// What was wrong in a soak that has ended; prints its figures.
+fn judge(soak: &Soak, runs: &Runs) -> Vec<String> {
     let attempts = soak.record.attempts();
-    let runs = Runs::of(&backends);
-    wrong.extend(attempts.iter().filter_map(|a| check(a, &runs, &soak)));
+    let mut wrong = Vec::new();
+    wrong.extend(attempts.iter().filter_map(|a| check(a, runs, soak)));
     let streams = attempts.iter().filter(|a| callers::is_stream(&a.path));
     let streams: usize = streams.map(|a| runs.count(&a.id)).sum();
     if streams as u64 * PROMPT_TOKENS > PREPAID {
@@ -139,8 +145,9 @@
     }
     let count = |seen: fn(&Seen) -> bool| attempts.iter().filter(|a| seen(&a.seen)).count();
     println!(
-        "seed {seed}: {} requests, {} answered with 200, {} with 503, {} broken, {streams} streams, \
+        "seed {}: {} requests, {} answered with 200, {} with 503, {} broken, {streams} streams, \
          {} routes added, {} faults found",
+        soak.seed,
         attempts.len(),
         count(|s| matches!(s, Seen::Answer(200, _))),
         count(|s| matches!(s, Seen::Answer(503, _))),
--- a/crates/router/tests/relay/soak/process.rs
+++ b/crates/router/tests/relay/soak/process.rs
@@ -12,10 +12,10 @@
 const READINESS_PORT: u16 = 7401;
 const INTERNAL_PORTS: &str = "7340,7355";
 
-/// How a process ended, or that it still runs.
+/// What a process went through.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Life {
-    /// It runs, or ended only after SIGTERM.
+    /// Nothing but SIGHUP and SIGTERM.
     Undisturbed,
     /// It was frozen or killed.
     Disturbed,
--- a/crates/router/tests/relay/stale_configuration.rs
+++ b/crates/router/tests/relay/stale_configuration.rs
@@ -8,9 +8,8 @@
 use crate::site::TestRelay;
 use crate::site::backend::Behaviour;
 use crate::site::configuration;
-use crate::{PREPAID, start};
+use crate::{ID, PREPAID, start};
 
-const ID: &str = "x-poplarreel-attempt-id";
 /// Ends a test that hangs.
 const HANG_LIMIT: Duration = Duration::from_secs(20);
 
