Log what connects a request with the servers that it crashes

Change: failed attempts and refusals have a hash of the content; a lost connection that may be a crash, its confirmation with the number of crashes known, and a refusal for them are logged, and confirmations are counted. The logic is unchanged.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -154,7 +154,7 @@
     }
 
     /// Number of crashes of a request; sightings of the same crash count once.
-    fn crashes(&self, fingerprint: Fingerprint, now: Instant) -> usize {
+    pub fn crashes(&self, fingerprint: Fingerprint, now: Instant) -> usize {
         let Some(sightings) = self.sightings.get(&fingerprint) else {
             return 0;
         };
--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -34,6 +34,13 @@
     }
 }
 
+impl fmt::Display for Fingerprint {
+    /// The first half of the hash, which is enough to compare log lines.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0 >> 64)
+    }
+}
+
 /// A crash as one router observed it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sighting {
--- a/crates/router/src/backends/crashes.rs
+++ b/crates/router/src/backends/crashes.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use poplar_base::log;
 use poplar_core::id::{Incarnation, Name};
 use poplar_core::poison::{CrashHistory, Fingerprint, Reason, Sighting};
 use poplar_peer::generated::Sighting as SightingWire;
@@ -34,15 +35,34 @@
     /// Records that the connection to `server` was lost during this request.
     pub fn record_lost_connection(&self, fingerprint: Fingerprint, server: &Name, now: Instant) {
         lock(&self.history).record_lost_connection(fingerprint, server, now);
+        log::info("crash suspected")
+            .with("content", fingerprint)
+            .with("server", server)
+            .write();
     }
 
     /// Records that a server refuses connections.
     ///
     /// Returns true if that produced new sightings, which peers should learn.
     pub fn record_dead_server(&self, server: &str, now: Instant) -> bool {
-        !lock(&self.history)
-            .record_dead_server(server, now)
-            .is_empty()
+        let (sightings, crashes) = {
+            let mut history = lock(&self.history);
+            let sightings = history.record_dead_server(server, now);
+            let count = |s: &Sighting| history.crashes(s.fingerprint, now);
+            let crashes: Vec<usize> = sightings.iter().map(count).collect();
+            (sightings, crashes)
+        };
+        for (sighting, crashes) in sightings.iter().zip(crashes) {
+            log::warn("crash recorded")
+                .with("content", sighting.fingerprint)
+                .with("server", &sighting.server)
+                .with("crashes", crashes)
+                .with("source", "own")
+                .with("after_ms", now.duration_since(sighting.at).as_millis())
+                .write();
+            metrics::counter!("poplar_crash_sightings_total", "source" => "own").increment(1);
+        }
+        !sightings.is_empty()
     }
 
     /// The reason to refuse a request; `None` if it may be sent.
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -192,12 +192,13 @@
     pub async fn send(&mut self) -> Result<ServerResponse, Refusal> {
         loop {
             let now = Instant::now();
-            if self
-                .relay
-                .crashes
-                .refusal_reason(self.fingerprint, now)
-                .is_some()
-            {
+            if let Some(why) = self.relay.crashes.refusal_reason(self.fingerprint, now) {
+                log::info("crashing request refused")
+                    .request(&self.request.head.attempt_id)
+                    .with("content", self.fingerprint)
+                    .with("crashes", why.crashes)
+                    .with("last_ms", why.ago.as_millis())
+                    .write();
                 return Err(self.give_up(Failure::Lost, "crashes servers", now));
             }
             let Some(in_flight) = self.choose(now) else {
@@ -365,8 +366,10 @@
         self.runs += u32::from(!not_run);
         log::info("attempt failed")
             .request(&self.request.head.attempt_id)
+            .with("content", self.fingerprint)
             .with("server", server)
             .reason(failure)
+            .with("output", self.output)
             .with("sends", self.sends)
             .with("runs", self.runs)
             .with("left_ms", self.time_left(now).as_millis())
