Add failing tests of requests that crash servers

A request that had ended three servers was sent on by routers that had not seen the crashes.

The soak's router process and caller move to the stand-ins, where these tests use them too.

--- a/crates/router/tests/relay/site/backend.rs
+++ b/crates/router/tests/relay/site/backend.rs
@@ -118,7 +118,7 @@
 
 /// A body with the events after `after` up to `to`. If `broken`, it breaks off
 /// in the middle of the next event, after the data before that has been sent.
-fn event_body(after: u64, to: u64, broken: bool) -> Body {
+pub(super) fn event_body(after: u64, to: u64, broken: bool) -> Body {
     let frames = stream::unfold(after + 1, move |n| async move {
         if n <= to {
             let event = Bytes::from(format!("id: {n}\ndata: e{n}\n\n"));
--- /dev/null
+++ b/crates/router/tests/relay/site/crashing.rs
@@ -0,0 +1,187 @@
+//! A stand-in for a backend server that ends when it runs certain requests, and
+//! starts again soon after at the same address, under the same id and with a
+//! new start time.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http::{Request, Response};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use super::backend::{EVENTS, event_body};
+use super::caller::is_stream;
+use super::store::Store;
+use super::{Body, full_body};
+
+/// Marks the path of a request that ends the servers that run it.
+pub(crate) const CRASH_MARK: &str = "crash";
+/// How long an ordinary request runs.
+const RUN_TIME: Duration = Duration::from_millis(120);
+/// How long a request runs until its server ends.
+const CRASH_AFTER: Duration = Duration::from_millis(40);
+
+/// How routers see the end of the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CrashKind {
+    /// Its connections are closed before the response.
+    Reset,
+    /// Its connections stay open, and nothing more comes.
+    Silence,
+    /// Its connections are closed after two events of the stream.
+    MidStream,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub(crate) struct CrashingServer {
+    id: String,
+    service: &'static str,
+    address: SocketAddr,
+    store: Arc<Store>,
+    kind: CrashKind,
+    /// Time from its end to its next start.
+    down_time: Duration,
+    /// Cancelled at the end of the current process.
+    process: Mutex<CancellationToken>,
+    started_ms: AtomicU64,
+    crashes: AtomicUsize,
+    /// Paths of the requests that it ran.
+    runs: Mutex<Vec<String>>,
+}
+
+impl CrashingServer {
+    /// Starts a server and registers it.
+    pub(crate) async fn open(
+        id: &str,
+        service: &'static str,
+        store: &Arc<Store>,
+        kind: CrashKind,
+        down_time: Duration,
+    ) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let server = Arc::new(Self {
+            id: id.to_owned(),
+            service,
+            address: listener.local_addr().expect("an address"),
+            store: store.clone(),
+            kind,
+            down_time,
+            process: Mutex::default(),
+            started_ms: AtomicU64::new(1_000),
+            crashes: AtomicUsize::new(0),
+            runs: Mutex::default(),
+        });
+        server.clone().start(listener);
+        server
+    }
+
+    /// How often it ended.
+    pub(crate) fn crashes(&self) -> usize {
+        self.crashes.load(Ordering::Acquire)
+    }
+
+    /// How often it ran requests with this path.
+    pub(crate) fn runs(&self, path: &str) -> usize {
+        let runs = self.runs.lock().expect("no panic");
+        runs.iter().filter(|run| *run == path).count()
+    }
+
+    fn start(self: Arc<Self>, listener: TcpListener) {
+        let process = CancellationToken::new();
+        *self.process.lock().expect("no panic") = process.clone();
+        let started_ms = self.started_ms.fetch_add(1, Ordering::AcqRel);
+        self.store
+            .register_started(&self.id, self.service, self.address, started_ms);
+        tokio::spawn(async move {
+            while let Some(Ok((stream, _))) = process.run_until_cancelled(listener.accept()).await {
+                tokio::spawn(self.clone().serve(stream, process.clone()));
+            }
+        });
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream, process: CancellationToken) {
+        let server = self.clone();
+        let ended = process.clone();
+        let service = service_fn(move |request| {
+            let answer = server.clone().answer(request, ended.clone());
+            async { answer.await.ok_or(std::io::Error::other("cut")) }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        if self.kind == CrashKind::Silence {
+            let _ = connection.await;
+        } else {
+            let _ = process.run_until_cancelled(connection).await;
+        }
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        process: CancellationToken,
+    ) -> Option<Response<Body>> {
+        let (head, body) = request.into_parts();
+        body.collect().await.ok()?;
+        let path = head.uri.path().to_owned();
+        self.runs.lock().expect("no panic").push(path.clone());
+        let crashes = path.contains(CRASH_MARK);
+        if crashes {
+            tokio::spawn(self.clone().crash(process.clone()));
+        }
+        let body = if crashes && self.kind == CrashKind::MidStream {
+            unfinished_stream()
+        } else if crashes {
+            std::future::pending().await
+        } else {
+            tokio::time::sleep(RUN_TIME).await;
+            if process.is_cancelled() {
+                std::future::pending::<()>().await;
+            }
+            if is_stream(&path) {
+                event_body(0, EVENTS, false)
+            } else {
+                full_body("an answer")
+            }
+        };
+        let mut response = Response::new(body);
+        let id = head.headers.get("x-poplarreel-attempt-id")?.clone();
+        let headers = response.headers_mut();
+        headers.insert("x-poplarreel-attempt-id", id);
+        headers.insert("x-poplarreel-response-seal", "a-seal".parse().ok()?);
+        Some(response)
+    }
+
+    /// Ends the process, and starts the next one after the down time.
+    async fn crash(self: Arc<Self>, process: CancellationToken) {
+        tokio::time::sleep(CRASH_AFTER).await;
+        if process.is_cancelled() {
+            return;
+        }
+        self.crashes.fetch_add(1, Ordering::AcqRel);
+        process.cancel();
+        tokio::time::sleep(self.down_time).await;
+        let listener = TcpListener::bind(self.address).await;
+        self.start(listener.expect("the port is free again"));
+    }
+}
+
+/// A stream of which only the first events come.
+fn unfinished_stream() -> Body {
+    let frames = stream::unfold(1, |n| async move {
+        if n > 2 {
+            std::future::pending::<()>().await;
+        }
+        let event = Bytes::from(format!("id: {n}\ndata: e{n}\n\n"));
+        Some((Ok(Frame::data(event)), n + 1))
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -2,7 +2,10 @@
 //! store and backend servers; and a relay that runs between them.
 
 pub(crate) mod backend;
+pub(crate) mod caller;
+pub(crate) mod crashing;
 pub(crate) mod link;
+pub(crate) mod process;
 pub(crate) mod store;
 
 use std::convert::Infallible;
--- a/crates/router/tests/relay/soak/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -1,12 +1,16 @@
 //! A router as a process of its own, at a loopback address of its own.
 
 use std::fs::{self, File};
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// Time within which a change must be in force.
+pub(crate) const APPLY_TIME: Duration = Duration::from_millis(1500);
+/// Retries beyond the ratio that all routers together may make.
+const RETRY_SLACK: u32 = 56;
 /// Ports of all routers; each has its own address.
 const CALLERS_PORT: u16 = 7400;
 const READINESS_PORT: u16 = 7401;
@@ -48,6 +52,15 @@
     }
 }
 
+/// A loopback address that no other test uses; `run` tells the tests of this
+/// process apart.
+pub(crate) fn address(run: u64, router: usize) -> IpAddr {
+    let process = std::process::id();
+    let second = 1 + (process % 200) as u8;
+    let third = 1 + ((u64::from(process) / 200 + run) % 250) as u8;
+    Ipv4Addr::new(127, second, third, 1 + router as u8).into()
+}
+
 /// A router, of which one process runs at a time.
 #[derive(Debug)]
 pub(crate) struct Router {
@@ -70,20 +83,30 @@
             child: None,
             lives: Lives::default(),
         };
-        router.write_settings(56);
+        router.write_settings(RETRY_SLACK, INTERNAL_PORTS);
         router
     }
 
-    /// Writes the settings file.
-    pub(crate) fn write_settings(&self, retry_slack: u32) {
+    /// Changes the limit of retries in the settings file.
+    pub(crate) fn change_settings(&self, retry_slack: u32) {
+        self.write_settings(retry_slack, INTERNAL_PORTS);
+    }
+
+    /// Gives the router a port for datagrams that the others don't send to, so
+    /// that it neither gets theirs nor reaches them.
+    pub(crate) fn isolate_datagrams(&self, port: u16) {
+        self.write_settings(RETRY_SLACK, &format!("{port},{port}"));
+    }
+
+    fn write_settings(&self, retry_slack: u32, internal_ports: &str) {
         let Self { ip, store, .. } = self;
         let text = format!(
             "node_name=front-{ip}\nip={ip}\nzone=a\nlisten.front={ip}:{CALLERS_PORT}\n\
-             listen.ready={ip}:{READINESS_PORT}\ninternal_ports={INTERNAL_PORTS}\n\
+             listen.ready={ip}:{READINESS_PORT}\ninternal_ports={internal_ports}\n\
              platform.address={store}\nbounds.config_apply_ms={}\nbounds.grace_s=8\n\
              bounds.retry_ratio=0.2\nbounds.retry_slack={retry_slack}\n\
              bounds.retry_window_s=10\n",
-            super::APPLY_TIME.as_millis()
+            APPLY_TIME.as_millis()
         );
         fs::write(&self.settings, text).expect("the settings are written");
     }
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -156,8 +156,19 @@
 
     /// Registers a backend server.
     pub(crate) fn register(&self, id: &str, service: &str, address: SocketAddr) {
-        let entry = json!({"service": service, "address": address.to_string(), "zone": "a",
-                           "version": "v1", "slots": 8, "state": "ready", "sequence": 1});
+        self.set("servers", "", id, &entry(service, address).to_string());
+    }
+
+    /// Registers a backend server with the time of its start.
+    pub(crate) fn register_started(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        started_ms: u64,
+    ) {
+        let mut entry = entry(service, address);
+        entry["born"] = json!(started_ms);
         self.set("servers", "", id, &entry.to_string());
     }
 
@@ -299,6 +310,11 @@
         for put in wire["put"].as_array()? {
             tables.put(key(put), text(put, "value"));
         }
+        for removed in wire["remove"].as_array()? {
+            let key = key(removed);
+            tables.rows.remove(&key);
+            tables.history.push((version, key, None));
+        }
         if outcome == CommitOutcome::LoseAnswer {
             return None;
         }
@@ -309,6 +325,11 @@
     }
 }
 
+fn entry(service: &str, address: SocketAddr) -> Value {
+    json!({"service": service, "address": address.to_string(), "zone": "a", "version": "v1",
+           "slots": 8, "state": "ready", "sequence": 1})
+}
+
 fn row_json((table, part, key): &Key, (version, value): &(u64, String)) -> Value {
     json!({"table": table, "part": part, "key": key, "value": value, "ver": version})
 }
--- a/crates/router/tests/relay/soak/callers.rs
+++ b/crates/router/tests/relay/soak/callers.rs
@@ -1,39 +1,19 @@
 //! Callers that keep using an open connection until its process is gone.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::Request;
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use tokio::net::TcpStream;
 
 use super::Soak;
-use crate::site::backend::EVENTS;
+use crate::site::caller::{Seen, ask, connect};
 
-/// Time after which a caller gives up on a request.
-const PATIENCE: Duration = Duration::from_secs(4);
 /// Longest pause between two requests of a caller.
 const MAX_PAUSE_MS: u64 = 30;
 /// Pause before the next connection.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(30);
 
-/// What a caller saw of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Seen {
-    /// A status, and whether the body is complete and the expected one.
-    Answer(u16, bool),
-    /// The connection ended without a complete answer.
-    Broken,
-    /// The caller gave up.
-    GaveUp,
-}
-
 /// A request that was sent.
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
@@ -59,17 +39,6 @@
     }
 }
 
-/// Connects to a router.
-async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-    let stream = tokio::time::timeout(PATIENCE, TcpStream::connect(address)).await;
-    let stream = stream.ok()?.ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(async move {
-        let _ = connection.await;
-    });
-    Some(sender)
-}
-
 /// Sends requests until the soak ends.
 pub(crate) async fn run(soak: Arc<Soak>, caller: u64) {
     let mut random = StdRng::seed_from_u64(soak.seed * 1000 + caller);
@@ -125,46 +94,3 @@
         soak.began,
     )
 }
-
-/// Sends one request.
-pub(crate) async fn ask(sender: &mut SendRequest<Full<Bytes>>, path: &str, id: &str) -> Seen {
-    let mut request = Request::post(path)
-        .header("host", "site.example")
-        .header("api-key", "key-1")
-        .header("x-poplarreel-attempt-id", id)
-        .header("x-poplarreel-deadline-ms", "2000");
-    if is_stream(path) {
-        request = request.header("x-poplarreel-token-counts", "1000,20");
-    }
-    let request = request.body(Full::from("a body")).expect("a request");
-    let answer = async {
-        let (head, body) = sender.send_request(request).await.ok()?.into_parts();
-        let body = body.collect().await.ok()?.to_bytes();
-        Some((head.status.as_u16(), body))
-    };
-    match tokio::time::timeout(PATIENCE, answer).await {
-        Ok(Some((status, body))) => {
-            Seen::Answer(status, status != 200 || body == expected_body(path))
-        }
-        Ok(None) => Seen::Broken,
-        Err(_) => Seen::GaveUp,
-    }
-}
-
-/// Sends one request on a connection of its own.
-pub(crate) async fn ask_once(address: SocketAddr, path: &str, id: &str) -> Option<Seen> {
-    Some(ask(&mut connect(address).await?, path, id).await)
-}
-
-/// Whether a path's route answers with a stream, which consumes tokens.
-pub(crate) fn is_stream(path: &str) -> bool {
-    path.starts_with("/stream/") || path.starts_with("/resume/")
-}
-
-fn expected_body(path: &str) -> String {
-    if is_stream(path) {
-        let events = (1..=EVENTS).map(|n| format!("id: {n}\ndata: e{n}\n\n"));
-        return events.collect();
-    }
-    "an answer".to_owned()
-}
--- a/crates/router/tests/relay/soak/faults.rs
+++ b/crates/router/tests/relay/soak/faults.rs
@@ -51,7 +51,7 @@
                 process.signal("CONT");
             }
             _ => {
-                process.write_settings(random.random_range(20..100));
+                process.change_settings(random.random_range(20..100));
                 for _ in 0..random.random_range(1..4) {
                     process.signal("HUP");
                 }
--- a/crates/router/tests/relay/soak/mod.rs
+++ b/crates/router/tests/relay/soak/mod.rs
@@ -7,9 +7,8 @@
 
 mod callers;
 mod faults;
-mod process;
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex as StdMutex};
@@ -18,13 +17,12 @@
 use tokio::sync::Mutex;
 
 use crate::site::backend::{Backend, Behaviour};
+use crate::site::caller::{self, Seen};
 use crate::site::configured_store;
+use crate::site::process::{APPLY_TIME, Life, Lives, Router, address};
 use crate::site::store::Store;
-use callers::{Attempt, Record, Seen};
-use process::{Life, Lives, Router};
+use callers::{Attempt, Record};
 
-/// Time within which a change must be in force.
-const APPLY_TIME: Duration = Duration::from_millis(1500);
 const PREPAID: u64 = 600_000;
 /// Tokens of a stream's prompt, which a run consumes in any case.
 const PROMPT_TOKENS: u64 = 1000;
@@ -71,14 +69,6 @@
     }
 }
 
-/// A loopback address that no other test uses.
-fn address(seed: u64, router: usize) -> IpAddr {
-    let process = std::process::id();
-    let second = 1 + (process % 200) as u8;
-    let third = 1 + ((u64::from(process) / 200 + seed) % 250) as u8;
-    Ipv4Addr::new(127, second, third, 1 + router as u8).into()
-}
-
 /// Runs a soak and returns what was wrong in it.
 async fn run(seed: u64, routers: usize, folder: &Path) -> Vec<String> {
     let store = configured_store(PREPAID);
@@ -132,7 +122,7 @@
     let attempts = soak.record.attempts();
     let mut wrong = Vec::new();
     wrong.extend(attempts.iter().filter_map(|a| check(a, runs, soak)));
-    let streams = attempts.iter().filter(|a| callers::is_stream(&a.path));
+    let streams = attempts.iter().filter(|a| caller::is_stream(&a.path));
     let streams: usize = streams.map(|a| runs.count(&a.id)).sum();
     if streams as u64 * PROMPT_TOKENS > PREPAID {
         wrong.push(format!(
@@ -174,7 +164,7 @@
     let began = Instant::now();
     for (router, address) in soak.addresses.iter().enumerate() {
         loop {
-            let seen = callers::ask_once(*address, &path, "recovery").await;
+            let seen = caller::ask_once(*address, &path, "recovery").await;
             if seen == Some(Seen::Answer(200, true)) {
                 break;
             }
