Refuse a request for crashes only if they are its own

A request that is on most servers at any time was refused for 15 minutes because another one crashed servers.

Cause: every request on a server that crashes is a suspect, and two crashes were enough. Nothing took a suspicion back, neither a complete answer nor another request that explains the crashes; one crash counted twice if two routers noticed it more than five seconds apart; and a crash with many requests on it displaced the history of all others.

Change: a request is refused after three crashes, or after two if it is the only one at both and no other server crashed meanwhile. An answer clears what was seen before it. Where the server's process is known, it identifies the crash.

--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -2,10 +2,16 @@
 //!
 //! A request is identified by its content, since its caller may send it again
 //! with another id and to another router. A crash counts when a connection is
-//! lost with the request on it and the server is found dead soon after; a
-//! network fault alone does not count. After the second crash every router
-//! refuses the request. Routers exchange their sightings of crashes, and a
-//! sighting that is received again does not count again.
+//! lost, or goes silent, with the request on it and the server is found dead
+//! soon after; a network fault alone does not count. Routers exchange their
+//! sightings of crashes, and a sighting that is received again does not count
+//! again. A complete answer shows that the request does not crash every server,
+//! so the sightings before it no longer count.
+//!
+//! Requests that merely ran beside the one that crashed the server have a
+//! sighting, too. The more crashes a request was seen at, the less likely that
+//! is: after [`CRASH_LIMIT`] it is refused, and after [`CULPRIT_LIMIT`] if
+//! nothing else explains the crashes.
 
 mod history;
 
@@ -16,8 +22,12 @@
 
 use crate::id::{Incarnation, Name};
 
-/// Number of crashes from which on a request is refused.
-pub const CRASH_LIMIT: usize = 2;
+/// Number of crashes from which on a request is refused in any case.
+pub const CRASH_LIMIT: usize = 3;
+
+/// Number of crashes from which on a request is refused if it was the only one
+/// at all of them and no other server crashed meanwhile.
+pub const CULPRIT_LIMIT: usize = 2;
 
 /// Identity of a request's content: a hash of its model and messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -41,6 +51,22 @@
     }
 }
 
+/// What tells a crash of a server apart from its other crashes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CrashId {
+    /// The server's process, by its start time in Unix milliseconds. It ends
+    /// only once, whenever and by whomever that is seen.
+    Process(u64),
+    /// A router's report of a server whose process is not known. Reports of one
+    /// server at about the same time are of the same crash.
+    Report {
+        /// The router that observed the crash.
+        reporter: Incarnation,
+        /// Sequence number among that router's sightings.
+        number: u64,
+    },
+}
+
 /// A crash as one router observed it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sighting {
@@ -48,14 +74,26 @@
     pub fingerprint: Fingerprint,
     /// The server that was found dead.
     pub server: Name,
-    /// The router that observed the crash.
-    pub reporter: Incarnation,
-    /// Sequence number among that router's sightings.
-    pub number: u64,
+    /// Which of the server's crashes it is.
+    pub id: CrashId,
     /// When the connection was lost.
     pub at: Instant,
 }
 
+/// What routers tell each other about requests and crashes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Report {
+    /// A request was on a server that crashed.
+    Crash(Sighting),
+    /// A request that was on crashed servers was answered.
+    Answer {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// When the answer was complete.
+        at: Instant,
+    },
+}
+
 /// Why a request is refused.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reason {
--- a/crates/router/src/backends/crashes.rs
+++ b/crates/router/src/backends/crashes.rs
@@ -8,9 +8,8 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use poplar_base::log;
 use poplar_core::id::{Incarnation, Name};
-use poplar_core::poison::{CrashHistory, Fingerprint, Reason, Sighting};
+use poplar_core::poison::{CrashHistory, CrashId, Fingerprint, Reason, Sighting};
 use poplar_peer::generated::Sighting as SightingWire;
 
 use crate::sync::lock;
@@ -34,35 +33,16 @@
 
     /// Records that the connection to `server` was lost during this request.
     pub fn record_lost_connection(&self, fingerprint: Fingerprint, server: &Name, now: Instant) {
-        lock(&self.history).record_lost_connection(fingerprint, server, now);
-        log::info("crash suspected")
-            .with("content", fingerprint)
-            .with("server", server)
-            .write();
+        lock(&self.history).record_lost_connection(fingerprint, server, None, now);
     }
 
     /// Records that a server refuses connections.
     ///
     /// Returns true if that produced new sightings, which peers should learn.
     pub fn record_dead_server(&self, server: &str, now: Instant) -> bool {
-        let (sightings, crashes) = {
-            let mut history = lock(&self.history);
-            let sightings = history.record_dead_server(server, now);
-            let count = |s: &Sighting| history.crashes(s.fingerprint, now);
-            let crashes: Vec<usize> = sightings.iter().map(count).collect();
-            (sightings, crashes)
-        };
-        for (sighting, crashes) in sightings.iter().zip(crashes) {
-            log::warn("crash recorded")
-                .with("content", sighting.fingerprint)
-                .with("server", &sighting.server)
-                .with("crashes", crashes)
-                .with("source", "own")
-                .with("after_ms", now.duration_since(sighting.at).as_millis())
-                .write();
-            metrics::counter!("poplar_crash_sightings_total", "source" => "own").increment(1);
-        }
-        !sightings.is_empty()
+        !lock(&self.history)
+            .record_dead_server(server, None, now)
+            .is_empty()
     }
 
     /// The reason to refuse a request; `None` if it may be sent.
@@ -74,7 +54,7 @@
     pub fn export_sightings(&self, now: Instant) -> Vec<SightingWire> {
         let history = lock(&self.history);
         let sightings = history.sightings().take(MAX_SIGHTINGS_SENT);
-        sightings.map(|s| encode(s, now)).collect()
+        sightings.filter_map(|s| encode(s, now)).collect()
     }
 
     /// Merges the sightings received from a peer.
@@ -93,15 +73,19 @@
     }
 }
 
-fn encode(sighting: &Sighting, now: Instant) -> SightingWire {
+/// Encodes a sighting; `None` if it was not reported by a router of this API.
+fn encode(sighting: &Sighting, now: Instant) -> Option<SightingWire> {
+    let CrashId::Report { reporter, number } = &sighting.id else {
+        return None;
+    };
     let age = now.saturating_duration_since(sighting.at);
-    SightingWire {
+    Some(SightingWire {
         print: sighting.fingerprint.0.to_be_bytes().to_vec(),
         server: sighting.server.to_string(),
-        witness: sighting.reporter.to_string(),
-        number: sighting.number,
+        witness: reporter.to_string(),
+        number: *number,
         age: age.as_millis() as u64,
-    }
+    })
 }
 
 /// Decodes a sighting; `None` if its fingerprint has the wrong length.
@@ -111,8 +95,10 @@
     Some(Sighting {
         fingerprint: Fingerprint(u128::from_be_bytes(print)),
         server: wire.server.as_str().into(),
-        reporter: Incarnation(wire.witness.as_str().into()),
-        number: wire.number,
+        id: CrashId::Report {
+            reporter: Incarnation(wire.witness.as_str().into()),
+            number: wire.number,
+        },
         at: now.checked_sub(age).unwrap_or(now),
     })
 }
