Look whether a server that lost a request is dead

Seen: losses that count against no request.

Cause: a crash was confirmed only by another request to the same server that came within five seconds and was refused. Requests avoid servers that failed, so that this was left to chance. A restart under the same id, of which the list of servers tells, was not used.

A refused connection confirms the crash; so do a new process under the server's id, another server at its address, and an answer that says so. A server that is no longer listed is dead if it doesn't answer, while one that is listed may only be cut off. An answer clears what was seen before it.

Tests: the tests of crashing requests over several routers; they still fail, since routers don't tell each other what they see.

--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use poplar_base::log;
 use poplar_core::affinity::Query;
-use poplar_core::deployment::{Route, Workspace};
+use poplar_core::deployment::{Route, Server, Workspace};
 use poplar_core::id::Name;
 use poplar_core::poison::Fingerprint;
 use poplar_core::retry::{Failure, Refusal as ServerRefusal};
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 
 use crate::relay::budgets::Reservation;
+use crate::relay::crashes::Evidence;
 use crate::relay::refusal::Refusal;
 use crate::relay::servers::InFlight;
 use crate::relay::state::{OpenRequest, Relay};
@@ -248,9 +249,11 @@
             Ok(connected) => connected,
             Err(why) => {
                 if why == ConnectError::Refused {
-                    self.relay
-                        .crashes
-                        .record_dead_server(&in_flight.server.id, now);
+                    self.relay.crashes.record_dead_server(
+                        &in_flight.server,
+                        Evidence::Refused,
+                        now,
+                    );
                 }
                 for _ in 0..CONNECT_FAILURE_WEIGHT {
                     in_flight.record_outcome(false, now);
@@ -288,17 +291,28 @@
                     r.used = used_before.unwrap_or(0);
                 }
                 if failure == Failure::Lost {
-                    self.relay.crashes.record_lost_connection(
-                        self.fingerprint,
-                        &in_flight.server.id,
-                        now,
-                    );
+                    self.suspect(&in_flight.server, failure, now);
                 }
                 Err(failure)
             }
         }
     }
 
+    /// Records that a server stopped answering while it had the request.
+    fn suspect(&self, server: &Server, failure: Failure, now: Instant) {
+        let listing = self.relay.servers.listing(server);
+        self.relay
+            .crashes
+            .suspect(self.fingerprint, server, listing, failure, now);
+    }
+
+    /// Records that a server answered the request completely.
+    pub fn record_answer(&self) {
+        self.relay
+            .crashes
+            .record_answer(self.fingerprint, Instant::now());
+    }
+
     /// Checks that a response belongs to this request and is valid, and records
     /// the load that it reports.
     fn check(
@@ -312,6 +326,9 @@
             in_flight.record_load(load);
         }
         if head.status == StatusCode::MISDIRECTED_REQUEST {
+            let now = Instant::now();
+            let crashes = &self.relay.crashes;
+            crashes.record_dead_server(&in_flight.server, Evidence::Replaced, now);
             return Err(Failure::Refused(ServerRefusal::Leaving));
         }
         if response.not_run {
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -264,6 +264,7 @@
         let id = response.in_flight.server.id.clone();
         let failure = match exchange.read_body(response.body).await {
             Ok(bytes) => {
+                exchange.record_answer();
                 let failed = response.head.status.is_server_error();
                 response.in_flight.record_outcome(!failed, Instant::now());
                 if !failed || !exchange.request.route.kind.is_repeatable() {
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -79,6 +79,7 @@
         metrics::gauge!("poplar_requests_open").set(relay.open_requests() as f64);
         metrics::gauge!("poplar_requests_at_servers")
             .set(f64::from(relay.servers.in_flight_count()));
+        metrics::gauge!("poplar_crash_requests").set(relay.crashes.suspected_requests() as f64);
         metrics::gauge!("poplar_routers").set(f64::from(relay.budgets.live_routers()));
         let version = relay
             .deployment()
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -3,12 +3,14 @@
 //! operator's routes name.
 //!
 //! [`handler`] matches a request with its route and reserves its tokens in the
-//! workspace's [`budgets`]. [`exchange`] chooses a server among [`servers`],
+//! workspace's [`budgets`]. Requests that crash servers are refused, [`crashes`].
+//! [`exchange`] chooses a server among [`servers`],
 //! sends the request and retries it where the route allows that. Responses of
 //! engines are forwarded event by event in [`stream`]. The formats of the
 //! platform are decoded by `poplar_platform`.
 
 pub mod budgets;
+pub mod crashes;
 pub mod exchange;
 pub mod gossip;
 pub mod handler;
--- a/crates/router/src/relay/servers.rs
+++ b/crates/router/src/relay/servers.rs
@@ -43,6 +43,19 @@
     started_ms: u64,
 }
 
+/// What the list of servers shows of a server's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    /// It is registered.
+    Listed,
+    /// Another process is registered under the server's id.
+    Restarted,
+    /// Another server is registered at its address.
+    Replaced,
+    /// It is not registered.
+    Unlisted,
+}
+
 #[derive(Debug, Default)]
 struct State {
     list: ServerList,
@@ -60,6 +73,22 @@
 }
 
 impl State {
+    fn listing(&self, server: &Server) -> Listing {
+        let mut all = self.list.all();
+        if let Some(found) = all.find(|s| s.id == server.id) {
+            return if found.started_ms == server.started_ms {
+                Listing::Listed
+            } else {
+                Listing::Restarted
+            };
+        }
+        if self.list.all().any(|s| s.address == server.address) {
+            Listing::Replaced
+        } else {
+            Listing::Unlisted
+        }
+    }
+
     fn record_holder(&mut self, prompt_id: u64, server: Name) {
         if self.holders.len() >= MAX_HOLDERS && !self.holders.contains(&prompt_id) {
             self.holders = SortedVec::new();
@@ -125,8 +154,20 @@
         lock(&self.state).list.record_failed_read();
     }
 
+    /// What the list shows of a server's process.
+    pub fn listing(&self, server: &Server) -> Listing {
+        lock(&self.state).listing(server)
+    }
+
     /// Replaces the list of servers by a newly read one, unless it is older.
-    pub fn update(&self, servers: Vec<Server>, version: u64, now: Instant) {
+    ///
+    /// Returns the processes that are no longer listed.
+    pub fn update(
+        &self,
+        servers: Vec<Server>,
+        version: u64,
+        now: Instant,
+    ) -> Vec<(Server, Listing)> {
         let mut state = lock(&self.state);
         let State {
             list,
@@ -136,7 +177,7 @@
         } = &mut *state;
         let previous: Vec<Server> = list.all().cloned().collect();
         if !list.update(servers, version, now) {
-            return;
+            return Vec::new();
         }
         let mut services: SortedVec<Name, Vec<Name>> = SortedVec::new();
         for server in list.all() {
@@ -158,7 +199,7 @@
                     .write();
             }
         }
-        for server in previous {
+        for server in &previous {
             if !list.all().any(|s| s.id == server.id) {
                 log::info("server no longer listed")
                     .with("server", &server.id)
@@ -170,6 +211,11 @@
             let tracker = health.get_or_insert_with(service.clone(), HealthTracker::new);
             tracker.set_servers(names.iter().cloned());
         }
+        let with_listing = |server: Server| {
+            let listing = state.listing(&server);
+            (listing != Listing::Listed).then_some((server, listing))
+        };
+        previous.into_iter().filter_map(with_listing).collect()
     }
 
     /// Chooses a server of `service` and counts a request with `prefill_tokens`
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -12,8 +12,8 @@
 use poplar_platform::store::Store;
 use tokio::sync::Notify;
 
-use crate::backends::crashes::Crashes;
 use crate::relay::budgets::Budgets;
+use crate::relay::crashes::Crashes;
 use crate::relay::servers::Servers;
 use crate::sync::lock;
 
@@ -28,8 +28,8 @@
     pub servers: Arc<Servers>,
     /// Prepaid budgets of the workspaces.
     pub budgets: Arc<Budgets>,
-    /// Crashes of backend servers and the requests that caused them.
-    pub crashes: Crashes,
+    /// Requests that were on servers when these crashed.
+    pub crashes: Arc<Crashes>,
     deployment: RwLock<Option<Arc<Deployment>>>,
     /// When the copy of the configuration was last current.
     pub configuration_read: LastRead,
@@ -79,7 +79,7 @@
         Arc::new(Self {
             servers: Servers::new(settings.centre.clone()),
             budgets: Budgets::new(store.clone(), settings.ip, incarnation),
-            crashes: Crashes::open(&Incarnation::new(&settings.name, incarnation)),
+            crashes: Crashes::open(Incarnation::new(&settings.name, incarnation)),
             deployment: RwLock::default(),
             configuration_read: LastRead::default(),
             server_list_read: LastRead::default(),
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -90,6 +90,7 @@
             match exchange.read_body(body).await {
                 Ok(bytes) => {
                     exchange.outcome = "fault";
+                    exchange.record_answer();
                     return Ok(handler::forward_response(head, bytes));
                 }
                 Err(failure) => exchange.record_failure(failure, &id)?,
@@ -171,6 +172,7 @@
                     self.ended = true;
                     self.engine.in_flight.record_outcome(true, Instant::now());
                     self.exchange.outcome = "whole";
+                    self.exchange.record_answer();
                     return Ok(None);
                 }
                 Err(failure) => failure,
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -87,7 +87,10 @@
             }
             logged = invalid;
             let version = watch.mirror.version();
-            relay.servers.update(listed, version, Instant::now());
+            let now = Instant::now();
+            for (server, listing) in relay.servers.update(listed, version, now) {
+                relay.crashes.check_listing(&server, listing, now);
+            }
             relay.server_list_read.record(requested);
         } else {
             relay.servers.record_failed_read();
