Count crashes that are seen as silence or in the middle of a stream

Cause: only a connection that was lost before the head of the response made the request a suspect. A stream that broke off later, a server that went silent, and a client that left because of that did not.

Change: each failure by a lost connection or a time-out does, wherever in the response it comes, and so does a client that leaves a server that has been silent for a second. They count only if the server is found dead.

--- a/crates/router/src/relay/crashes/verify.rs
+++ b/crates/router/src/relay/crashes/verify.rs
@@ -43,6 +43,10 @@
             started_ms: server.started_ms,
             listed,
         };
+        // A request that is dropped while the process ends is not verified.
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
         {
             let mut state = lock(&self.state);
             if state.verifying.contains(&verification) {
@@ -51,7 +55,7 @@
             state.verifying.push(verification.clone());
         }
         let (crashes, server) = (self.clone(), server.clone());
-        tokio::spawn(async move {
+        runtime.spawn(async move {
             if let Some(evidence) = find_evidence(server.address, listed).await {
                 crashes.record_dead_server(&server, evidence, Instant::now());
             }
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -42,6 +42,9 @@
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// When the client should retry if no server is listed or all refuse.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Silence of a server after which the client's leaving counts as a time-out:
+/// clients leave because nothing comes.
+const SUSPICIOUS_SILENCE: Duration = Duration::from_secs(1);
 /// Failures that a failed connection counts as for the health of the server.
 const CONNECT_FAILURE_WEIGHT: u32 = 3;
 
@@ -99,6 +102,8 @@
     tried: Vec<Name>,
     /// The server of the last send.
     last_server: Option<Name>,
+    /// The server that has the request, and when it last sent something.
+    awaited: Option<(Server, Instant)>,
     /// Sends so far.
     sends: u32,
     /// Sends that failed after the request may have run.
@@ -137,6 +142,7 @@
             reservation,
             tried: Vec::new(),
             last_server: None,
+            awaited: None,
             sends: 0,
             runs: 0,
             output: 0,
@@ -172,6 +178,9 @@
     pub fn record_event(&mut self, number: Option<u64>) {
         self.last_event = number.or(self.last_event);
         self.output += self.request.stride;
+        if let Some((_, heard)) = &mut self.awaited {
+            *heard = Instant::now();
+        }
         self.update_reservation();
     }
 
@@ -205,10 +214,10 @@
             let Some(in_flight) = self.choose(now) else {
                 return Err(self.give_up(Failure::Connect, "no server", now));
             };
-            let id = in_flight.server.id.clone();
+            let server = in_flight.server.clone();
             match self.attempt(in_flight).await {
                 Ok(response) => return Ok(response),
-                Err(failure) => self.record_failure(failure, &id)?,
+                Err(failure) => self.record_failure(failure, &server)?,
             }
         }
     }
@@ -273,6 +282,7 @@
             .ok_or(Failure::Connect)?;
         let used_before = self.reservation.as_ref().map(|r| r.used);
         self.update_reservation();
+        self.awaited = Some((in_flight.server.clone(), now));
         let sent = upstream::send(&mut sender, request, self.attempt_timeout(now)).await;
         let checked = sent.and_then(|received| self.check(received, &in_flight));
         let now = Instant::now();
@@ -290,9 +300,6 @@
                 {
                     r.used = used_before.unwrap_or(0);
                 }
-                if failure == Failure::Lost {
-                    self.suspect(&in_flight.server, failure, now);
-                }
                 Err(failure)
             }
         }
@@ -307,7 +314,8 @@
     }
 
     /// Records that a server answered the request completely.
-    pub fn record_answer(&self) {
+    pub fn record_answer(&mut self) {
+        self.awaited = None;
         self.relay
             .crashes
             .record_answer(self.fingerprint, Instant::now());
@@ -376,21 +384,25 @@
     ///
     /// # Errors
     /// [`Refusal`] for the client if the request may not be sent again.
-    pub fn record_failure(&mut self, failure: Failure, server: &Name) -> Result<(), Refusal> {
+    pub fn record_failure(&mut self, failure: Failure, server: &Server) -> Result<(), Refusal> {
         let now = Instant::now();
-        self.tried.push(server.clone());
+        self.awaited = None;
+        self.tried.push(server.id.clone());
         let not_run = failure.not_run();
         self.runs += u32::from(!not_run);
         log::info("attempt failed")
             .request(&self.request.head.attempt_id)
             .with("content", self.fingerprint)
-            .with("server", server)
+            .with("server", &server.id)
             .reason(failure)
             .with("output", self.output)
             .with("sends", self.sends)
             .with("runs", self.runs)
             .with("left_ms", self.time_left(now).as_millis())
             .write();
+        if matches!(failure, Failure::Lost | Failure::Timeout) {
+            self.suspect(server, failure, now);
+        }
         let attempts = self.request.route.max_attempts;
         let may_retry =
             not_run || (self.request.route.kind.is_repeatable() && self.runs < attempts);
@@ -438,6 +450,12 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
+        let now = Instant::now();
+        if let Some((server, heard)) = self.awaited.take()
+            && now > heard + SUSPICIOUS_SILENCE
+        {
+            self.suspect(&server, Failure::Timeout, now);
+        }
         let took = self.request.arrived.elapsed();
         let first = self.first_event.unwrap_or_else(Instant::now);
         let first = first.saturating_duration_since(self.request.arrived);
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -261,7 +261,7 @@
             Ok(response) => response,
             Err(refusal) => return fallback_response(&mut exchange).ok_or(refusal),
         };
-        let id = response.in_flight.server.id.clone();
+        let server = response.in_flight.server.clone();
         let failure = match exchange.read_body(response.body).await {
             Ok(bytes) => {
                 exchange.record_answer();
@@ -276,7 +276,7 @@
             }
             Err(failure) => failure,
         };
-        if let Err(refusal) = exchange.record_failure(failure, &id) {
+        if let Err(refusal) = exchange.record_failure(failure, &server) {
             return fallback_response(&mut exchange).ok_or(refusal);
         }
     }
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -85,7 +85,7 @@
             in_flight,
             connection,
         } = response;
-        let id = in_flight.server.id.clone();
+        let server = in_flight.server.clone();
         if !head.status.is_success() {
             match exchange.read_body(body).await {
                 Ok(bytes) => {
@@ -93,7 +93,7 @@
                     exchange.record_answer();
                     return Ok(handler::forward_response(head, bytes));
                 }
-                Err(failure) => exchange.record_failure(failure, &id)?,
+                Err(failure) => exchange.record_failure(failure, &server)?,
             }
             continue;
         }
@@ -122,7 +122,7 @@
             }
             Err(failure) => {
                 engine.in_flight.record_outcome(false, Instant::now());
-                exchange.record_failure(failure, &id)?;
+                exchange.record_failure(failure, &server)?;
             }
         }
     }
@@ -197,10 +197,10 @@
     async fn resume(&mut self, failure: Failure) -> io::Result<()> {
         let in_flight = &self.engine.in_flight;
         in_flight.record_outcome(false, Instant::now());
-        let id = in_flight.server.id.clone();
+        let server = in_flight.server.clone();
         let abort = |refusal: Refusal| io::Error::other(refusal.reason);
         let resumable = self.exchange.request.route.kind.is_repeatable();
-        let allowed = self.exchange.record_failure(failure, &id);
+        let allowed = self.exchange.record_failure(failure, &server);
         let allowed = allowed.and_then(|()| {
             let can_resume = resumable && self.exchange.last_event.is_some();
             let refusal = Refusal::new(http::StatusCode::BAD_GATEWAY, "not resumable");
