Tell all routers which requests were on servers that crashed

Cause: each router counted only the crashes that it saw itself. With 9 routers, a request could end two servers by way of each of them. Routers of the product's own API tell each other; those of the users' platform did not.

Change: a report says that a request was on a process of a server that crashed, or that it was answered. It goes to the other routers in three successive datagrams, and into a table of the store that all follow. It is a fact that may arrive late, twice and in any order, so that neither path needs an answer, and either is enough. The number of reports in memory, in a datagram and in the table is limited. A request that is known to crash servers is refused before its budget is reserved.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -18,7 +18,7 @@
 const SAME_CRASH_WITHIN: Duration = Duration::from_secs(5);
 
 /// Time after which a sighting is forgotten.
-pub(super) const EXPIRY: Duration = Duration::from_secs(15 * 60);
+pub const EXPIRY: Duration = Duration::from_secs(15 * 60);
 
 /// Most requests whose sightings are kept.
 const MAX_REQUESTS: usize = 1024;
--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -18,7 +18,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-pub use history::CrashHistory;
+pub use history::{CrashHistory, EXPIRY};
 
 use crate::id::{Incarnation, Name};
 
--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -3,9 +3,13 @@
 //! A request whose server stopped answering is a suspect until the server is
 //! found dead or some time has passed. [`verify`] looks whether it is dead, and
 //! the list of servers shows processes that have been replaced. What is found
-//! counts against the request on all routers.
+//! counts against the request on all routers: each report goes to the others in
+//! several datagrams, see [`gossip`](crate::relay::gossip), and into a [`table`]
+//! of the platform's store. Either of them is enough.
 
+pub mod table;
 mod verify;
+pub mod wire;
 
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
@@ -13,13 +17,22 @@
 use poplar_base::log;
 use poplar_core::deployment::Server;
 use poplar_core::id::Incarnation;
-use poplar_core::poison::{CrashHistory, Fingerprint, Reason, Sighting};
+use poplar_core::poison::{CULPRIT_LIMIT, CrashHistory, Fingerprint, Reason, Report, Sighting};
 use poplar_core::retry::Failure;
+use tokio::sync::Notify;
 
+use self::table::StoredRow;
 use self::verify::Verification;
 use crate::relay::servers::Listing;
 use crate::sync::lock;
 
+/// Datagrams to each router that a report goes into; one may be lost.
+const SENDS: u32 = 3;
+/// Most reports in one datagram, about 40 bytes each.
+const MAX_SENT_REPORTS: usize = 16;
+/// Most reports that wait to be sent, or to be written.
+const MAX_QUEUED: usize = 1024;
+
 /// How a server was found dead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
@@ -45,16 +58,60 @@
     }
 }
 
+/// Where a report came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// A datagram of another router.
+    Peer,
+    /// The table.
+    Table,
+}
+
+impl Source {
+    /// Its name in the log and in metrics.
+    fn text(self) -> &'static str {
+        match self {
+            Self::Peer => "peer",
+            Self::Table => "table",
+        }
+    }
+}
+
 /// The crashes that this router knows of.
 #[derive(Debug)]
 pub struct Crashes {
     state: Mutex<State>,
+    /// Notified when there is a new report of this router.
+    added: Notify,
 }
 
 #[derive(Debug)]
 struct State {
     history: CrashHistory,
     verifying: Vec<Verification>,
+    /// This router's reports that go into further datagrams, and into how many.
+    unsent: Vec<(Report, u32)>,
+    /// This router's reports that are not in the table yet.
+    unwritten: Vec<Report>,
+    /// The rows of the table, in the order of their keys.
+    rows: Vec<StoredRow>,
+    /// The store's clock in milliseconds when the table was last read, and when
+    /// that was.
+    clock: Option<(u64, Instant)>,
+}
+
+impl State {
+    /// Queues a report for the other routers. The oldest ones make room.
+    fn announce(&mut self, report: Report) {
+        if self.unsent.len() >= MAX_QUEUED {
+            self.unsent.remove(0);
+        }
+        self.unsent.push((report.clone(), SENDS));
+        if self.unwritten.len() >= MAX_QUEUED {
+            self.unwritten.remove(0);
+        }
+        self.unwritten.push(report);
+    }
 }
 
 impl Crashes {
@@ -64,7 +121,12 @@
             state: Mutex::new(State {
                 history: CrashHistory::new(own),
                 verifying: Vec::new(),
+                unsent: Vec::new(),
+                unwritten: Vec::new(),
+                rows: Vec::new(),
+                clock: None,
             }),
+            added: Notify::new(),
         })
     }
 
@@ -124,13 +186,20 @@
         let sightings = state.history.record_dead_server(&server.id, process, now);
         let count = |s: &Sighting| state.history.crashes(s.fingerprint, now);
         let crashes: Vec<usize> = sightings.iter().map(count).collect();
+        for sighting in &sightings {
+            state.announce(Report::Crash(sighting.clone()));
+        }
         drop(state);
+        if !sightings.is_empty() {
+            self.added.notify_one();
+        }
         for (sighting, crashes) in sightings.iter().zip(crashes) {
             log::warn("crash recorded")
                 .with("content", sighting.fingerprint)
                 .with("server", &server.id)
                 .with("started_ms", server.started_ms)
                 .with("crashes", crashes)
+                .with("source", "own")
                 .with("evidence", evidence.text())
                 .with("after_ms", now.duration_since(sighting.at).as_millis())
                 .write();
@@ -142,10 +211,61 @@
     /// Records that a request was answered, so that it does not crash every
     /// server that runs it.
     pub fn record_answer(&self, fingerprint: Fingerprint, now: Instant) {
-        if lock(&self.state).history.record_answer(fingerprint, now) {
-            log::info("crashes cleared")
-                .with("content", fingerprint)
-                .write();
+        {
+            let mut state = lock(&self.state);
+            if !state.history.record_answer(fingerprint, now) {
+                return;
+            }
+            let at = now;
+            state.announce(Report::Answer { fingerprint, at });
+        }
+        self.added.notify_one();
+        log::info("crashes cleared")
+            .with("content", fingerprint)
+            .write();
+    }
+
+    /// Takes the reports for the next datagram.
+    pub fn take_unsent(&self) -> Vec<Report> {
+        let mut state = lock(&self.state);
+        let next = state.unsent.iter_mut().take(MAX_SENT_REPORTS);
+        let reports = next.map(|(report, left)| {
+            *left -= 1;
+            report.clone()
+        });
+        let reports = reports.collect();
+        state.unsent.retain(|(_, left)| *left > 0);
+        reports
+    }
+
+    /// Adds reports of other routers.
+    pub fn merge(&self, reports: Vec<Report>, source: Source, now: Instant) {
+        for report in reports {
+            let crash = match &report {
+                Report::Crash(sighting) => Some(sighting.clone()),
+                Report::Answer { .. } => None,
+            };
+            let (is_new, crashes) = {
+                let history = &mut lock(&self.state).history;
+                let is_new = history.merge_report(report, now);
+                let count = |s: &Sighting| history.crashes(s.fingerprint, now);
+                (is_new, crash.as_ref().map_or(0, count))
+            };
+            let Some(sighting) = crash.filter(|_| is_new) else {
+                continue;
+            };
+            metrics::counter!("poplar_crash_sightings_total", "source" => source.text())
+                .increment(1);
+            // Most requests are on one crash only, by chance.
+            if crashes >= CULPRIT_LIMIT {
+                log::warn("crash recorded")
+                    .with("content", sighting.fingerprint)
+                    .with("server", &sighting.server)
+                    .with("crashes", crashes)
+                    .with("source", source.text())
+                    .with("after_ms", now.duration_since(sighting.at).as_millis())
+                    .write();
+            }
         }
     }
 
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -38,6 +38,8 @@
 /// Time after the deadline in which a response that the server sends at the
 /// deadline is still accepted.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(60);
+/// Why a request that crashed servers is refused.
+pub const CRASHES_SERVERS: &str = "crashes servers";
 /// Largest response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// When the client should retry if no server is listed or all refuse.
@@ -73,6 +75,26 @@
     pub arrived: Instant,
     /// When the response is due at the latest.
     pub deadline: Instant,
+    /// Hash of the path, workspace and body, which identifies a request that
+    /// crashes servers.
+    pub fingerprint: Fingerprint,
+}
+
+impl ClientRequest {
+    /// Whether the request is to be refused because of the servers that it
+    /// crashed.
+    pub fn crashes_servers(&self, relay: &Relay, now: Instant) -> bool {
+        let Some(why) = relay.crashes.refusal_reason(self.fingerprint, now) else {
+            return false;
+        };
+        log::info("crashing request refused")
+            .request(&self.head.attempt_id)
+            .with("content", self.fingerprint)
+            .with("crashes", why.crashes)
+            .with("last_ms", why.ago.as_millis())
+            .write();
+        true
+    }
 }
 
 /// The response of a server, of which the head has been received.
@@ -95,9 +117,6 @@
     pub request: ClientRequest,
     relay: Arc<Relay>,
     reservation: Option<Reservation>,
-    /// Hash of the path, workspace and body, which identifies a request that
-    /// crashes servers.
-    fingerprint: Fingerprint,
     /// Servers that failed.
     tried: Vec<Name>,
     /// The server of the last send.
@@ -131,11 +150,7 @@
         reservation: Option<Reservation>,
         open: OpenRequest,
     ) -> Self {
-        let workspace = request.workspace.as_ref().map_or("", |w| &*w.name);
-        let mut content = workspace.as_bytes().to_vec();
-        content.extend_from_slice(&request.body);
         Self {
-            fingerprint: Fingerprint::new(request.uri.path(), &content),
             last_event: request.head.last_event,
             request,
             relay,
@@ -202,14 +217,8 @@
     pub async fn send(&mut self) -> Result<ServerResponse, Refusal> {
         loop {
             let now = Instant::now();
-            if let Some(why) = self.relay.crashes.refusal_reason(self.fingerprint, now) {
-                log::info("crashing request refused")
-                    .request(&self.request.head.attempt_id)
-                    .with("content", self.fingerprint)
-                    .with("crashes", why.crashes)
-                    .with("last_ms", why.ago.as_millis())
-                    .write();
-                return Err(self.give_up(Failure::Lost, "crashes servers", now));
+            if self.request.crashes_servers(&self.relay, now) {
+                return Err(self.give_up(Failure::Lost, CRASHES_SERVERS, now));
             }
             let Some(in_flight) = self.choose(now) else {
                 return Err(self.give_up(Failure::Connect, "no server", now));
@@ -310,7 +319,7 @@
         let listing = self.relay.servers.listing(server);
         self.relay
             .crashes
-            .suspect(self.fingerprint, server, listing, failure, now);
+            .suspect(self.request.fingerprint, server, listing, failure, now);
     }
 
     /// Records that a server answered the request completely.
@@ -318,7 +327,7 @@
         self.awaited = None;
         self.relay
             .crashes
-            .record_answer(self.fingerprint, Instant::now());
+            .record_answer(self.request.fingerprint, Instant::now());
     }
 
     /// Checks that a response belongs to this request and is valid, and records
@@ -392,7 +401,7 @@
         self.runs += u32::from(!not_run);
         log::info("attempt failed")
             .request(&self.request.head.attempt_id)
-            .with("content", self.fingerprint)
+            .with("content", self.request.fingerprint)
             .with("server", &server.id)
             .reason(failure)
             .with("output", self.output)
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -1,21 +1,25 @@
 //! Exchanges load information between routers over UDP.
 //!
 //! Each router sends the others the requests that it has at backend servers,
-//! and the servers that hold shared prompts in their caches. It sends one
-//! datagram to each router several times a second while it has requests. A
-//! lost datagram is not sent again, since the next one replaces it. A message
-//! expires after a short time, so that the requests of a router that has stopped
-//! sending no longer count.
+//! the servers that hold shared prompts in their caches, and reports of
+//! crashes. It sends one datagram to each router several times a second while it
+//! has something to say. A lost datagram is not sent again: the next one replaces
+//! the load, and each report goes into several. The load expires after a short
+//! time, so that the requests of a router that has stopped sending no longer
+//! count.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
 use poplar_core::id::Name;
+use poplar_core::poison::Report;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::relay::crashes::Source;
+use crate::relay::crashes::wire::ReportsWire;
 use crate::relay::state::Relay;
 
 /// Shortest time between two messages; the prefill of a long prompt takes
@@ -50,6 +54,8 @@
     pub work: Vec<ServerWork>,
     /// Shared prompts, by hash, and the servers that have just processed them.
     pub holders: Vec<(u64, Name)>,
+    /// Crashes that the sender has seen.
+    pub reports: Vec<Report>,
 }
 
 #[derive(Debug)]
@@ -57,28 +63,32 @@
 struct LoadMessageWire {
     work: Vec<(Name, u32, u64)>,
     held: Vec<(u64, Name)>,
+    #[serde(flatten)]
+    reports: ReportsWire,
 }
 
-impl From<LoadMessage> for LoadMessageWire {
-    fn from(message: LoadMessage) -> Self {
+impl LoadMessageWire {
+    /// Encodes a message that is sent at `now`.
+    fn encode(message: LoadMessage, now: Instant) -> Self {
         let entry = |w: ServerWork| (w.server, w.requests, w.prefill_tokens);
         Self {
             work: message.work.into_iter().map(entry).collect(),
             held: message.holders,
+            reports: ReportsWire::encode(&message.reports, now),
         }
     }
-}
 
-impl From<LoadMessageWire> for LoadMessage {
-    fn from(wire: LoadMessageWire) -> Self {
+    /// The message, which arrived at `now`.
+    fn decode(self, now: Instant) -> LoadMessage {
         let entry = |(server, requests, prefill_tokens)| ServerWork {
             server,
             requests,
             prefill_tokens,
         };
-        Self {
-            work: wire.work.into_iter().map(entry).collect(),
-            holders: wire.held,
+        LoadMessage {
+            work: self.work.into_iter().map(entry).collect(),
+            holders: self.held,
+            reports: self.reports.decode(now),
         }
     }
 }
@@ -107,13 +117,18 @@
         work.sort_by_key(|w| std::cmp::Reverse(w.prefill_tokens));
         work.truncate(MAX_SERVERS);
         let holders = relay.servers.take_unannounced();
-        let message = LoadMessage { work, holders };
+        let reports = relay.crashes.take_unsent();
+        let message = LoadMessage {
+            work,
+            holders,
+            reports,
+        };
         let empty = message == LoadMessage::default();
         // One empty message says that the last requests have ended.
         if !std::mem::replace(&mut last_had_content, !empty) && empty {
             continue;
         }
-        let wire = LoadMessageWire::from(message);
+        let wire = LoadMessageWire::encode(message, Instant::now());
         let bytes = serde_json::to_vec(&wire).expect("a load message can be serialized");
         pause = period(bytes.len(), peers.len());
         for peer in peers {
@@ -139,11 +154,12 @@
             continue;
         };
         match serde_json::from_slice::<LoadMessageWire>(&buffer[..length]) {
-            Ok(message) => {
-                let from: IpAddr = from.ip();
-                relay
-                    .servers
-                    .record_peer_message(from, message.into(), Instant::now());
+            Ok(wire) => {
+                let now = Instant::now();
+                let mut message = wire.decode(now);
+                let reports = std::mem::take(&mut message.reports);
+                relay.servers.record_peer_message(from.ip(), message, now);
+                relay.crashes.merge(reports, Source::Peer, now);
             }
             Err(why) => log::debug("gossip message invalid").reason(why).write(),
         }
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -11,12 +11,13 @@
 use hyper::body::Incoming;
 use poplar_base::log;
 use poplar_core::deployment::{Deployment, Limits, Workspace};
+use poplar_core::poison::Fingerprint;
 use poplar_core::retry::Failure;
 use poplar_platform::headers::{self, RequestHead};
 use tokio::time::timeout;
 
 use crate::relay::budgets::{Reservation, ReserveError};
-use crate::relay::exchange::{ClientRequest, Exchange};
+use crate::relay::exchange::{CRASHES_SERVERS, ClientRequest, Exchange};
 use crate::relay::refusal::{self, Body, Refusal};
 use crate::relay::state::{OpenRequest, Relay, format_age};
 use crate::relay::stream;
@@ -125,6 +126,9 @@
     {
         return Err(Refusal::not_run("stopping", OTHER_ROUTER_RETRY_AFTER));
     }
+    if request.crashes_servers(relay, arrived) {
+        return Err(Refusal::new(StatusCode::BAD_GATEWAY, CRASHES_SERVERS));
+    }
     relay.record_request(&request.service, arrived);
     let reservation = reserve(relay, &request).await?;
     let exchange = Exchange::new(relay.clone(), request, reservation, open);
@@ -176,7 +180,13 @@
     let known = deployment.services.get(&**service);
     let stride = known.and_then(|s| s.engine).map_or(1, |e| e.stride);
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let workspace_name = workspace.as_ref().map_or("", |w| &*w.name);
+    // The length comes first, so that the name and the body can't be confused.
+    let mut content = (workspace_name.len() as u64).to_le_bytes().to_vec();
+    content.extend_from_slice(workspace_name.as_bytes());
+    content.extend_from_slice(&body);
     Ok(ClientRequest {
+        fingerprint: Fingerprint::new(parts.uri.path(), &content),
         stride: u64::from(stride),
         service: service.clone(),
         route: route.clone(),
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -88,6 +88,7 @@
         let tables = [
             ("configuration", &relay.configuration_read),
             ("servers", &relay.server_list_read),
+            ("crashes", &relay.crash_reports_read),
         ];
         for (table, last_read) in tables {
             if let Some(age) = last_read.age(now) {
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -35,6 +35,8 @@
     pub configuration_read: LastRead,
     /// When the copy of the list of servers was last current.
     pub server_list_read: LastRead,
+    /// When the copy of the reports of crashes was last current.
+    pub crash_reports_read: LastRead,
     retry_limits: RwLock<SharedBudget>,
     retry_shares: Mutex<SortedVec<Name, Share>>,
     stop_began: Mutex<Option<Instant>>,
@@ -83,6 +85,7 @@
             deployment: RwLock::default(),
             configuration_read: LastRead::default(),
             server_list_read: LastRead::default(),
+            crash_reports_read: LastRead::default(),
             retry_limits: RwLock::new(limits),
             retry_shares: Mutex::default(),
             stop_began: Mutex::default(),
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -1,4 +1,5 @@
-//! Follows the configuration and the list of backend servers in the store.
+//! Follows the configuration, the list of backend servers and the reports of
+//! crashes in the store.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,6 +12,7 @@
 use poplar_platform::servers;
 use poplar_platform::store::{OPERATOR_TABLE, SERVERS_TABLE, Store};
 
+use crate::relay::crashes;
 use crate::relay::state::{LastRead, Relay, format_age};
 
 /// Pause between two updates of a table, since changes come in bursts.
@@ -23,13 +25,15 @@
 /// could not be reached is asked to answer at once instead, so that its return is
 /// noticed early: servers may leave soon after it.
 const FEED_WAIT: Duration = Duration::from_millis(600);
-/// Longest silence of the store during an update, beyond [`FEED_WAIT`]. An
+/// The same for the reports of crashes, which mostly arrive by datagram before.
+const REPORT_FEED_WAIT: Duration = Duration::from_secs(2);
+/// Longest silence of the store during an update, beyond that wait. An
 /// answer that keeps arriving is read to its end.
 const TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Follows the configuration until the process ends.
 pub async fn configuration(relay: Arc<Relay>) {
-    let mut watch = TableWatch::new("configuration", OPERATOR_TABLE);
+    let mut watch = TableWatch::new("configuration", OPERATOR_TABLE, FEED_WAIT);
     let mut applied_version = 0;
     loop {
         let requested = Instant::now();
@@ -62,7 +66,7 @@
 
 /// Follows the list of backend servers until the process ends.
 pub async fn server_list(relay: Arc<Relay>) {
-    let mut watch = TableWatch::new("servers", SERVERS_TABLE);
+    let mut watch = TableWatch::new("servers", SERVERS_TABLE, FEED_WAIT);
     let mut logged: Vec<(String, u64)> = Vec::new();
     loop {
         let requested = Instant::now();
@@ -99,20 +103,39 @@
     }
 }
 
+/// Follows the reports of crashes until the process ends.
+pub async fn crash_reports(relay: Arc<Relay>) {
+    let mut watch = TableWatch::new("crashes", crashes::table::PARTITION, REPORT_FEED_WAIT);
+    loop {
+        let requested = Instant::now();
+        if watch.update(&relay.store, &relay.crash_reports_read).await {
+            let clock = watch.mirror.clock_ms();
+            relay
+                .crashes
+                .merge_rows(watch.mirror.rows(), clock, Instant::now());
+            relay.crash_reports_read.record(requested);
+        }
+        tokio::time::sleep(watch.pause()).await;
+    }
+}
+
 /// A table that is followed. Logs when the store can no longer be reached,
 /// each further failure, and when it can be reached again.
 struct TableWatch {
     name: &'static str,
     mirror: Mirror,
+    /// How long the change feed waits for a change.
+    feed_wait: Duration,
     /// When the first of the failures in a row was noticed, and their number.
     lost: Option<(Instant, u32)>,
 }
 
 impl TableWatch {
-    fn new(name: &'static str, partition: Partition) -> Self {
+    fn new(name: &'static str, partition: Partition, feed_wait: Duration) -> Self {
         Self {
             name,
             mirror: Mirror::new(partition),
+            feed_wait,
             lost: None,
         }
     }
@@ -130,7 +153,7 @@
         let wait = if self.lost.is_some() {
             Duration::ZERO
         } else {
-            FEED_WAIT
+            self.feed_wait
         };
         let result = self.mirror.update(store, wait, TIMEOUT).await;
         let now = Instant::now();
