Refuse no request for crashes that another one explains

Seen: requests_on_servers_that_another_one_crashes_are_served, with the datagrams or the table ignored (both broken on purpose): requests that ran beside the one that crashes servers were refused until the test ended, after 30 s.

Cause: a request that is often on servers was at three crashes before any of its answers cleared them. An answer cleared only what the router knew at that moment, so that a sighting from elsewhere that came after it stayed; and once all routers knew three of them, there were no more answers.

A request is not refused if another one was at all its crashes and at more.

--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -10,8 +10,9 @@
 //!
 //! Requests that merely ran beside the one that crashed the server have a
 //! sighting, too. The more crashes a request was seen at, the less likely that
-//! is: after [`CRASH_LIMIT`] it is refused, and after [`CULPRIT_LIMIT`] if
-//! nothing else explains the crashes.
+//! is: after [`CRASH_LIMIT`] it is refused unless another request was at the same
+//! crashes and more, and after [`CULPRIT_LIMIT`] if nothing else explains the
+//! crashes.
 
 mod history;
 
@@ -22,7 +23,8 @@
 
 use crate::id::{Incarnation, Name};
 
-/// Number of crashes from which on a request is refused in any case.
+/// Number of crashes from which on a request is refused unless another one
+/// explains them.
 pub const CRASH_LIMIT: usize = 3;
 
 /// Number of crashes from which on a request is refused if it was the only one
--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -193,6 +193,9 @@
         if !sightings.is_empty() {
             self.added.notify_one();
         }
+        for sighting in &sightings {
+            self.clear_answered(sighting.fingerprint, now);
+        }
         for (sighting, crashes) in sightings.iter().zip(crashes) {
             log::warn("crash recorded")
                 .with("content", sighting.fingerprint)
@@ -211,12 +214,17 @@
     /// Records that a request was answered, so that it does not crash every
     /// server that runs it.
     pub fn record_answer(&self, fingerprint: Fingerprint, now: Instant) {
+        lock(&self.state).history.record_answer(fingerprint, now);
+        self.clear_answered(fingerprint, now);
+    }
+
+    /// Clears crashes before an answer that this router saw.
+    fn clear_answered(&self, fingerprint: Fingerprint, now: Instant) {
         {
             let mut state = lock(&self.state);
-            if !state.history.record_answer(fingerprint, now) {
+            let Some(at) = state.history.clear_answered(fingerprint, now) else {
                 return;
-            }
-            let at = now;
+            };
             state.announce(Report::Answer { fingerprint, at });
         }
         self.added.notify_one();
@@ -256,6 +264,7 @@
             };
             metrics::counter!("poplar_crash_sightings_total", "source" => source.text())
                 .increment(1);
+            self.clear_answered(sighting.fingerprint, now);
             // Most requests are on one crash only, by chance.
             if crashes >= CULPRIT_LIMIT {
                 log::warn("crash recorded")
