Forget what was known of a server's process when it restarts

Seen: no failure; found by looking for what else is known of a server under its id. A server that came back under its id after a crash stayed ejected for the failures of the process before, for up to the whole time, and prompts were fetched from it though its cache was gone.

Cause: the id was taken for the process. Only the reported load was reset when a new start time appeared. Requests that the process before had not answered counted against the new one.

Change: a new start time resets the health record and removes the server as a holder of prompts; outcomes of requests to an earlier process are ignored. Load messages of routers that stopped sending are removed.

Tests: two on relay::servers, both failing before; with outcomes of the process before counted, the first one fails.

--- a/crates/core/src/health/mod.rs
+++ b/crates/core/src/health/mod.rs
@@ -124,6 +124,13 @@
         self.records = names.into_iter().map(kept).collect();
     }
 
+    /// Forgets the record of a server that has restarted.
+    pub fn reset(&mut self, server: &str) {
+        if let Some(record) = self.records.get_mut(server) {
+            *record = Record::default();
+        }
+    }
+
     /// Records an answer, or a failure that counts against the server.
     pub fn record_outcome(&mut self, server: &str, answered: bool, now: Instant) -> Option<Change> {
         let record = self.records.get_mut(server)?;
--- a/crates/router/src/relay/servers.rs
+++ b/crates/router/src/relay/servers.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// Whether this process of the server is the one that is known.
+    fn is_current(&self, server: &Server) -> bool {
+        let known = self.states.get(&*server.id);
+        known.is_some_and(|known| known.started_ms == server.started_ms)
+    }
+
     fn record_holder(&mut self, prompt_id: u64, server: Name) {
         if self.holders.len() >= MAX_HOLDERS && !self.holders.contains(&prompt_id) {
             self.holders = SortedVec::new();
@@ -173,6 +179,7 @@
             list,
             health,
             states,
+            holders,
             ..
         } = &mut *state;
         let previous: Vec<Server> = list.all().cloned().collect();
@@ -180,15 +187,18 @@
             return Vec::new();
         }
         let mut services: SortedVec<Name, Vec<Name>> = SortedVec::new();
+        let mut restarted: Vec<&Server> = Vec::new();
         for server in list.all() {
             let names = services.get_or_insert_with(server.service.clone(), Vec::new);
             names.push(server.id.clone());
-            let state = states.get_or_insert_with(server.id.clone(), ServerState::default);
-            if state.started_ms != server.started_ms {
-                // The server was restarted, so its earlier load no longer
-                // counts.
-                state.started_ms = server.started_ms;
+            let started_ms = server.started_ms;
+            let state = states.get_or_insert_with(server.id.clone(), || ServerState {
+                started_ms,
+                ..ServerState::default()
+            });
+            if std::mem::replace(&mut state.started_ms, started_ms) != started_ms {
                 state.load = None;
+                restarted.push(server);
             }
             if !previous.contains(server) {
                 log::info("server listed")
@@ -211,6 +221,13 @@
             let tracker = health.get_or_insert_with(service.clone(), HealthTracker::new);
             tracker.set_servers(names.iter().cloned());
         }
+        // A new process has neither the failures nor the cache of the one before.
+        for server in restarted {
+            if let Some(tracker) = health.get_mut(&*server.service) {
+                tracker.reset(&server.id);
+            }
+            holders.retain(|_, holder| *holder != server.id);
+        }
         let with_listing = |server: Server| {
             let listing = state.listing(&server);
             (listing != Listing::Listed).then_some((server, listing))
@@ -313,6 +330,9 @@
     /// Records a message of another router, which replaces its previous one.
     pub fn record_peer_message(&self, from: IpAddr, message: LoadMessage, now: Instant) {
         let mut state = lock(&self.state);
+        state
+            .peers
+            .retain(|_, (at, _)| now < *at + MESSAGE_LIFETIME);
         state.peers.insert(from, (now, message.work));
         for (prompt_id, server) in message.holders {
             state.record_holder(prompt_id, server);
@@ -340,7 +360,9 @@
     /// processed.
     pub fn record_first_token(&mut self) {
         let mut state = lock(&self.servers.state);
-        if let Some(prompt_id) = self.prompt_id.take() {
+        if let Some(prompt_id) = self.prompt_id.take()
+            && state.is_current(&self.server)
+        {
             state.record_holder(prompt_id, self.server.id.clone());
             if state.unannounced.len() < MAX_UNANNOUNCED {
                 state.unannounced.push((prompt_id, self.server.id.clone()));
@@ -360,6 +382,9 @@
     /// Records a success or failure for the health of the server.
     pub fn record_outcome(&self, success: bool, now: Instant) {
         let mut state = lock(&self.servers.state);
+        if !state.is_current(&self.server) {
+            return;
+        }
         let tracker = state.health.get_mut(&*self.server.service);
         let change = tracker.and_then(|t| t.record_outcome(&self.server.id, success, now));
         let event = match change {
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -3,6 +3,7 @@
 
 mod crashing_requests;
 mod mirror;
+mod servers;
 mod site;
 mod slow_link;
 mod soak;
