Keep routers live that an outage kept from writing

Seen: no failure; found by looking for what else one router learns and the others act on. After an outage of the store of more than six seconds, the first router that makes the summary finds only its own row recent and counts itself as the only live router.

Cause: the age of a row was taken for the silence of its router, although no router could write.

Change: the summary notes when an outage ended, that is, when the sums before it were more than four seconds old. For six seconds after that, the routers that were live before it stay on the list.

Tests: routers_that_an_outage_kept_from_writing_stay_live, failing before (1 router instead of 9); a_router_that_stops_writing_does_not_stay_live passed before, too.

--- a/crates/core/src/quota/summary.rs
+++ b/crates/core/src/quota/summary.rs
@@ -23,6 +23,9 @@
 /// Age up to which the router of a row counts as live: the longest outage of its
 /// link that is worth waiting for.
 const LIVE_AGE: Duration = Duration::from_secs(6);
+/// Age of the sums from which on the table must have been out of reach for the
+/// routers: refreshes are due much earlier, also where there are many routers.
+const OUTAGE_AGE: Duration = Duration::from_secs(4);
 
 /// Sums over all routers for one budget.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -46,15 +49,24 @@
     pub routers: Vec<IpAddr>,
     /// Sums by budget, in order of the names.
     pub sums: Vec<(Name, BudgetSum)>,
+    /// The table's clock at the end of the last outage, in milliseconds; 0 if
+    /// there was none.
+    #[serde(default)]
+    pub outage_end: u64,
 }
 
 impl FleetSummary {
     /// Computes the sums from rows that were read together, when the table's
-    /// clock was `clock`.
+    /// clock was `clock`. `previous` are the sums before.
+    ///
+    /// After an outage of the table, the rows of most routers are old, since
+    /// none could be written. The routers that were live before it therefore
+    /// count for some time after it, too.
     pub fn from_rows<'a>(
         holders: impl IntoIterator<Item = (IpAddr, &'a HolderRow)>,
         totals: impl IntoIterator<Item = (&'a Name, &'a BudgetTotal)>,
         clock: u64,
+        previous: &Self,
     ) -> Self {
         // Tokens of each budget that a row of a router still accounts for.
         let mut accounted: SortedVec<Name, u64> = SortedVec::new();
@@ -82,11 +94,22 @@
             sums.get_or_insert_with(name.clone(), BudgetSum::default)
                 .used += ended;
         }
+        let had_outage = clock > previous.clock + OUTAGE_AGE.as_millis() as u64;
+        let outage_end = match previous.clock {
+            0 => 0,
+            _ if had_outage => clock,
+            _ => previous.outage_end,
+        };
+        if outage_end > 0 && clock < outage_end + LIVE_AGE.as_millis() as u64 {
+            routers.extend_from_slice(&previous.routers);
+        }
         routers.sort_unstable();
+        routers.dedup();
         Self {
             clock,
             routers,
             sums: sums.to_vec(),
+            outage_end,
         }
     }
 
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -274,7 +274,12 @@
     };
     let at = "127.0.0.1".parse().unwrap();
     let name = "council".into();
-    let summary = FleetSummary::from_rows([(at, &holder)], [(&name, &total)], 1_000);
+    let summary = FleetSummary::from_rows(
+        [(at, &holder)],
+        [(&name, &total)],
+        1_000,
+        &FleetSummary::default(),
+    );
     // Ended incarnations spent 300 and the holder 200.
     assert_eq!(summary.sum("council").used, 500);
     assert_eq!(summary.sum("council").held, 200);
@@ -322,7 +327,7 @@
     let summary = FleetSummary {
         clock: 40_000,
         routers: routers.clone(),
-        sums: Vec::new(),
+        ..FleetSummary::default()
     };
     let due = |age| {
         let due = |at: &&IpAddr| summary.is_refresh_due(**at, summary.clock + age);
@@ -345,6 +350,52 @@
     assert_ne!(first(&summary), first(&next));
 }
 
+/// The summary of routers whose rows were written at these times of the table's
+/// clock.
+fn summarize(written: &[u64], clock: u64, previous: &FleetSummary) -> FleetSummary {
+    let row = |clock: &u64| HolderRow {
+        clock: *clock,
+        ..HolderRow::default()
+    };
+    let rows: Vec<HolderRow> = written.iter().map(row).collect();
+    let addresses = (1..=9).map(|at| IpAddr::from([127, 0, 0, at]));
+    FleetSummary::from_rows(addresses.zip(&rows), [], clock, previous)
+}
+
+/// Guards against routers that take the part of the others in the retry budget,
+/// and tell them nothing, because an outage of the store kept all from writing.
+#[test]
+fn routers_that_an_outage_kept_from_writing_stay_live() {
+    let before = summarize(&[9_900; 9], 10_000, &FleetSummary::default());
+    assert_eq!(before.routers.len(), 9);
+    let mut written = [10_100; 9];
+    written[0] = 19_000;
+    let after = summarize(&written, 19_050, &before);
+    assert_eq!(after.routers.len(), 9);
+    // One of them never returns.
+    let mut summary = after;
+    let mut live = Vec::new();
+    for clock in (19_800..27_000).step_by(700) {
+        written[..8].fill(clock - 100);
+        summary = summarize(&written, clock, &summary);
+        live.push(summary.routers.len());
+    }
+    assert_eq!((live[0], live.last()), (9, Some(&8)));
+}
+
+/// Guards against a router that has ended, while the store is up, counting for
+/// longer.
+#[test]
+fn a_router_that_stops_writing_does_not_stay_live() {
+    let mut summary = summarize(&[9_900; 9], 10_000, &FleetSummary::default());
+    for clock in (10_700..17_000).step_by(700) {
+        let mut written = [clock - 100; 9];
+        written[3] = 9_900;
+        summary = summarize(&written, clock, &summary);
+    }
+    assert_eq!(summary.routers.len(), 8);
+}
+
 #[test]
 fn a_holder_row_of_24_budgets_fits_into_1500_bytes() {
     // 58 rows then pass a link of 10 Mbit/s in less than a tenth of a second.
--- a/crates/router/src/relay/budgets/state.rs
+++ b/crates/router/src/relay/budgets/state.rs
@@ -192,7 +192,7 @@
         let holders: Vec<(IpAddr, HolderRow)> = holders.collect();
         let holders = holders.iter().map(|(address, row)| (*address, row));
         let totals = self.totals.iter().map(|(name, (total, _))| (name, total));
-        FleetSummary::from_rows(holders, totals, snapshot.clock_ms)
+        FleetSummary::from_rows(holders, totals, snapshot.clock_ms, &self.summary)
     }
 }
 
