Let servers crash under requests in the soak

The plain servers of the soak end when they run a marked request, by reset or by silence, and one request in fifty is such a one. A request that is refused for the crashes of another one is a fault.

--- a/crates/router/tests/relay/crashing_requests.rs
+++ b/crates/router/tests/relay/crashing_requests.rs
@@ -10,7 +10,7 @@
 use crate::PREPAID;
 use crate::site::caller::{Seen, ask_once};
 use crate::site::configured_store;
-use crate::site::crashing::{CrashKind, CrashingServer};
+use crate::site::crashing::{CrashKind, CrashPlan, CrashingServer};
 use crate::site::process::{Router, address};
 use crate::site::store::Store;
 
@@ -22,6 +22,8 @@
 const CRASHES_ALLOWED: usize = 3;
 /// Time in which a server that crashed is away.
 const DOWN_TIME: Duration = Duration::from_millis(700);
+/// How long an ordinary request runs.
+const RUN_TIME: Duration = Duration::from_millis(120);
 const ROUTERS: usize = 4;
 const SERVERS: usize = 5;
 
@@ -59,11 +61,15 @@
     /// Starts the site and waits until each router serves requests.
     async fn open(self) -> Site {
         let store = configured_store(PREPAID);
+        let plan = CrashPlan {
+            kind: self.kind,
+            down_time: self.down_time,
+            run_time: RUN_TIME,
+        };
         let mut servers = Vec::new();
         for n in 0..SERVERS {
             let id = format!("{}-{n}", self.service);
-            let server = CrashingServer::open(&id, self.service, &store, self.kind, self.down_time);
-            servers.push(server.await);
+            servers.push(CrashingServer::open(&id, self.service, &store, plan).await);
         }
         let store_address = store.open().await;
         let name = format!("poplar-crashes-{}-{}", std::process::id(), self.run);
@@ -146,7 +152,7 @@
         for _ in 0..2 {
             for router in 0..ROUTERS {
                 let seen = self.ask(router, path).await;
-                assert_eq!(seen, Some(Seen::Answer(502, true)), "router {router}");
+                assert_eq!(seen, Some(Seen::CrashRefusal), "router {router}");
             }
         }
         assert_eq!(self.runs(path), before, "runs of the request");
--- a/crates/router/tests/relay/site/caller.rs
+++ b/crates/router/tests/relay/site/caller.rs
@@ -15,11 +15,16 @@
 /// Time after which a caller gives up on a request.
 const PATIENCE: Duration = Duration::from_secs(4);
 
+/// The body of the refusal of a request that crashes servers.
+const CRASH_REFUSAL: &str = "crashes servers\n";
+
 /// What a caller saw of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Seen {
     /// A status, and whether the body is complete and the expected one.
     Answer(u16, bool),
+    /// It was refused because it crashes servers.
+    CrashRefusal,
     /// The connection ended without a complete answer.
     Broken,
     /// The caller gave up.
@@ -54,6 +59,7 @@
         Some((head.status.as_u16(), body))
     };
     match tokio::time::timeout(PATIENCE, answer).await {
+        Ok(Some((502, body))) if body == CRASH_REFUSAL => Seen::CrashRefusal,
         Ok(Some((status, body))) => {
             Seen::Answer(status, status != 200 || body == expected_body(path))
         }
--- a/crates/router/tests/relay/site/crashing.rs
+++ b/crates/router/tests/relay/site/crashing.rs
@@ -25,8 +25,6 @@
 
 /// Marks the path of a request that ends the servers that run it.
 pub(crate) const CRASH_MARK: &str = "crash";
-/// How long an ordinary request runs.
-const RUN_TIME: Duration = Duration::from_millis(120);
 /// How long a request runs until its server ends.
 const CRASH_AFTER: Duration = Duration::from_millis(40);
 
@@ -41,6 +39,16 @@
     MidStream,
 }
 
+/// How a server behaves.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CrashPlan {
+    pub(crate) kind: CrashKind,
+    /// Time from its end to its next start.
+    pub(crate) down_time: Duration,
+    /// How long an ordinary request runs.
+    pub(crate) run_time: Duration,
+}
+
 /// The stand-in.
 #[derive(Debug)]
 pub(crate) struct CrashingServer {
@@ -48,15 +56,13 @@
     service: &'static str,
     address: SocketAddr,
     store: Arc<Store>,
-    kind: CrashKind,
-    /// Time from its end to its next start.
-    down_time: Duration,
+    plan: CrashPlan,
     /// Cancelled at the end of the current process.
     process: Mutex<CancellationToken>,
     started_ms: AtomicU64,
     crashes: AtomicUsize,
-    /// Paths of the requests that it ran.
-    runs: Mutex<Vec<String>>,
+    /// Paths and ids of the requests that it ran.
+    runs: Mutex<Vec<(String, String)>>,
 }
 
 impl CrashingServer {
@@ -65,8 +71,7 @@
         id: &str,
         service: &'static str,
         store: &Arc<Store>,
-        kind: CrashKind,
-        down_time: Duration,
+        plan: CrashPlan,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let server = Arc::new(Self {
@@ -74,8 +79,7 @@
             service,
             address: listener.local_addr().expect("an address"),
             store: store.clone(),
-            kind,
-            down_time,
+            plan,
             process: Mutex::default(),
             started_ms: AtomicU64::new(1_000),
             crashes: AtomicUsize::new(0),
@@ -93,7 +97,13 @@
     /// How often it ran requests with this path.
     pub(crate) fn runs(&self, path: &str) -> usize {
         let runs = self.runs.lock().expect("no panic");
-        runs.iter().filter(|run| *run == path).count()
+        runs.iter().filter(|(run, _)| *run == path).count()
+    }
+
+    /// The ids of the requests that it ran.
+    pub(crate) fn executed_ids(&self) -> Vec<String> {
+        let runs = self.runs.lock().expect("no panic");
+        runs.iter().map(|(_, id)| id.clone()).collect()
     }
 
     fn start(self: Arc<Self>, listener: TcpListener) {
@@ -117,7 +127,7 @@
             async { answer.await.ok_or(std::io::Error::other("cut")) }
         });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        if self.kind == CrashKind::Silence {
+        if self.plan.kind == CrashKind::Silence {
             let _ = connection.await;
         } else {
             let _ = process.run_until_cancelled(connection).await;
@@ -132,17 +142,19 @@
         let (head, body) = request.into_parts();
         body.collect().await.ok()?;
         let path = head.uri.path().to_owned();
-        self.runs.lock().expect("no panic").push(path.clone());
+        let id = head.headers.get("x-poplarreel-attempt-id")?.clone();
+        let run = (path.clone(), id.to_str().ok()?.to_owned());
+        self.runs.lock().expect("no panic").push(run);
         let crashes = path.contains(CRASH_MARK);
         if crashes {
             tokio::spawn(self.clone().crash(process.clone()));
         }
-        let body = if crashes && self.kind == CrashKind::MidStream {
+        let body = if crashes && self.plan.kind == CrashKind::MidStream {
             unfinished_stream()
         } else if crashes {
             std::future::pending().await
         } else {
-            tokio::time::sleep(RUN_TIME).await;
+            tokio::time::sleep(self.plan.run_time).await;
             if process.is_cancelled() {
                 std::future::pending::<()>().await;
             }
@@ -153,7 +165,6 @@
             }
         };
         let mut response = Response::new(body);
-        let id = head.headers.get("x-poplarreel-attempt-id")?.clone();
         let headers = response.headers_mut();
         headers.insert("x-poplarreel-attempt-id", id);
         headers.insert("x-poplarreel-response-seal", "a-seal".parse().ok()?);
@@ -168,7 +179,7 @@
         }
         self.crashes.fetch_add(1, Ordering::AcqRel);
         process.cancel();
-        tokio::time::sleep(self.down_time).await;
+        tokio::time::sleep(self.plan.down_time).await;
         let listener = TcpListener::bind(self.address).await;
         self.start(listener.expect("the port is free again"));
     }
--- a/crates/router/tests/relay/soak/callers.rs
+++ b/crates/router/tests/relay/soak/callers.rs
@@ -9,6 +9,8 @@
 use super::Soak;
 use crate::site::caller::{Seen, ask, connect};
 
+/// Part of the requests that crash servers.
+const CRASHING_SHARE: f64 = 0.02;
 /// Longest pause between two requests of a caller.
 const MAX_PAUSE_MS: u64 = 30;
 /// Pause before the next connection.
@@ -64,7 +66,7 @@
                     sent: at,
                     seen,
                 });
-                if !matches!(seen, Seen::Answer(..)) {
+                if !matches!(seen, Seen::Answer(..) | Seen::CrashRefusal) {
                     break;
                 }
                 let pause = random.random_range(0..=MAX_PAUSE_MS);
@@ -75,8 +77,15 @@
     }
 }
 
+/// Requests that crash the servers that run them.
+pub(crate) const CRASHING_PATHS: [&str; 2] = ["/read/crash", "/once/crash"];
+
 /// A path, and when the store acknowledged the route that covers it.
 fn pick_path(soak: &Soak, random: &mut StdRng) -> (String, Instant) {
+    if random.random_bool(CRASHING_SHARE) {
+        let path = CRASHING_PATHS[random.random_range(0..CRASHING_PATHS.len())];
+        return (path.to_owned(), soak.began);
+    }
     let added = soak.added.lock().expect("no panic");
     if !added.is_empty() && random.random_bool(0.5) {
         let last = added.len() - 1;
--- a/crates/router/tests/relay/soak/mod.rs
+++ b/crates/router/tests/relay/soak/mod.rs
@@ -19,6 +19,7 @@
 use crate::site::backend::{Backend, Behaviour};
 use crate::site::caller::{self, Seen};
 use crate::site::configured_store;
+use crate::site::crashing::{CrashKind, CrashPlan, CrashingServer};
 use crate::site::process::{APPLY_TIME, Life, Lives, Router, address};
 use crate::site::store::Store;
 use callers::{Attempt, Record};
@@ -27,6 +28,17 @@
 /// Tokens of a stream's prompt, which a run consumes in any case.
 const PROMPT_TOKENS: u64 = 1000;
 const CALLERS: u64 = 10;
+const CRASHING_SERVERS: u64 = 4;
+const CRASH_PLAN: CrashPlan = CrashPlan {
+    kind: CrashKind::Reset,
+    down_time: Duration::from_millis(300),
+    run_time: Duration::from_millis(5),
+};
+/// Servers that a request may crash before it is refused everywhere.
+const CRASHES_ALLOWED: usize = 3;
+/// Time for that, and how often it may still reach a server after it.
+const SPREAD_TIME: Duration = Duration::from_secs(3);
+const RETRIES_ALLOWED: usize = 3;
 /// How long faults come.
 const FAULT_TIME: Duration = Duration::from_secs(9);
 /// Ends a soak in which the routers don't recover.
@@ -73,11 +85,24 @@
 async fn run(seed: u64, routers: usize, folder: &Path) -> Vec<String> {
     let store = configured_store(PREPAID);
     let mut backends = Vec::new();
-    for (service, n) in [("plain", 1), ("plain", 2), ("engines", 1), ("engines", 2)] {
+    for n in 1..=2 {
         let (backend, address) = Backend::open(Behaviour::Answer).await;
-        store.register(&format!("{service}-{n}"), service, address);
+        store.register(&format!("engines-{n}"), "engines", address);
         backends.push(backend);
     }
+    let mut crashing = Vec::new();
+    for n in 1..=CRASHING_SERVERS {
+        let plan = CrashPlan {
+            kind: if (seed + n).is_multiple_of(3) {
+                CrashKind::Silence
+            } else {
+                CrashKind::Reset
+            },
+            ..CRASH_PLAN
+        };
+        let id = format!("plain-{n}");
+        crashing.push(CrashingServer::open(&id, "plain", &store, plan).await);
+    }
     let store_address = store.open().await;
     let mut processes: Vec<Router> = (0..routers)
         .map(|n| Router::new(address(seed, n), store_address, folder))
@@ -109,11 +134,12 @@
         fault.await.expect("no panic");
     }
     let mut wrong = wait_for_recovery(&soak).await;
+    wrong.extend(check_crashing(&soak, &crashing).await);
     soak.ended.store(true, Ordering::Release);
     for caller in callers {
         caller.await.expect("no panic");
     }
-    wrong.extend(judge(&soak, &Runs::of(&backends)));
+    wrong.extend(judge(&soak, &Runs::of(&backends, &crashing)));
     wrong
 }
 
@@ -177,13 +203,35 @@
     Vec::new()
 }
 
+/// Sends the requests that crashed servers to each router again, and checks that
+/// they no longer reach servers.
+async fn check_crashing(soak: &Soak, servers: &[Arc<CrashingServer>]) -> Vec<String> {
+    let runs = |path: &str| servers.iter().map(|s| s.runs(path)).sum::<usize>();
+    let mut wrong = Vec::new();
+    tokio::time::sleep(SPREAD_TIME).await;
+    for path in callers::CRASHING_PATHS {
+        let before = runs(path);
+        for (router, address) in soak.addresses.iter().enumerate() {
+            let id = format!("check-{router}");
+            caller::ask_once(*address, path, &id).await;
+        }
+        let more = runs(path) - before;
+        println!("{path}: ran {before} times under faults, {more} times after them");
+        if before >= CRASHES_ALLOWED && more > RETRIES_ALLOWED {
+            wrong.push(format!("{path} ran {more} times after {before} crashes"));
+        }
+    }
+    wrong
+}
+
 /// How often the backend servers ran each request.
 struct Runs(Vec<String>);
 
 impl Runs {
-    fn of(backends: &[Arc<Backend>]) -> Self {
+    fn of(backends: &[Arc<Backend>], crashing: &[Arc<CrashingServer>]) -> Self {
         let runs = backends.iter().flat_map(|b| b.executed_requests());
         let mut ids: Vec<String> = runs.map(|run| run.id).collect();
+        ids.extend(crashing.iter().flat_map(|server| server.executed_ids()));
         ids.sort();
         Self(ids)
     }
@@ -208,6 +256,9 @@
         Seen::Answer(200, false) => "not complete",
         Seen::Answer(200, true) if ran == 0 => "answered without a run",
         Seen::Answer(429 | 503, _) if ran > 0 => "refused as not run",
+        Seen::CrashRefusal if !callers::CRASHING_PATHS.contains(&&*attempt.path) => {
+            "refused for crashes of another request"
+        }
         Seen::Answer(401 | 404, _) if attempt.sent > attempt.route_since + APPLY_TIME => {
             "refused for good by an old configuration"
         }
