--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use proptest::prelude::*;
+
 use poplar_core::id::{Incarnation, Name};
 use poplar_core::poison::{CrashHistory, CrashId, Fingerprint, Report, Sighting};
 
@@ -334,3 +336,45 @@
     assert!(history.refusal_reason(request("poison"), later).is_some());
     assert_eq!(history.suspected_requests(), 1024);
 }
+
+proptest! {
+    /// Guards against knowledge that depends on the order in which reports
+    /// arrive, or on how often.
+    #[test]
+    fn reports_may_arrive_in_any_order_and_twice(
+        reports in prop::collection::vec((0..3_usize, 0..5_usize, 0..60_u64, 0..4_u8), 1..16),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..40),
+    ) {
+        const NAMES: [&str; 3] = ["one", "two", "three"];
+        const SERVERS: [&str; 5] = ["e0", "e1", "e2", "e3", "e4"];
+        let start = Instant::now();
+        let now = start + SECOND * 100;
+        let report = |&(name, server, at, kind): &(usize, usize, u64, u8)| {
+            let at = start + SECOND * at as u32;
+            if kind == 0 {
+                let fingerprint = request(NAMES[name]);
+                return Report::Answer { fingerprint, at };
+            }
+            // The process and the time are known alike to all that report it.
+            let at = start + SECOND * (10 * u32::from(kind) + server as u32);
+            Report::Crash(sighting(NAMES[name], SERVERS[server], u64::from(kind), at))
+        };
+        let reports: Vec<Report> = reports.iter().map(report).collect();
+        let (mut in_order, mut shuffled) = (history("a"), history("b"));
+        for report in &reports {
+            in_order.merge_report(report.clone(), now);
+        }
+        for index in &order {
+            shuffled.merge_report(index.get(&reports).clone(), now);
+        }
+        for report in reports.iter().rev() {
+            shuffled.merge_report(report.clone(), now);
+        }
+        for name in NAMES {
+            let reason = |history: &CrashHistory| history.refusal_reason(request(name), now);
+            prop_assert_eq!(reason(&in_order), reason(&shuffled));
+            let crashes = |history: &CrashHistory| history.crashes(request(name), now);
+            prop_assert_eq!(crashes(&in_order), crashes(&shuffled));
+        }
+    }
+}
--- a/crates/router/src/relay/crashes/table.rs
+++ b/crates/router/src/relay/crashes/table.rs
@@ -91,7 +91,7 @@
 impl Crashes {
     /// The next reports to write, and the writes for them; `None` if there are
     /// none, or the table was not read yet.
-    fn next_writes(&self, now: Instant) -> Option<(Vec<Report>, Vec<Write>)> {
+    pub fn next_writes(&self, now: Instant) -> Option<(Vec<Report>, Vec<Write>)> {
         let state = lock(&self.state);
         let (clock, read_at) = state.clock?;
         let clock = clock + now.saturating_duration_since(read_at).as_millis() as u64;
@@ -101,7 +101,8 @@
         (!reports.is_empty()).then_some((reports, writes))
     }
 
-    fn record_written(&self, reports: &[Report]) {
+    /// Records that a write of these reports succeeded.
+    pub fn record_written(&self, reports: &[Report]) {
         let mut state = lock(&self.state);
         state.unwritten.retain(|report| !reports.contains(report));
     }
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! The relay between stand-ins for clients, backend servers and the platform's
 //! store.
 
+mod crash_reports;
 mod crashing_requests;
 mod mirror;
 mod servers;
