Take no error of a server for an answer

A complete response cleared what was seen of a request, also an error of the server. A request that crashes servers and at times fails with 500 instead would be sent on: each error cleared its crashes on all routers.

Change: only other responses clear them.

Test: a_request_that_crashes_servers_or_fails_is_refused, failing before (500 where a refusal was expected).

--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -322,12 +322,16 @@
             .suspect(self.request.fingerprint, server, listing, failure, now);
     }
 
-    /// Records that a server answered the request completely.
-    pub fn record_answer(&mut self) {
+    /// Records that a server answered the request completely. An error of the
+    /// server does not show that the request is harmless.
+    pub fn record_answer(&mut self, status: StatusCode) {
         self.awaited = None;
-        self.relay
-            .crashes
-            .record_answer(self.request.fingerprint, Instant::now());
+        if !status.is_server_error() {
+            let now = Instant::now();
+            self.relay
+                .crashes
+                .record_answer(self.request.fingerprint, now);
+        }
     }
 
     /// Checks that a response belongs to this request and is valid, and records
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -274,7 +274,7 @@
         let server = response.in_flight.server.clone();
         let failure = match exchange.read_body(response.body).await {
             Ok(bytes) => {
-                exchange.record_answer();
+                exchange.record_answer(response.head.status);
                 let failed = response.head.status.is_server_error();
                 response.in_flight.record_outcome(!failed, Instant::now());
                 if !failed || !exchange.request.route.kind.is_repeatable() {
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::Response;
+use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use poplar_base::log;
@@ -90,7 +90,7 @@
             match exchange.read_body(body).await {
                 Ok(bytes) => {
                     exchange.outcome = "fault";
-                    exchange.record_answer();
+                    exchange.record_answer(head.status);
                     return Ok(handler::forward_response(head, bytes));
                 }
                 Err(failure) => exchange.record_failure(failure, &server)?,
@@ -172,7 +172,7 @@
                     self.ended = true;
                     self.engine.in_flight.record_outcome(true, Instant::now());
                     self.exchange.outcome = "whole";
-                    self.exchange.record_answer();
+                    self.exchange.record_answer(StatusCode::OK);
                     return Ok(None);
                 }
                 Err(failure) => failure,
@@ -203,7 +203,7 @@
         let allowed = self.exchange.record_failure(failure, &server);
         let allowed = allowed.and_then(|()| {
             let can_resume = resumable && self.exchange.last_event.is_some();
-            let refusal = Refusal::new(http::StatusCode::BAD_GATEWAY, "not resumable");
+            let refusal = Refusal::new(StatusCode::BAD_GATEWAY, "not resumable");
             if can_resume { Ok(()) } else { Err(refusal) }
         });
         if let Err(refusal) = allowed {
--- a/crates/router/tests/relay/crashing_requests.rs
+++ b/crates/router/tests/relay/crashing_requests.rs
@@ -216,6 +216,14 @@
     site.check_refused("/stream/crash").await;
 }
 
+/// Guards against errors of a server being taken for answers, which show that
+/// the request is harmless.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_servers_or_fails_is_refused() {
+    let setup = Setup::new(212, "plain", CrashKind::ResetOrError);
+    check_spread(setup, "/read/crash").await;
+}
+
 /// Guards against crashes that don't count because the server was back, under
 /// its id, before a connection to it was refused.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/router/tests/relay/site/crashing.rs
+++ b/crates/router/tests/relay/site/crashing.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
@@ -37,6 +37,8 @@
     Silence,
     /// Its connections are closed after two events of the stream.
     MidStream,
+    /// As a reset, but every second time it answers with an error and goes on.
+    ResetOrError,
 }
 
 /// How a server behaves.
@@ -145,7 +147,11 @@
         let id = head.headers.get("x-poplarreel-attempt-id")?.clone();
         let run = (path.clone(), id.to_str().ok()?.to_owned());
         self.runs.lock().expect("no panic").push(run);
-        let crashes = path.contains(CRASH_MARK);
+        let marked = path.contains(CRASH_MARK);
+        let is_error = marked
+            && self.plan.kind == CrashKind::ResetOrError
+            && !self.runs(&path).is_multiple_of(2);
+        let crashes = marked && !is_error;
         if crashes {
             tokio::spawn(self.clone().crash(process.clone()));
         }
@@ -165,6 +171,9 @@
             }
         };
         let mut response = Response::new(body);
+        if is_error {
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        }
         let headers = response.headers_mut();
         headers.insert("x-poplarreel-attempt-id", id);
         headers.insert("x-poplarreel-response-seal", "a-seal".parse().ok()?);
