--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -286,8 +286,9 @@
     /// Whether another request was at all these crashes and at more. It explains
     /// them, so that a request that was there only beside it is not refused.
     fn is_explained(&self, crashes: &[&Sighting], now: Instant) -> bool {
-        let mut records = self.requests.iter().map(|(_, record)| record);
-        records.any(|record| record.crashes(now).len() > crashes.len() && record.was_at(crashes))
+        let records = self.requests.iter().map(|(_, record)| record);
+        let mut others = records.filter(|record| record.sightings.len() > crashes.len());
+        others.any(|record| record.crashes(now).len() > crashes.len() && record.was_at(crashes))
     }
 
     /// Whether a request is the only one that was at all these crashes, and
--- a/crates/router/src/relay/crashes/table.rs
+++ b/crates/router/src/relay/crashes/table.rs
@@ -113,6 +113,7 @@
         let known = {
             let mut state = lock(&self.state);
             state.clock = Some((clock, now));
+            state.history.expire(now);
             std::mem::take(&mut state.rows)
         };
         let mut current = Vec::new();
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -113,6 +113,10 @@
     loop {
         tokio::time::sleep(pause).await;
         let peers = relay.budgets.peers();
+        // What is announced waits until there is a router to tell.
+        if peers.is_empty() {
+            continue;
+        }
         let mut work = relay.servers.own_work();
         work.sort_by_key(|w| std::cmp::Reverse(w.prefill_tokens));
         work.truncate(MAX_SERVERS);
--- a/crates/router/tests/relay/crashing_requests.rs
+++ b/crates/router/tests/relay/crashing_requests.rs
@@ -255,6 +255,24 @@
     site.check_refused("/read/crash").await;
 }
 
+/// Guards against reports that are lost because neither the other routers nor
+/// the store could be reached when they were made.
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_that_were_cut_off_learn_of_crashes_afterwards() {
+    let setup = Setup {
+        datagrams: false,
+        ..Setup::new(213, "plain", CrashKind::Reset)
+    };
+    let mut site = setup.open().await;
+    site.store.set_down(true);
+    site.crash_servers(&[0, 1], "/read/crash").await;
+    // Time in which writes fail.
+    tokio::time::sleep(SPREAD_TIME).await;
+    site.store.set_down(false);
+    tokio::time::sleep(SPREAD_TIME).await;
+    site.check_refused("/read/crash").await;
+}
+
 /// Guards against routers that don't know, since they were just started, what
 /// all the others knew before they ended.
 #[tokio::test(flavor = "multi_thread")]
