--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -1,7 +1,7 @@
 //! Requests that crash the backend servers that run them.
 //!
 //! A request whose server stopped answering is a suspect until the server is
-//! found dead or some time has passed. [`verify`] looks whether it is dead, and
+//! found dead or some time has passed. The router connects to it to find out, and
 //! the list of servers shows processes that have been replaced. What is found
 //! counts against the request on all routers: each report goes to the others in
 //! several datagrams, see [`gossip`](crate::relay::gossip), and into a [`table`]
