--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -8,21 +8,21 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, Uri, response};
+use http::{Request, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use poplar_base::log;
 use poplar_core::affinity::Query;
-use poplar_core::deployment::{Route, Server, Workspace};
+use poplar_core::deployment::Server;
 use poplar_core::id::Name;
-use poplar_core::poison::Fingerprint;
 use poplar_core::retry::{Failure, Refusal as ServerRefusal};
-use poplar_platform::headers::{self, ForwardOptions, RequestHead, ResponseHead};
+use poplar_platform::headers::{self, ForwardOptions, ResponseHead};
 use tokio::time::timeout;
 
 use crate::relay::budgets::Reservation;
 use crate::relay::crashes::Evidence;
 use crate::relay::refusal::Refusal;
+use crate::relay::request::{CRASHES_SERVERS, ClientRequest};
 use crate::relay::servers::InFlight;
 use crate::relay::state::{OpenRequest, Relay};
 use crate::relay::upstream::{self, ConnectError, Connection};
@@ -38,8 +38,6 @@
 /// Time after the deadline in which a response that the server sends at the
 /// deadline is still accepted.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(60);
-/// Why a request that crashed servers is refused.
-pub const CRASHES_SERVERS: &str = "crashes servers";
 /// Largest response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// When the client should retry if no server is listed or all refuse.
@@ -50,53 +48,6 @@
 /// Failures that a failed connection counts as for the health of the server.
 const CONNECT_FAILURE_WEIGHT: u32 = 3;
 
-/// A client's request with its route, service and workspace.
-#[derive(Debug)]
-pub struct ClientRequest {
-    /// Its decoded headers.
-    pub head: RequestHead,
-    /// Its method.
-    pub method: Method,
-    /// Its path and query.
-    pub uri: Uri,
-    /// All its headers as received.
-    pub headers: http::HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-    /// The route that it matches.
-    pub route: Route,
-    /// The service that it is sent to.
-    pub service: Name,
-    /// Output tokens in one event.
-    pub stride: u64,
-    /// The workspace that its key belongs to; `None` if it is anonymous.
-    pub workspace: Option<Workspace>,
-    /// When it arrived.
-    pub arrived: Instant,
-    /// When the response is due at the latest.
-    pub deadline: Instant,
-    /// Hash of the path, workspace and body, which identifies a request that
-    /// crashes servers.
-    pub fingerprint: Fingerprint,
-}
-
-impl ClientRequest {
-    /// Whether the request is to be refused because of the servers that it
-    /// crashed.
-    pub fn crashes_servers(&self, relay: &Relay, now: Instant) -> bool {
-        let Some(why) = relay.crashes.refusal_reason(self.fingerprint, now) else {
-            return false;
-        };
-        log::info("crashing request refused")
-            .request(&self.head.attempt_id)
-            .with("content", self.fingerprint)
-            .with("crashes", why.crashes)
-            .with("last_ms", why.ago.as_millis())
-            .write();
-        true
-    }
-}
-
 /// The response of a server, of which the head has been received.
 #[derive(Debug)]
 pub struct ServerResponse {
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -6,19 +6,19 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header, request, response};
+use http::{Request, Response, StatusCode, header, response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use poplar_base::log;
 use poplar_core::deployment::{Deployment, Limits, Workspace};
-use poplar_core::poison::Fingerprint;
 use poplar_core::retry::Failure;
 use poplar_platform::headers::{self, RequestHead};
 use tokio::time::timeout;
 
 use crate::relay::budgets::{Reservation, ReserveError};
-use crate::relay::exchange::{CRASHES_SERVERS, ClientRequest, Exchange};
+use crate::relay::exchange::Exchange;
 use crate::relay::refusal::{self, Body, Refusal};
+use crate::relay::request::{self, CRASHES_SERVERS, ClientRequest};
 use crate::relay::state::{OpenRequest, Relay, format_age};
 use crate::relay::stream;
 
@@ -104,7 +104,7 @@
 async fn handle(
     relay: &Arc<Relay>,
     deployment: Option<Arc<Deployment>>,
-    parts: request::Parts,
+    parts: http::request::Parts,
     body: Incoming,
     head: RequestHead,
     open: OpenRequest,
@@ -160,7 +160,7 @@
 /// Finds a request's route, workspace, service and deadline.
 fn identify(
     deployment: &Deployment,
-    parts: request::Parts,
+    parts: http::request::Parts,
     body: Bytes,
     head: RequestHead,
     arrived: Instant,
@@ -180,13 +180,8 @@
     let known = deployment.services.get(&**service);
     let stride = known.and_then(|s| s.engine).map_or(1, |e| e.stride);
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let workspace_name = workspace.as_ref().map_or("", |w| &*w.name);
-    // The length comes first, so that the name and the body can't be confused.
-    let mut content = (workspace_name.len() as u64).to_le_bytes().to_vec();
-    content.extend_from_slice(workspace_name.as_bytes());
-    content.extend_from_slice(&body);
     Ok(ClientRequest {
-        fingerprint: Fingerprint::new(parts.uri.path(), &content),
+        fingerprint: request::fingerprint(parts.uri.path(), workspace.as_ref(), &body),
         stride: u64::from(stride),
         service: service.clone(),
         route: route.clone(),
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -3,11 +3,11 @@
 //! operator's routes name.
 //!
 //! [`handler`] matches a request with its route and reserves its tokens in the
-//! workspace's [`budgets`]. Requests that crash servers are refused, [`crashes`].
-//! [`exchange`] chooses a server among [`servers`],
-//! sends the request and retries it where the route allows that. Responses of
-//! engines are forwarded event by event in [`stream`]. The formats of the
-//! platform are decoded by `poplar_platform`.
+//! workspace's [`budgets`]; one that crashes servers is refused, see [`crashes`].
+//! [`exchange`] chooses a server among [`servers`], sends the request and retries
+//! it where the route allows that. Responses of engines are forwarded event by
+//! event in [`stream`]. The formats of the platform are decoded by
+//! `poplar_platform`.
 
 pub mod budgets;
 pub mod crashes;
@@ -17,6 +17,7 @@
 pub mod lifecycle;
 pub mod listeners;
 pub mod refusal;
+pub mod request;
 pub mod servers;
 pub mod sse;
 pub mod state;
