--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -292,19 +292,19 @@
     }
 
     /// Whether a request is the only one that was at all these crashes, and
-    /// there was no other crash since the first of them. Servers that crash for
-    /// another reason may do so under the same request by chance.
+    /// there was no other crash shortly before or since the first of them.
+    /// Servers that crash for another reason may do so under the same request by
+    /// chance.
     fn is_culprit(&self, fingerprint: Fingerprint, crashes: &[&Sighting], now: Instant) -> bool {
         let Some(first) = crashes.iter().map(|s| s.at).min() else {
             return false;
         };
-        let others = self.requests.iter().filter(|(f, _)| **f != fingerprint);
-        others.into_iter().all(|(_, record)| {
+        let mut others = self.requests.iter().filter(|(f, _)| **f != fingerprint);
+        others.all(|(_, record)| {
             let current = record.sightings.iter().filter(|s| now <= s.at + EXPIRY);
-            let since = current.filter(|s| s.at + SAME_CRASH_WITHIN > first);
+            let mut since = current.filter(|s| s.at + SAME_CRASH_WITHIN > first);
             let is_explained = |s: &Sighting| crashes.iter().any(|c| is_same_crash(c, s));
-            let explained = since.clone().all(is_explained);
-            explained && !record.was_at(crashes)
+            since.all(is_explained) && !record.was_at(crashes)
         })
     }
 
