Wait for the reports of others before two crashes are enough

Cause: a request is refused after two crashes if it is the only one at both, and a router judged that by what it knew at that moment.

Change: on the users' platform this rule holds from 0.2 s after the second crash on, which is the time of three datagrams. A third crash counts at once, as before.

Test: two_crashes_count_once_the_reports_of_others_can_have_arrived, which fails without the wait.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -100,6 +100,8 @@
 #[derive(Debug, Clone)]
 pub struct CrashHistory {
     own: Incarnation,
+    /// Time within which other routers' reports of a crash arrive.
+    report_time: Duration,
     /// Number of this router's last sighting.
     number: u64,
     suspects: Vec<Suspect>,
@@ -110,10 +112,12 @@
 }
 
 impl CrashHistory {
-    /// Creates an empty history for the router `own`.
-    pub fn new(own: Incarnation) -> Self {
+    /// Creates an empty history for the router `own`, which gets reports of
+    /// other routers within `report_time`.
+    pub fn new(own: Incarnation, report_time: Duration) -> Self {
         Self {
             own,
+            report_time,
             number: 0,
             suspects: Vec::new(),
             requests: SortedVec::new(),
@@ -294,11 +298,15 @@
     /// Whether a request is the only one that was at all these crashes, and
     /// there was no other crash shortly before or since the first of them.
     /// Servers that crash for another reason may do so under the same request by
-    /// chance.
+    /// chance. What other routers saw has to be known for that.
     fn is_culprit(&self, fingerprint: Fingerprint, crashes: &[&Sighting], now: Instant) -> bool {
-        let Some(first) = crashes.iter().map(|s| s.at).min() else {
+        let times = crashes.iter().map(|s| s.at);
+        let (Some(first), Some(last)) = (times.clone().min(), times.max()) else {
             return false;
         };
+        if now.saturating_duration_since(last) < self.report_time {
+            return false;
+        }
         let mut others = self.requests.iter().filter(|(f, _)| **f != fingerprint);
         others.all(|(_, record)| {
             let current = record.sightings.iter().filter(|s| now <= s.at + EXPIRY);
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -10,7 +10,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 fn history(router: &str) -> CrashHistory {
-    CrashHistory::new(Incarnation::new(router, 1))
+    CrashHistory::new(Incarnation::new(router, 1), Duration::ZERO)
 }
 
 fn fingerprint() -> Fingerprint {
@@ -189,6 +189,29 @@
     assert!(reason("beside").is_none() && reason("other").is_none());
 }
 
+/// Guards against a request that is refused because the router does not know yet
+/// that another one, at another router, was at the same crashes.
+#[test]
+fn two_crashes_count_once_the_reports_of_others_can_have_arrived() {
+    let now = Instant::now();
+    let report_time = SECOND / 5;
+    let mut history = CrashHistory::new(Incarnation::new("a", 1), report_time);
+    crash_under(&mut history, &["beside"], "e0", now);
+    crash_under(&mut history, &["beside"], "e1", now);
+    let soon = now + report_time / 2;
+    assert!(history.refusal_reason(request("beside"), soon).is_none());
+    let mut alone = history.clone();
+    let later = now + report_time;
+    assert!(alone.refusal_reason(request("beside"), later).is_some());
+    // A third crash counts at once.
+    crash_under(&mut alone, &["beside"], "e2", soon);
+    assert!(alone.refusal_reason(request("beside"), soon).is_some());
+    for server in ["e0", "e1"] {
+        history.merge(sighting("poison", server, 1, now), soon);
+    }
+    assert!(history.refusal_reason(request("beside"), later).is_none());
+}
+
 /// Guards against requests that are refused since they were, by chance, on two
 /// of several servers that crash for another reason.
 #[test]
--- a/crates/router/src/backends/crashes.rs
+++ b/crates/router/src/backends/crashes.rs
@@ -27,7 +27,7 @@
     /// Creates an empty history for the router `me`.
     pub fn open(me: &Incarnation) -> Self {
         Self {
-            history: Mutex::new(CrashHistory::new(me.clone())),
+            history: Mutex::new(CrashHistory::new(me.clone(), Duration::ZERO)),
         }
     }
 
--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -12,7 +12,7 @@
 pub mod wire;
 
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use poplar_base::log;
 use poplar_core::deployment::Server;
@@ -28,6 +28,9 @@
 
 /// Datagrams to each router that a report goes into; one may be lost.
 const SENDS: u32 = 3;
+/// Time within which these are sent. Requests that ran beside the one that
+/// crashed a server are mostly answered within it, too.
+const REPORT_TIME: Duration = Duration::from_millis(200);
 /// Most reports in one datagram, about 40 bytes each.
 const MAX_SENT_REPORTS: usize = 16;
 /// Most reports that wait to be sent, or to be written.
@@ -119,7 +122,7 @@
     pub fn open(own: Incarnation) -> Arc<Self> {
         Arc::new(Self {
             state: Mutex::new(State {
-                history: CrashHistory::new(own),
+                history: CrashHistory::new(own, REPORT_TIME),
                 verifying: Vec::new(),
                 unsent: Vec::new(),
                 unwritten: Vec::new(),
--- a/crates/router/tests/relay/soak/mod.rs
+++ b/crates/router/tests/relay/soak/mod.rs
@@ -43,8 +43,9 @@
 const FAULT_TIME: Duration = Duration::from_secs(9);
 /// Ends a soak in which the routers don't recover.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(40);
-/// Seeds of a short run.
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
+/// Seeds of a short run. Seed 14 failed once: a request that had run beside one
+/// that crashes servers was refused.
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 14];
 const ROUTERS: usize = 4;
 
 /// A running soak.
@@ -275,7 +276,7 @@
         Some((from.parse().ok()?..=to.parse().ok()?).collect())
     };
     let chosen = std::env::var("POPLAR_SOAK_SEEDS").ok().and_then(parse);
-    chosen.unwrap_or_else(|| SEEDS.collect())
+    chosen.unwrap_or_else(|| SEEDS.to_vec())
 }
 
 fn routers() -> usize {
