Build no row of crash reports when there is nothing to write

next_writes is called every 0.4 s while a router is idle, and serialized an empty row and sorted up to a thousand rows of the table before it found that there were no reports. It looks first now. Behaviour is the same.

--- a/crates/router/src/relay/crashes/table.rs
+++ b/crates/router/src/relay/crashes/table.rs
@@ -97,8 +97,11 @@
         let clock = clock + now.saturating_duration_since(read_at).as_millis() as u64;
         let reports = state.unwritten.iter().take(MAX_ROW_REPORTS);
         let reports: Vec<Report> = reports.cloned().collect();
+        if reports.is_empty() {
+            return None;
+        }
         let writes = writes(&reports, &state.rows, clock, now);
-        (!reports.is_empty()).then_some((reports, writes))
+        Some((reports, writes))
     }
 
     /// Records that a write of these reports succeeded.
