Add failing tests of requests at the same crashes as their cause

These two show it each time: one server, three crashes, both requests at each of them. The request is refused by all four routers until the tests end after 30 s, whether it or the cause of the crashes comes again first.

--- a/crates/router/tests/relay/crashing_requests.rs
+++ b/crates/router/tests/relay/crashing_requests.rs
@@ -20,6 +20,8 @@
 const HANG_LIMIT: Duration = Duration::from_secs(30);
 /// Servers that a request may have crashed before all routers refuse it.
 const CRASHES_ALLOWED: usize = 3;
+/// How often it may still reach a server after that.
+const RETRIES_ALLOWED: usize = 3;
 /// Time in which a server that crashed is away.
 const DOWN_TIME: Duration = Duration::from_millis(700);
 /// How long an ordinary request runs.
@@ -45,6 +47,7 @@
     down_time: Duration,
     /// Whether datagrams between the routers arrive.
     datagrams: bool,
+    servers: usize,
 }
 
 impl Setup {
@@ -55,6 +58,7 @@
             kind,
             down_time: DOWN_TIME,
             datagrams: true,
+            servers: SERVERS,
         }
     }
 
@@ -67,7 +71,7 @@
             run_time: RUN_TIME,
         };
         let mut servers = Vec::new();
-        for n in 0..SERVERS {
+        for n in 0..self.servers {
             let id = format!("{}-{n}", self.service);
             servers.push(CrashingServer::open(&id, self.service, &store, plan).await);
         }
@@ -348,3 +352,54 @@
     }
     site.check_refused("/read/crash").await;
 }
+
+/// The site after a request has crashed its only server several times, each
+/// time with another request on it.
+async fn site_with_shared_crashes(run: u64) -> Site {
+    let setup = Setup {
+        servers: 1,
+        ..Setup::new(run, "plain", CrashKind::Reset)
+    };
+    let site = setup.open().await;
+    for n in 0..12 {
+        if site.crashes() >= CRASHES_ALLOWED {
+            break;
+        }
+        let router = site.routers[n % ROUTERS].callers();
+        let ids = [format!("beside-{n}"), format!("crash-{n}")];
+        tokio::join!(
+            ask_once(router, "/once/beside", &ids[0]),
+            ask_once(router, "/once/crash", &ids[1]),
+        );
+        tokio::time::sleep(2 * DOWN_TIME).await;
+    }
+    assert_eq!(site.crashes(), CRASHES_ALLOWED);
+    tokio::time::sleep(SPREAD_TIME).await;
+    site
+}
+
+/// Guards against refusals of a request that was on each server that another
+/// one crashed, so that nothing tells the two apart.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_at_the_same_crashes_as_their_cause_is_served() {
+    let mut site = site_with_shared_crashes(214).await;
+    for router in 0..ROUTERS {
+        site.wait_until_served(router, "/once/beside").await;
+    }
+    site.check_refused("/once/crash").await;
+    assert_eq!(site.crashes(), CRASHES_ALLOWED);
+}
+
+/// As above, if the cause of the crashes comes again first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_at_the_same_crashes_is_served_after_their_cause_came_again() {
+    let mut site = site_with_shared_crashes(215).await;
+    for n in 0..3 * ROUTERS {
+        site.ask(n % ROUTERS, "/once/crash").await;
+    }
+    assert!(site.crashes() <= CRASHES_ALLOWED + RETRIES_ALLOWED);
+    for router in 0..ROUTERS {
+        site.wait_until_served(router, "/once/beside").await;
+    }
+    site.check_refused("/once/crash").await;
+}
