Put requests that may not be the cause of crashes on trial

Callers: a request that was on each server that another one crashed got 502 on all routers for 15 minutes, though it harms nothing.

Cause: requests at the same crashes can't be told apart from what was seen, and the rule against requests that crash servers refuses all of them. Once all are refused, nothing more is learnt.

Change: one router may send one of them while the others are still refused. An answer clears it, as any answer does; a crash is one more than the others have, and explains theirs, as any further crash does. A row in the store, written under a condition, allows one trial at a time and one for each request in 15 minutes; without the store there is none. A request that no other one shares all crashes with needs no trial and gets none, so that the cause of crashes reaches one more server at most. While another trial runs, the request gets 503 with the time that this takes.

The tests of trials: without the check of the row's version the first one fails, since both routers get a trial.

Ruled out: a trial chosen by a hash over the live routers, since routers that disagree about who is live would run two at a time, on one server.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -284,9 +284,16 @@
         refused.then(|| Reason {
             crashes: crashes.len(),
             ago: now.saturating_duration_since(last),
+            is_shared: self.is_shared(fingerprint, &crashes),
         })
     }
 
+    /// Whether another request was at all these crashes.
+    fn is_shared(&self, fingerprint: Fingerprint, crashes: &[&Sighting]) -> bool {
+        let mut others = self.requests.iter().filter(|(f, _)| **f != fingerprint);
+        others.any(|(_, record)| record.was_at(crashes))
+    }
+
     /// Whether another request was at all these crashes and at more. It explains
     /// them, so that a request that was there only beside it is not refused.
     fn is_explained(&self, crashes: &[&Sighting], now: Instant) -> bool {
--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -12,7 +12,8 @@
 //! sighting, too. The more crashes a request was seen at, the less likely that
 //! is: after [`CRASH_LIMIT`] it is refused unless another request was at the same
 //! crashes and more, and after [`CULPRIT_LIMIT`] if nothing else explains the
-//! crashes.
+//! crashes. Of requests that were at the same crashes, one may be sent on trial:
+//! its result tells them apart.
 
 mod history;
 
@@ -103,6 +104,9 @@
     pub crashes: usize,
     /// Time since the last crash.
     pub ago: Duration,
+    /// Whether another request was at the same crashes, so that this one need
+    /// not be their cause.
+    pub is_shared: bool,
 }
 
 impl fmt::Display for Reason {
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -304,11 +304,14 @@
     }
     // Nothing tells them apart yet.
     for name in ["poison", "beside"] {
-        assert!(history.refusal_reason(request(name), now).is_some());
+        let reason = history.refusal_reason(request(name), now);
+        assert!(reason.is_some_and(|r| r.is_shared), "{name}");
     }
     crash_under(&mut history, &["poison"], "e3", now);
     assert!(history.refusal_reason(request("beside"), now).is_none());
-    assert!(history.refusal_reason(request("poison"), now).is_some());
+    // No other request was at all crashes of the cause, which needs no trial.
+    let reason = history.refusal_reason(request("poison"), now);
+    assert!(reason.is_some_and(|r| !r.is_shared));
     // A crash of its own is not explained.
     crash_under(&mut history, &["beside"], "e4", now);
     assert!(history.refusal_reason(request("beside"), now).is_some());
--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -5,9 +5,11 @@
 //! the list of servers shows processes that have been replaced. What is found
 //! counts against the request on all routers: each report goes to the others in
 //! several datagrams, see [`gossip`](crate::relay::gossip), and into a [`table`]
-//! of the platform's store. Either of them is enough.
+//! of the platform's store. Either of them is enough. Requests that can't be told
+//! apart from one that crashes servers are put on [`trial`].
 
 pub mod table;
+pub mod trial;
 mod verify;
 pub mod wire;
 
--- a/crates/router/src/relay/crashes/table.rs
+++ b/crates/router/src/relay/crashes/table.rs
@@ -92,9 +92,8 @@
     /// The next reports to write, and the writes for them; `None` if there are
     /// none, or the table was not read yet.
     pub fn next_writes(&self, now: Instant) -> Option<(Vec<Report>, Vec<Write>)> {
+        let clock = self.store_clock(now)?;
         let state = lock(&self.state);
-        let (clock, read_at) = state.clock?;
-        let clock = clock + now.saturating_duration_since(read_at).as_millis() as u64;
         let reports = state.unwritten.iter().take(MAX_ROW_REPORTS);
         let reports: Vec<Report> = reports.cloned().collect();
         if reports.is_empty() {
--- /dev/null
+++ b/crates/router/src/relay/crashes/trial.rs
@@ -0,0 +1,160 @@
+//! Trials of requests that can't be told apart from one that crashes servers.
+//!
+//! All requests that were at the same crashes are refused, though only one of
+//! them need be the cause. One router may send one of them, while the others are
+//! still refused, and the result tells them apart: an answer clears the request,
+//! and another crash explains the crashes of the others. A row in the platform's
+//! store, written under a condition, ensures that one trial runs at a time and
+//! that each request gets only one.
+
+use std::time::{Duration, Instant};
+
+use poplar_base::log;
+use poplar_core::poison::{EXPIRY, Fingerprint};
+use poplar_platform::rows::{Check, Commit, Partition, Row, Write};
+use poplar_platform::store::{Error, Store};
+use serde::{Deserialize, Serialize};
+
+use super::Crashes;
+use super::wire::{decode_fingerprint, encode_fingerprint};
+use crate::sync::lock;
+
+const PARTITION: Partition = Partition {
+    table: "crash_trials",
+    part: "crashes",
+};
+const KEY: &str = "trials";
+/// Most trials in the row, about 30 KB; the oldest make room.
+const MAX_TRIALS: usize = 256;
+/// Most writes for one trial; each fails if another router's came first.
+const MAX_WRITES: u32 = 3;
+/// Time-out of a write.
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Whether a request may be sent on trial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trial {
+    /// It may be sent once, by this router.
+    Granted,
+    /// Another trial may still run for this long.
+    Busy(Duration),
+    /// It was sent on trial before, or the store could not be reached.
+    Denied,
+}
+
+/// The row: the trials of the last time.
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
+struct TrialsWire {
+    trials: Vec<TrialWire>,
+}
+
+/// A trial. Times are those of the store's clock, in milliseconds.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct TrialWire {
+    request: String,
+    began: u64,
+    /// When the request has ended at the latest.
+    until: u64,
+}
+
+/// The version and contents of the row as last seen.
+#[derive(Debug, Default)]
+struct Seen {
+    version: u64,
+    row: TrialsWire,
+}
+
+impl Seen {
+    /// Decodes the rows found by a write that failed; a row that can't be
+    /// decoded is replaced.
+    fn decode(rows: Vec<Row>) -> Self {
+        let Some(row) = rows.into_iter().find(|row| *row.key == *KEY) else {
+            return Self::default();
+        };
+        let decoded = serde_json::from_slice(&row.value).inspect_err(|why| {
+            log::warn("crash trials invalid").reason(why).write();
+        });
+        Self {
+            version: row.version,
+            row: decoded.unwrap_or_default(),
+        }
+    }
+
+    /// Why a trial of `request` may not begin at `clock`; `None` if it may.
+    fn objection(&self, request: Fingerprint, clock: u64) -> Option<Trial> {
+        let trials = &self.row.trials;
+        if trials
+            .iter()
+            .any(|t| decode_fingerprint(&t.request) == Some(request))
+        {
+            return Some(Trial::Denied);
+        }
+        let until = trials.iter().map(|t| t.until).max()?;
+        (until > clock).then(|| Trial::Busy(Duration::from_millis(until - clock)))
+    }
+
+    fn expire(&mut self, clock: u64) {
+        let expiry = EXPIRY.as_millis() as u64;
+        self.row.trials.retain(|t| t.began + expiry > clock);
+        let surplus = (self.row.trials.len() + 1).saturating_sub(MAX_TRIALS);
+        self.row.trials.drain(..surplus);
+    }
+}
+
+impl Crashes {
+    /// Asks for a trial of a request, which takes at most `time_left`.
+    pub async fn begin_trial(
+        &self,
+        store: &Store,
+        request: Fingerprint,
+        time_left: Duration,
+    ) -> Trial {
+        let Some(clock) = self.store_clock(Instant::now()) else {
+            return Trial::Denied;
+        };
+        let mut seen = Seen::default();
+        for _ in 0..MAX_WRITES {
+            seen.expire(clock);
+            if let Some(objection) = seen.objection(request, clock) {
+                return objection;
+            }
+            seen.row.trials.push(TrialWire {
+                request: encode_fingerprint(request),
+                began: clock,
+                until: clock + time_left.as_millis() as u64,
+            });
+            let value = serde_json::to_vec(&seen.row).expect("trials can be serialized");
+            let commit = Commit {
+                checks: vec![Check {
+                    key: KEY.into(),
+                    version: seen.version,
+                }],
+                writes: vec![Write {
+                    key: KEY.into(),
+                    value: Some(value),
+                }],
+            };
+            match store.commit(PARTITION, commit, TIMEOUT).await {
+                Ok(_) => return Trial::Granted,
+                Err(Error::Conflict(rows)) => seen = Seen::decode(rows),
+                Err(why) => {
+                    log::warn("crash trial not written")
+                        .with("content", request)
+                        .reason(why)
+                        .write();
+                    return Trial::Denied;
+                }
+            }
+        }
+        // Other routers' trials came first each time.
+        Trial::Busy(TIMEOUT)
+    }
+
+    /// The store's clock in milliseconds; `None` if it is not known yet.
+    pub(super) fn store_clock(&self, now: Instant) -> Option<u64> {
+        let (clock, read_at) = lock(&self.state).clock?;
+        Some(clock + now.saturating_duration_since(read_at).as_millis() as u64)
+    }
+}
--- a/crates/router/src/relay/crashes/wire.rs
+++ b/crates/router/src/relay/crashes/wire.rs
@@ -40,11 +40,11 @@
     now.saturating_duration_since(at).as_millis() as u64
 }
 
-fn encode_fingerprint(fingerprint: Fingerprint) -> String {
+pub(super) fn encode_fingerprint(fingerprint: Fingerprint) -> String {
     format!("{:032x}", fingerprint.0)
 }
 
-fn decode_fingerprint(text: &str) -> Option<Fingerprint> {
+pub(super) fn decode_fingerprint(text: &str) -> Option<Fingerprint> {
     u128::from_str_radix(text, 16).ok().map(Fingerprint)
 }
 
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -168,7 +168,7 @@
     pub async fn send(&mut self) -> Result<ServerResponse, Refusal> {
         loop {
             let now = Instant::now();
-            if self.request.crashes_servers(&self.relay, now) {
+            if !self.request.on_trial && self.request.crashes_servers(&self.relay, now) {
                 return Err(self.give_up(Failure::Lost, CRASHES_SERVERS, now));
             }
             let Some(in_flight) = self.choose(now) else {
@@ -368,8 +368,8 @@
             self.suspect(server, failure, now);
         }
         let attempts = self.request.route.max_attempts;
-        let may_retry =
-            not_run || (self.request.route.kind.is_repeatable() && self.runs < attempts);
+        let may_repeat = self.request.route.kind.is_repeatable() && !self.request.on_trial;
+        let may_retry = not_run || (may_repeat && self.runs < attempts);
         let sends_left = self.sends < attempts + EXTRA_SENDS;
         if !may_retry || !sends_left || now >= self.request.deadline {
             return Err(self.give_up(failure, "given up", now));
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -18,7 +18,7 @@
 use crate::relay::budgets::{Reservation, ReserveError};
 use crate::relay::exchange::Exchange;
 use crate::relay::refusal::{self, Body, Refusal};
-use crate::relay::request::{self, CRASHES_SERVERS, ClientRequest};
+use crate::relay::request::{self, ClientRequest};
 use crate::relay::state::{OpenRequest, Relay, format_age};
 use crate::relay::stream;
 
@@ -112,7 +112,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let deployment = deployment.ok_or(Refusal::not_run("no configuration", UNREADY_RETRY_AFTER))?;
     let body = read_body(body, &deployment.limits).await?;
-    let request = identify(&deployment, parts, body, head, arrived)?;
+    let mut request = identify(&deployment, parts, body, head, arrived)?;
     let streams = request.route.kind.is_stream();
     let grace = relay.settings.stop_grace;
     let accept_for = grace.mul_f64(if streams {
@@ -126,9 +126,7 @@
     {
         return Err(Refusal::not_run("stopping", OTHER_ROUTER_RETRY_AFTER));
     }
-    if request.crashes_servers(relay, arrived) {
-        return Err(Refusal::new(StatusCode::BAD_GATEWAY, CRASHES_SERVERS));
-    }
+    request.check_crashes(relay, arrived).await?;
     relay.record_request(&request.service, arrived);
     let reservation = reserve(relay, &request).await?;
     let exchange = Exchange::new(relay.clone(), request, reservation, open);
@@ -182,6 +180,7 @@
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     Ok(ClientRequest {
         fingerprint: request::fingerprint(parts.uri.path(), workspace.as_ref(), &body),
+        on_trial: false,
         stride: u64::from(stride),
         service: service.clone(),
         route: route.clone(),
--- a/crates/router/src/relay/request.rs
+++ b/crates/router/src/relay/request.rs
@@ -3,13 +3,15 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::{Method, Uri};
+use http::{Method, StatusCode, Uri};
 use poplar_base::log;
 use poplar_core::deployment::{Route, Workspace};
 use poplar_core::id::Name;
-use poplar_core::poison::Fingerprint;
+use poplar_core::poison::{Fingerprint, Reason};
 use poplar_platform::headers::RequestHead;
 
+use crate::relay::crashes::trial::Trial;
+use crate::relay::refusal::Refusal;
 use crate::relay::state::Relay;
 
 /// Why a request that crashed servers is refused.
@@ -43,6 +45,8 @@
     /// Hash of the path, workspace and body, which identifies a request that
     /// crashes servers.
     pub fingerprint: Fingerprint,
+    /// Whether it is sent to find out whether it crashes servers.
+    pub on_trial: bool,
 }
 
 /// Identifies the content of a request: its path, workspace and body.
@@ -59,15 +63,59 @@
     /// Whether the request is to be refused because of the servers that it
     /// crashed.
     pub fn crashes_servers(&self, relay: &Relay, now: Instant) -> bool {
+        let why = relay.crashes.refusal_reason(self.fingerprint, now);
+        if let Some(why) = &why {
+            self.log_crash_refusal(why);
+        }
+        why.is_some()
+    }
+
+    /// Checks that the request may be sent for the first time. One that may not
+    /// be the cause of the crashes that it was at is put on trial.
+    ///
+    /// # Errors
+    /// [`Refusal`] if it crashes servers, or another request is on trial.
+    pub async fn check_crashes(&mut self, relay: &Relay, now: Instant) -> Result<(), Refusal> {
         let Some(why) = relay.crashes.refusal_reason(self.fingerprint, now) else {
-            return false;
+            return Ok(());
+        };
+        let trial = if why.is_shared {
+            let time_left = self.deadline.saturating_duration_since(now);
+            let crashes = &relay.crashes;
+            crashes
+                .begin_trial(&relay.store, self.fingerprint, time_left)
+                .await
+        } else {
+            Trial::Denied
         };
+        match trial {
+            Trial::Granted => {
+                log::info("crashing request on trial")
+                    .request(&self.head.attempt_id)
+                    .with("content", self.fingerprint)
+                    .with("crashes", why.crashes)
+                    .write();
+                self.on_trial = true;
+                Ok(())
+            }
+            Trial::Busy(wait) => {
+                self.log_crash_refusal(&why);
+                Err(Refusal::not_run(CRASHES_SERVERS, wait))
+            }
+            Trial::Denied => {
+                self.log_crash_refusal(&why);
+                Err(Refusal::new(StatusCode::BAD_GATEWAY, CRASHES_SERVERS))
+            }
+        }
+    }
+
+    fn log_crash_refusal(&self, why: &Reason) {
         log::info("crashing request refused")
             .request(&self.head.attempt_id)
             .with("content", self.fingerprint)
             .with("crashes", why.crashes)
             .with("last_ms", why.ago.as_millis())
+            .with("shared", why.is_shared)
             .write();
-        true
     }
 }
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -2,6 +2,7 @@
 //! store.
 
 mod crash_reports;
+mod crash_trials;
 mod crashing_requests;
 mod mirror;
 mod servers;
