--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -303,10 +303,14 @@
             crashes.record_dead_server(&in_flight.server, Evidence::Replaced, now);
             return Err(Failure::Refused(ServerRefusal::Leaving));
         }
+        let is_own = response.attempt_id.as_ref() == Some(&self.request.head.attempt_id);
+        if is_own || response.not_run {
+            in_flight.record_limit(response.limit);
+        }
         if response.not_run {
             return Err(Failure::Refused(ServerRefusal::Full));
         }
-        if response.attempt_id.as_ref() != Some(&self.request.head.attempt_id) {
+        if !is_own {
             return Err(Failure::Garbled);
         }
         if head.status.is_success() && (!response.sealed || response.encoded) {
--- a/crates/router/src/relay/servers.rs
+++ b/crates/router/src/relay/servers.rs
@@ -15,7 +15,7 @@
 use poplar_core::health::{Change, HealthTracker};
 use poplar_core::id::Name;
 use poplar_core::sorted::SortedVec;
-use poplar_platform::headers::ServerLoad;
+use poplar_platform::headers::{LimitNotice, ServerLoad};
 
 use crate::relay::gossip::{LoadMessage, ServerWork};
 use crate::sync::lock;
@@ -41,6 +41,8 @@
     load: Option<ServerLoad>,
     /// Start time that the server registered, in Unix milliseconds.
     started_ms: u64,
+    /// Requests a second that the server takes; `None` if it named no limit.
+    limit: Option<f64>,
 }
 
 /// What the list of servers shows of a server's process.
@@ -198,6 +200,7 @@
             });
             if std::mem::replace(&mut state.started_ms, started_ms) != started_ms {
                 state.load = None;
+                state.limit = None;
                 restarted.push(server);
             }
             if !previous.contains(server) {
@@ -379,6 +382,34 @@
         }
     }
 
+    /// Records what the server said of its limit.
+    pub fn record_limit(&self, notice: LimitNotice) {
+        let limit = match notice {
+            LimitNotice::Unlimited => None,
+            LimitNotice::PerSecond(rate) => Some(rate),
+            LimitNotice::Invalid => {
+                return log::warn("server limit invalid")
+                    .with("server", &self.server.id)
+                    .write();
+            }
+        };
+        let mut state = lock(&self.servers.state);
+        let known = state.states.get_mut(&*self.server.id);
+        let Some(known) = known.filter(|known| known.started_ms == self.server.started_ms) else {
+            return;
+        };
+        if std::mem::replace(&mut known.limit, limit) != limit {
+            log::info("server limit changed")
+                .with("server", &self.server.id)
+                .with(
+                    "limit",
+                    limit.map_or("none".to_owned(), |rate| rate.to_string()),
+                )
+                .with("source", "answer")
+                .write();
+        }
+    }
+
     /// Records a success or failure for the health of the server.
     pub fn record_outcome(&self, success: bool, now: Instant) {
         let mut state = lock(&self.servers.state);
