--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod crash_trials;
 mod crashing_requests;
 mod mirror;
+mod server_limits;
 mod servers;
 mod site;
 mod slow_link;
--- /dev/null
+++ b/crates/router/tests/relay/site/limited.rs
@@ -0,0 +1,88 @@
+//! A stand-in for a backend server that names a limit of requests a second in
+//! its answers, and counts what reaches it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::store::Store;
+use super::{Body, full_body, serve};
+
+/// How long a request runs.
+const RUN_TIME: Duration = Duration::from_millis(15);
+/// Length of the windows in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests above the limit that are allowed in a window: a share of it, and a
+/// number.
+const EXCESS_FACTOR: f64 = 1.5;
+const EXCESS_REQUESTS: f64 = 5.0;
+
+/// The stand-in.
+#[derive(Debug)]
+pub(crate) struct LimitedServer {
+    limit: Mutex<Option<f64>>,
+    status: StatusCode,
+    arrivals: Mutex<Vec<Instant>>,
+}
+
+impl LimitedServer {
+    /// Starts a server of the service `plain` that answers with this status, and
+    /// registers it.
+    pub(crate) async fn open(id: &str, status: StatusCode, store: &Arc<Store>) -> Arc<Self> {
+        let server = Arc::new(Self {
+            limit: Mutex::default(),
+            status,
+            arrivals: Mutex::default(),
+        });
+        let handler = server.clone();
+        let address: SocketAddr = serve(move |request| handler.clone().answer(request)).await;
+        store.register(id, "plain", address);
+        server
+    }
+
+    /// Sets the limit that it names in its answers.
+    pub(crate) fn set_limit(&self, limit: Option<f64>) {
+        *self.limit.lock().expect("no panic") = limit;
+    }
+
+    /// Number of requests since `from`.
+    pub(crate) fn arrivals_since(&self, from: Instant) -> usize {
+        let arrivals = self.arrivals.lock().expect("no panic");
+        arrivals.iter().filter(|at| **at >= from).count()
+    }
+
+    /// The most requests in a window that begins at `from` or later, and the most
+    /// that are allowed.
+    pub(crate) fn busiest_window(&self, from: Instant, limit: f64) -> (usize, usize) {
+        let arrivals = self.arrivals.lock().expect("no panic");
+        let counted: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
+        let in_window = |start: usize| {
+            let end = counted[start] + WINDOW;
+            counted[start..].iter().take_while(|at| **at < end).count()
+        };
+        let most = (0..counted.len()).map(in_window).max().unwrap_or(0);
+        let allowed = EXCESS_FACTOR * limit * WINDOW.as_secs_f64() + EXCESS_REQUESTS;
+        (most, allowed as usize)
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        self.arrivals.lock().expect("no panic").push(Instant::now());
+        let (head, body) = request.into_parts();
+        body.collect().await.ok()?;
+        tokio::time::sleep(RUN_TIME).await;
+        let mut response = Response::new(full_body("an answer"));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        let id = head.headers.get("x-poplarreel-attempt-id")?;
+        headers.insert("x-poplarreel-attempt-id", id.clone());
+        headers.insert("x-poplarreel-response-seal", "a-seal".parse().ok()?);
+        if let Some(limit) = *self.limit.lock().expect("no panic") {
+            headers.insert("server-limit", limit.to_string().parse().ok()?);
+        }
+        Some(response)
+    }
+}
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod backend;
 pub(crate) mod caller;
 pub(crate) mod crashing;
+pub(crate) mod limited;
 pub(crate) mod link;
 pub(crate) mod process;
 pub(crate) mod store;
