Keep limits that servers name on all routers together

Callers: none saw it at once; the servers did. One that was overloaded and named a limit of 1 request a second got as many as before, 14 in 4 s where 13 are allowed at 1.4 a second, and would have ended or slowed down for all.

Cause: nothing read the limit. Had each router acted on what it was told itself, or kept to the whole limit, the sum would still have been too high: at 24 routers one request from each is more than is allowed.

Evidence: with the line 'server limit changed' in the failing test of 24 routers, each router was told by the server, and 23 of them sent 3 to 9 further requests after that (one sent 1).

Change: reports of limits go to all routers by datagram and by a table of the store. A request to a server with a limit needs a permit; the permits of a second are divided among the live routers by a hash of the store's time, so that they need no message to agree, and those of idle routers are yielded to the others by a promise.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod quota;
 pub mod retry;
 pub mod route;
+pub mod server_limit;
 pub mod sorted;
--- a/crates/router/src/relay/crashes/trial.rs
+++ b/crates/router/src/relay/crashes/trial.rs
@@ -153,7 +153,7 @@
     }
 
     /// The store's clock in milliseconds; `None` if it is not known yet.
-    pub(super) fn store_clock(&self, now: Instant) -> Option<u64> {
+    pub fn store_clock(&self, now: Instant) -> Option<u64> {
         let (clock, read_at) = lock(&self.state).clock?;
         Some(clock + now.saturating_duration_since(read_at).as_millis() as u64)
     }
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -23,7 +23,7 @@
 use crate::relay::crashes::Evidence;
 use crate::relay::refusal::Refusal;
 use crate::relay::request::{CRASHES_SERVERS, ClientRequest};
-use crate::relay::servers::InFlight;
+use crate::relay::servers::{InFlight, Unavailable};
 use crate::relay::state::{OpenRequest, Relay};
 use crate::relay::upstream::{self, ConnectError, Connection};
 
@@ -171,8 +171,16 @@
             if !self.request.on_trial && self.request.crashes_servers(&self.relay, now) {
                 return Err(self.give_up(Failure::Lost, CRASHES_SERVERS, now));
             }
-            let Some(in_flight) = self.choose(now) else {
-                return Err(self.give_up(Failure::Connect, "no server", now));
+            let in_flight = match self.choose(now) {
+                Ok(in_flight) => in_flight,
+                Err(Unavailable::NoServer) => {
+                    return Err(self.give_up(Failure::Connect, "no server", now));
+                }
+                Err(Unavailable::Limited(wait)) => {
+                    let mut refusal = self.give_up(Failure::Connect, "servers limited", now);
+                    refusal.retry_after = refusal.retry_after.map(|_| wait);
+                    return Err(refusal);
+                }
             };
             let server = in_flight.server.clone();
             match self.attempt(in_flight).await {
@@ -182,7 +190,7 @@
         }
     }
 
-    fn choose(&self, now: Instant) -> Option<InFlight> {
+    fn choose(&self, now: Instant) -> Result<InFlight, Unavailable> {
         let parts = &self.request.head.prompt_parts;
         // The last part is not shared with other requests.
         let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
@@ -206,7 +214,7 @@
             .with("shared", shared_tokens)
             .with("prompt", prefill_tokens)
             .write();
-        Some(in_flight)
+        Ok(in_flight)
     }
 
     async fn attempt(&mut self, in_flight: InFlight) -> Result<ServerResponse, Failure> {
@@ -305,7 +313,7 @@
         }
         let is_own = response.attempt_id.as_ref() == Some(&self.request.head.attempt_id);
         if is_own || response.not_run {
-            in_flight.record_limit(response.limit);
+            in_flight.record_limit(response.limit, Instant::now());
         }
         if response.not_run {
             return Err(Failure::Refused(ServerRefusal::Full));
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -1,8 +1,8 @@
 //! Exchanges load information between routers over UDP.
 //!
 //! Each router sends the others the requests that it has at backend servers,
-//! the servers that hold shared prompts in their caches, and reports of
-//! crashes. It sends one datagram to each router several times a second while it
+//! the servers that hold shared prompts in their caches, reports of crashes, and
+//! limits that servers named. It sends one datagram to each router several times a second while it
 //! has something to say. A lost datagram is not sent again: the next one replaces
 //! the load, and each report goes into several. The load expires after a short
 //! time, so that the requests of a router that has stopped sending no longer
@@ -20,6 +20,8 @@
 
 use crate::relay::crashes::Source;
 use crate::relay::crashes::wire::ReportsWire;
+use crate::relay::limits::LimitNewsWire;
+use crate::relay::servers::limits::LimitNews;
 use crate::relay::state::Relay;
 
 /// Shortest time between two messages; the prefill of a long prompt takes
@@ -48,7 +50,7 @@
 }
 
 /// A message from one router to another.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct LoadMessage {
     /// The sender's requests at servers.
     pub work: Vec<ServerWork>,
@@ -56,6 +58,8 @@
     pub holders: Vec<(u64, Name)>,
     /// Crashes that the sender has seen.
     pub reports: Vec<Report>,
+    /// What the sender knows of limits of servers.
+    pub limits: LimitNews,
 }
 
 #[derive(Debug)]
@@ -65,6 +69,8 @@
     held: Vec<(u64, Name)>,
     #[serde(flatten)]
     reports: ReportsWire,
+    #[serde(flatten)]
+    limits: LimitNewsWire,
 }
 
 impl LoadMessageWire {
@@ -75,6 +81,7 @@
             work: message.work.into_iter().map(entry).collect(),
             held: message.holders,
             reports: ReportsWire::encode(&message.reports, now),
+            limits: LimitNewsWire::encode(message.limits, now),
         }
     }
 
@@ -89,6 +96,7 @@
             work: self.work.into_iter().map(entry).collect(),
             holders: self.held,
             reports: self.reports.decode(now),
+            limits: self.limits.decode(now),
         }
     }
 }
@@ -122,10 +130,12 @@
         work.truncate(MAX_SERVERS);
         let holders = relay.servers.take_unannounced();
         let reports = relay.crashes.take_unsent();
+        let limits = relay.servers.take_limit_news(Instant::now());
         let message = LoadMessage {
             work,
             holders,
             reports,
+            limits,
         };
         let empty = message == LoadMessage::default();
         // One empty message says that the last requests have ended.
@@ -162,8 +172,10 @@
                 let now = Instant::now();
                 let mut message = wire.decode(now);
                 let reports = std::mem::take(&mut message.reports);
+                let limits = std::mem::take(&mut message.limits);
                 relay.servers.record_peer_message(from.ip(), message, now);
                 relay.crashes.merge(reports, Source::Peer, now);
+                relay.servers.merge_limit_news(from.ip(), limits);
             }
             Err(why) => log::debug("gossip message invalid").reason(why).write(),
         }
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -80,6 +80,7 @@
         metrics::gauge!("poplar_requests_at_servers")
             .set(f64::from(relay.servers.in_flight_count()));
         metrics::gauge!("poplar_crash_requests").set(relay.crashes.suspected_requests() as f64);
+        metrics::gauge!("poplar_limited_servers").set(relay.servers.limited_count() as f64);
         metrics::gauge!("poplar_routers").set(f64::from(relay.budgets.live_routers()));
         let version = relay
             .deployment()
@@ -89,6 +90,7 @@
             ("configuration", &relay.configuration_read),
             ("servers", &relay.server_list_read),
             ("crashes", &relay.crash_reports_read),
+            ("limits", &relay.limits_read),
         ];
         for (table, last_read) in tables {
             if let Some(age) = last_read.age(now) {
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -4,7 +4,8 @@
 //!
 //! [`handler`] matches a request with its route and reserves its tokens in the
 //! workspace's [`budgets`]; one that crashes servers is refused, see [`crashes`].
-//! [`exchange`] chooses a server among [`servers`], sends the request and retries
+//! [`exchange`] chooses a server among [`servers`], which may have named [`limits`],
+//! sends the request and retries
 //! it where the route allows that. Responses of engines are forwarded event by
 //! event in [`stream`]. The formats of the platform are decoded by
 //! `poplar_platform`.
@@ -15,6 +16,7 @@
 pub mod gossip;
 pub mod handler;
 pub mod lifecycle;
+pub mod limits;
 pub mod listeners;
 pub mod refusal;
 pub mod request;
--- /dev/null
+++ b/crates/router/src/relay/servers/limits.rs
@@ -0,0 +1,148 @@
+//! Limits of requests a second that servers name, see
+//! [`poplar_core::server_limit`].
+
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use poplar_base::log;
+use poplar_core::deployment::Server;
+use poplar_core::id::Name;
+use poplar_core::server_limit::{Allowance, Report, Yield};
+use poplar_platform::headers::LimitNotice;
+
+use super::{InFlight, Servers, State};
+use crate::sync::lock;
+
+/// What a message to another router says of limits.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct LimitNews {
+    /// Limits of servers.
+    pub reports: Vec<Report>,
+    /// Permits that the sender does not use.
+    pub yields: Vec<Yield>,
+}
+
+impl State {
+    /// Whether a server's limit allows another request now.
+    pub(super) fn allows(&mut self, server: &Server, now: Instant) -> bool {
+        let process = server.started_ms;
+        let allowance = self
+            .limits
+            .allowance(&server.id, process, &server.service, now);
+        allowance != Allowance::Exhausted
+    }
+
+    /// When clients should retry if these servers allow no request.
+    pub(super) fn limits_retry_after(&self, servers: &[Server]) -> Duration {
+        let processes = servers.iter().map(|s| (&*s.id, s.started_ms));
+        self.limits.retry_after(processes, rand::random())
+    }
+}
+
+impl Servers {
+    /// Sets the addresses of the other live routers.
+    pub fn set_routers(&self, routers: Vec<IpAddr>) {
+        lock(&self.state).limits.set_routers(routers);
+    }
+
+    /// Records that the store's clock showed `clock_ms` at `now` or shortly
+    /// before.
+    pub fn set_clock(&self, clock_ms: u64, now: Instant) {
+        lock(&self.state).limits.set_clock(clock_ms, now);
+    }
+
+    /// What the next message to the other routers says of limits.
+    pub fn take_limit_news(&self, now: Instant) -> LimitNews {
+        let mut state = lock(&self.state);
+        let State { list, limits, .. } = &mut *state;
+        let is_limited = |s: &&Server| limits.rate(&s.id, s.started_ms).is_some();
+        let mut services: Vec<Name> = list
+            .all()
+            .filter(is_limited)
+            .map(|s| s.service.clone())
+            .collect();
+        services.sort();
+        services.dedup();
+        LimitNews {
+            reports: limits.take_reports(),
+            yields: limits.take_yields(services.into_iter(), now),
+        }
+    }
+
+    /// Adds what another router said of limits.
+    pub fn merge_limit_news(&self, from: IpAddr, news: LimitNews) {
+        self.merge_limits(news.reports, "peer");
+        let mut state = lock(&self.state);
+        for offer in news.yields {
+            state.limits.merge_yield(from, offer);
+        }
+    }
+
+    /// Adds limits that another router was told, which came by way of `source`.
+    pub fn merge_limits(&self, reports: Vec<Report>, source: &'static str) {
+        for report in reports {
+            let changed = lock(&self.state).limits.merge(report.clone());
+            if changed {
+                log_change(&report, source);
+            }
+        }
+    }
+
+    /// Limits that this router was told and that are not stored yet.
+    pub fn unstored_limits(&self) -> Vec<Report> {
+        lock(&self.state).limits.unstored()
+    }
+
+    /// Records that limits have been stored.
+    pub fn record_stored_limits(&self, reports: &[Report]) {
+        lock(&self.state).limits.record_stored(reports);
+    }
+
+    /// Forgets limits of servers that are no longer listed.
+    pub fn expire_limits(&self, now: Instant) {
+        let mut state = lock(&self.state);
+        let State { list, limits, .. } = &mut *state;
+        limits.expire(|id| list.all().any(|s| *s.id == *id), now);
+    }
+
+    /// Number of servers with a limit, for the metrics.
+    pub fn limited_count(&self) -> usize {
+        lock(&self.state).limits.count()
+    }
+}
+
+impl InFlight {
+    /// Records what the server said of its limit.
+    pub fn record_limit(&self, notice: LimitNotice, now: Instant) {
+        let rate = match notice {
+            LimitNotice::Unlimited => None,
+            LimitNotice::PerSecond(rate) => Some(rate),
+            LimitNotice::Invalid => {
+                return log::warn("server limit invalid")
+                    .with("server", &self.server.id)
+                    .write();
+            }
+        };
+        let report = Report {
+            server: self.server.id.clone(),
+            process: self.server.started_ms,
+            rate,
+            at: now,
+        };
+        let changed = lock(&self.servers.state).limits.observe(report.clone());
+        if changed {
+            log_change(&report, "answer");
+        }
+    }
+}
+
+fn log_change(report: &Report, source: &'static str) {
+    let limit = report.rate.map_or("none".to_owned(), |r| r.to_string());
+    log::info("server limit changed")
+        .with("server", &report.server)
+        .with("started_ms", report.process)
+        .with("limit", limit)
+        .with("source", source)
+        .write();
+    metrics::counter!("poplar_server_limit_changes_total", "source" => source).increment(1);
+}
--- a/crates/router/src/relay/servers.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -3,7 +3,10 @@
 //! report, and their health.
 //!
 //! [`Servers::choose`] selects a server for a request and returns a guard that
-//! counts the request at the server until it is dropped.
+//! counts the request at the server until it is dropped. Requests to servers that
+//! name a limit need a permit, see [`limits`].
+
+pub mod limits;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -14,8 +17,9 @@
 use poplar_core::deployment::{Server, ServerList};
 use poplar_core::health::{Change, HealthTracker};
 use poplar_core::id::Name;
+use poplar_core::server_limit::Limits;
 use poplar_core::sorted::SortedVec;
-use poplar_platform::headers::{LimitNotice, ServerLoad};
+use poplar_platform::headers::ServerLoad;
 
 use crate::relay::gossip::{LoadMessage, ServerWork};
 use crate::sync::lock;
@@ -41,8 +45,6 @@
     load: Option<ServerLoad>,
     /// Start time that the server registered, in Unix milliseconds.
     started_ms: u64,
-    /// Requests a second that the server takes; `None` if it named no limit.
-    limit: Option<f64>,
 }
 
 /// What the list of servers shows of a server's process.
@@ -58,7 +60,7 @@
     Unlisted,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     list: ServerList,
     /// Health of the servers, by service.
@@ -72,6 +74,18 @@
     holders: SortedVec<u64, Name>,
     /// Holders that have not been announced to the other routers yet.
     unannounced: Vec<(u64, Name)>,
+    /// Limits of requests a second that servers named.
+    limits: Limits,
+}
+
+/// Why no server was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unavailable {
+    /// The service has none.
+    NoServer,
+    /// All have a limit that allows no further request. A retry after this time
+    /// may find one.
+    Limited(Duration),
 }
 
 impl State {
@@ -144,10 +158,20 @@
 }
 
 impl Servers {
-    /// No servers yet, as seen from the data centre `centre`.
-    pub fn new(centre: Name) -> Arc<Self> {
+    /// No servers yet, as seen from the router at `router` in the data centre
+    /// `centre`.
+    pub fn new(centre: Name, router: IpAddr) -> Arc<Self> {
+        let state = State {
+            list: ServerList::default(),
+            health: SortedVec::new(),
+            states: SortedVec::new(),
+            peers: SortedVec::new(),
+            holders: SortedVec::new(),
+            unannounced: Vec::new(),
+            limits: Limits::new(router),
+        };
         Arc::new(Self {
-            state: Mutex::default(),
+            state: Mutex::new(state),
             centre,
         })
     }
@@ -162,6 +186,11 @@
         lock(&self.state).list.record_failed_read();
     }
 
+    /// Whether a server is listed.
+    pub fn is_listed(&self, id: &str) -> bool {
+        lock(&self.state).list.all().any(|s| *s.id == *id)
+    }
+
     /// What the list shows of a server's process.
     pub fn listing(&self, server: &Server) -> Listing {
         lock(&self.state).listing(server)
@@ -200,7 +229,6 @@
             });
             if std::mem::replace(&mut state.started_ms, started_ms) != started_ms {
                 state.load = None;
-                state.limit = None;
                 restarted.push(server);
             }
             if !previous.contains(server) {
@@ -239,16 +267,25 @@
     }
 
     /// Chooses a server of `service` and counts a request with `prefill_tokens`
-    /// prompt tokens there; `None` if the service has no server.
+    /// prompt tokens there.
+    ///
+    /// # Errors
+    /// [`Unavailable`] if no server takes it now.
     pub fn choose(
         self: &Arc<Self>,
         service: &Name,
         query: &Query<'_>,
         prefill_tokens: u64,
         now: Instant,
-    ) -> Option<InFlight> {
+    ) -> Result<InFlight, Unavailable> {
         let mut state = lock(&self.state);
-        let tracker = state.health.get(&**service)?;
+        state.limits.record_request(service, now);
+        let ready: Vec<Server> = state.list.ready_servers(service, now).cloned().collect();
+        let allowed: Vec<&Server> = ready.iter().filter(|s| state.allows(s, now)).collect();
+        if allowed.is_empty() && !ready.is_empty() {
+            return Err(Unavailable::Limited(state.limits_retry_after(&ready)));
+        }
+        let tracker = state.health.get(&**service).ok_or(Unavailable::NoServer)?;
         let candidate = |server: &Server| {
             let known = state.states.get(&*server.id);
             let load = known.and_then(|k| k.load);
@@ -263,22 +300,16 @@
                 health: tracker.state(&server.id, now),
             }
         };
-        let candidates: Vec<Candidate> = state
-            .list
-            .ready_servers(service, now)
-            .map(candidate)
-            .collect();
+        let candidates: Vec<Candidate> = allowed.into_iter().map(candidate).collect();
         let Choice {
             id,
             is_home,
             home_server,
             work,
-        } = affinity::choose(&candidates, query)?;
-        let server = state
-            .list
-            .ready_servers(service, now)
-            .find(|s| s.id == id)?
-            .clone();
+        } = affinity::choose(&candidates, query).ok_or(Unavailable::NoServer)?;
+        let find = |id: &Name| ready.iter().find(|s| s.id == *id);
+        let server = find(&id).ok_or(Unavailable::NoServer)?.clone();
+        state.limits.take_permit(&id);
         let recorded = state.holders.get(&query.prompt_id).cloned();
         let holder = match recorded {
             _ if query.shared_tokens < affinity::MIN_SHARED_TOKENS => None,
@@ -286,9 +317,7 @@
             Some(holder) => Some(holder),
             None => home_server,
         };
-        let holder =
-            holder.and_then(|id| state.list.ready_servers(service, now).find(|s| s.id == id));
-        let fetch_from = holder.map(|server| server.address);
+        let fetch_from = holder.and_then(|id| Some(find(&id)?.address));
         // A part that is fetched counts only for the time that the fetch takes; one
         // whose home is this server does not count.
         let cached = match fetch_from {
@@ -300,7 +329,7 @@
         let known = state.states.get_or_insert_with(id, ServerState::default);
         known.requests += 1;
         known.prefill_tokens += prefill_tokens;
-        Some(InFlight {
+        Ok(InFlight {
             servers: self.clone(),
             server,
             is_home,
@@ -382,34 +411,6 @@
         }
     }
 
-    /// Records what the server said of its limit.
-    pub fn record_limit(&self, notice: LimitNotice) {
-        let limit = match notice {
-            LimitNotice::Unlimited => None,
-            LimitNotice::PerSecond(rate) => Some(rate),
-            LimitNotice::Invalid => {
-                return log::warn("server limit invalid")
-                    .with("server", &self.server.id)
-                    .write();
-            }
-        };
-        let mut state = lock(&self.servers.state);
-        let known = state.states.get_mut(&*self.server.id);
-        let Some(known) = known.filter(|known| known.started_ms == self.server.started_ms) else {
-            return;
-        };
-        if std::mem::replace(&mut known.limit, limit) != limit {
-            log::info("server limit changed")
-                .with("server", &self.server.id)
-                .with(
-                    "limit",
-                    limit.map_or("none".to_owned(), |rate| rate.to_string()),
-                )
-                .with("source", "answer")
-                .write();
-        }
-    }
-
     /// Records a success or failure for the health of the server.
     pub fn record_outcome(&self, success: bool, now: Instant) {
         let mut state = lock(&self.servers.state);
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -37,6 +37,8 @@
     pub server_list_read: LastRead,
     /// When the copy of the reports of crashes was last current.
     pub crash_reports_read: LastRead,
+    /// When the copy of the limits of servers was last current.
+    pub limits_read: LastRead,
     retry_limits: RwLock<SharedBudget>,
     retry_shares: Mutex<SortedVec<Name, Share>>,
     stop_began: Mutex<Option<Instant>>,
@@ -79,13 +81,14 @@
         let incarnation = rand::random();
         let limits = retry_limits(&settings);
         Arc::new(Self {
-            servers: Servers::new(settings.centre.clone()),
+            servers: Servers::new(settings.centre.clone(), settings.ip),
             budgets: Budgets::new(store.clone(), settings.ip, incarnation),
             crashes: Crashes::open(Incarnation::new(&settings.name, incarnation)),
             deployment: RwLock::default(),
             configuration_read: LastRead::default(),
             server_list_read: LastRead::default(),
             crash_reports_read: LastRead::default(),
+            limits_read: LastRead::default(),
             retry_limits: RwLock::new(limits),
             retry_shares: Mutex::default(),
             stop_began: Mutex::default(),
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -1,5 +1,5 @@
-//! Follows the configuration, the list of backend servers and the reports of
-//! crashes in the store.
+//! Follows the configuration, the list of backend servers, the reports of crashes
+//! and the limits of servers in the store.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,6 +13,7 @@
 use poplar_platform::store::{OPERATOR_TABLE, SERVERS_TABLE, Store};
 
 use crate::relay::crashes;
+use crate::relay::limits as server_limits;
 use crate::relay::state::{LastRead, Relay, format_age};
 
 /// Pause between two updates of a table, since changes come in bursts.
@@ -27,6 +28,8 @@
 const FEED_WAIT: Duration = Duration::from_millis(600);
 /// The same for the reports of crashes, which mostly arrive by datagram before.
 const REPORT_FEED_WAIT: Duration = Duration::from_secs(2);
+/// The same for the limits of servers, which are rare.
+const LIMIT_FEED_WAIT: Duration = Duration::from_secs(4);
 /// Longest silence of the store during an update, beyond that wait. An
 /// answer that keeps arriving is read to its end.
 const TIMEOUT: Duration = Duration::from_millis(600);
@@ -95,6 +98,7 @@
             for (server, listing) in relay.servers.update(listed, version, now) {
                 relay.crashes.check_listing(&server, listing, now);
             }
+            relay.servers.set_clock(watch.mirror.clock_ms(), now);
             relay.server_list_read.record(requested);
         } else {
             relay.servers.record_failed_read();
@@ -119,6 +123,23 @@
     }
 }
 
+/// Follows the limits of servers until the process ends.
+pub async fn limits(relay: Arc<Relay>) {
+    let mut watch = TableWatch::new("limits", server_limits::PARTITION, LIMIT_FEED_WAIT);
+    loop {
+        let requested = Instant::now();
+        if watch.update(&relay.store, &relay.limits_read).await {
+            let (clock, now) = (watch.mirror.clock_ms(), Instant::now());
+            let expired = server_limits::merge_rows(&relay, watch.mirror.rows(), clock, now);
+            relay.limits_read.record(requested);
+            if !expired.is_empty() {
+                server_limits::remove_rows(&relay, expired).await;
+            }
+        }
+        tokio::time::sleep(watch.pause()).await;
+    }
+}
+
 /// A table that is followed. Logs when the store can no longer be reached,
 /// each further failure, and when it can be reached again.
 struct TableWatch {
--- a/crates/router/tests/relay/server_limits.rs
+++ b/crates/router/tests/relay/server_limits.rs
@@ -318,6 +318,6 @@
     assert!(reads.min(calls) > 0.25 * reads.max(calls));
     let late = outcomes
         .iter()
-        .find(|o| !is_served(o) && !(is_refused(o) && o.took < REFUSAL_TIME));
+        .find(|o| !(is_served(o) || is_refused(o) && o.took < REFUSAL_TIME));
     assert!(late.is_none(), "{late:?}");
 }
--- a/crates/router/tests/relay/servers.rs
+++ b/crates/router/tests/relay/servers.rs
@@ -46,7 +46,7 @@
 #[test]
 fn a_restarted_server_is_not_ejected_for_failures_of_the_process_before() {
     let now = Instant::now();
-    let servers = Servers::new("a".into());
+    let servers = Servers::new("a".into(), std::net::Ipv4Addr::LOCALHOST.into());
     servers.update(list(1), 1, now);
     let others = ["ee".into(), "eee".into()];
     for _ in 0..FAILURES {
@@ -74,7 +74,7 @@
 #[test]
 fn a_restarted_server_holds_no_prompts() {
     let now = Instant::now();
-    let servers = Servers::new("a".into());
+    let servers = Servers::new("a".into(), std::net::Ipv4Addr::LOCALHOST.into());
     servers.update(list(1), 1, now);
     let ids: [Name; 3] = ["e".into(), "ee".into(), "eee".into()];
     let prompt = (1..).find(|prompt| home_server(*prompt, &ids) == Some(&ids[1]));
