Add a run of real processes that counts repeats as the users do

Eight or nine routers as processes, for 32 s in real time, with kills, freezes and cuts from the store, or with most routers killed at once, while servers refuse, fail, cut and hang. Repeats are counted as they reach the servers, in each window of 10 s over all routers, against 0.2 of the requests and 56 or 58.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod crash_trials;
 mod crashing_requests;
 mod mirror;
+mod retry_budget;
 mod server_limits;
 mod servers;
 mod site;
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -4,6 +4,8 @@
 pub(crate) mod backend;
 pub(crate) mod caller;
 pub(crate) mod crashing;
+pub(crate) mod cut;
+pub(crate) mod failing;
 pub(crate) mod limited;
 pub(crate) mod link;
 pub(crate) mod process;
