Use no part of the retry budget twice

Callers and servers: on real processes, repeats piled up beyond the budget of their service, while routers were killed or cut off and servers failed.

Cause: each router uses an equal part of the constant of the budget, and these parts add up to the constant only if none is used twice. A process that started used a fresh part, though the one before it had just used the same; at 8 routers that are killed together this doubles the constant. A router that no longer saw another one divided by fewer, though that one may have been cut off only, or may have used its part in the same window. A retry counted from the decision, which may be seconds before it is sent if the process is frozen.

Change: no part of the constant in the first window of a process; routers that are no longer seen count for five minutes; a retry counts again when it is sent, and for a second longer than the window.

--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -78,6 +78,8 @@
     sends: u32,
     /// Sends that failed after the request may have run.
     runs: u32,
+    /// When the retry that comes next was taken from the budget.
+    retry_taken: Option<Instant>,
     /// Number of the last event that was forwarded to the client.
     pub last_event: Option<u64>,
     /// Output tokens forwarded so far.
@@ -111,6 +113,7 @@
             awaited: None,
             sends: 0,
             runs: 0,
+            retry_taken: None,
             output: 0,
             fallback: None,
             first_event: None,
@@ -251,6 +254,10 @@
         let used_before = self.reservation.as_ref().map(|r| r.used);
         self.update_reservation();
         self.awaited = Some((in_flight.server.clone(), now));
+        if let Some(taken) = self.retry_taken.take() {
+            self.relay
+                .record_retry_sent(&self.request.service, taken, now);
+        }
         let sent = upstream::send(&mut sender, request, self.attempt_timeout(now)).await;
         let checked = sent.and_then(|received| self.check(received, &in_flight));
         let now = Instant::now();
@@ -389,6 +396,7 @@
         if !self.relay.take_retry(&self.request.service, now) {
             return Err(self.give_up(failure, "repeats used up", now));
         }
+        self.retry_taken = Some(now);
         metrics::counter!("poplar_repeats_total").increment(1);
         Ok(())
     }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -6,8 +6,7 @@
 
 use poplar_core::deployment::Deployment;
 use poplar_core::id::{Incarnation, Name};
-use poplar_core::retry::share::{Share, SharedBudget};
-use poplar_core::sorted::SortedVec;
+use poplar_core::retry::share::{SharedBudget, Shares};
 use poplar_platform::settings::Settings;
 use poplar_platform::store::Store;
 use tokio::sync::Notify;
@@ -40,7 +39,7 @@
     /// When the copy of the limits of servers was last current.
     pub limits_read: LastRead,
     retry_limits: RwLock<SharedBudget>,
-    retry_shares: Mutex<SortedVec<Name, Share>>,
+    retry_shares: Mutex<Shares>,
     stop_began: Mutex<Option<Instant>>,
     open_requests: AtomicUsize,
     became_idle: Notify,
@@ -90,7 +89,7 @@
             crash_reports_read: LastRead::default(),
             limits_read: LastRead::default(),
             retry_limits: RwLock::new(limits),
-            retry_shares: Mutex::default(),
+            retry_shares: Mutex::new(Shares::new(Instant::now())),
             stop_began: Mutex::default(),
             open_requests: AtomicUsize::new(0),
             became_idle: Notify::new(),
@@ -134,19 +133,22 @@
 
     /// Records a request for a service, on which its retry budget depends.
     pub fn record_request(&self, service: &Name, now: Instant) {
+        let routers = self.budgets.live_routers();
         let limits = self.retry_limits();
         let mut shares = lock(&self.retry_shares);
-        let share = shares.get_or_insert_with(service.clone(), Share::default);
-        share.record_request(&limits, now);
+        shares.record_routers(routers, now);
+        shares.record_request(service, &limits, now);
     }
 
     /// Takes one retry from the service's retry budget; false if it is used up.
     pub fn take_retry(&self, service: &Name, now: Instant) -> bool {
-        let routers = self.budgets.live_routers();
         let limits = self.retry_limits();
-        let mut shares = lock(&self.retry_shares);
-        let share = shares.get_or_insert_with(service.clone(), Share::default);
-        share.take(&limits, routers, now)
+        lock(&self.retry_shares).take(service, &limits, now)
+    }
+
+    /// Records that a retry that was taken at `taken` is sent now.
+    pub fn record_retry_sent(&self, service: &Name, taken: Instant, now: Instant) {
+        lock(&self.retry_shares).record_send(service, taken, now);
     }
 
     fn retry_limits(&self) -> SharedBudget {
