Add failing tests of answers without end

A server in trouble may send bytes without end in a head or a body. Heads that are no heads, too long or slow end the attempt already.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod crash_reports;
 mod crash_trials;
 mod crashing_requests;
+mod endless_answers;
 mod mirror;
 mod retry_budget;
 mod server_limits;
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod caller;
 pub(crate) mod crashing;
 pub(crate) mod cut;
+pub(crate) mod endless;
 pub(crate) mod failing;
 pub(crate) mod limited;
 pub(crate) mod link;
--- a/crates/router/tests/relay/site/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -133,6 +133,15 @@
         self.lives.begin();
     }
 
+    /// The most memory that the process has used so far.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let id = self.child.as_ref().expect("a process runs").id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).expect("a status");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let number = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
+        number.expect("a number of kilobytes")
+    }
+
     /// Sends a signal by its name.
     pub(crate) fn signal(&mut self, name: &str) {
         let Some(child) = &self.child else {
