Bound what is read of answers without end

Callers: with a server in trouble, streams went unanswered for more than twice their deadline, and requests for other servers were endangered by a router that ran out of memory (319 MB on a host of 110 MB with 40 such requests).

Cause: limits were set for each read, not for the whole. The time-out of an event began anew with each byte, and one of zero still let through what had arrived, so that a stream that never paused had no deadline. An event was collected without a limit, and searched from its start with each piece. Bodies had a limit each (8 MB) but none together. 1xx answers were skipped in a loop for as long as they came. A body that failed did not count against the server.

Change: one time-out for an event; none is waited for after the deadline; 128 KB of an event; 24 MB of all bodies, beyond which small ones still pass; 32 KB of a head; 16 answers 1xx; what can't be decoded counts as garbled rather than lost, since it says nothing of a crash; and a failed body counts against the server.

--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -47,8 +47,10 @@
     Timeout,
     /// The answer says that the server failed.
     Fault,
-    /// The stream belongs to another request or is out of order.
+    /// The answer can't be decoded, belongs to another request or is out of order.
     Garbled,
+    /// The answer is larger than any that is accepted.
+    TooLarge,
 }
 
 impl Failure {
@@ -74,6 +76,7 @@
             Self::Timeout => "timed out",
             Self::Fault => "server failed",
             Self::Garbled => "stream garbled",
+            Self::TooLarge => "answer too large",
         })
     }
 }
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use poplar_base::log;
 use poplar_core::affinity::Query;
@@ -38,8 +38,6 @@
 /// Time after the deadline in which a response that the server sends at the
 /// deadline is still accepted.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(60);
-/// Largest response that is not a stream, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// When the client should retry if no server is listed or all refuse.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Silence of a server after which the client's leaving counts as a time-out:
@@ -419,16 +417,16 @@
     /// Reads the complete body of a response that is not a stream.
     ///
     /// # Errors
-    /// [`Failure::Lost`] if the connection fails or the body is too large,
-    /// [`Failure::Timeout`] if it is not complete in time.
-    pub async fn read_body(&self, body: Incoming) -> Result<Bytes, Failure> {
+    /// [`Failure`] if the connection fails, or the body is too large or not
+    /// complete in time. It counts against the health of the server.
+    pub async fn read_body(&self, body: Incoming, server: &InFlight) -> Result<Bytes, Failure> {
         let left = self.time_left(Instant::now());
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        match timeout(left, collected).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(_)) => Err(Failure::Lost),
-            Err(_) => Err(Failure::Timeout),
+        let collected = timeout(left, self.relay.body_memory.collect(body)).await;
+        let collected = collected.unwrap_or(Err(Failure::Timeout));
+        if collected.is_err() {
+            server.record_outcome(false, Instant::now());
         }
+        collected
     }
 }
 
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -20,6 +20,7 @@
 pub mod listeners;
 pub mod refusal;
 pub mod request;
+pub mod response_body;
 pub mod servers;
 pub mod sse;
 pub mod state;
--- a/crates/router/src/relay/sse.rs
+++ b/crates/router/src/relay/sse.rs
@@ -4,6 +4,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Most bytes that are kept until an event is complete.
+const MAX_EVENT_BYTES: usize = 128 << 10;
+
 /// An event as it was received, including the blank line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
@@ -17,8 +20,13 @@
 #[derive(Debug, Default)]
 pub struct Parser {
     buffer: BytesMut,
+    /// Bytes at the start of the buffer in which no event ends.
+    searched: usize,
 }
 
+/// Length of the longest end of an event.
+const END_BYTES: usize = 4;
+
 /// Length of the first complete event in `bytes`, including its blank line.
 fn event_length(bytes: &[u8]) -> Option<usize> {
     let lf = bytes.windows(2).position(|w| w == b"\n\n").map(|at| at + 2);
@@ -37,20 +45,31 @@
 }
 
 impl Parser {
-    /// Appends received bytes.
-    pub fn push(&mut self, bytes: &[u8]) {
+    /// Appends received bytes; false if these and the ones before are more than
+    /// an event may have.
+    #[must_use]
+    pub fn push(&mut self, bytes: &[u8]) -> bool {
         self.buffer.extend_from_slice(bytes);
+        self.buffer.len() <= MAX_EVENT_BYTES
     }
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let bytes = self.buffer.split_to(event_length(&self.buffer)?).freeze();
+        // The end may begin in bytes that were searched before.
+        let from = self.searched.saturating_sub(END_BYTES - 1);
+        let Some(length) = event_length(&self.buffer[from..]) else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        self.searched = 0;
+        let bytes = self.buffer.split_to(from + length).freeze();
         let number = event_number(&bytes);
         Some(Event { bytes, number })
     }
 
     /// Removes and returns the bytes of an incomplete event.
     pub fn take_rest(&mut self) -> Bytes {
+        self.searched = 0;
         self.buffer.split().freeze()
     }
 }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -13,6 +13,7 @@
 
 use crate::relay::budgets::Budgets;
 use crate::relay::crashes::Crashes;
+use crate::relay::response_body::BodyMemory;
 use crate::relay::servers::Servers;
 use crate::sync::lock;
 
@@ -38,6 +39,8 @@
     pub crash_reports_read: LastRead,
     /// When the copy of the limits of servers was last current.
     pub limits_read: LastRead,
+    /// Memory of responses that are being collected.
+    pub body_memory: BodyMemory,
     retry_limits: RwLock<SharedBudget>,
     retry_shares: Mutex<Shares>,
     stop_began: Mutex<Option<Instant>>,
@@ -88,6 +91,7 @@
             server_list_read: LastRead::default(),
             crash_reports_read: LastRead::default(),
             limits_read: LastRead::default(),
+            body_memory: BodyMemory::default(),
             retry_limits: RwLock::new(limits),
             retry_shares: Mutex::new(Shares::new(Instant::now())),
             stop_began: Mutex::default(),
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -16,7 +16,7 @@
 use poplar_base::log;
 use poplar_core::retry::Failure;
 use poplar_platform::headers;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::relay::exchange::{Exchange, ServerResponse};
 use crate::relay::handler;
@@ -40,22 +40,30 @@
 
 impl EngineStream {
     /// The next complete event; `None` at the end of the stream. Waits up to
-    /// `data_timeout` for each chunk of data.
-    async fn next(&mut self, data_timeout: Duration) -> Result<Option<Event>, Failure> {
+    /// `event_timeout` for it, and not at all if that is zero.
+    async fn next(&mut self, event_timeout: Duration) -> Result<Option<Event>, Failure> {
+        // A time-out of zero would still let through what has arrived, and a
+        // stream without end would never reach its deadline.
+        if event_timeout.is_zero() {
+            return Err(Failure::Timeout);
+        }
+        let until = tokio::time::Instant::now() + event_timeout;
         loop {
             if let Some(event) = self.parser.next_event() {
                 self.in_flight.record_first_token();
                 return Ok(Some(event));
             }
-            let frame = match timeout(data_timeout, self.body.frame()).await {
+            let frame = match timeout_at(until, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Err(Failure::Lost),
                 Ok(None) if self.parser.take_rest().is_empty() => return Ok(None),
                 Ok(None) => return Err(Failure::Lost),
                 Err(_) => return Err(Failure::Timeout),
             };
-            if let Ok(data) = frame.into_data() {
-                self.parser.push(&data);
+            if let Ok(data) = frame.into_data()
+                && !self.parser.push(&data)
+            {
+                return Err(Failure::TooLarge);
             }
         }
     }
@@ -87,7 +95,7 @@
         } = response;
         let server = in_flight.server.clone();
         if !head.status.is_success() {
-            match exchange.read_body(body).await {
+            match exchange.read_body(body, &in_flight).await {
                 Ok(bytes) => {
                     exchange.outcome = "fault";
                     exchange.record_answer(head.status);
--- a/crates/router/src/relay/upstream.rs
+++ b/crates/router/src/relay/upstream.rs
@@ -4,6 +4,8 @@
 //! failure to connect means that nothing was sent.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use poplar_core::retry::Failure;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -21,6 +24,12 @@
 /// lost packet only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Most bytes of the head of a response, and of its body that are read ahead.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+/// Most 1xx responses before the final one. A server that sends them without end
+/// would otherwise keep a thread busy until the time-out.
+const MAX_INFORMATIONAL: u32 = 16;
+
 /// Keeps a connection open; dropping it closes the connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -57,7 +66,9 @@
     })?;
     // Without this, a small request would wait until more bytes are written.
     let _ = stream.set_nodelay(true);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let mut settings = http1::Builder::new();
+    settings.max_buf_size(MAX_BUFFER_BYTES);
+    let handshake = settings.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_| ConnectError::NoAnswer)?;
     let task = tokio::spawn(async move {
         // An error is also returned to the caller of `send`.
@@ -69,14 +80,30 @@
 /// Sends a request and waits for the head of the response.
 ///
 /// # Errors
-/// [`Failure::Lost`] or [`Failure::Timeout`]; the request may have run then.
+/// [`Failure`] if no head comes in time, or what comes is none; the request may
+/// have run then.
 pub async fn send(
     sender: &mut http1::SendRequest<Full<Bytes>>,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
     head_timeout: Duration,
 ) -> Result<Response<Incoming>, Failure> {
-    match timeout(head_timeout, sender.send_request(request)).await {
+    let count = AtomicU32::new(0);
+    let too_many = Arc::new(Notify::new());
+    let notify = too_many.clone();
+    hyper::ext::on_informational(&mut request, move |_| {
+        if count.fetch_add(1, Ordering::AcqRel) >= MAX_INFORMATIONAL {
+            notify.notify_one();
+        }
+    });
+    let sent = timeout(head_timeout, sender.send_request(request));
+    let result = tokio::select! {
+        result = sent => result,
+        () = too_many.notified() => return Err(Failure::Garbled),
+    };
+    match result {
         Ok(Ok(response)) => Ok(response),
+        Ok(Err(why)) if why.is_parse_too_large() => Err(Failure::TooLarge),
+        Ok(Err(why)) if why.is_parse() => Err(Failure::Garbled),
         Ok(Err(_)) => Err(Failure::Lost),
         Err(_) => Err(Failure::Timeout),
     }
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod crash_trials;
 mod crashing_requests;
 mod endless_answers;
+mod events;
 mod mirror;
 mod retry_budget;
 mod server_limits;
