--- a/crates/router/tests/relay/site/limited.rs
+++ b/crates/router/tests/relay/site/limited.rs
@@ -26,7 +26,8 @@
 pub(crate) struct LimitedServer {
     limit: Mutex<Option<f64>>,
     status: StatusCode,
-    arrivals: Mutex<Vec<Instant>>,
+    /// When requests came, and their ids.
+    arrivals: Mutex<Vec<(Instant, String)>>,
 }
 
 impl LimitedServer {
@@ -52,14 +53,21 @@
     /// Number of requests since `from`.
     pub(crate) fn arrivals_since(&self, from: Instant) -> usize {
         let arrivals = self.arrivals.lock().expect("no panic");
-        arrivals.iter().filter(|at| **at >= from).count()
+        arrivals.iter().filter(|(at, _)| *at >= from).count()
+    }
+
+    /// The ids of the requests that it got, all of which it ran.
+    pub(crate) fn executed_ids(&self) -> Vec<String> {
+        let arrivals = self.arrivals.lock().expect("no panic");
+        arrivals.iter().map(|(_, id)| id.clone()).collect()
     }
 
     /// The most requests in a window that begins at `from` or later, and the most
     /// that are allowed.
     pub(crate) fn busiest_window(&self, from: Instant, limit: f64) -> (usize, usize) {
         let arrivals = self.arrivals.lock().expect("no panic");
-        let counted: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
+        let times = arrivals.iter().map(|(at, _)| *at);
+        let counted: Vec<Instant> = times.filter(|at| *at >= from).collect();
         let in_window = |start: usize| {
             let end = counted[start] + WINDOW;
             counted[start..].iter().take_while(|at| **at < end).count()
@@ -70,15 +78,16 @@
     }
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
-        self.arrivals.lock().expect("no panic").push(Instant::now());
         let (head, body) = request.into_parts();
+        let id = head.headers.get("x-poplarreel-attempt-id")?.clone();
+        let arrival = (Instant::now(), id.to_str().ok()?.to_owned());
+        self.arrivals.lock().expect("no panic").push(arrival);
         body.collect().await.ok()?;
         tokio::time::sleep(RUN_TIME).await;
         let mut response = Response::new(full_body("an answer"));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
-        let id = head.headers.get("x-poplarreel-attempt-id")?;
-        headers.insert("x-poplarreel-attempt-id", id.clone());
+        headers.insert("x-poplarreel-attempt-id", id);
         headers.insert("x-poplarreel-response-seal", "a-seal".parse().ok()?);
         if let Some(limit) = *self.limit.lock().expect("no panic") {
             headers.insert("server-limit", limit.to_string().parse().ok()?);
--- a/crates/router/tests/relay/soak/mod.rs
+++ b/crates/router/tests/relay/soak/mod.rs
@@ -14,12 +14,14 @@
 use std::sync::{Arc, Mutex as StdMutex};
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
 use tokio::sync::Mutex;
 
 use crate::site::backend::{Backend, Behaviour};
 use crate::site::caller::{self, Seen};
 use crate::site::configured_store;
 use crate::site::crashing::{CrashKind, CrashPlan, CrashingServer};
+use crate::site::limited::LimitedServer;
 use crate::site::process::{APPLY_TIME, Life, Lives, Router, address};
 use crate::site::store::Store;
 use callers::{Attempt, Record};
@@ -39,6 +41,10 @@
 /// Time for that, and how often it may still reach a server after it.
 const SPREAD_TIME: Duration = Duration::from_secs(3);
 const RETRIES_ALLOWED: usize = 3;
+/// Limit of one of the servers, in requests a second.
+const LIMIT: f64 = 2.0;
+/// Time until all routers keep it.
+const LIMIT_SPREAD_TIME: Duration = Duration::from_secs(4);
 /// How long faults come.
 const FAULT_TIME: Duration = Duration::from_secs(9);
 /// Ends a soak in which the routers don't recover.
@@ -104,6 +110,8 @@
         let id = format!("plain-{n}");
         crashing.push(CrashingServer::open(&id, "plain", &store, plan).await);
     }
+    let limited = LimitedServer::open("plain-limited", StatusCode::OK, &store).await;
+    limited.set_limit(Some(LIMIT));
     let store_address = store.open().await;
     let mut processes: Vec<Router> = (0..routers)
         .map(|n| Router::new(address(seed, n), store_address, folder))
@@ -140,7 +148,8 @@
     for caller in callers {
         caller.await.expect("no panic");
     }
-    wrong.extend(judge(&soak, &Runs::of(&backends, &crashing)));
+    wrong.extend(check_limit(&soak, &limited));
+    wrong.extend(judge(&soak, &Runs::of(&backends, &crashing, &limited)));
     wrong
 }
 
@@ -225,14 +234,29 @@
     wrong
 }
 
+/// Checks that a server that names a limit got no more, from all routers together
+/// and whatever happened to them.
+fn check_limit(soak: &Soak, server: &LimitedServer) -> Option<String> {
+    let from = soak.began + LIMIT_SPREAD_TIME;
+    let (most, allowed) = server.busiest_window(from, LIMIT);
+    let all = server.arrivals_since(soak.began);
+    println!("limit of {LIMIT} a second: {all} requests, {most} in a window, allowed {allowed}");
+    (most > allowed).then(|| format!("limit exceeded: {most} requests, allowed {allowed}"))
+}
+
 /// How often the backend servers ran each request.
 struct Runs(Vec<String>);
 
 impl Runs {
-    fn of(backends: &[Arc<Backend>], crashing: &[Arc<CrashingServer>]) -> Self {
+    fn of(
+        backends: &[Arc<Backend>],
+        crashing: &[Arc<CrashingServer>],
+        limited: &LimitedServer,
+    ) -> Self {
         let runs = backends.iter().flat_map(|b| b.executed_requests());
         let mut ids: Vec<String> = runs.map(|run| run.id).collect();
         ids.extend(crashing.iter().flat_map(|server| server.executed_ids()));
+        ids.extend(limited.executed_ids());
         ids.sort();
         Self(ids)
     }
