Go on with limits when the shared clock is set back

If the store's clock is set back, as by a store that returns from an older copy, no permit of a limited server came until the clock had caught up, so that the server got no request for that time; and an absurd limit (1e300) made a router count permits without end. Slots that lie ahead are now forgotten, and limits of 1,000 a second or more are not applied.

Both tests are new; without the change the first one gets no permits and the second one does not end.

--- a/crates/core/src/server_limit/mod.rs
+++ b/crates/core/src/server_limit/mod.rs
@@ -35,6 +35,9 @@
 /// Least limit that is applied, in requests a second. Without requests a router
 /// would never learn that a limit of zero has ended.
 const MIN_RATE: f64 = 0.2;
+/// Limit from which on none is applied, in requests a second: all routers together
+/// hardly send as many to one server, and counting the permits takes time.
+const MAX_RATE: f64 = 1000.0;
 /// Relative change of a limit that the other routers are told of.
 const SIGNIFICANT_CHANGE: f64 = 0.05;
 /// Messages that a changed limit goes into; some may be lost.
@@ -209,7 +212,8 @@
     /// The limit in force of a server's process, in requests a second.
     pub fn rate(&self, server: &str, process: u64) -> Option<f64> {
         let report = &self.entries.get(server)?.report;
-        report.rate.filter(|_| report.process >= process)
+        let rate = report.rate.filter(|rate| *rate < MAX_RATE)?;
+        (report.process >= process).then_some(rate)
     }
 
     /// Number of servers with a limit, for the metrics.
@@ -235,6 +239,11 @@
         let Some(entry) = self.entries.get_mut(server) else {
             return Allowance::Unlimited;
         };
+        if entry.counted > slot + PERMIT_SLOTS {
+            // The shared clock was set back.
+            entry.counted = slot;
+            entry.permits.clear();
+        }
         let oldest = slot.saturating_sub(PERMIT_SLOTS);
         let own_yield = self.own_yields.get(service).copied();
         for slot in (entry.counted + 1).max(oldest)..=slot {
@@ -325,7 +334,8 @@
                 .own_yields
                 .get_or_insert_with(service.clone(), || (0, 0));
             // Permits of this slot and earlier ones may have been used.
-            let from = if range.1 >= slot { range.0 } else { slot + 1 };
+            let goes_on = range.0 <= slot + 1 && slot <= range.1;
+            let from = if goes_on { range.0 } else { slot + 1 };
             *range = (from, until);
             yields.push(Yield {
                 service,
@@ -340,7 +350,8 @@
     pub fn merge_yield(&mut self, router: IpAddr, offer: Yield) {
         let key = (offer.service, router);
         let range = self.yields.get_or_insert_with(key, || (0, 0));
-        if offer.until > range.1 {
+        let was_set_back = offer.until + PERMIT_SLOTS < range.1;
+        if offer.until > range.1 || was_set_back {
             *range = (offer.from, offer.until);
         }
     }
--- a/crates/core/tests/server_limit.rs
+++ b/crates/core/tests/server_limit.rs
@@ -382,3 +382,31 @@
         "{used} permits used, {given} given"
     );
 }
+
+/// Guards against permits that don't come since the shared clock was set back, as
+/// by a store that was restarted.
+#[test]
+fn permits_come_after_the_clock_was_set_back() {
+    let began = Instant::now();
+    let mut limits = told_router(0, 1, 10.0, began);
+    let now = began + Duration::from_secs(2);
+    assert!(take_all(&mut limits, now) > 5);
+    limits.set_clock(5_000, now);
+    take_all(&mut limits, now);
+    let later = now + Duration::from_secs(2);
+    let taken = take_all(&mut limits, later);
+    assert!(
+        (8..=12).contains(&taken),
+        "{taken} permits of the last second"
+    );
+}
+
+/// Guards against a router that is busy counting the permits of an absurd limit.
+#[test]
+fn a_very_high_limit_is_none() {
+    let began = Instant::now();
+    let service: Name = "plain".into();
+    let mut limits = told_router(0, 8, 1e300, began);
+    let allowance = limits.allowance(SERVER, PROCESS, &service, began);
+    assert_eq!(allowance, Allowance::Unlimited);
+}
