--- a/crates/router/tests/relay/server_limits.rs
+++ b/crates/router/tests/relay/server_limits.rs
@@ -29,6 +29,7 @@
 const MIN_USED: f64 = 0.6;
 const ROUTERS: usize = 4;
 /// With one request of each in a window the limit of 1 a second is exceeded.
+/// `POPLAR_LIMIT_ROUTERS` replaces the number.
 const MANY_ROUTERS: usize = 24;
 const SERVERS: usize = 4;
 
@@ -166,6 +167,11 @@
     }
 }
 
+fn many_routers() -> usize {
+    let chosen = std::env::var("POPLAR_LIMIT_ROUTERS").ok();
+    chosen.and_then(|n| n.parse().ok()).unwrap_or(MANY_ROUTERS)
+}
+
 fn is_served(outcome: &Outcome) -> bool {
     outcome.seen == Some(Seen::Answer(200, true))
 }
@@ -207,7 +213,7 @@
 /// one request from each is too many.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_routers_keep_a_limit_together() {
-    let site = Site::open(303, MANY_ROUTERS).await;
+    let site = Site::open(303, many_routers()).await;
     check_one_limited(&site, &["/read/x"], Duration::from_millis(300)).await;
 }
 
@@ -216,14 +222,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn routers_that_get_no_datagrams_keep_a_limit() {
     let statuses = [StatusCode::OK; SERVERS];
-    let site = Site::open_with(304, MANY_ROUTERS, false, &statuses).await;
+    let site = Site::open_with(304, many_routers(), false, &statuses).await;
     check_one_limited(&site, &["/read/x"], Duration::from_millis(300)).await;
 }
 
 /// As above, while the store is out of reach.
 #[tokio::test(flavor = "multi_thread")]
 async fn routers_without_the_store_keep_a_limit() {
-    let site = Site::open(305, MANY_ROUTERS).await;
+    let site = Site::open(305, many_routers()).await;
     site.store.set_down(true);
     check_one_limited(&site, &["/read/x"], Duration::from_millis(300)).await;
 }
