Give the relay of the retry tests requests before the test

a_resumable_stream_continues_after_its_last_event and an_idempotent_call_is_retried_as_often_as_its_route_allows failed since: a process that has just started repeats only a fifth of its own requests, and their relay has had one. Their question is how often a route allows repeats, of a relay that may make some. It now had 40 requests for each service before, as a relay in use has; what the tests check is unchanged. That a new process takes nothing else of the budget is checked in core::retry::share.

--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -16,7 +16,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -35,6 +35,10 @@
 
 use store::Store;
 
+/// Requests for each service that a relay had before a test, so that it may repeat
+/// a few.
+const EARLIER_REQUESTS: usize = 40;
+
 /// The body of a stand-in's response.
 pub(crate) type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
@@ -102,6 +106,12 @@
         while !relay.is_ready() {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
+        // A process that has just started repeats only a part of its own requests.
+        for service in ["engines", "plain"] {
+            for _ in 0..EARLIER_REQUESTS {
+                relay.record_request(&service.into(), Instant::now());
+            }
+        }
         Self {
             address,
             client: Client::open(),
