--- a/crates/router/tests/relay/site/crashing.rs
+++ b/crates/router/tests/relay/site/crashing.rs
@@ -21,7 +21,7 @@
 use super::backend::{EVENTS, event_body};
 use super::caller::is_stream;
 use super::store::Store;
-use super::{Body, full_body};
+use super::{Body, full_body, signed_response};
 
 /// Marks the path of a request that ends the servers that run it.
 pub(crate) const CRASH_MARK: &str = "crash";
@@ -170,14 +170,12 @@
                 full_body("an answer")
             }
         };
-        let mut response = Response::new(body);
-        if is_error {
-            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-        }
-        let headers = response.headers_mut();
-        headers.insert("x-poplarreel-attempt-id", id);
-        headers.insert("x-poplarreel-response-seal", "a-seal".parse().ok()?);
-        Some(response)
+        let status = if is_error {
+            StatusCode::INTERNAL_SERVER_ERROR
+        } else {
+            StatusCode::OK
+        };
+        Some(signed_response(id, status, body))
     }
 
     /// Ends the process, and starts the next one after the down time.
--- a/crates/router/tests/relay/site/failing.rs
+++ b/crates/router/tests/relay/site/failing.rs
@@ -12,7 +12,7 @@
 
 use super::backend::{EVENTS, event_body};
 use super::caller::is_stream;
-use super::{Body, full_body, serve};
+use super::{Body, full_body, serve, signed_response};
 
 /// How long a request runs.
 const RUN_TIME: Duration = Duration::from_millis(15);
@@ -171,13 +171,11 @@
         } else {
             full_body("an answer")
         };
-        let mut response = Response::new(body);
-        if is_error {
-            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-        }
-        let headers = response.headers_mut();
-        headers.insert("x-poplarreel-attempt-id", id);
-        headers.insert("x-poplarreel-response-seal", "a-seal".parse().ok()?);
-        Some(response)
+        let status = if is_error {
+            StatusCode::INTERNAL_SERVER_ERROR
+        } else {
+            StatusCode::OK
+        };
+        Some(signed_response(id, status, body))
     }
 }
--- a/crates/router/tests/relay/site/limited.rs
+++ b/crates/router/tests/relay/site/limited.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 
 use super::store::Store;
-use super::{Body, full_body, serve};
+use super::{Body, full_body, serve, signed_response};
 
 /// How long a request runs.
 const RUN_TIME: Duration = Duration::from_millis(15);
@@ -84,11 +84,8 @@
         self.arrivals.lock().expect("no panic").push(arrival);
         body.collect().await.ok()?;
         tokio::time::sleep(RUN_TIME).await;
-        let mut response = Response::new(full_body("an answer"));
-        *response.status_mut() = self.status;
+        let mut response = signed_response(id, self.status, full_body("an answer"));
         let headers = response.headers_mut();
-        headers.insert("x-poplarreel-attempt-id", id);
-        headers.insert("x-poplarreel-response-seal", "a-seal".parse().ok()?);
         if let Some(limit) = *self.limit.lock().expect("no panic") {
             headers.insert("server-limit", limit.to_string().parse().ok()?);
         }
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -48,6 +48,19 @@
     Full::new(bytes.into()).map_err(never).boxed_unsync()
 }
 
+/// A backend server's response to the request with this id, signed by it.
+pub(crate) fn signed_response(id: HeaderValue, status: StatusCode, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert("x-poplarreel-attempt-id", id);
+    headers.insert(
+        "x-poplarreel-response-seal",
+        HeaderValue::from_static("a-seal"),
+    );
+    response
+}
+
 /// Serves requests on a free port; if `handle` returns `None`, the connection
 /// is closed without a response.
 pub(crate) async fn serve<F>(
