Keep one piece for ages, rates and the clock of limits

Read again: the ages in datagrams and rows were encoded and decoded in two modules each for crashes and limits, and what counts as a limit was checked in the adapter and in the relay. Both have one place now. Rows of limits were dated by the clock that the crashes keep, though the limits have one of their own, which every permit depends on; they use that one. A limit that is announced is sent and stored, so that one flag says both, and the two ways to learn of a limit derive the change in the same way. No behaviour is meant to change.

--- a/crates/core/src/server_limit/clock.rs
+++ b/crates/core/src/server_limit/clock.rs
@@ -27,7 +27,7 @@
     }
 
     /// The clock in milliseconds; `None` before the first reading.
-    fn at(&self, now: Instant) -> Option<u64> {
+    pub(super) fn at(&self, now: Instant) -> Option<u64> {
         let (clock_ms, read_at) = self.reading?;
         Some(clock_ms + now.saturating_duration_since(read_at).as_millis() as u64)
     }
--- a/crates/core/src/server_limit/mod.rs
+++ b/crates/core/src/server_limit/mod.rs
@@ -146,6 +146,11 @@
         self.clock.record(clock_ms, now);
     }
 
+    /// The shared clock in milliseconds; `None` if it is not known yet.
+    pub fn clock_ms(&self, now: Instant) -> Option<u64> {
+        self.clock.at(now)
+    }
+
     /// Records a request for a service.
     pub fn record_request(&mut self, service: &Name, now: Instant) {
         self.requested.insert(service.clone(), now);
@@ -154,17 +159,15 @@
     /// Records what a server said in an answer to this router. Returns whether
     /// that is a significant change, which the other routers are told of.
     pub fn observe(&mut self, report: Report) -> bool {
-        let current = self.entries.get(&*report.server);
-        let known = current.filter(|e| e.report.process >= report.process);
-        if known.is_some_and(|e| e.report.process > report.process) {
+        let known = self.entries.get(&*report.server).map(|e| &e.report);
+        if known.is_some_and(|known| known.process > report.process) {
             return false;
         }
-        let changed = match known {
-            Some(entry) => is_significant(entry.report.rate, report.rate),
-            None => report.rate.is_some(),
-        };
-        if changed || known.is_some() {
-            self.store(report, changed, changed);
+        let same = known.filter(|known| known.process == report.process);
+        let changed = is_significant(same.and_then(|known| known.rate), report.rate);
+        // Most answers are of servers that never named a limit.
+        if changed || same.is_some() {
+            self.store(report, changed);
         }
         changed
     }
@@ -177,15 +180,14 @@
         if known.is_some_and(is_old) {
             return false;
         }
-        let rate = known
-            .filter(|k| k.process == report.process)
-            .and_then(|k| k.rate);
-        let changed = is_significant(rate, report.rate);
-        self.store(report, false, false);
+        let same = known.filter(|known| known.process == report.process);
+        let changed = is_significant(same.and_then(|known| known.rate), report.rate);
+        self.store(report, false);
         changed
     }
 
-    fn store(&mut self, report: Report, send: bool, unstored: bool) {
+    /// Keeps a report. If `announced`, the other routers are told of it.
+    fn store(&mut self, report: Report, announced: bool) {
         // Permits of slots before the limit was known are not counted: the
         // requests of that time were sent without them.
         let counted = self.clock.slot(report.at).unwrap_or(0);
@@ -203,10 +205,10 @@
             entry.counted = entry.counted.max(counted);
         }
         entry.report = report;
-        if send {
+        if announced {
             entry.sends = SENDS;
+            entry.unstored = true;
         }
-        entry.unstored |= unstored;
     }
 
     /// The limit in force of a server's process, in requests a second.
@@ -380,6 +382,11 @@
     }
 }
 
+/// Whether a number can be a limit in requests a second.
+pub fn is_rate(rate: f64) -> bool {
+    rate.is_finite() && rate >= 0.0
+}
+
 /// Whether the other routers need to know of a change between two limits.
 fn is_significant(before: Option<f64>, after: Option<f64>) -> bool {
     match (before, after) {
--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -283,6 +283,12 @@
         }
     }
 
+    /// The store's clock in milliseconds; `None` if it is not known yet.
+    fn store_clock(&self, now: Instant) -> Option<u64> {
+        let (clock, read_at) = lock(&self.state).clock?;
+        Some(clock + now.saturating_duration_since(read_at).as_millis() as u64)
+    }
+
     /// Whether requests wait for this process to be found dead.
     fn has_suspects(&self, server: &Server, now: Instant) -> bool {
         let state = lock(&self.state);
--- a/crates/router/src/relay/crashes/table.rs
+++ b/crates/router/src/relay/crashes/table.rs
@@ -15,6 +15,7 @@
 
 use super::wire::ReportsWire;
 use super::{Crashes, Source};
+use crate::relay::age::time_of;
 use crate::relay::state::Relay;
 use crate::sync::lock;
 
@@ -128,8 +129,7 @@
             let wire = serde_json::from_slice::<RowWire>(&row.value);
             match wire {
                 Ok(wire) => {
-                    let age = Duration::from_millis(clock.saturating_sub(wire.clock));
-                    let encoded_at = now.checked_sub(age).unwrap_or(now);
+                    let encoded_at = time_of(clock.saturating_sub(wire.clock), now);
                     self.merge(wire.reports.decode(encoded_at), Source::Table, now);
                     current.push(StoredRow {
                         key: row.key.clone(),
--- a/crates/router/src/relay/crashes/trial.rs
+++ b/crates/router/src/relay/crashes/trial.rs
@@ -17,7 +17,6 @@
 
 use super::Crashes;
 use super::wire::{decode_fingerprint, encode_fingerprint};
-use crate::sync::lock;
 
 const PARTITION: Partition = Partition {
     table: "crash_trials",
@@ -151,10 +150,4 @@
         // Other routers' trials came first each time.
         Trial::Busy(TIMEOUT)
     }
-
-    /// The store's clock in milliseconds; `None` if it is not known yet.
-    pub fn store_clock(&self, now: Instant) -> Option<u64> {
-        let (clock, read_at) = lock(&self.state).clock?;
-        Some(clock + now.saturating_duration_since(read_at).as_millis() as u64)
-    }
 }
--- a/crates/router/src/relay/crashes/wire.rs
+++ b/crates/router/src/relay/crashes/wire.rs
@@ -2,12 +2,14 @@
 //!
 //! Times are ages, since the routers have no clock in common.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use poplar_core::id::Name;
 use poplar_core::poison::{CrashId, Fingerprint, Report, Sighting};
 use serde::{Deserialize, Serialize};
 
+use crate::relay::age::{age_ms, time_of};
+
 /// Reports with their ages.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -36,10 +38,6 @@
     age_ms: u64,
 }
 
-fn age_ms(at: Instant, now: Instant) -> u64 {
-    now.saturating_duration_since(at).as_millis() as u64
-}
-
 pub(super) fn encode_fingerprint(fingerprint: Fingerprint) -> String {
     format!("{:032x}", fingerprint.0)
 }
@@ -87,10 +85,6 @@
     /// The reports, of which `now` is the time that they were encoded at.
     /// Requests that can't be decoded are left out.
     pub fn decode(&self, now: Instant) -> Vec<Report> {
-        let at = |age_ms| {
-            now.checked_sub(Duration::from_millis(age_ms))
-                .unwrap_or(now)
-        };
         let mut reports = Vec::new();
         for crash in &self.crashes {
             let requests = crash.requests.iter();
@@ -100,14 +94,14 @@
                     fingerprint,
                     server: crash.server.clone(),
                     id: CrashId::Process(crash.started_ms),
-                    at: at(crash.age_ms),
+                    at: time_of(crash.age_ms, now),
                 })
             }));
         }
         let answers = self.answers.iter().filter_map(|answer| {
             Some(Report::Answer {
                 fingerprint: decode_fingerprint(&answer.request)?,
-                at: at(answer.age_ms),
+                at: time_of(answer.age_ms, now),
             })
         });
         reports.extend(answers);
--- a/crates/router/src/relay/limits.rs
+++ b/crates/router/src/relay/limits.rs
@@ -9,10 +9,11 @@
 
 use poplar_base::log;
 use poplar_core::id::Name;
-use poplar_core::server_limit::{Report, Yield};
+use poplar_core::server_limit::{Report, Yield, is_rate};
 use poplar_platform::rows::{Commit, Partition, Row, Write};
 use serde::{Deserialize, Serialize};
 
+use crate::relay::age::{age_ms, time_of};
 use crate::relay::servers::limits::LimitNews;
 use crate::relay::state::Relay;
 
@@ -65,20 +66,11 @@
     clock: u64,
 }
 
-fn before(now: Instant, age_ms: u64) -> Instant {
-    now.checked_sub(Duration::from_millis(age_ms))
-        .unwrap_or(now)
-}
-
-fn age_ms(report: &Report, now: Instant) -> u64 {
-    now.saturating_duration_since(report.at).as_millis() as u64
-}
-
 impl LimitNewsWire {
     /// Encodes news that are sent at `now`.
     pub fn encode(news: LimitNews, now: Instant) -> Self {
         let report = |report: Report| ReportWire {
-            age_ms: age_ms(&report, now),
+            age_ms: age_ms(report.at, now),
             server: report.server,
             started_ms: report.process,
             rate: report.rate,
@@ -92,9 +84,9 @@
 
     /// The news, which arrived at `now`. Limits that are no numbers are left out.
     pub fn decode(self, now: Instant) -> LimitNews {
-        let valid = |r: &ReportWire| is_valid(r.rate);
+        let valid = |r: &ReportWire| r.rate.is_none_or(is_rate);
         let report = |report: ReportWire| Report {
-            at: before(now, report.age_ms),
+            at: time_of(report.age_ms, now),
             server: report.server,
             process: report.started_ms,
             rate: report.rate,
@@ -111,10 +103,6 @@
     }
 }
 
-fn is_valid(rate: Option<f64>) -> bool {
-    rate.is_none_or(|rate| rate.is_finite() && rate >= 0.0)
-}
-
 /// Follows which routers are live, and stores the limits that this router was
 /// told, until the process ends.
 pub async fn run(relay: Arc<Relay>) {
@@ -129,13 +117,12 @@
         }
         let mut reports = relay.servers.unstored_limits();
         reports.truncate(MAX_ROWS);
-        let Some(clock) = relay
-            .crashes
-            .store_clock(now)
-            .filter(|_| !reports.is_empty())
-        else {
+        let Some(clock) = relay.servers.store_clock(now) else {
             continue;
         };
+        if reports.is_empty() {
+            continue;
+        }
         next_write = now + WRITE_PERIOD;
         let commit = Commit {
             checks: Vec::new(),
@@ -155,7 +142,7 @@
     let wire = RowWire {
         started_ms: report.process,
         rate: report.rate,
-        clock: clock.saturating_sub(age_ms(report, now)),
+        clock: clock.saturating_sub(age_ms(report.at, now)),
     };
     Write {
         key: report.server.clone(),
@@ -175,7 +162,7 @@
     let mut expired = Vec::new();
     for row in rows {
         let wire = match serde_json::from_slice::<RowWire>(&row.value) {
-            Ok(wire) if is_valid(wire.rate) => wire,
+            Ok(wire) if wire.rate.is_none_or(is_rate) => wire,
             _ => {
                 log::warn("server limit row invalid")
                     .with("key", &row.key)
@@ -184,15 +171,16 @@
                 continue;
             }
         };
-        let age = Duration::from_millis(clock.saturating_sub(wire.clock));
-        if age > ROW_EXPIRY && !relay.servers.is_listed(&row.key) {
+        let age_ms = clock.saturating_sub(wire.clock);
+        let is_old = Duration::from_millis(age_ms) > ROW_EXPIRY;
+        if is_old && !relay.servers.is_listed(&row.key) {
             expired.push(row.key.clone());
         }
         reports.push(Report {
             server: row.key.clone(),
             process: wire.started_ms,
             rate: wire.rate,
-            at: before(now, age.as_millis() as u64),
+            at: time_of(age_ms, now),
         });
     }
     relay.servers.merge_limits(reports, "table");
--- a/crates/router/src/relay/servers/limits.rs
+++ b/crates/router/src/relay/servers/limits.rs
@@ -51,6 +51,11 @@
         lock(&self.state).limits.set_clock(clock_ms, now);
     }
 
+    /// The store's clock in milliseconds; `None` if it is not known yet.
+    pub fn store_clock(&self, now: Instant) -> Option<u64> {
+        lock(&self.state).limits.clock_ms(now)
+    }
+
     /// What the next message to the other routers says of limits.
     pub fn take_limit_news(&self, now: Instant) -> LimitNews {
         let mut state = lock(&self.state);
