Copy no list of servers for each request

To ask the limits, which change the state, the choice of a server copied every ready server of the service, also where none names a limit. It now borrows the list and the limits apart. The choice itself is unchanged.

--- a/crates/router/src/relay/servers/limits.rs
+++ b/crates/router/src/relay/servers/limits.rs
@@ -7,7 +7,7 @@
 use poplar_base::log;
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
-use poplar_core::server_limit::{Allowance, Report, Yield};
+use poplar_core::server_limit::{Allowance, Limits, Report, Yield};
 use poplar_platform::headers::LimitNotice;
 
 use super::{InFlight, Servers, State};
@@ -22,21 +22,17 @@
     pub yields: Vec<Yield>,
 }
 
-impl State {
-    /// Whether a server's limit allows another request now.
-    pub(super) fn allows(&mut self, server: &Server, now: Instant) -> bool {
-        let process = server.started_ms;
-        let allowance = self
-            .limits
-            .allowance(&server.id, process, &server.service, now);
-        allowance != Allowance::Exhausted
-    }
+/// Whether a server's limit allows another request now.
+pub(super) fn allow(limits: &mut Limits, server: &Server, now: Instant) -> bool {
+    let process = server.started_ms;
+    let allowance = limits.allowance(&server.id, process, &server.service, now);
+    allowance != Allowance::Exhausted
+}
 
-    /// When clients should retry if these servers allow no request.
-    pub(super) fn limits_retry_after(&self, servers: &[Server]) -> Duration {
-        let processes = servers.iter().map(|s| (&*s.id, s.started_ms));
-        self.limits.retry_after(processes, rand::random())
-    }
+/// When clients should retry if these servers allow no request.
+pub(super) fn retry_after(limits: &Limits, servers: &[&Server]) -> Duration {
+    let processes = servers.iter().map(|s| (&*s.id, s.started_ms));
+    limits.retry_after(processes, rand::random())
 }
 
 impl Servers {
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -60,6 +60,9 @@
     Unlisted,
 }
 
+/// The last message of each other router, and when it came.
+type Peers = SortedVec<IpAddr, (Instant, Vec<ServerWork>)>;
+
 #[derive(Debug)]
 struct State {
     list: ServerList,
@@ -67,8 +70,7 @@
     health: SortedVec<Name, HealthTracker>,
     /// What is known about each server, by its id.
     states: SortedVec<Name, ServerState>,
-    /// The last message of each other router, and when it came.
-    peers: SortedVec<IpAddr, (Instant, Vec<ServerWork>)>,
+    peers: Peers,
     /// The server that last processed each shared prompt, by the hash of the
     /// prompt.
     holders: SortedVec<u64, Name>,
@@ -117,19 +119,18 @@
         }
         self.holders.insert(prompt_id, server);
     }
+}
 
-    /// Requests that the other routers have at a server, and their prefill
-    /// tokens.
-    fn peer_work(&self, id: &str, now: Instant) -> (u32, u64) {
-        let is_current =
-            |(_, (at, _)): &(&IpAddr, &(Instant, Vec<ServerWork>))| now < *at + MESSAGE_LIFETIME;
-        let peers = self.peers.iter().filter(is_current);
-        let work = peers.flat_map(|(_, (_, work))| work);
-        let here = work.filter(|w| *w.server == *id);
-        here.fold((0, 0), |sum, w| {
-            (sum.0 + w.requests, sum.1 + w.prefill_tokens)
-        })
-    }
+/// Requests that the other routers have at a server, and their prefill tokens.
+fn peer_work(peers: &Peers, id: &str, now: Instant) -> (u32, u64) {
+    let is_current =
+        |(_, (at, _)): &(&IpAddr, &(Instant, Vec<ServerWork>))| now < *at + MESSAGE_LIFETIME;
+    let work = peers.iter().filter(is_current);
+    let work = work.flat_map(|(_, (_, work))| work);
+    let here = work.filter(|w| *w.server == *id);
+    here.fold((0, 0), |sum, w| {
+        (sum.0 + w.requests, sum.1 + w.prefill_tokens)
+    })
 }
 
 /// The backend servers, as seen from one data centre.
@@ -279,17 +280,28 @@
         now: Instant,
     ) -> Result<InFlight, Unavailable> {
         let mut state = lock(&self.state);
-        state.limits.record_request(service, now);
-        let ready: Vec<Server> = state.list.ready_servers(service, now).cloned().collect();
-        let allowed: Vec<&Server> = ready.iter().filter(|s| state.allows(s, now)).collect();
+        let State {
+            list,
+            health,
+            states,
+            peers,
+            holders,
+            limits,
+            ..
+        } = &mut *state;
+        limits.record_request(service, now);
+        let ready: Vec<&Server> = list.ready_servers(service, now).collect();
+        let allowed = ready.iter().copied();
+        let allowed: Vec<&Server> = allowed.filter(|s| limits::allow(limits, s, now)).collect();
         if allowed.is_empty() && !ready.is_empty() {
-            return Err(Unavailable::Limited(state.limits_retry_after(&ready)));
+            let wait = limits::retry_after(limits, &ready);
+            return Err(Unavailable::Limited(wait));
         }
-        let tracker = state.health.get(&**service).ok_or(Unavailable::NoServer)?;
+        let tracker = health.get(&**service).ok_or(Unavailable::NoServer)?;
         let candidate = |server: &Server| {
-            let known = state.states.get(&*server.id);
+            let known = states.get(&*server.id);
             let load = known.and_then(|k| k.load);
-            let (requests, prefill_tokens) = state.peer_work(&server.id, now);
+            let (requests, prefill_tokens) = peer_work(peers, &server.id, now);
             Candidate {
                 id: server.id.clone(),
                 same_centre: server.centre == self.centre,
@@ -307,10 +319,10 @@
             home_server,
             work,
         } = affinity::choose(&candidates, query).ok_or(Unavailable::NoServer)?;
-        let find = |id: &Name| ready.iter().find(|s| s.id == *id);
+        let find = |id: &Name| ready.iter().copied().find(|s| s.id == *id);
         let server = find(&id).ok_or(Unavailable::NoServer)?.clone();
-        state.limits.take_permit(&id);
-        let recorded = state.holders.get(&query.prompt_id).cloned();
+        limits.take_permit(&id);
+        let recorded = holders.get(&query.prompt_id).cloned();
         let holder = match recorded {
             _ if query.shared_tokens < affinity::MIN_SHARED_TOKENS => None,
             Some(holder) if holder == id => None,
@@ -326,7 +338,7 @@
             None => 0,
         };
         let prefill_tokens = prefill_tokens.saturating_sub(cached);
-        let known = state.states.get_or_insert_with(id, ServerState::default);
+        let known = states.get_or_insert_with(id, ServerState::default);
         known.requests += 1;
         known.prefill_tokens += prefill_tokens;
         Ok(InFlight {
