--- a/crates/router/src/relay/response_body.rs
+++ b/crates/router/src/relay/response_body.rs
@@ -28,12 +28,15 @@
 struct PartialBody<'a> {
     memory: &'a BodyMemory,
     bytes: BytesMut,
+    /// Bytes that count in `memory`.
+    counted: usize,
 }
 
 impl PartialBody<'_> {
     /// Appends data; false if there is no room for it.
     fn push(&mut self, data: &[u8]) -> bool {
         let total = self.memory.0.fetch_add(data.len(), Ordering::AcqRel) + data.len();
+        self.counted += data.len();
         self.bytes.extend_from_slice(data);
         let length = self.bytes.len();
         length <= SMALL_BODY_BYTES || (length <= MAX_BODY_BYTES && total <= MAX_TOTAL_BYTES)
@@ -42,7 +45,7 @@
 
 impl Drop for PartialBody<'_> {
     fn drop(&mut self) {
-        self.memory.0.fetch_sub(self.bytes.len(), Ordering::AcqRel);
+        self.memory.0.fetch_sub(self.counted, Ordering::AcqRel);
     }
 }
 
@@ -56,6 +59,7 @@
         let mut partial = PartialBody {
             memory: self,
             bytes: BytesMut::new(),
+            counted: 0,
         };
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Failure::Lost)?;
@@ -65,6 +69,6 @@
                 return Err(Failure::TooLarge);
             }
         }
-        Ok(Bytes::copy_from_slice(&partial.bytes))
+        Ok(partial.bytes.split().freeze())
     }
 }
