Remember what was seen of trials of crashing requests

Each arrival of a request that shares its crashes with another one asked the store for a trial, also if it had had one or another one was running; and each trial but the first was written twice, since the first try supposed that there was no row. A router now begins with the row as it last saw it, whose trials hold until they expire. The answers are the same; the test shows that they come without the store, where the code before denied a trial that was only busy.

--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -103,6 +103,8 @@
     /// The store's clock in milliseconds when the table was last read, and when
     /// that was.
     clock: Option<(u64, Instant)>,
+    /// The row of trials as last seen.
+    trials: trial::Seen,
 }
 
 impl State {
@@ -130,6 +132,7 @@
                 unwritten: Vec::new(),
                 rows: Vec::new(),
                 clock: None,
+                trials: trial::Seen::default(),
             }),
             added: Notify::new(),
         })
--- a/crates/router/src/relay/crashes/trial.rs
+++ b/crates/router/src/relay/crashes/trial.rs
@@ -17,6 +17,7 @@
 
 use super::Crashes;
 use super::wire::{decode_fingerprint, encode_fingerprint};
+use crate::sync::lock;
 
 const PARTITION: Partition = Partition {
     table: "crash_trials",
@@ -42,14 +43,14 @@
 }
 
 /// The row: the trials of the last time.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 #[derive(Serialize, Deserialize)]
 struct TrialsWire {
     trials: Vec<TrialWire>,
 }
 
 /// A trial. Times are those of the store's clock, in milliseconds.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
 struct TrialWire {
     request: String,
@@ -59,8 +60,8 @@
 }
 
 /// The version and contents of the row as last seen.
-#[derive(Debug, Default)]
-struct Seen {
+#[derive(Debug, Clone, Default)]
+pub(super) struct Seen {
     version: u64,
     row: TrialsWire,
 }
@@ -113,7 +114,8 @@
         let Some(clock) = self.store_clock(Instant::now()) else {
             return Trial::Denied;
         };
-        let mut seen = Seen::default();
+        // What was seen of earlier trials still holds, and often saves the call.
+        let mut seen = lock(&self.state).trials.clone();
         for _ in 0..MAX_WRITES {
             seen.expire(clock);
             if let Some(objection) = seen.objection(request, clock) {
@@ -136,8 +138,15 @@
                 }],
             };
             match store.commit(PARTITION, commit, TIMEOUT).await {
-                Ok(_) => return Trial::Granted,
-                Err(Error::Conflict(rows)) => seen = Seen::decode(rows),
+                Ok(committed) => {
+                    seen.version = committed.version;
+                    lock(&self.state).trials = seen;
+                    return Trial::Granted;
+                }
+                Err(Error::Conflict(rows)) => {
+                    seen = Seen::decode(rows);
+                    lock(&self.state).trials = seen.clone();
+                }
                 Err(why) => {
                     log::warn("crash trial not written")
                         .with("content", request)
--- a/crates/router/tests/relay/crash_trials.rs
+++ b/crates/router/tests/relay/crash_trials.rs
@@ -72,3 +72,24 @@
         .await;
     assert_eq!(unread, Trial::Denied, "the store's clock is not known");
 }
+
+/// Guards against a call to the store at each arrival of a request that was on
+/// trial before.
+#[tokio::test]
+async fn the_store_is_not_asked_again_for_what_is_known_of_trials() {
+    let store = Store::new();
+    let client = Client::open(store.open().await);
+    let (a, b) = (router("a", 5_000), router("b", 5_000));
+    let first = a.begin_trial(&client, request("first"), TIME_LEFT).await;
+    assert_eq!(first, Trial::Granted);
+    let busy = b.begin_trial(&client, request("second"), TIME_LEFT).await;
+    assert!(matches!(busy, Trial::Busy(_)), "{busy:?}");
+    store.set_down(true);
+    for router in [&a, &b] {
+        let tried = router.begin_trial(&client, request("first"), TIME_LEFT);
+        assert_eq!(tried.await, Trial::Denied);
+        let busy = router.begin_trial(&client, request("second"), TIME_LEFT);
+        let busy = busy.await;
+        assert!(matches!(busy, Trial::Busy(_)), "{busy:?}");
+    }
+}
