Share what the relay's tests wrote again

Seeds and numbers from the environment were read in three files, the wait for a router to serve was written in three, and the responses of stand-ins in two more. What the tests send, allow and check is unchanged.

--- a/crates/router/tests/relay/crashing_requests.rs
+++ b/crates/router/tests/relay/crashing_requests.rs
@@ -5,10 +5,10 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::PREPAID;
-use crate::site::caller::{Seen, ask_once};
+use crate::site::caller::{Seen, ask_once, wait_until};
 use crate::site::configured_store;
 use crate::site::crashing::{CrashKind, CrashPlan, CrashingServer};
 use crate::site::process::{Router, address};
@@ -16,8 +16,6 @@
 
 /// Time after the third crash from which on no server may get the request.
 const SPREAD_TIME: Duration = Duration::from_secs(3);
-/// Ends a test that hangs.
-const HANG_LIMIT: Duration = Duration::from_secs(30);
 /// Servers that a request may have crashed before all routers refuse it.
 const CRASHES_ALLOWED: usize = 3;
 /// How often it may still reach a server after that.
@@ -88,7 +86,7 @@
             router.start();
             routers.push(router);
         }
-        let mut site = Site {
+        let site = Site {
             store,
             routers,
             servers,
@@ -117,16 +115,9 @@
         ask_once(self.routers[router].callers(), path, &id).await
     }
 
-    async fn wait_until_served(&mut self, router: usize, path: &str) {
-        let began = Instant::now();
-        loop {
-            let seen = self.ask(router, path).await;
-            if seen == Some(Seen::Answer(200, true)) {
-                return;
-            }
-            assert!(began.elapsed() < HANG_LIMIT, "router {router}: {seen:?}");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
+    async fn wait_until_served(&self, router: usize, path: &str) {
+        let is_served = |seen| seen == Seen::Answer(200, true);
+        wait_until(self.routers[router].callers(), path, is_served).await;
     }
 
     /// Servers that have ended so far.
--- a/crates/router/tests/relay/endless_answers.rs
+++ b/crates/router/tests/relay/endless_answers.rs
@@ -1,13 +1,12 @@
 //! Servers that send bytes without end, in the head or the body of an answer.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 
 use crate::PREPAID;
 use crate::site::backend::{Backend, Behaviour};
-use crate::site::caller::{Seen, ask_once};
+use crate::site::caller::{Seen, ask_once, wait_until};
 use crate::site::configured_store;
 use crate::site::endless::{Endless, EndlessServer};
 use crate::site::process::{Router, address};
@@ -27,16 +26,6 @@
 /// Requests that a server gets until it counts as failing, with some that are
 /// sent to it later to see whether it still fails.
 const MOST_SENT: usize = 8;
-/// Ends a test that hangs.
-const HANG_LIMIT: Duration = Duration::from_secs(30);
-
-async fn wait_until_ready(router: SocketAddr) {
-    let began = Instant::now();
-    while ask_once(router, "/nowhere/x", "ready").await != Some(Seen::Answer(404, true)) {
-        assert!(began.elapsed() < HANG_LIMIT, "the router does not start");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-}
 
 /// Has requests of `path` answered by a server that sends this without end, and
 /// by a sound one beside it later.
@@ -55,7 +44,8 @@
     let mut router = Router::new(address(run, 0), store_address, &folder);
     router.start();
     let callers = router.callers();
-    wait_until_ready(callers).await;
+    let is_unknown = |seen| seen == Seen::Answer(404, true);
+    wait_until(callers, "/nowhere/x", is_unknown).await;
 
     let requests = (0..REQUESTS).map(|n| async move {
         let began = Instant::now();
--- a/crates/router/tests/relay/retry_budget.rs
+++ b/crates/router/tests/relay/retry_budget.rs
@@ -11,7 +11,8 @@
 use rand::{RngExt, SeedableRng};
 use tokio::sync::Mutex;
 
-use crate::site::caller::ask_once;
+use crate::site::caller::{ask_once, is_stream};
+use crate::site::chosen;
 use crate::site::configured_store;
 use crate::site::cut::Way;
 use crate::site::failing::{FailingServer, Failures, RetryLimit, Traffic};
@@ -21,6 +22,8 @@
 const FAULT_TIME: Duration = Duration::from_secs(32);
 /// Time until the routers have started and know each other.
 const START_TIME: Duration = Duration::from_secs(4);
+/// Seeds of a short run.
+const SEEDS: [u64; 1] = [1];
 const SERVERS: usize = 4;
 /// More than the streams of a run can consume.
 const PREPAID: u64 = 1_000_000_000;
@@ -197,8 +200,7 @@
     let end = Instant::now() + FAULT_TIME;
     let mut tasks = Vec::new();
     for (path, rate) in deployment.rates {
-        let is_plain = path.starts_with("/once/") || path.starts_with("/read/");
-        let traffic = services[usize::from(is_plain)].1.clone();
+        let traffic = services[usize::from(!is_stream(path))].1.clone();
         tasks.push(tokio::spawn(send(hosts.clone(), traffic, path, rate, end)));
     }
     tasks.push(tokio::spawn(change_failures(servers, seed, end)));
@@ -234,14 +236,8 @@
 }
 
 async fn check(deployment: &Deployment, kind: Fault) {
-    let parse = |text: String| {
-        let (from, to) = text.split_once("..")?;
-        Some((from.parse().ok()?..=to.parse().ok()?).collect())
-    };
-    let chosen = std::env::var("POPLAR_RETRY_SEEDS").ok().and_then(parse);
-    let seeds: Vec<u64> = chosen.unwrap_or_else(|| vec![1]);
     let mut wrong = Vec::new();
-    for seed in seeds {
+    for seed in chosen::seeds("POPLAR_RETRY_SEEDS", &SEEDS) {
         wrong.extend(play(deployment, kind, seed).await);
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
--- a/crates/router/tests/relay/server_limits.rs
+++ b/crates/router/tests/relay/server_limits.rs
@@ -10,7 +10,8 @@
 use http::StatusCode;
 
 use crate::PREPAID;
-use crate::site::caller::{Seen, ask_once};
+use crate::site::caller::{Seen, ask_once, wait_until};
+use crate::site::chosen;
 use crate::site::configured_store;
 use crate::site::limited::LimitedServer;
 use crate::site::process::{Router, address};
@@ -20,8 +21,6 @@
 const SPREAD_TIME: Duration = Duration::from_secs(3);
 /// How long requests come after that.
 const LOAD_TIME: Duration = Duration::from_secs(8);
-/// Ends a test that hangs.
-const HANG_LIMIT: Duration = Duration::from_secs(30);
 /// Longest time until a request that can't be served is refused, on a busy
 /// machine.
 const REFUSAL_TIME: Duration = Duration::from_millis(700);
@@ -103,16 +102,8 @@
     }
 
     async fn wait_until_served(&self, router: usize) {
-        let began = Instant::now();
-        loop {
-            let address = self.routers[router].callers();
-            let seen = ask_once(address, "/read/ready", "ready").await;
-            if matches!(seen, Some(Seen::Answer(200 | 500, _))) {
-                return;
-            }
-            assert!(began.elapsed() < HANG_LIMIT, "router {router}: {seen:?}");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
+        let is_answer = |seen| matches!(seen, Seen::Answer(200 | 500, _));
+        wait_until(self.routers[router].callers(), "/read/ready", is_answer).await;
     }
 
     /// Sends requests of these paths in turn to a router, `pause` apart, until
@@ -168,8 +159,7 @@
 }
 
 fn many_routers() -> usize {
-    let chosen = std::env::var("POPLAR_LIMIT_ROUTERS").ok();
-    chosen.and_then(|n| n.parse().ok()).unwrap_or(MANY_ROUTERS)
+    chosen::number("POPLAR_LIMIT_ROUTERS", MANY_ROUTERS)
 }
 
 fn is_served(outcome: &Outcome) -> bool {
--- a/crates/router/tests/relay/site/backend.rs
+++ b/crates/router/tests/relay/site/backend.rs
@@ -10,7 +10,8 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
-use super::{Body, full_body, serve};
+use super::caller::is_stream;
+use super::{Body, full_body, not_run_response, serve, signed_response};
 
 /// Events of a complete stream.
 pub(crate) const EVENTS: u64 = 4;
@@ -77,14 +78,9 @@
         let id = text("x-poplarreel-attempt-id");
         let behaviour = *self.behaviour.lock().expect("no panic");
         if behaviour == Behaviour::RefuseAsNotRun {
-            let mut response = Response::new(full_body(""));
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            let headers = response.headers_mut();
-            headers.insert("x-poplarreel-not-executed", "1".parse().ok()?);
-            return Some(response);
+            return Some(not_run_response());
         }
-        let streams =
-            head.uri.path().starts_with("/stream/") || head.uri.path().starts_with("/resume/");
+        let streams = is_stream(head.uri.path());
         let after = text("last-event-id").parse().unwrap_or(0);
         self.executed
             .lock()
@@ -100,19 +96,17 @@
             _ if streams => event_body(after, EVENTS, false),
             _ => full_body("an answer"),
         };
-        let mut response = Response::new(body);
-        if behaviour == Behaviour::ServerError {
-            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-        }
+        let status = if behaviour == Behaviour::ServerError {
+            StatusCode::INTERNAL_SERVER_ERROR
+        } else {
+            StatusCode::OK
+        };
         let id = if behaviour == Behaviour::WrongAttemptId {
             "another"
         } else {
             &id
         };
-        let headers = response.headers_mut();
-        headers.insert("x-poplarreel-attempt-id", id.parse().ok()?);
-        headers.insert("x-poplarreel-response-seal", "a-seal".parse().ok()?);
-        Some(response)
+        Some(signed_response(id.parse().ok()?, status, body))
     }
 }
 
--- a/crates/router/tests/relay/site/caller.rs
+++ b/crates/router/tests/relay/site/caller.rs
@@ -1,7 +1,7 @@
 //! A caller of a router, on a connection that it keeps or on one of its own.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Request;
@@ -15,6 +15,9 @@
 /// Time after which a caller gives up on a request.
 const PATIENCE: Duration = Duration::from_secs(4);
 
+/// Ends a test that hangs.
+const HANG_LIMIT: Duration = Duration::from_secs(30);
+
 /// The body of the refusal of a request that crashes servers.
 const CRASH_REFUSAL: &str = "crashes servers\n";
 
@@ -73,6 +76,19 @@
     Some(ask(&mut connect(address).await?, path, id).await)
 }
 
+/// Sends requests of a path to a router until what is seen of one is accepted.
+pub(crate) async fn wait_until(router: SocketAddr, path: &str, accept: impl Fn(Seen) -> bool) {
+    let began = Instant::now();
+    for n in 0.. {
+        let seen = ask_once(router, path, &format!("wait-{router}-{n}")).await;
+        if seen.is_some_and(&accept) {
+            return;
+        }
+        assert!(began.elapsed() < HANG_LIMIT, "router {router}: {seen:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Whether a path's route answers with a stream, which consumes tokens.
 pub(crate) fn is_stream(path: &str) -> bool {
     path.starts_with("/stream/") || path.starts_with("/resume/")
--- a/crates/router/tests/relay/site/failing.rs
+++ b/crates/router/tests/relay/site/failing.rs
@@ -12,7 +12,7 @@
 
 use super::backend::{EVENTS, event_body};
 use super::caller::is_stream;
-use super::{Body, full_body, serve, signed_response};
+use super::{Body, full_body, not_run_response, serve, signed_response};
 
 /// How long a request runs.
 const RUN_TIME: Duration = Duration::from_millis(15);
@@ -152,11 +152,7 @@
             hung,
         } = failures;
         if draw < refused {
-            let mut response = Response::new(full_body(""));
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            let headers = response.headers_mut();
-            headers.insert("x-poplarreel-not-executed", "1".parse().ok()?);
-            return Some(response);
+            return Some(not_run_response());
         }
         tokio::time::sleep(RUN_TIME).await;
         if draw < refused + cut {
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod backend;
 pub(crate) mod caller;
+pub(crate) mod chosen;
 pub(crate) mod crashing;
 pub(crate) mod cut;
 pub(crate) mod endless;
@@ -61,6 +62,16 @@
     response
 }
 
+/// A backend server's response that says that the request did not run.
+pub(crate) fn not_run_response() -> Response<Body> {
+    let mut response = Response::new(full_body(""));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let not_run = HeaderValue::from_static("1");
+    let headers = response.headers_mut();
+    headers.insert("x-poplarreel-not-executed", not_run);
+    response
+}
+
 /// Serves requests on a free port; if `handle` returns `None`, the connection
 /// is closed without a response.
 pub(crate) async fn serve<F>(
--- a/crates/router/tests/relay/soak/mod.rs
+++ b/crates/router/tests/relay/soak/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::site::backend::{Backend, Behaviour};
 use crate::site::caller::{self, Seen};
+use crate::site::chosen;
 use crate::site::configured_store;
 use crate::site::crashing::{CrashKind, CrashPlan, CrashingServer};
 use crate::site::limited::LimitedServer;
@@ -294,30 +295,17 @@
     Some(format!("{fault}, {ran} runs, sent at {at:?}: {attempt:?}"))
 }
 
-fn seeds() -> Vec<u64> {
-    let parse = |text: String| {
-        let (from, to) = text.split_once("..")?;
-        Some((from.parse().ok()?..=to.parse().ok()?).collect())
-    };
-    let chosen = std::env::var("POPLAR_SOAK_SEEDS").ok().and_then(parse);
-    chosen.unwrap_or_else(|| SEEDS.to_vec())
-}
-
-fn routers() -> usize {
-    let chosen = std::env::var("POPLAR_SOAK_ROUTERS").ok();
-    chosen.and_then(|n| n.parse().ok()).unwrap_or(ROUTERS)
-}
-
 /// Guards against faults that show only where signals, restarts, changes and
 /// outages overlap.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_of_separate_processes() {
     let mut wrong = Vec::new();
-    for seed in seeds() {
+    let routers = chosen::number("POPLAR_SOAK_ROUTERS", ROUTERS);
+    for seed in chosen::seeds("POPLAR_SOAK_SEEDS", &SEEDS) {
         let folder =
             std::env::temp_dir().join(format!("poplar-soak-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
-        let found = run(seed, routers(), &folder).await;
+        let found = run(seed, routers, &folder).await;
         if found.is_empty() {
             let _ = std::fs::remove_dir_all(&folder);
         } else {
