Log the parts of a prompt with failures and outcomes

The logs of the BUDGET report show that each end of an engine was noticed and that the requests on it were all different. Whether they have a part of their prompts in common, and whether a request with that part was ever answered, could not be seen: the failures and outcomes of requests now name the parts, as clients send them, without the last one, which belongs to the request itself.

The routing used the same slice of the parts; both take it from the head.

--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -192,9 +192,7 @@
     }
 
     fn choose(&self, now: Instant) -> Result<InFlight, Unavailable> {
-        let parts = &self.request.head.prompt_parts;
-        // The last part is not shared with other requests.
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared = self.request.head.shared_parts().0;
         let shared_tokens = shared.iter().map(|part| part.tokens).sum();
         let query = Query {
             prompt_id: shared.last().map_or(0, |part| part.id),
@@ -374,6 +372,7 @@
         log::info("attempt failed")
             .request(&self.request.head.attempt_id)
             .with("content", self.request.fingerprint)
+            .with("parts", self.request.head.shared_parts())
             .with("server", &server.id)
             .reason(failure)
             .with("output", self.output)
@@ -447,6 +446,7 @@
         log::info("request finished")
             .request(&self.request.head.attempt_id)
             .with("route", &self.request.route.name)
+            .with("parts", self.request.head.shared_parts())
             .workspace(workspace)
             .with("outcome", self.outcome)
             .with("sends", self.sends)
