Test parts of prompts that crash servers, which fail

Routers of the deployed path run as processes, eight or sixty; sound requests have the same caller, route, key and first part. After the fifth crash and three seconds at most three such requests may reach servers; six seconds after it sound requests are served.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -3,6 +3,7 @@
 
 mod crash_reports;
 mod crash_trials;
+mod crashing_parts;
 mod crashing_requests;
 mod endless_answers;
 mod events;
--- a/crates/router/tests/relay/site/caller.rs
+++ b/crates/router/tests/relay/site/caller.rs
@@ -47,15 +47,44 @@
 
 /// Sends one request.
 pub(crate) async fn ask(sender: &mut SendRequest<Full<Bytes>>, path: &str, id: &str) -> Seen {
-    let mut request = Request::post(path)
+    let request = request(path, id).body(Full::from("a body"));
+    answer(sender, path, request.expect("a request")).await
+}
+
+/// Sends one request with these parts of its prompt, and a body and a last part
+/// that no other one has, on a connection of its own.
+pub(crate) async fn ask_prompt(
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    parts: &str,
+) -> Option<Seen> {
+    let own: String = id.bytes().map(|b| format!("{b:02x}")).collect();
+    let own = &own[own.len().saturating_sub(8)..];
+    let request = request(path, id)
+        .header("x-poplarreel-prompt-prefix", format!("{parts},{own}:9"))
+        .body(Full::from(id.to_owned()))
+        .expect("a request");
+    Some(answer(&mut connect(address).await?, path, request).await)
+}
+
+fn request(path: &str, id: &str) -> http::request::Builder {
+    let request = Request::post(path)
         .header("host", "site.example")
         .header("api-key", "key-1")
         .header("x-poplarreel-attempt-id", id)
         .header("x-poplarreel-deadline-ms", "2000");
     if is_stream(path) {
-        request = request.header("x-poplarreel-token-counts", "1000,20");
+        return request.header("x-poplarreel-token-counts", "1000,20");
     }
-    let request = request.body(Full::from("a body")).expect("a request");
+    request
+}
+
+async fn answer(
+    sender: &mut SendRequest<Full<Bytes>>,
+    path: &str,
+    request: Request<Full<Bytes>>,
+) -> Seen {
     let answer = async {
         let (head, body) = sender.send_request(request).await.ok()?.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
--- a/crates/router/tests/relay/site/crashing.rs
+++ b/crates/router/tests/relay/site/crashing.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::stream;
@@ -25,6 +25,8 @@
 
 /// Marks the path of a request that ends the servers that run it.
 pub(crate) const CRASH_MARK: &str = "crash";
+/// Begins the identity of a part of a prompt that ends the servers that run it.
+pub(crate) const CRASH_PART: &str = "dead";
 /// How long a request runs until its server ends.
 const CRASH_AFTER: Duration = Duration::from_millis(40);
 
@@ -37,6 +39,8 @@
     Silence,
     /// Its connections are closed after two events of the stream.
     MidStream,
+    /// Its connections are closed in the middle of the first event of the stream.
+    InsideEvent,
     /// As a reset, but every second time it answers with an error and goes on.
     ResetOrError,
 }
@@ -63,8 +67,20 @@
     process: Mutex<CancellationToken>,
     started_ms: AtomicU64,
     crashes: AtomicUsize,
-    /// Paths and ids of the requests that it ran.
-    runs: Mutex<Vec<(String, String)>>,
+    /// Requests that it ran.
+    runs: Mutex<Vec<Run>>,
+    /// Parts of prompts that ended it, and when.
+    crash_parts: Mutex<Vec<(Instant, String)>>,
+}
+
+/// A request that a server ran.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    path: String,
+    id: String,
+    /// The part of its prompt that ends servers, if it has one.
+    crash_part: Option<String>,
+    at: Instant,
 }
 
 impl CrashingServer {
@@ -86,6 +102,7 @@
             started_ms: AtomicU64::new(1_000),
             crashes: AtomicUsize::new(0),
             runs: Mutex::default(),
+            crash_parts: Mutex::default(),
         });
         server.clone().start(listener);
         server
@@ -99,13 +116,29 @@
     /// How often it ran requests with this path.
     pub(crate) fn runs(&self, path: &str) -> usize {
         let runs = self.runs.lock().expect("no panic");
-        runs.iter().filter(|(run, _)| *run == path).count()
+        runs.iter().filter(|run| run.path == path).count()
+    }
+
+    /// When it ended because of this part of a prompt.
+    pub(crate) fn crashes_of_part(&self, part: &str) -> Vec<Instant> {
+        let crashes = self.crash_parts.lock().expect("no panic");
+        let of_part = crashes.iter().filter(|(_, p)| p == part);
+        of_part.map(|(at, _)| *at).collect()
+    }
+
+    /// How often it ran requests with this part later than `after`.
+    pub(crate) fn runs_of_part(&self, part: &str, after: Instant) -> usize {
+        let runs = self.runs.lock().expect("no panic");
+        let of_part = runs
+            .iter()
+            .filter(|r| r.crash_part.as_deref() == Some(part));
+        of_part.filter(|run| run.at > after).count()
     }
 
     /// The ids of the requests that it ran.
     pub(crate) fn executed_ids(&self) -> Vec<String> {
         let runs = self.runs.lock().expect("no panic");
-        runs.iter().map(|(_, id)| id.clone()).collect()
+        runs.iter().map(|run| run.id.clone()).collect()
     }
 
     fn start(self: Arc<Self>, listener: TcpListener) {
@@ -145,18 +178,25 @@
         body.collect().await.ok()?;
         let path = head.uri.path().to_owned();
         let id = head.headers.get("x-poplarreel-attempt-id")?.clone();
-        let run = (path.clone(), id.to_str().ok()?.to_owned());
-        self.runs.lock().expect("no panic").push(run);
-        let marked = path.contains(CRASH_MARK);
+        let crash_part = crash_part(&head.headers);
+        self.runs.lock().expect("no panic").push(Run {
+            path: path.clone(),
+            id: id.to_str().ok()?.to_owned(),
+            crash_part: crash_part.clone(),
+            at: Instant::now(),
+        });
+        let marked = path.contains(CRASH_MARK) || crash_part.is_some();
         let is_error = marked
             && self.plan.kind == CrashKind::ResetOrError
             && !self.runs(&path).is_multiple_of(2);
         let crashes = marked && !is_error;
         if crashes {
-            tokio::spawn(self.clone().crash(process.clone()));
+            tokio::spawn(self.clone().crash(process.clone(), crash_part));
         }
         let body = if crashes && self.plan.kind == CrashKind::MidStream {
-            unfinished_stream()
+            unfinished_stream(2, b"")
+        } else if crashes && self.plan.kind == CrashKind::InsideEvent {
+            unfinished_stream(0, b"id: 1\nda")
         } else if crashes {
             std::future::pending().await
         } else {
@@ -179,11 +219,15 @@
     }
 
     /// Ends the process, and starts the next one after the down time.
-    async fn crash(self: Arc<Self>, process: CancellationToken) {
+    async fn crash(self: Arc<Self>, process: CancellationToken, part: Option<String>) {
         tokio::time::sleep(CRASH_AFTER).await;
         if process.is_cancelled() {
             return;
         }
+        if let Some(part) = part {
+            let mut crashes = self.crash_parts.lock().expect("no panic");
+            crashes.push((Instant::now(), part));
+        }
         self.crashes.fetch_add(1, Ordering::AcqRel);
         process.cancel();
         tokio::time::sleep(self.plan.down_time).await;
@@ -192,14 +236,24 @@
     }
 }
 
-/// A stream of which only the first events come.
-fn unfinished_stream() -> Body {
-    let frames = stream::unfold(1, |n| async move {
-        if n > 2 {
-            std::future::pending::<()>().await;
-        }
-        let event = Bytes::from(format!("id: {n}\ndata: e{n}\n\n"));
-        Some((Ok(Frame::data(event)), n + 1))
+/// The part of a request's prompt that ends servers, if it has one.
+fn crash_part(headers: &http::HeaderMap) -> Option<String> {
+    let prefix = headers.get("x-poplarreel-prompt-prefix")?.to_str().ok()?;
+    let mut ids = prefix.split(',').filter_map(|part| part.split(':').next());
+    ids.find(|id| id.starts_with(CRASH_PART)).map(str::to_owned)
+}
+
+/// A stream of which so many events come, and the beginning of the next one.
+fn unfinished_stream(events: u64, rest: &'static [u8]) -> Body {
+    let frames = stream::unfold(1, move |n| async move {
+        let data = if n <= events {
+            Bytes::from(format!("id: {n}\ndata: e{n}\n\n"))
+        } else if n == events + 1 && !rest.is_empty() {
+            Bytes::from_static(rest)
+        } else {
+            std::future::pending().await
+        };
+        Some((Ok(Frame::data(data)), n + 1))
     });
     StreamBody::new(frames).boxed_unsync()
 }
