Refuse parts of prompts that crash servers

Cause: crashes were counted for a request's content only, its path, workspace and body together. Each request was new, so that none was ever at three crashes. Evidence: 22 ends until 22.4 s, each recorded within 3 ms, 98 requests on them with 97 contents, of which one was at two crashes.

Class: what identifies a cause is taken to be as narrow as one observation, so that observations of the same cause never add up.

Change: crashes and answers count for each feature of a request, its content and each part of its prompt but the last, in the same history, reports and table. A part is refused after crashes at three times (or five at two) unless another feature explains them; crashes within 250 ms are one time, since servers that crash together share popular parts. An answer clears all features of its request; a stream that goes on for a second clears its parts. Between parts at the same crashes an earlier answer decides, or else a trial. Reports of what is at several crashes go out first. A router that was frozen got all datagrams at once, so that crashes of different times seemed to be one: the earliest report of a crash now tells its time, and the one in the table has the right age.

Why it works: the cause is at every crash and is never answered; what many sound requests have is answered again within moments; what few have is told apart by a trial of a request that has it without the cause.

Breaking on purpose (`poison_parts`): times not merged, many crashes at two times ignored, explanations ignored, own parts as an excuse, earlier answers ignored: one test fails each time.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -1,6 +1,5 @@
 //! History of crashes, and the requests to refuse because of them.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use crate::id::{Incarnation, Name};
@@ -106,9 +105,9 @@
     number: u64,
     suspects: Vec<Suspect>,
     requests: SortedVec<Fingerprint, Record>,
-    /// The last requests that this router had answered, whether or not they
-    /// have sightings.
-    answers: VecDeque<(Fingerprint, Instant)>,
+    /// The last answers to requests, and to requests with a feature, that this
+    /// router saw, whether or not these have sightings.
+    answers: SortedVec<Fingerprint, Instant>,
 }
 
 impl CrashHistory {
@@ -121,7 +120,7 @@
             number: 0,
             suspects: Vec::new(),
             requests: SortedVec::new(),
-            answers: VecDeque::new(),
+            answers: SortedVec::new(),
         }
     }
 
@@ -207,10 +206,19 @@
             return false;
         }
         let record = self.record(sighting.fingerprint, now);
-        let is_known = |s: &Sighting| s.server == sighting.server && s.id == sighting.id;
+        let is_known = |s: &&mut Sighting| s.server == sighting.server && s.id == sighting.id;
+        if let Some(known) = record.sightings.iter_mut().find(is_known) {
+            // Ages don't include the time that a report was under way, so that the
+            // earliest is the most accurate.
+            known.at = known.at.min(sighting.at);
+            let answered_at = record.answered_at;
+            let counts = |s: &Sighting| answered_at.is_none_or(|at| s.at > at);
+            record.sightings.retain(counts);
+            return false;
+        }
         let is_answered = record.answered_at.is_some_and(|at| sighting.at <= at);
         let is_full = record.sightings.len() >= MAX_SIGHTINGS;
-        if is_answered || is_full || record.sightings.iter().any(is_known) {
+        if is_answered || is_full {
             return false;
         }
         record.sightings.push(sighting);
@@ -237,10 +245,25 @@
 
     /// Records that a request was answered here.
     pub fn record_answer(&mut self, fingerprint: Fingerprint, now: Instant) {
-        if self.answers.len() >= MAX_ANSWERS {
-            self.answers.pop_front();
+        if self.answers.len() >= MAX_ANSWERS && !self.answers.contains(&fingerprint) {
+            let kept = now.checked_sub(CONFIRM_PROCESS_WITHIN);
+            self.answers
+                .retain(|_, at| kept.is_none_or(|kept| *at > kept));
+            let oldest = self.answers.iter().min_by_key(|(_, at)| **at);
+            let oldest = oldest.map(|(fingerprint, _)| *fingerprint);
+            if self.answers.len() >= MAX_ANSWERS
+                && let Some(oldest) = oldest
+            {
+                self.answers.remove(&oldest);
+            }
         }
-        self.answers.push_back((fingerprint, now));
+        self.answers.insert(fingerprint, now);
+    }
+
+    /// Whether an answer that this router saw is remembered, from before a crash or
+    /// after it.
+    pub(super) fn was_answered(&self, fingerprint: Fingerprint) -> bool {
+        self.answers.contains(&fingerprint)
     }
 
     /// Clears sightings of a request that was answered here after one of them.
@@ -249,8 +272,7 @@
     pub fn clear_answered(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<Instant> {
         let sightings = &self.requests.get(&fingerprint)?.sightings;
         let first = sightings.iter().map(|s| s.at).min()?;
-        let mut answers = self.answers.iter().rev();
-        let (_, at) = *answers.find(|(f, at)| *f == fingerprint && *at > first)?;
+        let at = *self.answers.get(&fingerprint).filter(|at| **at > first)?;
         self.merge_answer(fingerprint, at, now).then_some(at)
     }
 
@@ -274,39 +296,75 @@
 
     /// Why a request is to be refused; `None` if it may run.
     pub fn refusal_reason(&self, fingerprint: Fingerprint, now: Instant) -> Option<Reason> {
+        self.content_reason(fingerprint, &[], now)
+    }
+
+    /// As [`Self::refusal_reason`], for a request with these parts. What its own
+    /// parts were at doesn't excuse it.
+    pub(super) fn content_reason(
+        &self,
+        fingerprint: Fingerprint,
+        parts: &[Fingerprint],
+        now: Instant,
+    ) -> Option<Reason> {
         let crashes = self.requests.get(&fingerprint)?.crashes(now);
         let last = crashes.iter().map(|s| s.at).max()?;
+        let is_own = |other: &Fingerprint| *other == fingerprint || parts.contains(other);
         let refused = match crashes.len() {
-            n if n >= CRASH_LIMIT => !self.is_explained(&crashes, now),
-            n if n >= CULPRIT_LIMIT => self.is_culprit(fingerprint, &crashes, now),
+            n if n >= CRASH_LIMIT => !self.is_explained(&crashes, is_own, now),
+            n if n >= CULPRIT_LIMIT => self.is_culprit(&crashes, is_own, now),
             _ => false,
         };
         refused.then(|| Reason {
             crashes: crashes.len(),
             ago: now.saturating_duration_since(last),
-            is_shared: self.is_shared(fingerprint, &crashes),
+            is_shared: self.is_shared(&crashes, is_own),
+            causes: vec![fingerprint],
+            only_parts: false,
         })
     }
 
-    /// Whether another request was at all these crashes.
-    fn is_shared(&self, fingerprint: Fingerprint, crashes: &[&Sighting]) -> bool {
-        let mut others = self.requests.iter().filter(|(f, _)| **f != fingerprint);
+    /// Whether a request or feature that is not the requester's own was at all
+    /// these crashes.
+    pub(super) fn is_shared(
+        &self,
+        crashes: &[&Sighting],
+        is_own: impl Fn(&Fingerprint) -> bool,
+    ) -> bool {
+        let mut others = self.requests.iter().filter(|(f, _)| !is_own(f));
         others.any(|(_, record)| record.was_at(crashes))
     }
 
     /// Whether another request was at all these crashes and at more. It explains
     /// them, so that a request that was there only beside it is not refused.
-    fn is_explained(&self, crashes: &[&Sighting], now: Instant) -> bool {
-        let records = self.requests.iter().map(|(_, record)| record);
-        let mut others = records.filter(|record| record.sightings.len() > crashes.len());
-        others.any(|record| record.crashes(now).len() > crashes.len() && record.was_at(crashes))
+    pub(super) fn is_explained(
+        &self,
+        crashes: &[&Sighting],
+        is_own: impl Fn(&Fingerprint) -> bool,
+        now: Instant,
+    ) -> bool {
+        let others = self.requests.iter().filter(|(f, _)| !is_own(f));
+        let mut records = others.filter(|(_, record)| record.sightings.len() > crashes.len());
+        records
+            .any(|(_, record)| record.crashes(now).len() > crashes.len() && record.was_at(crashes))
+    }
+
+    /// Crashes of a request or feature that count, one sighting for each.
+    pub(super) fn counted(&self, fingerprint: Fingerprint, now: Instant) -> Vec<&Sighting> {
+        let record = self.requests.get(&fingerprint);
+        record.map_or_else(Vec::new, |record| record.crashes(now))
     }
 
     /// Whether a request is the only one that was at all these crashes, and
     /// there was no other crash shortly before or since the first of them.
     /// Servers that crash for another reason may do so under the same request by
     /// chance. What other routers saw has to be known for that.
-    fn is_culprit(&self, fingerprint: Fingerprint, crashes: &[&Sighting], now: Instant) -> bool {
+    fn is_culprit(
+        &self,
+        crashes: &[&Sighting],
+        is_own: impl Fn(&Fingerprint) -> bool,
+        now: Instant,
+    ) -> bool {
         let times = crashes.iter().map(|s| s.at);
         let (Some(first), Some(last)) = (times.clone().min(), times.max()) else {
             return false;
@@ -314,7 +372,7 @@
         if now.saturating_duration_since(last) < self.report_time {
             return false;
         }
-        let mut others = self.requests.iter().filter(|(f, _)| **f != fingerprint);
+        let mut others = self.requests.iter().filter(|(f, _)| !is_own(f));
         others.all(|(_, record)| {
             let current = record.sightings.iter().filter(|s| now <= s.at + EXPIRY);
             let mut since = current.filter(|s| s.at + SAME_CRASH_WITHIN > first);
@@ -345,8 +403,7 @@
 
     /// Number of crashes of a request; sightings of the same crash count once.
     pub fn crashes(&self, fingerprint: Fingerprint, now: Instant) -> usize {
-        let record = self.requests.get(&fingerprint);
-        record.map_or(0, |record| record.crashes(now).len())
+        self.counted(fingerprint, now).len()
     }
 
     /// Removes a request if there is no room for another one: of those with the
--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -14,13 +14,20 @@
 //! crashes and more, and after [`CULPRIT_LIMIT`] if nothing else explains the
 //! crashes. Of requests that were at the same crashes, one may be sent on trial:
 //! its result tells them apart.
+//!
+//! The cause may also be something that different requests have in common, such as
+//! a part of their prompts. Each such [feature](Features) is counted like a
+//! request, by crashes under any request that has it and by answers to any. The
+//! rules for parts are in [`parts`].
 
 mod history;
+pub mod parts;
 
 use std::fmt;
 use std::time::{Duration, Instant};
 
 pub use history::{CrashHistory, EXPIRY};
+pub use parts::Features;
 
 use crate::id::{Incarnation, Name};
 
@@ -32,7 +39,8 @@
 /// at all of them and no other server crashed meanwhile.
 pub const CULPRIT_LIMIT: usize = 2;
 
-/// Identity of a request's content: a hash of its model and messages.
+/// Identity of a request's content, a hash of its model and messages, or of another
+/// feature of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u128);
 
@@ -45,6 +53,15 @@
         hash.update(prompt);
         Self(hash.digest128())
     }
+
+    /// The fingerprint of a part of prompts for the servers of `service`.
+    pub fn of_part(service: &str, id: u64) -> Self {
+        // The seed keeps it apart from those of contents.
+        let mut hash = xxhash_rust::xxh3::Xxh3::with_seed(1);
+        hash.update(service.as_bytes());
+        hash.update(&id.to_le_bytes());
+        Self(hash.digest128())
+    }
 }
 
 impl fmt::Display for Fingerprint {
@@ -73,7 +90,7 @@
 /// A crash as one router observed it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sighting {
-    /// The request that was on the lost connection.
+    /// The request that was on the lost connection, or a feature of it.
     pub fingerprint: Fingerprint,
     /// The server that was found dead.
     pub server: Name,
@@ -88,9 +105,10 @@
 pub enum Report {
     /// A request was on a server that crashed.
     Crash(Sighting),
-    /// A request that was on crashed servers was answered.
+    /// A request that was on crashed servers, or that has a feature of one, was
+    /// answered.
     Answer {
-        /// The request.
+        /// The request or the feature.
         fingerprint: Fingerprint,
         /// When the answer was complete.
         at: Instant,
@@ -107,6 +125,18 @@
     /// Whether another request was at the same crashes, so that this one need
     /// not be their cause.
     pub is_shared: bool,
+    /// The features to which the crashes are attributed.
+    pub causes: Vec<Fingerprint>,
+    /// Whether all of these are parts of prompts.
+    pub only_parts: bool,
+}
+
+impl Reason {
+    /// Whether the request may be sent once on trial. Other requests have the same
+    /// parts, so that a wrong verdict on one has to come to light.
+    pub fn allows_trial(&self) -> bool {
+        self.is_shared || self.only_parts
+    }
 }
 
 impl fmt::Display for Reason {
--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -5,8 +5,10 @@
 //! the list of servers shows processes that have been replaced. What is found
 //! counts against the request on all routers: each report goes to the others in
 //! several datagrams, see [`gossip`](crate::relay::gossip), and into a [`table`]
-//! of the platform's store. Either of them is enough. Requests that can't be told
-//! apart from one that crashes servers are put on [`trial`].
+//! of the platform's store. Either of them is enough. What counts against a request
+//! counts against each of its [`Features`], which other requests may have, too.
+//! Requests that can't be told apart from one that crashes servers are put on
+//! [`trial`].
 
 pub mod table;
 pub mod trial;
@@ -19,7 +21,9 @@
 use poplar_base::log;
 use poplar_core::deployment::Server;
 use poplar_core::id::Incarnation;
-use poplar_core::poison::{CULPRIT_LIMIT, CrashHistory, Fingerprint, Reason, Report, Sighting};
+use poplar_core::poison::{
+    CULPRIT_LIMIT, CrashHistory, Features, Fingerprint, Reason, Report, Sighting,
+};
 use poplar_core::retry::Failure;
 use tokio::sync::Notify;
 
@@ -139,8 +143,8 @@
     }
 
     /// The reason to refuse a request; `None` if it may be sent.
-    pub fn refusal_reason(&self, fingerprint: Fingerprint, now: Instant) -> Option<Reason> {
-        lock(&self.state).history.refusal_reason(fingerprint, now)
+    pub fn refusal_reason(&self, features: &Features, now: Instant) -> Option<Reason> {
+        lock(&self.state).history.refusal_reason_of(features, now)
     }
 
     /// Number of requests that were on servers that crashed, for the metrics.
@@ -152,20 +156,20 @@
     /// has the server verified. `listing` is what the list of servers shows now.
     pub fn suspect(
         self: &Arc<Self>,
-        fingerprint: Fingerprint,
+        features: &Features,
         server: &Server,
         listing: Listing,
         failure: Failure,
         now: Instant,
     ) {
-        lock(&self.state).history.record_lost_connection(
-            fingerprint,
-            &server.id,
-            Some(server.started_ms),
-            now,
-        );
+        let process = Some(server.started_ms);
+        for feature in features.iter() {
+            let history = &mut lock(&self.state).history;
+            history.record_lost_connection(feature, &server.id, process, now);
+        }
         log::info("crash suspected")
-            .with("content", fingerprint)
+            .with("content", features.content)
+            .with("parts", join(&features.parts))
             .with("server", &server.id)
             .with("started_ms", server.started_ms)
             .reason(failure)
@@ -201,9 +205,7 @@
         if !sightings.is_empty() {
             self.added.notify_one();
         }
-        for sighting in &sightings {
-            self.clear_answered(sighting.fingerprint, now);
-        }
+        self.clear_answered(sightings.iter().map(|s| s.fingerprint), now);
         for (sighting, crashes) in sightings.iter().zip(crashes) {
             log::warn("crash recorded")
                 .with("content", sighting.fingerprint)
@@ -219,32 +221,55 @@
             .increment(sightings.len() as u64);
     }
 
-    /// Records that a request was answered, so that it does not crash every
-    /// server that runs it.
-    pub fn record_answer(&self, fingerprint: Fingerprint, now: Instant) {
-        lock(&self.state).history.record_answer(fingerprint, now);
-        self.clear_answered(fingerprint, now);
+    /// Records that a request was answered, so that neither it nor what it has in
+    /// common with others crashes every server.
+    pub fn record_answer(&self, features: &Features, now: Instant) {
+        self.record_answers(features.iter(), now);
     }
 
-    /// Clears crashes before an answer that this router saw.
-    fn clear_answered(&self, fingerprint: Fingerprint, now: Instant) {
-        {
-            let mut state = lock(&self.state);
-            let Some(at) = state.history.clear_answered(fingerprint, now) else {
-                return;
-            };
-            state.announce(Report::Answer { fingerprint, at });
+    /// Records that a server goes on with its answer to a request. The parts of the
+    /// prompt don't crash every server that begins to answer.
+    pub fn record_progress(&self, features: &Features, now: Instant) {
+        self.record_answers(features.parts.iter().copied(), now);
+    }
+
+    fn record_answers(&self, answered: impl Iterator<Item = Fingerprint> + Clone, now: Instant) {
+        for feature in answered.clone() {
+            lock(&self.state).history.record_answer(feature, now);
+        }
+        self.clear_answered(answered, now);
+    }
+
+    /// Clears crashes before answers that this router saw.
+    fn clear_answered(&self, features: impl Iterator<Item = Fingerprint>, now: Instant) {
+        for fingerprint in features {
+            {
+                let mut state = lock(&self.state);
+                let Some(at) = state.history.clear_answered(fingerprint, now) else {
+                    continue;
+                };
+                state.announce(Report::Answer { fingerprint, at });
+            }
+            self.added.notify_one();
+            log::info("crashes cleared")
+                .with("content", fingerprint)
+                .write();
         }
-        self.added.notify_one();
-        log::info("crashes cleared")
-            .with("content", fingerprint)
-            .write();
     }
 
     /// Takes the reports for the next datagram.
-    pub fn take_unsent(&self) -> Vec<Report> {
+    pub fn take_unsent(&self, now: Instant) -> Vec<Report> {
         let mut state = lock(&self.state);
-        let next = state.unsent.iter_mut().take(MAX_SENT_REPORTS);
+        let State {
+            unsent, history, ..
+        } = &mut *state;
+        // Most requests are at one crash only, by chance, and can wait.
+        let can_wait = |(report, _): &(Report, u32)| match report {
+            Report::Crash(sighting) => history.crashes(sighting.fingerprint, now) < CULPRIT_LIMIT,
+            Report::Answer { .. } => false,
+        };
+        unsent.sort_by_key(can_wait);
+        let next = unsent.iter_mut().take(MAX_SENT_REPORTS);
         let reports = next.map(|(report, left)| {
             *left -= 1;
             report.clone()
@@ -272,7 +297,7 @@
             };
             metrics::counter!("poplar_crash_sightings_total", "source" => source.text())
                 .increment(1);
-            self.clear_answered(sighting.fingerprint, now);
+            self.clear_answered(std::iter::once(sighting.fingerprint), now);
             // Most requests are on one crash only, by chance.
             if crashes >= CULPRIT_LIMIT {
                 log::warn("crash recorded")
@@ -299,3 +324,9 @@
         state.history.has_suspects(&server.id, process, now)
     }
 }
+
+/// Fingerprints as they are logged.
+pub(crate) fn join(fingerprints: &[Fingerprint]) -> String {
+    let texts: Vec<String> = fingerprints.iter().map(Fingerprint::to_string).collect();
+    texts.join(",")
+}
--- a/crates/router/src/relay/crashes/trial.rs
+++ b/crates/router/src/relay/crashes/trial.rs
@@ -15,8 +15,9 @@
 use poplar_platform::store::{Error, Store};
 use serde::{Deserialize, Serialize};
 
-use super::Crashes;
 use super::wire::{decode_fingerprint, encode_fingerprint};
+use super::{Crashes, join};
+use crate::relay::age::time_of;
 use crate::sync::lock;
 
 const PARTITION: Partition = Partition {
@@ -30,6 +31,11 @@
 const MAX_WRITES: u32 = 3;
 /// Time-out of a write.
 const TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which another trial may begin. Servers crash as they begin to answer,
+/// and an answer that goes on for a second is enough.
+const MAX_TRIAL_TIME: Duration = Duration::from_secs(3);
+/// Separates the causes that one trial tests.
+const SEPARATOR: char = '-';
 
 /// Whether a request may be sent on trial.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,12 +59,35 @@
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
 struct TrialWire {
+    /// The request, or the parts that it tests.
     request: String,
     began: u64,
     /// When the request has ended at the latest.
     until: u64,
 }
 
+impl TrialWire {
+    /// Whether it tested nothing else than these.
+    fn is_within(&self, causes: &[Fingerprint]) -> bool {
+        let mut tested = self.request.split(SEPARATOR).map(decode_fingerprint);
+        tested.all(|tested| tested.is_some_and(|tested| causes.contains(&tested)))
+    }
+
+    /// What it tested.
+    fn causes(&self) -> Vec<Fingerprint> {
+        let tested = self.request.split(SEPARATOR);
+        tested.filter_map(decode_fingerprint).collect()
+    }
+}
+
+/// What a trial is to test.
+struct Subject<'a> {
+    causes: &'a [Fingerprint],
+    /// Whether these are parts, of which another request may be tried if a trial
+    /// gave no result.
+    only_parts: bool,
+}
+
 /// The version and contents of the row as last seen.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Seen {
@@ -82,12 +111,19 @@
         }
     }
 
-    /// Why a trial of `request` may not begin at `clock`; `None` if it may.
-    fn objection(&self, request: Fingerprint, clock: u64) -> Option<Trial> {
+    /// Why a trial may not begin at `clock`; `None` if it may. `has_crashed` says
+    /// whether a trial is known to have ended a server.
+    fn objection(
+        &self,
+        subject: &Subject<'_>,
+        clock: u64,
+        has_crashed: impl Fn(&TrialWire) -> bool,
+    ) -> Option<Trial> {
         let trials = &self.row.trials;
+        let excludes = |t: &TrialWire| !subject.only_parts || has_crashed(t);
         if trials
             .iter()
-            .any(|t| decode_fingerprint(&t.request) == Some(request))
+            .any(|t| t.is_within(subject.causes) && excludes(t))
         {
             return Some(Trial::Denied);
         }
@@ -104,13 +140,19 @@
 }
 
 impl Crashes {
-    /// Asks for a trial of a request, which takes at most `time_left`.
+    /// Asks for a trial of a request to which crashes are attributed because of
+    /// these causes, and which takes at most `time_left`.
     pub async fn begin_trial(
         &self,
         store: &Store,
-        request: Fingerprint,
+        causes: &[Fingerprint],
+        only_parts: bool,
         time_left: Duration,
     ) -> Trial {
+        let subject = Subject { causes, only_parts };
+        let tested: Vec<String> = causes.iter().copied().map(encode_fingerprint).collect();
+        let tested = tested.join(&SEPARATOR.to_string());
+        let time_left = time_left.min(MAX_TRIAL_TIME);
         let Some(clock) = self.store_clock(Instant::now()) else {
             return Trial::Denied;
         };
@@ -118,11 +160,12 @@
         let mut seen = lock(&self.state).trials.clone();
         for _ in 0..MAX_WRITES {
             seen.expire(clock);
-            if let Some(objection) = seen.objection(request, clock) {
+            let has_crashed = |t: &TrialWire| self.has_crashed(t, clock, Instant::now());
+            if let Some(objection) = seen.objection(&subject, clock, has_crashed) {
                 return objection;
             }
             seen.row.trials.push(TrialWire {
-                request: encode_fingerprint(request),
+                request: tested.clone(),
                 began: clock,
                 until: clock + time_left.as_millis() as u64,
             });
@@ -149,7 +192,7 @@
                 }
                 Err(why) => {
                     log::warn("crash trial not written")
-                        .with("content", request)
+                        .with("causes", join(causes))
                         .reason(why)
                         .write();
                     return Trial::Denied;
@@ -159,4 +202,11 @@
         // Other routers' trials came first each time.
         Trial::Busy(TIMEOUT)
     }
+
+    /// Whether a server has crashed under what a trial tests since it began.
+    fn has_crashed(&self, trial: &TrialWire, clock: u64, now: Instant) -> bool {
+        let began = time_of(clock.saturating_sub(trial.began), now);
+        let history = &lock(&self.state).history;
+        history.crashed_since(&trial.causes(), began, now)
+    }
 }
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -281,7 +281,7 @@
         let listing = self.relay.servers.listing(server);
         self.relay
             .crashes
-            .suspect(self.request.fingerprint, server, listing, failure, now);
+            .suspect(&self.request.features, server, listing, failure, now);
     }
 
     /// Records that a server answered the request completely. An error of the
@@ -289,13 +289,17 @@
     pub fn record_answer(&mut self, status: StatusCode) {
         self.awaited = None;
         if !status.is_server_error() {
-            let now = Instant::now();
-            self.relay
-                .crashes
-                .record_answer(self.request.fingerprint, now);
+            let crashes = &self.relay.crashes;
+            crashes.record_answer(&self.request.features, Instant::now());
         }
     }
 
+    /// Records that a server has gone on with its answer for some time.
+    pub fn record_progress(&self, now: Instant) {
+        let crashes = &self.relay.crashes;
+        crashes.record_progress(&self.request.features, now);
+    }
+
     /// Checks that a response belongs to this request and is valid, and records
     /// the load that it reports.
     fn check(
@@ -371,7 +375,7 @@
         self.runs += u32::from(!not_run);
         log::info("attempt failed")
             .request(&self.request.head.attempt_id)
-            .with("content", self.request.fingerprint)
+            .with("content", self.request.features.content)
             .with("parts", self.request.head.shared_parts())
             .with("server", &server.id)
             .reason(failure)
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -129,7 +129,7 @@
         work.sort_by_key(|w| std::cmp::Reverse(w.prefill_tokens));
         work.truncate(MAX_SERVERS);
         let holders = relay.servers.take_unannounced();
-        let reports = relay.crashes.take_unsent();
+        let reports = relay.crashes.take_unsent(Instant::now());
         let limits = relay.servers.take_limit_news(Instant::now());
         let message = LoadMessage {
             work,
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -178,8 +178,9 @@
     let known = deployment.services.get(&**service);
     let stride = known.and_then(|s| s.engine).map_or(1, |e| e.stride);
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let content = request::fingerprint(parts.uri.path(), workspace.as_ref(), &body);
     Ok(ClientRequest {
-        fingerprint: request::fingerprint(parts.uri.path(), workspace.as_ref(), &body),
+        features: request::features(content, service, head.shared_parts()),
         on_trial: false,
         stride: u64::from(stride),
         service: service.clone(),
--- a/crates/router/src/relay/request.rs
+++ b/crates/router/src/relay/request.rs
@@ -7,9 +7,10 @@
 use poplar_base::log;
 use poplar_core::deployment::{Route, Workspace};
 use poplar_core::id::Name;
-use poplar_core::poison::{Fingerprint, Reason};
-use poplar_platform::headers::RequestHead;
+use poplar_core::poison::{Features, Fingerprint, Reason};
+use poplar_platform::headers::{RequestHead, SharedParts};
 
+use crate::relay::crashes::join;
 use crate::relay::crashes::trial::Trial;
 use crate::relay::refusal::Refusal;
 use crate::relay::state::Relay;
@@ -42,13 +43,24 @@
     pub arrived: Instant,
     /// When the response is due at the latest.
     pub deadline: Instant,
-    /// Hash of the path, workspace and body, which identifies a request that
-    /// crashes servers.
-    pub fingerprint: Fingerprint,
+    /// What identifies it among requests that crash servers: the path, workspace
+    /// and body together, and each shared part of the prompt.
+    pub features: Features,
     /// Whether it is sent to find out whether it crashes servers.
     pub on_trial: bool,
 }
 
+/// What a request has in common with its copies and with other requests.
+pub fn features(content: Fingerprint, service: &str, parts: SharedParts<'_>) -> Features {
+    let parts = parts.0.iter();
+    Features {
+        content,
+        parts: parts
+            .map(|part| Fingerprint::of_part(service, part.id))
+            .collect(),
+    }
+}
+
 /// Identifies the content of a request: its path, workspace and body.
 pub fn fingerprint(path: &str, workspace: Option<&Workspace>, body: &[u8]) -> Fingerprint {
     let name = workspace.map_or("", |w| &*w.name);
@@ -63,7 +75,7 @@
     /// Whether the request is to be refused because of the servers that it
     /// crashed.
     pub fn crashes_servers(&self, relay: &Relay, now: Instant) -> bool {
-        let why = relay.crashes.refusal_reason(self.fingerprint, now);
+        let why = relay.crashes.refusal_reason(&self.features, now);
         if let Some(why) = &why {
             self.log_crash_refusal(why);
         }
@@ -76,14 +88,14 @@
     /// # Errors
     /// [`Refusal`] if it crashes servers, or another request is on trial.
     pub async fn check_crashes(&mut self, relay: &Relay, now: Instant) -> Result<(), Refusal> {
-        let Some(why) = relay.crashes.refusal_reason(self.fingerprint, now) else {
+        let Some(why) = relay.crashes.refusal_reason(&self.features, now) else {
             return Ok(());
         };
-        let trial = if why.is_shared {
+        let trial = if why.allows_trial() {
             let time_left = self.deadline.saturating_duration_since(now);
             let crashes = &relay.crashes;
             crashes
-                .begin_trial(&relay.store, self.fingerprint, time_left)
+                .begin_trial(&relay.store, &why.causes, why.only_parts, time_left)
                 .await
         } else {
             Trial::Denied
@@ -92,7 +104,8 @@
             Trial::Granted => {
                 log::info("crashing request on trial")
                     .request(&self.head.attempt_id)
-                    .with("content", self.fingerprint)
+                    .with("content", self.features.content)
+                    .with("causes", join(&why.causes))
                     .with("crashes", why.crashes)
                     .write();
                 self.on_trial = true;
@@ -112,7 +125,8 @@
     fn log_crash_refusal(&self, why: &Reason) {
         log::info("crashing request refused")
             .request(&self.head.attempt_id)
-            .with("content", self.fingerprint)
+            .with("content", self.features.content)
+            .with("causes", join(&why.causes))
             .with("crashes", why.crashes)
             .with("last_ms", why.ago.as_millis())
             .with("shared", why.is_shared)
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -29,16 +29,43 @@
 /// engine. Clients give up after two seconds at the earliest.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Time from the first event of an engine to a later one after which its answer
+/// counts as one that does not crash it.
+const PROGRESS_TIME: Duration = Duration::from_secs(1);
+
 /// The part of a stream that comes from one engine.
 #[derive(Debug)]
 struct EngineStream {
     body: Incoming,
     parser: Parser,
     in_flight: InFlight,
+    /// When the first event came.
+    began: Option<Instant>,
+    /// Whether the answer has gone on for some time since then.
+    progressed: bool,
     _connection: Connection,
 }
 
 impl EngineStream {
+    fn new(body: Incoming, in_flight: InFlight, connection: Connection) -> Self {
+        Self {
+            body,
+            parser: Parser::default(),
+            in_flight,
+            began: None,
+            progressed: false,
+            _connection: connection,
+        }
+    }
+
+    /// Records that an event came; returns whether it is the first one that shows
+    /// progress.
+    fn record_event(&mut self, now: Instant) -> bool {
+        let began = *self.began.get_or_insert(now);
+        let shows_progress = now >= began + PROGRESS_TIME;
+        shows_progress && !std::mem::replace(&mut self.progressed, true)
+    }
+
     /// The next complete event; `None` at the end of the stream. Waits up to
     /// `event_timeout` for it, and not at all if that is zero.
     async fn next(&mut self, event_timeout: Duration) -> Result<Option<Event>, Failure> {
@@ -105,12 +132,7 @@
             }
             continue;
         }
-        let mut engine = EngineStream {
-            body,
-            parser: Parser::default(),
-            in_flight,
-            _connection: connection,
-        };
+        let mut engine = EngineStream::new(body, in_flight, connection);
         match engine.next(exchange.attempt_timeout(Instant::now())).await {
             Ok(first) => {
                 let now = Instant::now();
@@ -152,6 +174,7 @@
     /// The next event for the client; `None` at the end of the stream.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         if let Some(first) = self.first.take() {
+            self.engine.record_event(Instant::now());
             self.exchange.record_event(first.number);
             return Ok(Some(first.bytes));
         }
@@ -170,6 +193,10 @@
                 Ok(Some(event)) => match self.is_next(&event) {
                     Some(true) => {
                         self.exchange.record_event(event.number);
+                        let now = Instant::now();
+                        if self.engine.record_event(now) {
+                            self.exchange.record_progress(now);
+                        }
                         return Ok(Some(event.bytes));
                     }
                     // The engine repeats an event that was already forwarded.
@@ -231,12 +258,13 @@
             .with("server", &response.in_flight.server.id)
             .with("event", self.exchange.last_event.unwrap_or_default())
             .write();
-        self.engine = EngineStream {
-            body: response.body,
-            parser: Parser::default(),
-            in_flight: response.in_flight,
-            _connection: response.connection,
-        };
+        let ServerResponse {
+            body,
+            in_flight,
+            connection,
+            ..
+        } = response;
+        self.engine = EngineStream::new(body, in_flight, connection);
         Ok(())
     }
 }
--- a/crates/router/tests/relay/crash_reports.rs
+++ b/crates/router/tests/relay/crash_reports.rs
@@ -6,7 +6,7 @@
 
 use poplar_core::deployment::Server;
 use poplar_core::id::Incarnation;
-use poplar_core::poison::{EXPIRY, Fingerprint, Report};
+use poplar_core::poison::{EXPIRY, Features, Fingerprint, Report};
 use poplar_core::retry::Failure;
 use poplar_platform::rows::{Row, Write};
 use poplar_router::relay::crashes::wire::ReportsWire;
@@ -28,6 +28,14 @@
     Fingerprint::new("/read/", &n.to_le_bytes())
 }
 
+/// The request by itself, without a prompt.
+fn features(n: u64) -> Features {
+    Features {
+        content: request(n),
+        parts: Vec::new(),
+    }
+}
+
 /// Makes a router see a crash under these requests.
 fn crash(crashes: &Arc<Crashes>, server: u64, requests: std::ops::Range<u64>, now: Instant) {
     let server = Server {
@@ -41,7 +49,7 @@
     };
     for n in requests {
         let listing = Listing::Restarted;
-        crashes.suspect(request(n), &server, listing, Failure::Lost, now);
+        crashes.suspect(&features(n), &server, listing, Failure::Lost, now);
     }
 }
 
@@ -71,7 +79,7 @@
     crash(&crashes, 1, 0..100, now);
     let mut sent: Vec<Report> = Vec::new();
     loop {
-        let reports = crashes.take_unsent();
+        let reports = crashes.take_unsent(Instant::now());
         if reports.is_empty() {
             break;
         }
@@ -139,11 +147,11 @@
     for _ in 0..3 {
         b.merge_rows(rows.iter(), 25_000, later);
     }
-    let reason = b.refusal_reason(request(0), later).expect("refused");
+    let reason = b.refusal_reason(&features(0), later).expect("refused");
     assert_eq!((reason.crashes, reason.ago.as_secs()), (3, 20));
     // An answer clears it there, too.
-    a.record_answer(request(0), later);
-    let answer = a.take_unsent();
+    a.record_answer(&features(0), later);
+    let answer = a.take_unsent(later);
     b.merge(answer, Source::Peer, later);
-    assert!(b.refusal_reason(request(0), later).is_none());
+    assert!(b.refusal_reason(&features(0), later).is_none());
 }
