Log software versions and streams that clients resume

The list of servers now has the version, and the lines of listed and chosen servers and of resumed streams show it; a stream that a client resumes has a line with its last event and the attempt that it names.

--- a/crates/core/src/deployment/servers.rs
+++ b/crates/core/src/deployment/servers.rs
@@ -28,6 +28,9 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub centre: Name,
+    /// The version of its software; empty if it did not register that. What two
+    /// versions write doesn't fit together.
+    pub software: Name,
     /// Whether it accepts new requests.
     pub ready: bool,
     /// When it started, in Unix milliseconds; 0 if it did not register that.
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -10,6 +10,7 @@
         service: "s".into(),
         address: "10.0.0.1:80".parse().expect("an address"),
         centre: "a".into(),
+        software: "v1".into(),
         ready,
         started_ms: 1,
         slots: 8,
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -208,6 +208,7 @@
         log::info("server chosen")
             .request(&self.request.head.attempt_id)
             .with("server", &in_flight.server.id)
+            .with("software", &in_flight.server.software)
             .with("home", in_flight.is_home)
             .with("ahead", in_flight.work_ahead as u64)
             .with("shared", shared_tokens)
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -126,6 +126,7 @@
     {
         return Err(Refusal::not_run("stopping", OTHER_ROUTER_RETRY_AFTER));
     }
+    request.log_resumption();
     request.check_crashes(relay, arrived).await?;
     relay.record_request(&request.service, arrived);
     let reservation = reserve(relay, &request).await?;
--- a/crates/router/src/relay/request.rs
+++ b/crates/router/src/relay/request.rs
@@ -122,6 +122,17 @@
         }
     }
 
+    /// Logs that the client resumes a stream that began with an earlier attempt.
+    pub fn log_resumption(&self) {
+        if let Some(event) = self.head.last_event {
+            log::info("stream resumed by the client")
+                .request(&self.head.attempt_id)
+                .with("event", event)
+                .with("attempt", self.head.resumes.as_deref().unwrap_or("none"))
+                .write();
+        }
+    }
+
     fn log_crash_refusal(&self, why: &Reason) {
         log::info("crashing request refused")
             .request(&self.head.attempt_id)
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -237,6 +237,7 @@
                     .with("server", &server.id)
                     .with("address", server.address)
                     .with("ready", server.ready)
+                    .with("software", &server.software)
                     .with("version", version)
                     .write();
             }
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -256,6 +256,8 @@
         log::info("stream resumed")
             .request(&self.exchange.request.head.attempt_id)
             .with("server", &response.in_flight.server.id)
+            .with("software", &response.in_flight.server.software)
+            .with("before", &server.software)
             .with("event", self.exchange.last_event.unwrap_or_default())
             .write();
         let ServerResponse {
--- a/crates/router/tests/relay/crash_reports.rs
+++ b/crates/router/tests/relay/crash_reports.rs
@@ -43,6 +43,7 @@
         service: "plain".into(),
         address: "127.0.0.1:9".parse().expect("valid"),
         centre: "a".into(),
+        software: "v1".into(),
         ready: true,
         started_ms: 1_760_000_000_000,
         slots: 8,
--- a/crates/router/tests/relay/servers.rs
+++ b/crates/router/tests/relay/servers.rs
@@ -19,6 +19,7 @@
             .parse()
             .expect("valid"),
         centre: "a".into(),
+        software: "v1".into(),
         ready: true,
         started_ms,
         slots: 8,
