Test streams while several software versions serve, which fail

Four routers of the deployed path run as processes; clients look at the events that they have. Streams are continued by their router, taken up at another one, twice, after all routers were killed, after that with the version gone, without the store, while versions come, go and return, and with an unknown or a missing name of the attempt that began them. None may hold events of two versions, and where engines of the version serve, half must go on.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod slow_link;
 mod soak;
 mod stale_configuration;
+mod stream_versions;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -172,6 +172,19 @@
         self.set("servers", "", id, &entry.to_string());
     }
 
+    /// Registers a backend server with the version of its software.
+    pub(crate) fn register_version(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        version: &str,
+    ) {
+        let mut entry = entry(service, address);
+        entry["version"] = json!(version);
+        self.set("servers", "", id, &entry.to_string());
+    }
+
     /// Sets what happens to the next transaction.
     pub(crate) fn set_next_commit(&self, outcome: CommitOutcome) {
         self.tables.lock().expect("no panic").next_commit = outcome;
