Continue streams only at the version that began them

Cause: routers knew nothing of software versions. One that continued a stream chose among all engines of the service, and a stream that a client took up went to any engine, whoever began it.

Class: an exchange that lasts longer than one attempt depends on something that was settled at its first one, and nobody kept it.

Change: within an answer only engines of the version of the first event are chosen. For streams that clients take up, a router remembers the version of each resumable stream. While a service has had several versions within the last minute, new streams go to the other routers in a datagram, and into rows of the store, which survive the routers; which versions there were of late is in the store, too, so that routers that start know of versions that left meanwhile.

--- a/crates/core/src/deployment/mod.rs
+++ b/crates/core/src/deployment/mod.rs
@@ -64,6 +64,12 @@
 }
 
 impl Route {
+    /// Whether its requests may go to a service.
+    pub fn allows(&self, service: &str) -> bool {
+        let mut services = self.services.iter();
+        services.any(|(name, weight)| **name == *service && *weight > 0)
+    }
+
     /// Picks a service by weight; `random` is drawn from 0 to 1.
     pub fn pick_service(&self, random: f64) -> Option<&Name> {
         let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod retry;
 pub mod route;
 pub mod server_limit;
+pub mod software;
 pub mod sorted;
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -16,6 +16,7 @@
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
 use poplar_core::retry::{Failure, Refusal as ServerRefusal};
+use poplar_core::software::Begun;
 use poplar_platform::headers::{self, ForwardOptions, ResponseHead};
 use tokio::time::timeout;
 
@@ -40,6 +41,8 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(60);
 /// When the client should retry if no server is listed or all refuse.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Why a stream does not go on.
+const NO_VERSION: &str = "no server of the version";
 /// Silence of a server after which the client's leaving counts as a time-out:
 /// clients leave because nothing comes.
 const SUSPICIOUS_SILENCE: Duration = Duration::from_secs(1);
@@ -141,6 +144,29 @@
         left.mul_f64(ATTEMPT_FRACTION).max(least).min(left)
     }
 
+    /// Records that a server began the stream: it goes on only at that version of the
+    /// software.
+    pub fn record_begun(&mut self, server: &Server, now: Instant) {
+        let request = &mut self.request;
+        request.software = Some(server.software.clone());
+        if request.route.kind.is_repeatable() && !request.is_resumption() {
+            let begun = Begun {
+                service: server.service.clone(),
+                software: server.software.clone(),
+                at: now,
+            };
+            let streams = &self.relay.streams;
+            streams.record_begun(&request.head.attempt_id, begun);
+        }
+    }
+
+    /// Records that the stream is complete.
+    pub fn record_whole(&self) {
+        let head = &self.request.head;
+        let began = head.resumes.as_ref().unwrap_or(&head.attempt_id);
+        self.relay.streams.record_whole(began);
+    }
+
     /// Records that an event was forwarded.
     pub fn record_event(&mut self, number: Option<u64>) {
         self.last_event = number.or(self.last_event);
@@ -177,6 +203,9 @@
                 Err(Unavailable::NoServer) => {
                     return Err(self.give_up(Failure::Connect, "no server", now));
                 }
+                Err(Unavailable::NoVersion) => {
+                    return Err(self.give_up(Failure::Connect, NO_VERSION, now));
+                }
                 Err(Unavailable::Limited(wait)) => {
                     let mut refusal = self.give_up(Failure::Connect, "servers limited", now);
                     refusal.retry_after = refusal.retry_after.map(|_| wait);
@@ -201,10 +230,11 @@
             random: rand::random(),
         };
         let prefill_tokens = self.request.head.tokens.map_or(0, |t| t.prompt);
+        let (service, software) = (&self.request.service, self.request.software.as_ref());
         let in_flight =
             self.relay
                 .servers
-                .choose(&self.request.service, &query, prefill_tokens, now)?;
+                .choose(service, software, &query, prefill_tokens, now)?;
         log::info("server chosen")
             .request(&self.request.head.attempt_id)
             .with("server", &in_flight.server.id)
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -1,9 +1,9 @@
 //! Exchanges load information between routers over UDP.
 //!
 //! Each router sends the others the requests that it has at backend servers,
-//! the servers that hold shared prompts in their caches, reports of crashes, and
-//! limits that servers named. It sends one datagram to each router several times a second while it
-//! has something to say. A lost datagram is not sent again: the next one replaces
+//! the servers that hold shared prompts in their caches, reports of crashes,
+//! limits that servers named, and streams that began. It sends one datagram to each
+//! router several times a second while it has something to say. A lost datagram is not sent again: the next one replaces
 //! the load, and each report goes into several. The load expires after a short
 //! time, so that the requests of a router that has stopped sending no longer
 //! count.
@@ -15,6 +15,7 @@
 use poplar_base::log;
 use poplar_core::id::Name;
 use poplar_core::poison::Report;
+use poplar_core::software::Begun;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -23,6 +24,7 @@
 use crate::relay::limits::LimitNewsWire;
 use crate::relay::servers::limits::LimitNews;
 use crate::relay::state::Relay;
+use crate::relay::streams::wire::StreamsWire;
 
 /// Shortest time between two messages; the prefill of a long prompt takes
 /// longer.
@@ -60,6 +62,8 @@
     pub reports: Vec<Report>,
     /// What the sender knows of limits of servers.
     pub limits: LimitNews,
+    /// Streams that the sender began, by the client's attempt.
+    pub streams: Vec<(Name, Begun)>,
 }
 
 #[derive(Debug)]
@@ -71,6 +75,8 @@
     reports: ReportsWire,
     #[serde(flatten)]
     limits: LimitNewsWire,
+    #[serde(flatten)]
+    streams: StreamsWire,
 }
 
 impl LoadMessageWire {
@@ -82,6 +88,7 @@
             held: message.holders,
             reports: ReportsWire::encode(&message.reports, now),
             limits: LimitNewsWire::encode(message.limits, now),
+            streams: StreamsWire::encode(message.streams),
         }
     }
 
@@ -97,6 +104,7 @@
             holders: self.held,
             reports: self.reports.decode(now),
             limits: self.limits.decode(now),
+            streams: self.streams.decode(now),
         }
     }
 }
@@ -130,12 +138,16 @@
         work.truncate(MAX_SERVERS);
         let holders = relay.servers.take_unannounced();
         let reports = relay.crashes.take_unsent(Instant::now());
-        let limits = relay.servers.take_limit_news(Instant::now());
+        let now = Instant::now();
+        let limits = relay.servers.take_limit_news(now);
+        let clock = relay.servers.store_clock(now);
+        let streams = clock.map_or_else(Vec::new, |clock| relay.streams.take_unannounced(clock));
         let message = LoadMessage {
             work,
             holders,
             reports,
             limits,
+            streams,
         };
         let empty = message == LoadMessage::default();
         // One empty message says that the last requests have ended.
@@ -173,6 +185,7 @@
                 let mut message = wire.decode(now);
                 let reports = std::mem::take(&mut message.reports);
                 let limits = std::mem::take(&mut message.limits);
+                relay.streams.merge(std::mem::take(&mut message.streams));
                 relay.servers.record_peer_message(from.ip(), message, now);
                 relay.crashes.merge(reports, Source::Peer, now);
                 relay.servers.merge_limit_news(from.ip(), limits);
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -126,7 +126,7 @@
     {
         return Err(Refusal::not_run("stopping", OTHER_ROUTER_RETRY_AFTER));
     }
-    request.log_resumption();
+    request.find_software(relay).await?;
     request.check_crashes(relay, arrived).await?;
     relay.record_request(&request.service, arrived);
     let reservation = reserve(relay, &request).await?;
@@ -182,6 +182,7 @@
     let content = request::fingerprint(parts.uri.path(), workspace.as_ref(), &body);
     Ok(ClientRequest {
         features: request::features(content, service, head.shared_parts()),
+        software: None,
         on_trial: false,
         stride: u64::from(stride),
         service: service.clone(),
--- a/crates/router/src/relay/lifecycle.rs
+++ b/crates/router/src/relay/lifecycle.rs
@@ -14,7 +14,7 @@
 use crate::lifecycle::{Error, bind};
 use crate::metrics;
 use crate::relay::state::Relay;
-use crate::relay::{crashes, gossip, limits, listeners, watch};
+use crate::relay::{crashes, gossip, limits, listeners, streams, watch};
 
 /// Port of the metrics page. The deploy file names the same port.
 pub const METRICS_PORT: u16 = 9464;
@@ -66,6 +66,7 @@
     tokio::spawn(crashes::table::write(relay.clone()));
     tokio::spawn(watch::limits(relay.clone()));
     tokio::spawn(limits::run(relay.clone()));
+    tokio::spawn(streams::table::run(relay.clone()));
     tokio::spawn(gossip::run(relay.clone()));
     let budgets = relay.budgets.clone();
     let state = relay.clone();
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -25,5 +25,6 @@
 pub mod sse;
 pub mod state;
 pub mod stream;
+pub mod streams;
 pub mod upstream;
 pub mod watch;
--- a/crates/router/src/relay/request.rs
+++ b/crates/router/src/relay/request.rs
@@ -14,6 +14,7 @@
 use crate::relay::crashes::trial::Trial;
 use crate::relay::refusal::Refusal;
 use crate::relay::state::Relay;
+use crate::relay::streams::resume::Origin;
 
 /// Why a request that crashed servers is refused.
 pub const CRASHES_SERVERS: &str = "crashes servers";
@@ -46,6 +47,8 @@
     /// What identifies it among requests that crash servers: the path, workspace
     /// and body together, and each shared part of the prompt.
     pub features: Features,
+    /// The version of the software that the server must have, if a stream goes on.
+    pub software: Option<Name>,
     /// Whether it is sent to find out whether it crashes servers.
     pub on_trial: bool,
 }
@@ -122,15 +125,37 @@
         }
     }
 
-    /// Logs that the client resumes a stream that began with an earlier attempt.
-    pub fn log_resumption(&self) {
-        if let Some(event) = self.head.last_event {
-            log::info("stream resumed by the client")
-                .request(&self.head.attempt_id)
-                .with("event", event)
-                .with("attempt", self.head.resumes.as_deref().unwrap_or("none"))
-                .write();
+    /// Whether the client has events of the stream from an earlier attempt.
+    pub fn is_resumption(&self) -> bool {
+        self.route.kind.is_stream() && self.head.last_event.is_some_and(|event| event > 0)
+    }
+
+    /// Finds the service and the version of its software at which a stream goes on
+    /// that the client resumes.
+    ///
+    /// # Errors
+    /// [`Refusal`] if it can't be told.
+    pub async fn find_software(&mut self, relay: &Relay) -> Result<(), Refusal> {
+        if !self.is_resumption() {
+            return Ok(());
         }
+        let resumes = self.head.resumes.as_ref();
+        let streams = &relay.streams;
+        let origin = streams
+            .find(relay, &self.route, &self.service, resumes)
+            .await;
+        let software = origin.as_ref().ok().and_then(|o| o.software.as_deref());
+        log::info("stream resumed by the client")
+            .request(&self.head.attempt_id)
+            .with("event", self.head.last_event.unwrap_or_default())
+            .with("attempt", resumes.map_or("none", |attempt| attempt))
+            .with("software", software.unwrap_or("unknown"))
+            .write();
+        Origin {
+            service: self.service,
+            software: self.software,
+        } = origin?;
+        Ok(())
     }
 
     fn log_crash_refusal(&self, why: &Reason) {
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -88,6 +88,8 @@
     /// All have a limit that allows no further request. A retry after this time
     /// may find one.
     Limited(Duration),
+    /// None has the version of its software that began the stream.
+    NoVersion,
 }
 
 impl State {
@@ -268,14 +270,15 @@
         previous.into_iter().filter_map(with_listing).collect()
     }
 
-    /// Chooses a server of `service` and counts a request with `prefill_tokens`
-    /// prompt tokens there.
+    /// Chooses a server of `service`, of this version of its software if there is one
+    /// named, and counts a request with `prefill_tokens` prompt tokens there.
     ///
     /// # Errors
     /// [`Unavailable`] if no server takes it now.
     pub fn choose(
         self: &Arc<Self>,
         service: &Name,
+        software: Option<&Name>,
         query: &Query<'_>,
         prefill_tokens: u64,
         now: Instant,
@@ -291,7 +294,15 @@
             ..
         } = &mut *state;
         limits.record_request(service, now);
-        let ready: Vec<&Server> = list.ready_servers(service, now).collect();
+        let mut ready: Vec<&Server> = list.ready_servers(service, now).collect();
+        if let Some(software) = software
+            && !ready.is_empty()
+        {
+            ready.retain(|server| server.software == *software);
+            if ready.is_empty() {
+                return Err(Unavailable::NoVersion);
+            }
+        }
         let allowed = ready.iter().copied();
         let allowed: Vec<&Server> = allowed.filter(|s| limits::allow(limits, s, now)).collect();
         if allowed.is_empty() && !ready.is_empty() {
@@ -354,6 +365,18 @@
         })
     }
 
+    /// The versions of the software of each service's servers, in order.
+    pub fn software_versions(&self) -> SortedVec<Name, Vec<Name>> {
+        let mut versions: SortedVec<Name, Vec<Name>> = SortedVec::new();
+        for server in lock(&self.state).list.all() {
+            let known = versions.get_or_insert_with(server.service.clone(), Vec::new);
+            if let Err(place) = known.binary_search(&server.software) {
+                known.insert(place, server.software.clone());
+            }
+        }
+        versions
+    }
+
     /// This router's requests at each server where it has any.
     pub fn own_work(&self) -> Vec<ServerWork> {
         let state = lock(&self.state);
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -15,6 +15,7 @@
 use crate::relay::crashes::Crashes;
 use crate::relay::response_body::BodyMemory;
 use crate::relay::servers::Servers;
+use crate::relay::streams::StreamVersions;
 use crate::sync::lock;
 
 /// The shared state. [`crate::sync`] gives the order of its locks.
@@ -30,6 +31,8 @@
     pub budgets: Arc<Budgets>,
     /// Requests that were on servers when these crashed.
     pub crashes: Arc<Crashes>,
+    /// Streams that clients may resume, and the versions that began them.
+    pub streams: Arc<StreamVersions>,
     deployment: RwLock<Option<Arc<Deployment>>>,
     /// When the copy of the configuration was last current.
     pub configuration_read: LastRead,
@@ -86,6 +89,7 @@
             servers: Servers::new(settings.centre.clone(), settings.ip),
             budgets: Budgets::new(store.clone(), settings.ip, incarnation),
             crashes: Crashes::open(Incarnation::new(&settings.name, incarnation)),
+            streams: StreamVersions::open(),
             deployment: RwLock::default(),
             configuration_read: LastRead::default(),
             server_list_read: LastRead::default(),
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -174,7 +174,10 @@
     /// The next event for the client; `None` at the end of the stream.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         if let Some(first) = self.first.take() {
-            self.engine.record_event(Instant::now());
+            let now = Instant::now();
+            self.engine.record_event(now);
+            let server = &self.engine.in_flight.server;
+            self.exchange.record_begun(server, now);
             self.exchange.record_event(first.number);
             return Ok(Some(first.bytes));
         }
@@ -207,6 +210,7 @@
                     self.ended = true;
                     self.engine.in_flight.record_outcome(true, Instant::now());
                     self.exchange.outcome = "whole";
+                    self.exchange.record_whole();
                     self.exchange.record_answer(StatusCode::OK);
                     return Ok(None);
                 }
--- /dev/null
+++ b/crates/router/src/relay/streams/resume.rs
@@ -0,0 +1,100 @@
+//! Finds where a stream that a client resumes goes on.
+
+use std::time::{Duration, Instant};
+
+use poplar_base::log;
+use poplar_core::deployment::Route;
+use poplar_core::id::Name;
+use poplar_core::software::Begun;
+
+use super::StreamVersions;
+use crate::relay::refusal::Refusal;
+use crate::relay::state::Relay;
+use crate::sync::lock;
+
+/// When the client should ask again if the version is not known: what another router
+/// has written by then, or a store that is back, may tell it.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time after which a row that was not found is read again. The router that began
+/// the stream may just be writing it.
+const READ_AGAIN_AFTER: Duration = Duration::from_millis(200);
+/// Age of the list of servers up to which the versions known here count as all there
+/// are while the store can't be reached.
+const MAX_LIST_AGE: Duration = Duration::from_secs(15);
+
+/// Where a stream goes on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Origin {
+    /// The service.
+    pub service: Name,
+    /// The version of its software; `None` if no engine of the service is known.
+    pub software: Option<Name>,
+}
+
+impl From<Begun> for Origin {
+    fn from(begun: Begun) -> Self {
+        Self {
+            service: begun.service,
+            software: Some(begun.software),
+        }
+    }
+}
+
+impl StreamVersions {
+    /// Where a stream goes on that began with the client's attempt `resumes`, of
+    /// `service` if that is not known.
+    ///
+    /// # Errors
+    /// [`Refusal`] if several versions can have begun it, or its service is no longer
+    /// one of the route.
+    pub async fn find(
+        &self,
+        relay: &Relay,
+        route: &Route,
+        service: &Name,
+        resumes: Option<&Name>,
+    ) -> Result<Origin, Refusal> {
+        let refused = || Refusal::not_run("version of the stream unknown", UNKNOWN_RETRY_AFTER);
+        let allowed = |begun: Begun| {
+            let is_allowed = route.allows(&begun.service);
+            is_allowed.then(|| begun.into()).ok_or_else(refused)
+        };
+        if let Some(begun) = self.known(resumes) {
+            return allowed(begun);
+        }
+        let read = self.read_versions(relay, service).await;
+        let now = Instant::now();
+        let list_age = relay.server_list_read.age(now);
+        let is_current = read.is_ok() || list_age.is_some_and(|age| age < MAX_LIST_AGE);
+        let clock = relay.servers.store_clock(now).ok_or_else(refused)?;
+        let mut possible = lock(&self.state).possible(service, clock);
+        if possible.len() <= 1 && is_current {
+            return Ok(Origin {
+                service: service.clone(),
+                software: possible.pop(),
+            });
+        }
+        if let (Some(attempt), Ok(())) = (resumes, read) {
+            for wait in [Duration::ZERO, READ_AGAIN_AFTER] {
+                tokio::time::sleep(wait).await;
+                if let Some(begun) = self.known(resumes) {
+                    return allowed(begun);
+                }
+                match self.read_stream(relay, attempt).await {
+                    Ok(Some(begun)) => return allowed(begun),
+                    Ok(None) => {}
+                    Err(why) => {
+                        log::warn("stream not read").reason(why).write();
+                        break;
+                    }
+                }
+            }
+        }
+        Err(refused())
+    }
+
+    /// Where a stream began, if this router knows.
+    fn known(&self, resumes: Option<&Name>) -> Option<Begun> {
+        lock(&self.state).streams.get(resumes?).cloned()
+    }
+}
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -99,6 +99,7 @@
                 relay.crashes.check_listing(&server, listing, now);
             }
             relay.servers.set_clock(watch.mirror.clock_ms(), now);
+            relay.streams.set_listed(relay.servers.software_versions());
             relay.server_list_read.record(requested);
         } else {
             relay.servers.record_failed_read();
