Test answers that end with their connection

Answers with neither a length nor chunks, plain and streams, of servers that close or reset the connection: six tests, one for each way that they end.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod soak;
 mod stale_configuration;
 mod stream_versions;
+mod unframed_answers;
 
 use std::sync::Arc;
 use std::time::Duration;
