--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -268,7 +268,7 @@
             Report::Crash(sighting) => history.crashes(sighting.fingerprint, now) < CULPRIT_LIMIT,
             Report::Answer { .. } => false,
         };
-        unsent.sort_by_key(can_wait);
+        unsent.sort_by_cached_key(can_wait);
         let next = unsent.iter_mut().take(MAX_SENT_REPORTS);
         let reports = next.map(|(report, left)| {
             *left -= 1;
