--- a/crates/router/src/relay/streams/mod.rs
+++ b/crates/router/src/relay/streams/mod.rs
@@ -56,6 +56,13 @@
         }
         versions.possible(clock).cloned().collect()
     }
+
+    /// The services that have had several versions of late.
+    fn services_of_several(&self, clock: u64) -> Vec<Name> {
+        let services = self.listed.iter().map(|(service, _)| service);
+        let several = services.filter(|service| self.possible(service, clock).len() > 1);
+        several.cloned().collect()
+    }
 }
 
 /// What this router knows of streams and versions.
@@ -123,23 +130,14 @@
             .get_or_insert_with(service.clone(), StoredVersions::default);
         let is_changed = known.versions != stored.versions;
         *known = stored;
-        let known = format!("{:?}", known.versions.entries());
+        let versions = format!("{:?}", known.versions.entries());
         drop(state);
         if is_changed {
             log::info("software versions changed")
                 .with("service", service)
-                .with("versions", known)
+                .with("versions", versions)
                 .write();
             self.changed.notify_one();
         }
     }
 }
-
-impl State {
-    /// The services that have had several versions of late.
-    fn services_of_several(&self, clock: u64) -> Vec<Name> {
-        let services = self.listed.iter().map(|(service, _)| service);
-        let several = services.filter(|service| self.possible(service, clock).len() > 1);
-        several.cloned().collect()
-    }
-}
