Give the tests of prompt parts addresses of their own

Their numbers were, modulo 250, those of the run that counts repeats, so that routers of both could get the same loopback addresses.

--- a/crates/router/tests/relay/crashing_parts.rs
+++ b/crates/router/tests/relay/crashing_parts.rs
@@ -271,27 +271,27 @@
 /// requests that have it are alike.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_servers_is_refused_in_the_middle_of_prompts() {
-    check_part(Setup::new(401, CrashKind::Reset, MIDDLE)).await;
+    check_part(Setup::new(381, CrashKind::Reset, MIDDLE)).await;
 }
 
 /// As above, for a part that begins prompts.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_servers_is_refused_at_the_start_of_prompts() {
     let prompts = &["dead1:400,b1:300", "dead1:400,b2:300,c1:50"];
-    check_part(Setup::new(402, CrashKind::Reset, prompts)).await;
+    check_part(Setup::new(382, CrashKind::Reset, prompts)).await;
 }
 
 /// Guards against crashes that don't count because the answer had begun.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_servers_inside_an_event_is_refused() {
-    check_part(Setup::new(403, CrashKind::InsideEvent, MIDDLE)).await;
+    check_part(Setup::new(383, CrashKind::InsideEvent, MIDDLE)).await;
 }
 
 /// Guards against crashes that don't count because the connection to the server
 /// stays open and silent.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_that_crashes_servers_silently_is_refused() {
-    check_part(Setup::new(404, CrashKind::Silence, MIDDLE)).await;
+    check_part(Setup::new(384, CrashKind::Silence, MIDDLE)).await;
 }
 
 /// Guards against reports of crashes that take too long among many routers.
@@ -299,7 +299,7 @@
 async fn many_routers_refuse_a_part_that_crashes_servers() {
     let setup = Setup {
         routers: MANY_ROUTERS,
-        ..Setup::new(405, CrashKind::Reset, MIDDLE)
+        ..Setup::new(385, CrashKind::Reset, MIDDLE)
     };
     check_part(setup).await;
 }
@@ -309,7 +309,7 @@
 async fn routers_that_get_no_datagrams_refuse_a_part_that_crashes_servers() {
     let setup = Setup {
         datagrams: false,
-        ..Setup::new(406, CrashKind::Reset, MIDDLE)
+        ..Setup::new(386, CrashKind::Reset, MIDDLE)
     };
     check_part(setup).await;
 }
@@ -317,7 +317,7 @@
 /// Guards against what routers know of a part being lost with the store.
 #[tokio::test(flavor = "multi_thread")]
 async fn routers_without_the_store_refuse_a_part_that_crashes_servers() {
-    let site = Setup::new(407, CrashKind::Reset, MIDDLE).open().await;
+    let site = Setup::new(387, CrashKind::Reset, MIDDLE).open().await;
     site.store.set_down(true);
     site.crash_servers().await;
     site.check_refused(HALF).await;
@@ -328,14 +328,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn two_parts_that_crash_servers_at_once_are_refused() {
     let prompts = &["a1:800,dead1:100,b1:300", "a1:800,b1:300,dead2:70"];
-    check_part(Setup::new(408, CrashKind::Reset, prompts)).await;
+    check_part(Setup::new(388, CrashKind::Reset, prompts)).await;
 }
 
 /// Guards against routers that don't know, since they were just started, what all
 /// the others knew before they ended.
 #[tokio::test(flavor = "multi_thread")]
 async fn routers_that_start_refuse_a_part_that_crashed_servers_before() {
-    let mut site = Setup::new(409, CrashKind::Reset, MIDDLE).open().await;
+    let mut site = Setup::new(389, CrashKind::Reset, MIDDLE).open().await;
     site.crash_servers().await;
     site.send_crashing_requests_for("k", SPREAD_TIME).await;
     site.routers.iter_mut().for_each(Router::kill);
@@ -351,7 +351,7 @@
 /// or restarts.
 #[tokio::test(flavor = "multi_thread")]
 async fn routers_that_freeze_and_restart_refuse_a_part_that_crashes_servers() {
-    let mut site = Setup::new(410, CrashKind::Reset, MIDDLE).open().await;
+    let mut site = Setup::new(390, CrashKind::Reset, MIDDLE).open().await;
     site.routers[0].signal("STOP");
     site.routers[1].kill();
     site.crash_servers().await;
@@ -366,7 +366,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rare_part_beside_one_that_crashes_servers_is_served() {
     let prompts = &["a1:800,dead1:100,ca4e:300"];
-    let site = Setup::new(411, CrashKind::Reset, prompts).open().await;
+    let site = Setup::new(391, CrashKind::Reset, prompts).open().await;
     site.crash_servers().await;
     site.check_refused(NEARLY_ALL).await;
     for router in &site.routers {
