Fail if two tests use one address

Routers of two tests at one loopback address get each other's requests, and the tests fail, or pass, for no reason of theirs. The second one now fails at once.

--- a/crates/router/tests/relay/site/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// Time within which a change must be in force.
@@ -52,13 +52,21 @@
     }
 }
 
-/// A loopback address that no other test uses; `run` tells the tests of this
-/// process apart.
+/// Addresses that tests of this process have used.
+static USED: Mutex<Vec<IpAddr>> = Mutex::new(Vec::new());
+
+/// A loopback address that no other test uses; `run`, modulo 250, tells the tests of
+/// this process apart.
 pub(crate) fn address(run: u64, router: usize) -> IpAddr {
     let process = std::process::id();
     let second = 1 + (process % 200) as u8;
     let third = 1 + ((u64::from(process) / 200 + run) % 250) as u8;
-    Ipv4Addr::new(127, second, third, 1 + router as u8).into()
+    let address = Ipv4Addr::new(127, second, third, 1 + router as u8).into();
+    // Two tests at one address would send their requests to each other's routers.
+    let mut used = USED.lock().unwrap_or_else(PoisonError::into_inner);
+    assert!(!used.contains(&address), "another test has address {run}");
+    used.push(address);
+    address
 }
 
 /// A router, of which one process runs at a time.
