--- a/crates/router/tests/relay/crashing_parts.rs
+++ b/crates/router/tests/relay/crashing_parts.rs
@@ -10,7 +10,7 @@
 use crate::site::caller::{Seen, ask_prompt, wait_until};
 use crate::site::configured_store;
 use crate::site::crashing::{CrashKind, CrashPlan, CrashingServer};
-use crate::site::process::{Router, address};
+use crate::site::process::{Router, start_routers};
 use crate::site::store::Store;
 
 /// Time after the fifth crash from which on hardly a server may get the part.
@@ -88,15 +88,13 @@
         let name = format!("poplar-parts-{}-{}", std::process::id(), self.run);
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
-        let mut routers = Vec::new();
-        for n in 0..self.routers {
-            let mut router = Router::new(address(self.run, n), store_address, &folder);
-            if !self.datagrams {
-                router.isolate_datagrams(7340 + n as u16);
-            }
-            router.start();
-            routers.push(router);
-        }
+        let routers = start_routers(
+            self.run,
+            self.routers,
+            store_address,
+            &folder,
+            self.datagrams,
+        );
         let site = Site {
             store,
             routers,
--- a/crates/router/tests/relay/crashing_requests.rs
+++ b/crates/router/tests/relay/crashing_requests.rs
@@ -11,7 +11,7 @@
 use crate::site::caller::{Seen, ask_once, wait_until};
 use crate::site::configured_store;
 use crate::site::crashing::{CrashKind, CrashPlan, CrashingServer};
-use crate::site::process::{Router, address};
+use crate::site::process::{Router, start_routers};
 use crate::site::store::Store;
 
 /// Time after the third crash from which on no server may get the request.
@@ -77,15 +77,7 @@
         let name = format!("poplar-crashes-{}-{}", std::process::id(), self.run);
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
-        let mut routers = Vec::new();
-        for n in 0..ROUTERS {
-            let mut router = Router::new(address(self.run, n), store_address, &folder);
-            if !self.datagrams {
-                router.isolate_datagrams(7340 + n as u16);
-            }
-            router.start();
-            routers.push(router);
-        }
+        let routers = start_routers(self.run, ROUTERS, store_address, &folder, self.datagrams);
         let site = Site {
             store,
             routers,
--- a/crates/router/tests/relay/site/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -69,6 +69,26 @@
     address
 }
 
+/// Starts the routers of a test. Unless `datagrams` arrive, each has another port for
+/// them, so that they get nowhere.
+pub(crate) fn start_routers(
+    run: u64,
+    count: usize,
+    store: SocketAddr,
+    folder: &Path,
+    datagrams: bool,
+) -> Vec<Router> {
+    let start = |n| {
+        let mut router = Router::new(address(run, n), store, folder);
+        if !datagrams {
+            router.isolate_datagrams(7340 + n as u16);
+        }
+        router.start();
+        router
+    };
+    (0..count).map(start).collect()
+}
+
 /// A router, of which one process runs at a time.
 #[derive(Debug)]
 pub(crate) struct Router {
