--- a/crates/router/tests/relay/stream_versions.rs
+++ b/crates/router/tests/relay/stream_versions.rs
@@ -11,7 +11,7 @@
 
 use crate::site::caller::{Seen, wait_until};
 use crate::site::configured_store;
-use crate::site::process::{Router, address};
+use crate::site::process::{Router, start_routers};
 use crate::site::store::Store;
 use crate::site::versioned::{Received, VersionedEngine};
 
@@ -67,11 +67,7 @@
         for version in versions {
             site.add_engines(version).await;
         }
-        for n in 0..ROUTERS {
-            let mut router = Router::new(address(run, n), store_address, &site.folder);
-            router.start();
-            site.routers.push(router);
-        }
+        site.routers = start_routers(run, ROUTERS, store_address, &site.folder, true);
         site.wait_until_served().await;
         // Time in which each router learns of the others.
         tokio::time::sleep(Duration::from_secs(1)).await;
