--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -2,11 +2,12 @@
 //!
 //! Each router sends the others the requests that it has at backend servers,
 //! the servers that hold shared prompts in their caches, reports of crashes,
-//! limits that servers named, and streams that began. It sends one datagram to each
-//! router several times a second while it has something to say. A lost datagram is not sent again: the next one replaces
-//! the load, and each report goes into several. The load expires after a short
-//! time, so that the requests of a router that has stopped sending no longer
-//! count.
+//! limits that servers named, and streams that began. It sends one datagram to
+//! each router several times a second while it has something to say. A lost
+//! datagram is not sent again: the next one replaces the load, each report goes
+//! into several, and streams are in the store, too. The load expires after a
+//! short time, so that the requests of a router that has stopped sending no
+//! longer count.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
