Decide in one place whether a server gets requests

A server that says that it leaves got requests as long as its row said ready, or as long as the store was away; one that wants none for a time got them as fast as callers sent. Whether a server may be sent to was asked in three places (row, limit, ejection), of which none could tell a caller when to come back.

Ruled out: a check of its own for each header; closing a server at once when it says that it leaves, which refuses what a service whose servers all leave would still serve; believing other routers, so that one wrong report closes a server everywhere.

Change: core::availability answers with open, last resort or closed, with a reason and the time until it ends, from row, notices, limit and health. Notices hold for a process (id and start), whatever the list shows. Other routers hear that a server leaves by datagram, which makes it a last resort there. If all servers are closed, a request is refused at once, with the shortest time until one is open. Values that can't be read are logged once for each process and header, and count as absent.

Not in tests: the answer of a new process under the id of the one that was listed, see docs/design/server-availability.md.

--- a/crates/core/src/affinity.rs
+++ b/crates/core/src/affinity.rs
@@ -43,8 +43,10 @@
     pub running: u32,
     /// Waiting requests of all routers, from its last load report.
     pub waiting: u32,
-    /// Its health, which decides whether it gets requests.
+    /// Its health.
     pub health: HealthState,
+    /// Whether it gets requests only if no other server is left.
+    pub last_resort: bool,
 }
 
 /// What the choice needs to know about the request.
@@ -101,14 +103,15 @@
 
 /// Chooses a server; `None` if there are no candidates.
 ///
-/// Servers that are ejected or were tried before are used only if no other is left.
+/// Servers that are a last resort or were tried before are used only if no other is
+/// left.
 pub fn choose(candidates: &[Candidate], query: &Query<'_>) -> Option<Choice> {
     let untried = |c: &&Candidate| !query.tried.contains(&c.id);
-    let not_ejected = |c: &&Candidate| c.health != HealthState::Ejected;
+    let preferred = |c: &&Candidate| !c.last_resort;
     let mut usable: Vec<&Candidate> = candidates
         .iter()
         .filter(untried)
-        .filter(not_ejected)
+        .filter(preferred)
         .collect();
     if usable.is_empty() {
         usable = candidates.iter().filter(untried).collect();
--- a/crates/core/src/deployment/servers.rs
+++ b/crates/core/src/deployment/servers.rs
@@ -96,8 +96,8 @@
         self.outage_end.is_some_and(|at| now < at + GRACE_PERIOD)
     }
 
-    /// Servers of a service that accept new requests.
-    pub fn ready_servers<'a>(
+    /// Servers of a service, whether or not they accept new requests.
+    pub fn of_service<'a>(
         &'a self,
         service: &'a str,
         now: Instant,
@@ -108,7 +108,16 @@
             .filter(move |_| self.in_grace_period(now));
         let servers = self.servers.iter().chain(missing);
         let servers = servers.map(|(_, server)| server);
-        servers.filter(move |s| *s.service == *service && s.ready)
+        servers.filter(move |s| *s.service == *service)
+    }
+
+    /// Servers of a service that are registered as accepting new requests.
+    pub fn ready_servers<'a>(
+        &'a self,
+        service: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Server> {
+        self.of_service(service, now).filter(|s| s.ready)
     }
 
     /// All servers, those included that are missing since an outage.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admit;
 pub mod affinity;
+pub mod availability;
 pub mod bill;
 pub mod budget;
 pub mod claim;
--- a/crates/core/tests/affinity.rs
+++ b/crates/core/tests/affinity.rs
@@ -13,6 +13,7 @@
         running: 0,
         waiting: 0,
         health: HealthState::Healthy,
+        last_resort: false,
     };
     (0..count).map(engine).collect()
 }
@@ -72,12 +73,13 @@
 }
 
 #[test]
-fn tried_and_ejected_engines_are_the_last_resort() {
+fn tried_engines_and_last_resorts_are_used_if_no_other_is_left() {
     let mut all = engines(2);
     let tried = [all[0].id.clone()];
     let mut request = query(7, 0);
     request.tried = &tried;
     assert_eq!(&*choose(&all, &request).expect("a choice").id, "engine-1");
     all[1].health = HealthState::Ejected;
+    all[1].last_resort = true;
     assert_eq!(&*choose(&all, &request).expect("a choice").id, "engine-1");
 }
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use poplar_base::log;
 use poplar_core::affinity::Query;
+use poplar_core::availability::Reason;
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
 use poplar_core::retry::{Failure, Refusal as ServerRefusal};
@@ -206,9 +207,9 @@
                 Err(Unavailable::NoVersion) => {
                     return Err(self.give_up(Failure::Connect, NO_VERSION, now));
                 }
-                Err(Unavailable::Limited(wait)) => {
-                    let mut refusal = self.give_up(Failure::Connect, "servers limited", now);
-                    refusal.retry_after = refusal.retry_after.map(|_| wait);
+                Err(Unavailable::Closed { reason, wait }) => {
+                    let mut refusal = self.give_up(Failure::Connect, closed_text(reason), now);
+                    refusal.retry_after = refusal.retry_after.map(|short| wait.unwrap_or(short));
                     return Err(refusal);
                 }
             };
@@ -271,7 +272,7 @@
         if !self
             .relay
             .servers
-            .is_ready(&in_flight.server, Instant::now())
+            .is_open(&in_flight.server, Instant::now())
         {
             return Err(Failure::Connect);
         }
@@ -351,7 +352,10 @@
         }
         let is_own = response.attempt_id.as_ref() == Some(&self.request.head.attempt_id);
         if is_own || response.not_run {
-            in_flight.record_limit(response.limit, Instant::now());
+            let now = Instant::now();
+            in_flight.record_limit(response.limit, now);
+            let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE;
+            in_flight.record_notices(response.leaving, response.pause, is_refusal, now);
         }
         if response.not_run {
             return Err(Failure::Refused(ServerRefusal::Full));
@@ -464,6 +468,16 @@
     }
 }
 
+/// Why a request is refused if all servers of its service are closed.
+fn closed_text(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Limited => "servers limited",
+        Reason::Paused => "servers paused",
+        Reason::Leaving => "servers leaving",
+        Reason::Draining | Reason::Ejected => "no server",
+    }
+}
+
 impl Drop for Exchange {
     fn drop(&mut self) {
         let now = Instant::now();
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -2,7 +2,7 @@
 //!
 //! Each router sends the others the requests that it has at backend servers,
 //! the servers that hold shared prompts in their caches, reports of crashes,
-//! limits that servers named, and streams that began. It sends one datagram to
+//! limits that servers named, servers that leave, and streams that began. It sends one datagram to
 //! each router several times a second while it has something to say. A lost
 //! datagram is not sent again: the next one replaces the load, each report goes
 //! into several, and streams are in the store, too. The load expires after a
@@ -65,6 +65,9 @@
     pub limits: LimitNews,
     /// Streams that the sender began, by the client's attempt.
     pub streams: Vec<(Name, Begun)>,
+    /// Servers that told the sender that they leave, with the start times of their
+    /// processes in Unix milliseconds.
+    pub leaving: Vec<(Name, u64)>,
 }
 
 #[derive(Debug)]
@@ -78,6 +81,8 @@
     limits: LimitNewsWire,
     #[serde(flatten)]
     streams: StreamsWire,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    leaving: Vec<(Name, u64)>,
 }
 
 impl LoadMessageWire {
@@ -90,6 +95,7 @@
             reports: ReportsWire::encode(&message.reports, now),
             limits: LimitNewsWire::encode(message.limits, now),
             streams: StreamsWire::encode(message.streams),
+            leaving: message.leaving,
         }
     }
 
@@ -106,6 +112,7 @@
             reports: self.reports.decode(now),
             limits: self.limits.decode(now),
             streams: self.streams.decode(now),
+            leaving: self.leaving,
         }
     }
 }
@@ -149,6 +156,7 @@
             reports,
             limits,
             streams,
+            leaving: relay.servers.take_leaving_reports(),
         };
         let empty = message == LoadMessage::default();
         // One empty message says that the last requests have ended.
@@ -186,7 +194,9 @@
                 let mut message = wire.decode(now);
                 let reports = std::mem::take(&mut message.reports);
                 let limits = std::mem::take(&mut message.limits);
+                let leaving = std::mem::take(&mut message.leaving);
                 relay.streams.merge(std::mem::take(&mut message.streams));
+                relay.servers.merge_leaving_reports(leaving, now);
                 relay.servers.record_peer_message(from.ip(), message, now);
                 relay.crashes.merge(reports, Source::Peer, now);
                 relay.servers.merge_limit_news(from.ip(), limits);
--- a/crates/router/src/relay/limits.rs
+++ b/crates/router/src/relay/limits.rs
@@ -112,6 +112,7 @@
         let now = Instant::now();
         relay.servers.set_routers(relay.budgets.peers());
         relay.servers.expire_limits(now);
+        relay.servers.expire_notices(now);
         if now < next_write {
             continue;
         }
--- a/crates/router/src/relay/servers/limits.rs
+++ b/crates/router/src/relay/servers/limits.rs
@@ -5,12 +5,13 @@
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
+use poplar_core::availability::Reason;
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
 use poplar_core::server_limit::{Allowance, Limits, Report, Yield};
 use poplar_platform::headers::LimitNotice;
 
-use super::{InFlight, Servers, State};
+use super::{InFlight, Servers, State, Unavailable};
 use crate::sync::lock;
 
 /// What a message to another router says of limits.
@@ -22,17 +23,34 @@
     pub yields: Vec<Yield>,
 }
 
-/// Whether a server's limit allows another request now.
-pub(super) fn allow(limits: &mut Limits, server: &Server, now: Instant) -> bool {
-    let process = server.started_ms;
-    let allowance = limits.allowance(&server.id, process, &server.service, now);
-    allowance != Allowance::Exhausted
+/// What a server's limit allows now.
+pub(super) fn allowance(limits: &mut Limits, server: &Server, now: Instant) -> Allowance {
+    limits.allowance(&server.id, server.started_ms, &server.service, now)
 }
 
-/// When clients should retry if these servers allow no request.
-pub(super) fn retry_after(limits: &Limits, servers: &[&Server]) -> Duration {
-    let processes = servers.iter().map(|s| (&*s.id, s.started_ms));
-    limits.retry_after(processes, rand::random())
+/// Why none of these servers is open, each with what speaks against it.
+pub(super) fn unavailable(
+    limits: &Limits,
+    closed: &[(&Server, Reason, Option<Duration>)],
+) -> Unavailable {
+    let limited = closed.iter().filter(|(_, r, _)| *r == Reason::Limited);
+    let limited: Vec<(&str, u64)> = limited.map(|(s, ..)| (&*s.id, s.started_ms)).collect();
+    let permit = (!limited.is_empty())
+        .then(|| limits.retry_after(limited.iter().copied(), rand::random()))
+        .map(|wait| (wait, Reason::Limited));
+    let ends = closed
+        .iter()
+        .filter_map(|(_, r, wait)| Some(((*wait)?, *r)));
+    if let Some((wait, reason)) = ends.chain(permit).min() {
+        let wait = Some(wait);
+        return Unavailable::Closed { reason, wait };
+    }
+    // Draining servers are as good as gone.
+    if closed.iter().any(|(_, r, _)| *r == Reason::Leaving) {
+        let reason = Reason::Leaving;
+        return Unavailable::Closed { reason, wait: None };
+    }
+    Unavailable::NoServer
 }
 
 impl Servers {
@@ -118,11 +136,7 @@
         let rate = match notice {
             LimitNotice::Unlimited => None,
             LimitNotice::PerSecond(rate) => Some(rate),
-            LimitNotice::Invalid => {
-                return log::warn("server limit invalid")
-                    .with("server", &self.server.id)
-                    .write();
-            }
+            LimitNotice::Invalid => return self.log_invalid("server-limit"),
         };
         let report = Report {
             server: self.server.id.clone(),
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -7,6 +7,7 @@
 //! name a limit need a permit, see [`limits`].
 
 pub mod limits;
+mod notices;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -14,9 +15,11 @@
 
 use poplar_base::log;
 use poplar_core::affinity::{self, Candidate, Choice, Query};
+use poplar_core::availability::{Availability, Notices, Reason, Signals};
 use poplar_core::deployment::{Server, ServerList};
 use poplar_core::health::{Change, HealthTracker};
 use poplar_core::id::Name;
+use poplar_core::route::server::HealthState;
 use poplar_core::server_limit::Limits;
 use poplar_core::sorted::SortedVec;
 use poplar_platform::headers::ServerLoad;
@@ -45,6 +48,8 @@
     load: Option<ServerLoad>,
     /// Start time that the server registered, in Unix milliseconds.
     started_ms: u64,
+    /// Headers of its responses that were found invalid and logged.
+    invalid: Vec<&'static str>,
 }
 
 /// What the list of servers shows of a server's process.
@@ -63,11 +68,13 @@
 /// The last message of each other router, and when it came.
 type Peers = SortedVec<IpAddr, (Instant, Vec<ServerWork>)>;
 
+/// Health of the servers, by service.
+type Trackers = SortedVec<Name, HealthTracker>;
+
 #[derive(Debug)]
 struct State {
     list: ServerList,
-    /// Health of the servers, by service.
-    health: SortedVec<Name, HealthTracker>,
+    health: Trackers,
     /// What is known about each server, by its id.
     states: SortedVec<Name, ServerState>,
     peers: Peers,
@@ -78,6 +85,8 @@
     unannounced: Vec<(u64, Name)>,
     /// Limits of requests a second that servers named.
     limits: Limits,
+    /// What servers said of themselves in their answers.
+    notices: Notices,
 }
 
 /// Why no server was chosen.
@@ -85,9 +94,13 @@
 pub enum Unavailable {
     /// The service has none.
     NoServer,
-    /// All have a limit that allows no further request. A retry after this time
-    /// may find one.
-    Limited(Duration),
+    /// None gets requests now.
+    Closed {
+        /// What speaks against the one that is open again first.
+        reason: Reason,
+        /// Time after which a retry may find a server, if that is known.
+        wait: Option<Duration>,
+    },
     /// None has the version of its software that began the stream.
     NoVersion,
 }
@@ -123,6 +136,27 @@
     }
 }
 
+/// Whether a server gets requests now.
+fn availability(
+    limits: &mut Limits,
+    health: &Trackers,
+    notices: &Notices,
+    server: &Server,
+    now: Instant,
+) -> Availability {
+    let signals = Signals {
+        ready: server.ready,
+        limit: limits::allowance(limits, server, now),
+        health: health_state(health, server, now),
+    };
+    notices.availability(&server.id, server.started_ms, signals, now)
+}
+
+fn health_state(health: &Trackers, server: &Server, now: Instant) -> HealthState {
+    let tracker = health.get(&*server.service);
+    tracker.map_or(HealthState::Healthy, |t| t.state(&server.id, now))
+}
+
 /// Requests that the other routers have at a server, and their prefill tokens.
 fn peer_work(peers: &Peers, id: &str, now: Instant) -> (u32, u64) {
     let is_current =
@@ -162,8 +196,9 @@
 
 impl Servers {
     /// No servers yet, as seen from the router at `router` in the data centre
-    /// `centre`.
-    pub fn new(centre: Name, router: IpAddr) -> Arc<Self> {
+    /// `centre`. Requests may reach a server for `drain_time` after it said that it
+    /// leaves.
+    pub fn new(centre: Name, router: IpAddr, drain_time: Duration) -> Arc<Self> {
         let state = State {
             list: ServerList::default(),
             health: SortedVec::new(),
@@ -172,6 +207,7 @@
             holders: SortedVec::new(),
             unannounced: Vec::new(),
             limits: Limits::new(router),
+            notices: Notices::new(drain_time),
         };
         Arc::new(Self {
             state: Mutex::new(state),
@@ -232,6 +268,7 @@
             });
             if std::mem::replace(&mut state.started_ms, started_ms) != started_ms {
                 state.load = None;
+                state.invalid.clear();
                 restarted.push(server);
             }
             if !previous.contains(server) {
@@ -291,47 +328,51 @@
             peers,
             holders,
             limits,
+            notices,
             ..
         } = &mut *state;
         limits.record_request(service, now);
-        let mut ready: Vec<&Server> = list.ready_servers(service, now).collect();
+        let mut listed: Vec<&Server> = list.of_service(service, now).collect();
         if let Some(software) = software
-            && !ready.is_empty()
+            && listed.iter().any(|server| server.ready)
         {
-            ready.retain(|server| server.software == *software);
-            if ready.is_empty() {
+            listed.retain(|server| server.software == *software);
+            if !listed.iter().any(|server| server.ready) {
                 return Err(Unavailable::NoVersion);
             }
         }
-        let allowed = ready.iter().copied();
-        let allowed: Vec<&Server> = allowed.filter(|s| limits::allow(limits, s, now)).collect();
-        if allowed.is_empty() && !ready.is_empty() {
-            let wait = limits::retry_after(limits, &ready);
-            return Err(Unavailable::Limited(wait));
-        }
-        let tracker = health.get(&**service).ok_or(Unavailable::NoServer)?;
-        let candidate = |server: &Server| {
+        let mut candidates = Vec::with_capacity(listed.len());
+        let mut closed = Vec::new();
+        for server in &listed {
+            let availability = availability(limits, health, notices, server, now);
+            if let Availability::Closed { reason, wait } = availability {
+                closed.push((*server, reason, wait));
+                continue;
+            }
             let known = states.get(&*server.id);
             let load = known.and_then(|k| k.load);
             let (requests, prefill_tokens) = peer_work(peers, &server.id, now);
-            Candidate {
+            candidates.push(Candidate {
                 id: server.id.clone(),
                 same_centre: server.centre == self.centre,
                 in_flight: requests + known.map_or(0, |k| k.requests),
                 prefill_tokens: prefill_tokens + known.map_or(0, |k| k.prefill_tokens),
                 running: load.map_or(0, |l| l.running),
                 waiting: load.map_or(0, |l| l.waiting),
-                health: tracker.state(&server.id, now),
-            }
-        };
-        let candidates: Vec<Candidate> = allowed.into_iter().map(candidate).collect();
+                health: health_state(health, server, now),
+                last_resort: matches!(availability, Availability::LastResort(_)),
+            });
+        }
+        if candidates.is_empty() {
+            return Err(limits::unavailable(limits, &closed));
+        }
         let Choice {
             id,
             is_home,
             home_server,
             work,
         } = affinity::choose(&candidates, query).ok_or(Unavailable::NoServer)?;
-        let find = |id: &Name| ready.iter().copied().find(|s| s.id == *id);
+        let find = |id: &Name| listed.iter().copied().find(|s| s.id == *id && s.ready);
         let server = find(&id).ok_or(Unavailable::NoServer)?.clone();
         limits.take_permit(&id);
         let recorded = holders.get(&query.prompt_id).cloned();
@@ -407,15 +448,6 @@
         }
     }
 
-    /// Whether a server still takes new requests.
-    pub fn is_ready(&self, server: &Server, now: Instant) -> bool {
-        let state = lock(&self.state);
-        state
-            .list
-            .ready_servers(&server.service, now)
-            .any(|s| s.id == server.id)
-    }
-
     /// Number of requests of this router at all servers, for the metrics.
     pub fn in_flight_count(&self) -> u32 {
         let state = lock(&self.state);
--- /dev/null
+++ b/crates/router/src/relay/servers/notices.rs
@@ -0,0 +1,148 @@
+//! What servers say in their answers of further requests, see
+//! [`poplar_core::availability`].
+
+use std::time::Instant;
+
+use poplar_base::log;
+use poplar_core::availability::{Availability, Heard, Reason};
+use poplar_core::deployment::Server;
+use poplar_core::id::Name;
+use poplar_platform::headers::{LeavingNotice, PauseNotice};
+
+use super::{InFlight, Servers, State, availability};
+use crate::sync::lock;
+
+impl Servers {
+    /// Whether a request may still be sent to a server that was chosen for it.
+    pub fn is_open(&self, server: &Server, now: Instant) -> bool {
+        let mut state = lock(&self.state);
+        let State {
+            list,
+            health,
+            limits,
+            notices,
+            ..
+        } = &mut *state;
+        let mut listed = list.of_service(&server.service, now);
+        let Some(listed) = listed.find(|s| s.id == server.id) else {
+            return false;
+        };
+        // Its permit was taken when it was chosen.
+        !matches!(
+            availability(limits, health, notices, listed, now),
+            Availability::Closed {
+                reason: Reason::Draining | Reason::Leaving | Reason::Paused,
+                ..
+            }
+        )
+    }
+
+    /// Processes of servers that leave, as the next message to the other routers
+    /// says.
+    pub fn take_leaving_reports(&self) -> Vec<(Name, u64)> {
+        lock(&self.state).notices.take_reports()
+    }
+
+    /// Adds processes of servers that leave, as another router was told.
+    pub fn merge_leaving_reports(&self, reports: Vec<(Name, u64)>, now: Instant) {
+        for (server, started_ms) in reports {
+            let is_new = lock(&self.state).notices.merge(&server, started_ms, now);
+            if is_new {
+                log_leaving(&server, started_ms, "peer");
+            }
+        }
+    }
+
+    /// Forgets what servers said that have not been listed for long.
+    pub fn expire_notices(&self, now: Instant) {
+        let mut state = lock(&self.state);
+        let State { list, notices, .. } = &mut *state;
+        notices.expire(|id| list.all().any(|s| *s.id == *id), now);
+    }
+
+    /// Number of listed servers that get no requests, or only as a last resort, by
+    /// what speaks against them.
+    pub fn left_out(&self, now: Instant) -> Vec<(Reason, usize)> {
+        let mut state = lock(&self.state);
+        let State {
+            list,
+            health,
+            limits,
+            notices,
+            ..
+        } = &mut *state;
+        let all = list.all();
+        let reasons = all.map(|s| availability(limits, health, notices, s, now).reason());
+        let reasons: Vec<Reason> = reasons.flatten().collect();
+        let count = |reason| reasons.iter().filter(|r| **r == reason).count();
+        Reason::ALL.map(|reason| (reason, count(reason))).to_vec()
+    }
+}
+
+impl InFlight {
+    /// Records what an answer of the server said of further requests. `is_refusal`
+    /// tells whether its status is 503.
+    pub fn record_notices(
+        &self,
+        leaving: LeavingNotice,
+        pause: PauseNotice,
+        is_refusal: bool,
+        now: Instant,
+    ) {
+        if leaving == LeavingNotice::Invalid {
+            self.log_invalid("server-leaving");
+        }
+        let pause = match pause {
+            PauseNotice::For(pause) if is_refusal => Some(pause),
+            PauseNotice::Invalid if is_refusal => {
+                self.log_invalid("retry-after");
+                None
+            }
+            _ => None,
+        };
+        let heard = Heard {
+            leaving: leaving == LeavingNotice::Leaving,
+            pause,
+        };
+        let Server { id, started_ms, .. } = &self.server;
+        let news = lock(&self.servers.state)
+            .notices
+            .observe(id, *started_ms, heard, now);
+        if news.leaves {
+            log_leaving(id, *started_ms, "answer");
+        }
+        if let Some(granted) = news.paused {
+            log::info("server paused")
+                .with("server", id)
+                .with("started_ms", started_ms)
+                .with("for_ms", granted.as_millis())
+                .with("asked_ms", pause.unwrap_or(granted).as_millis())
+                .write();
+            metrics::counter!("poplar_server_pauses_total").increment(1);
+        }
+    }
+
+    /// Logs that a header of the server's answers is invalid, once for each process.
+    pub(super) fn log_invalid(&self, header: &'static str) {
+        let mut state = lock(&self.servers.state);
+        let known = state.states.get_mut(&*self.server.id);
+        let Some(known) = known.filter(|known| !known.invalid.contains(&header)) else {
+            return;
+        };
+        known.invalid.push(header);
+        drop(state);
+        log::warn("server header invalid")
+            .with("server", &self.server.id)
+            .with("header", header)
+            .write();
+    }
+}
+
+fn log_leaving(server: &Name, started_ms: u64, source: &'static str) {
+    log::info("server leaves")
+        .with("server", server)
+        .with("started_ms", started_ms)
+        .with("source", source)
+        .write();
+    metrics::counter!("poplar_servers_leaving_total", "source" => source).increment(1);
+}
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -86,7 +86,7 @@
         let incarnation = rand::random();
         let limits = retry_limits(&settings);
         Arc::new(Self {
-            servers: Servers::new(settings.centre.clone(), settings.ip),
+            servers: Servers::new(settings.centre.clone(), settings.ip, settings.drain_time),
             budgets: Budgets::new(store.clone(), settings.ip, incarnation),
             crashes: Crashes::open(Incarnation::new(&settings.name, incarnation)),
             streams: StreamVersions::open(),
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod mirror;
 mod retry_budget;
 mod server_limits;
+mod server_notices;
 mod servers;
 mod site;
 mod slow_link;
--- a/crates/router/tests/relay/server_limits.rs
+++ b/crates/router/tests/relay/server_limits.rs
@@ -2,20 +2,12 @@
 //! together. Each router is a process of its own; the servers count what reaches
 //! them.
 
-use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
 
-use crate::PREPAID;
-use crate::site::caller::{Seen, ask_once, wait_until};
 use crate::site::chosen;
-use crate::site::configured_store;
-use crate::site::limited::LimitedServer;
-use crate::site::process::{Router, address};
-use crate::site::store::Store;
+use crate::site::fleet::{Fleet, SERVERS, is_refused, is_served};
 
 /// Time after which a limit that one router was told binds all of them.
 const SPREAD_TIME: Duration = Duration::from_secs(3);
@@ -30,149 +22,14 @@
 /// With one request of each in a window the limit of 1 a second is exceeded.
 /// `POPLAR_LIMIT_ROUTERS` replaces the number.
 const MANY_ROUTERS: usize = 24;
-const SERVERS: usize = 4;
-
-/// A request and what came of it.
-#[derive(Debug, Clone)]
-struct Outcome {
-    path: &'static str,
-    seen: Option<Seen>,
-    took: Duration,
-    at: Instant,
-}
-
-/// Routers and servers of one test.
-struct Site {
-    run: u64,
-    store: Arc<Store>,
-    store_address: std::net::SocketAddr,
-    routers: Vec<Router>,
-    servers: Vec<Arc<LimitedServer>>,
-    folder: PathBuf,
-    outcomes: Arc<Mutex<Vec<Outcome>>>,
-    ended: Arc<AtomicBool>,
-}
-
-impl Site {
-    async fn open(run: u64, routers: usize) -> Self {
-        Self::open_with(run, routers, true, &[StatusCode::OK; SERVERS]).await
-    }
-
-    /// Starts a server for each status and the routers, and waits until these
-    /// serve requests. Without `datagrams`, none between the routers arrive.
-    async fn open_with(run: u64, routers: usize, datagrams: bool, statuses: &[StatusCode]) -> Self {
-        let store = configured_store(PREPAID);
-        let mut servers = Vec::new();
-        for (n, status) in statuses.iter().enumerate() {
-            servers.push(LimitedServer::open(&format!("plain-{n}"), *status, &store).await);
-        }
-        let store_address = store.open().await;
-        let name = format!("poplar-limits-{}-{run}", std::process::id());
-        let folder = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let mut site = Self {
-            run,
-            store,
-            store_address,
-            routers: Vec::new(),
-            servers,
-            folder,
-            outcomes: Arc::default(),
-            ended: Arc::default(),
-        };
-        for _ in 0..routers {
-            site.add_router(datagrams);
-        }
-        for router in 0..routers {
-            site.wait_until_served(router).await;
-        }
-        // Time in which each router learns of the others.
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        site
-    }
-
-    fn add_router(&mut self, datagrams: bool) {
-        let n = self.routers.len();
-        let mut router = Router::new(address(self.run, n), self.store_address, &self.folder);
-        if !datagrams {
-            router.isolate_datagrams(7340 + n as u16);
-        }
-        router.start();
-        self.routers.push(router);
-    }
-
-    async fn wait_until_served(&self, router: usize) {
-        let is_answer = |seen| matches!(seen, Seen::Answer(200 | 500, _));
-        wait_until(self.routers[router].callers(), "/read/ready", is_answer).await;
-    }
-
-    /// Sends requests of these paths in turn to a router, `pause` apart, until
-    /// the test ends.
-    fn load(&self, router: usize, paths: &'static [&'static str], pause: Duration) {
-        let address = self.routers[router].callers();
-        let (outcomes, ended) = (self.outcomes.clone(), self.ended.clone());
-        tokio::spawn(async move {
-            for n in 0.. {
-                if ended.load(Ordering::Acquire) {
-                    return;
-                }
-                let path = paths[n % paths.len()];
-                let outcomes = outcomes.clone();
-                tokio::spawn(async move {
-                    let at = Instant::now();
-                    let seen = ask_once(address, path, &format!("{router}-{n}")).await;
-                    outcomes.lock().expect("no panic").push(Outcome {
-                        path,
-                        seen,
-                        took: at.elapsed(),
-                        at,
-                    });
-                });
-                tokio::time::sleep(pause).await;
-            }
-        });
-    }
-
-    fn load_all(&self, paths: &'static [&'static str], pause: Duration) {
-        (0..self.routers.len()).for_each(|router| self.load(router, paths, pause));
-    }
-
-    /// Outcomes of the requests sent since `from`.
-    fn outcomes(&self, from: Instant) -> Vec<Outcome> {
-        let outcomes = self.outcomes.lock().expect("no panic");
-        outcomes.iter().filter(|o| o.at >= from).cloned().collect()
-    }
-
-    /// Checks what a server got since `from` against the limit that it named.
-    fn check_limit(&self, server: usize, from: Instant, limit: f64) {
-        let (most, allowed) = self.servers[server].busiest_window(from, limit);
-        println!("server {server}: at most {most} requests in a window, allowed {allowed}");
-        assert!(most <= allowed, "server {server}: {most} of {allowed}");
-    }
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        self.ended.store(true, Ordering::Release);
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
 
 fn many_routers() -> usize {
     chosen::number("POPLAR_LIMIT_ROUTERS", MANY_ROUTERS)
 }
 
-fn is_served(outcome: &Outcome) -> bool {
-    outcome.seen == Some(Seen::Answer(200, true))
-}
-
-fn is_refused(outcome: &Outcome) -> bool {
-    matches!(outcome.seen, Some(Seen::Answer(503, _)))
-}
-
 /// Has one server of several name a limit, and checks it and that the others
 /// serve what it does not take.
-async fn check_one_limited(site: &Site, paths: &'static [&'static str], pause: Duration) {
+async fn check_one_limited(site: &Fleet, paths: &'static [&'static str], pause: Duration) {
     site.load_all(paths, pause);
     site.servers[0].set_limit(Some(1.0));
     tokio::time::sleep(SPREAD_TIME).await;
@@ -188,14 +45,14 @@
 /// many requests as before.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_gets_no_more_requests_than_its_limit() {
-    let site = Site::open(301, ROUTERS).await;
+    let site = Fleet::open(301, ROUTERS).await;
     check_one_limited(&site, &["/read/x"], Duration::from_millis(50)).await;
 }
 
 /// As above, for requests that may run only once.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_gets_no_more_calls_than_its_limit() {
-    let site = Site::open(302, ROUTERS).await;
+    let site = Fleet::open(302, ROUTERS).await;
     check_one_limited(&site, &["/once/x"], Duration::from_millis(50)).await;
 }
 
@@ -203,7 +60,7 @@
 /// one request from each is too many.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_routers_keep_a_limit_together() {
-    let site = Site::open(303, many_routers()).await;
+    let site = Fleet::open(303, many_routers()).await;
     check_one_limited(&site, &["/read/x"], Duration::from_millis(300)).await;
 }
 
@@ -212,14 +69,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn routers_that_get_no_datagrams_keep_a_limit() {
     let statuses = [StatusCode::OK; SERVERS];
-    let site = Site::open_with(304, many_routers(), false, &statuses).await;
+    let site = Fleet::open_with(304, many_routers(), false, &statuses).await;
     check_one_limited(&site, &["/read/x"], Duration::from_millis(300)).await;
 }
 
 /// As above, while the store is out of reach.
 #[tokio::test(flavor = "multi_thread")]
 async fn routers_without_the_store_keep_a_limit() {
-    let site = Site::open(305, many_routers()).await;
+    let site = Fleet::open(305, many_routers()).await;
     site.store.set_down(true);
     check_one_limited(&site, &["/read/x"], Duration::from_millis(300)).await;
 }
@@ -228,7 +85,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn repeats_keep_a_limit() {
     let statuses = [StatusCode::OK, StatusCode::INTERNAL_SERVER_ERROR];
-    let site = Site::open_with(306, ROUTERS, true, &statuses).await;
+    let site = Fleet::open_with(306, ROUTERS, true, &statuses).await;
     site.load_all(&["/read/x"], Duration::from_millis(100));
     site.servers[0].set_limit(Some(1.0));
     tokio::time::sleep(SPREAD_TIME).await;
@@ -241,7 +98,7 @@
 /// by the others because of them.
 #[tokio::test(flavor = "multi_thread")]
 async fn routers_that_restart_or_join_keep_a_limit() {
-    let mut site = Site::open(307, ROUTERS).await;
+    let mut site = Fleet::open(307, ROUTERS).await;
     let paths = &["/read/x", "/once/x"];
     let pause = Duration::from_millis(50);
     site.load_all(paths, pause);
@@ -267,7 +124,7 @@
 /// one, or none.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_limit_that_changes_or_ends_is_followed() {
-    let site = Site::open(308, ROUTERS).await;
+    let site = Fleet::open(308, ROUTERS).await;
     site.load_all(&["/read/x"], Duration::from_millis(50));
     for limit in [8.0, 1.0] {
         site.servers[0].set_limit(Some(limit));
@@ -291,7 +148,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn what_limits_allow_is_used_and_the_rest_refused_at_once() {
     const LIMIT: f64 = 3.0;
-    let site = Site::open(309, ROUTERS).await;
+    let site = Fleet::open(309, ROUTERS).await;
     for router in 0..ROUTERS / 2 {
         site.load(router, &["/read/x", "/once/x"], Duration::from_millis(50));
     }
--- a/crates/router/tests/relay/servers.rs
+++ b/crates/router/tests/relay/servers.rs
@@ -1,5 +1,6 @@
 //! What a router knows of backend servers that restart under their ids.
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 
 /// Failures in a row that eject a server, of three.
 const FAILURES: usize = 3;
+const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 fn server(id: &str, started_ms: u64) -> Server {
     Server {
@@ -31,6 +33,10 @@
     vec![server("e", started_ms), server("ee", 1), server("eee", 1)]
 }
 
+fn open_servers() -> Arc<Servers> {
+    Servers::new("a".into(), Ipv4Addr::LOCALHOST.into(), DRAIN_TIME)
+}
+
 fn choose(servers: &Arc<Servers>, prompt_id: u64, tried: &[Name], now: Instant) -> InFlight {
     let query = Query {
         prompt_id,
@@ -47,7 +53,7 @@
 #[test]
 fn a_restarted_server_is_not_ejected_for_failures_of_the_process_before() {
     let now = Instant::now();
-    let servers = Servers::new("a".into(), std::net::Ipv4Addr::LOCALHOST.into());
+    let servers = open_servers();
     servers.update(list(1), 1, now);
     let others = ["ee".into(), "eee".into()];
     for _ in 0..FAILURES {
@@ -75,7 +81,7 @@
 #[test]
 fn a_restarted_server_holds_no_prompts() {
     let now = Instant::now();
-    let servers = Servers::new("a".into(), std::net::Ipv4Addr::LOCALHOST.into());
+    let servers = open_servers();
     servers.update(list(1), 1, now);
     let ids: [Name; 3] = ["e".into(), "ee".into(), "eee".into()];
     let prompt = (1..).find(|prompt| home_server(*prompt, &ids) == Some(&ids[1]));
--- a/crates/router/tests/relay/site/caller.rs
+++ b/crates/router/tests/relay/site/caller.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::Request;
+use http::response::Parts;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -105,6 +106,14 @@
     Some(ask(&mut connect(address).await?, path, id).await)
 }
 
+/// Sends one request on a connection of its own; returns the head of the answer.
+pub(crate) async fn ask_head(address: SocketAddr, path: &str, id: &str) -> Option<Parts> {
+    let request = request(path, id).body(Full::from("a body")).ok()?;
+    let mut sender = connect(address).await?;
+    let answer = sender.send_request(request).await.ok()?;
+    Some(answer.into_parts().0)
+}
+
 /// Sends requests of a path to a router until what is seen of one is accepted.
 pub(crate) async fn wait_until(router: SocketAddr, path: &str, accept: impl Fn(Seen) -> bool) {
     let began = Instant::now();
--- a/crates/router/tests/relay/site/limited.rs
+++ b/crates/router/tests/relay/site/limited.rs
@@ -1,5 +1,6 @@
-//! A stand-in for a backend server that names a limit of requests a second in
-//! its answers, and counts what reaches it.
+//! A stand-in for a backend server that says in its answers how many requests it
+//! wants, and counts what reaches it: it names a limit of requests a second, says
+//! that it leaves, or turns requests away for some time.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -10,7 +11,7 @@
 use hyper::body::Incoming;
 
 use super::store::Store;
-use super::{Body, full_body, serve, signed_response};
+use super::{Body, full_body, not_run_response, serve, signed_response};
 
 /// How long a request runs.
 const RUN_TIME: Duration = Duration::from_millis(15);
@@ -25,9 +26,13 @@
 #[derive(Debug)]
 pub(crate) struct LimitedServer {
     limit: Mutex<Option<f64>>,
+    leaving: Mutex<bool>,
+    /// The header with which requests are turned away, if they are.
+    pause: Mutex<Option<String>>,
     status: StatusCode,
-    /// When requests came, and their ids.
-    arrivals: Mutex<Vec<(Instant, String)>>,
+    address: Mutex<Option<SocketAddr>>,
+    /// When requests came, their ids, and whether they ran.
+    arrivals: Mutex<Vec<(Instant, String, bool)>>,
 }
 
 impl LimitedServer {
@@ -36,37 +41,75 @@
     pub(crate) async fn open(id: &str, status: StatusCode, store: &Arc<Store>) -> Arc<Self> {
         let server = Arc::new(Self {
             limit: Mutex::default(),
+            leaving: Mutex::default(),
+            pause: Mutex::default(),
+            address: Mutex::default(),
             status,
             arrivals: Mutex::default(),
         });
         let handler = server.clone();
         let address: SocketAddr = serve(move |request| handler.clone().answer(request)).await;
-        store.register(id, "plain", address);
+        *server.address.lock().expect("no panic") = Some(address);
+        server.register(id, 1, store);
         server
     }
 
+    /// Registers it, as ready, with a process that started at `started_ms`.
+    pub(crate) fn register(&self, id: &str, started_ms: u64, store: &Store) {
+        let address = *self.address.lock().expect("no panic");
+        store.register_started(id, "plain", address.expect("it serves"), started_ms);
+    }
+
+    /// Has it say in all its answers that it leaves.
+    pub(crate) fn set_leaving(&self, leaving: bool) {
+        *self.leaving.lock().expect("no panic") = leaving;
+    }
+
+    /// Has it turn requests away, with this value of the header `Retry-After`.
+    pub(crate) fn set_pause(&self, pause: Option<&str>) {
+        *self.pause.lock().expect("no panic") = pause.map(str::to_owned);
+    }
+
+    /// When requests came from a router, whose number their ids begin with.
+    pub(crate) fn arrivals_by(&self, router: usize) -> Vec<Instant> {
+        let prefix = format!("{router}-");
+        let arrivals = self.arrivals.lock().expect("no panic");
+        let own = arrivals.iter().filter(|(_, id, _)| id.starts_with(&prefix));
+        own.map(|(at, ..)| *at).collect()
+    }
+
     /// Sets the limit that it names in its answers.
     pub(crate) fn set_limit(&self, limit: Option<f64>) {
         *self.limit.lock().expect("no panic") = limit;
     }
 
+    /// When requests came, in order, and their ids.
+    pub(crate) fn arrivals(&self) -> Vec<(Instant, String)> {
+        let arrivals = self.arrivals.lock().expect("no panic");
+        arrivals
+            .iter()
+            .map(|(at, id, _)| (*at, id.clone()))
+            .collect()
+    }
+
     /// Number of requests since `from`.
     pub(crate) fn arrivals_since(&self, from: Instant) -> usize {
         let arrivals = self.arrivals.lock().expect("no panic");
-        arrivals.iter().filter(|(at, _)| *at >= from).count()
+        arrivals.iter().filter(|(at, ..)| *at >= from).count()
     }
 
-    /// The ids of the requests that it got, all of which it ran.
+    /// The ids of the requests that it ran.
     pub(crate) fn executed_ids(&self) -> Vec<String> {
         let arrivals = self.arrivals.lock().expect("no panic");
-        arrivals.iter().map(|(_, id)| id.clone()).collect()
+        let executed = arrivals.iter().filter(|(_, _, ran)| *ran);
+        executed.map(|(_, id, _)| id.clone()).collect()
     }
 
     /// The most requests in a window that begins at `from` or later, and the most
     /// that are allowed.
     pub(crate) fn busiest_window(&self, from: Instant, limit: f64) -> (usize, usize) {
         let arrivals = self.arrivals.lock().expect("no panic");
-        let times = arrivals.iter().map(|(at, _)| *at);
+        let times = arrivals.iter().map(|(at, ..)| *at);
         let counted: Vec<Instant> = times.filter(|at| *at >= from).collect();
         let in_window = |start: usize| {
             let end = counted[start] + WINDOW;
@@ -80,12 +123,27 @@
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let (head, body) = request.into_parts();
         let id = head.headers.get("x-poplarreel-attempt-id")?.clone();
-        let arrival = (Instant::now(), id.to_str().ok()?.to_owned());
+        let pause = self.pause.lock().expect("no panic").clone();
+        let arrival = (
+            Instant::now(),
+            id.to_str().ok()?.to_owned(),
+            pause.is_none(),
+        );
         self.arrivals.lock().expect("no panic").push(arrival);
         body.collect().await.ok()?;
-        tokio::time::sleep(RUN_TIME).await;
-        let mut response = signed_response(id, self.status, full_body("an answer"));
+        let mut response = if let Some(pause) = pause {
+            let mut refusal = not_run_response();
+            let headers = refusal.headers_mut();
+            headers.insert("retry-after", pause.parse().ok()?);
+            refusal
+        } else {
+            tokio::time::sleep(RUN_TIME).await;
+            signed_response(id, self.status, full_body("an answer"))
+        };
         let headers = response.headers_mut();
+        if *self.leaving.lock().expect("no panic") {
+            headers.insert("server-leaving", "1".parse().ok()?);
+        }
         if let Some(limit) = *self.limit.lock().expect("no panic") {
             headers.insert("server-limit", limit.to_string().parse().ok()?);
         }
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod cut;
 pub(crate) mod endless;
 pub(crate) mod failing;
+pub(crate) mod fleet;
 pub(crate) mod limited;
 pub(crate) mod link;
 pub(crate) mod process;
--- a/crates/router/tests/relay/site/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -9,6 +9,8 @@
 
 /// Time within which a change must be in force.
 pub(crate) const APPLY_TIME: Duration = Duration::from_millis(1500);
+/// Time for which requests may reach a server that leaves.
+pub(crate) const DRAIN_TIME: Duration = Duration::from_millis(2000);
 /// Retries beyond the ratio that all routers together may make.
 const RETRY_SLACK: u32 = 56;
 /// Ports of all routers; each has its own address.
@@ -133,8 +135,9 @@
              listen.ready={ip}:{READINESS_PORT}\ninternal_ports={internal_ports}\n\
              platform.address={store}\nbounds.config_apply_ms={}\nbounds.grace_s=8\n\
              bounds.retry_ratio=0.2\nbounds.retry_slack={retry_slack}\n\
-             bounds.retry_window_s=10\n",
-            APPLY_TIME.as_millis()
+             bounds.retry_window_s=10\nbounds.drain_ms={}\n",
+            APPLY_TIME.as_millis(),
+            DRAIN_TIME.as_millis()
         );
         fs::write(&self.settings, text).expect("the settings are written");
     }
--- a/crates/router/tests/relay/soak/faults.rs
+++ b/crates/router/tests/relay/soak/faults.rs
@@ -8,6 +8,7 @@
 
 use super::{PREPAID, Soak};
 use crate::site::configuration;
+use crate::site::limited::LimitedServer;
 use crate::site::store::CommitOutcome;
 
 /// Longest time for a process to end after SIGTERM.
@@ -124,3 +125,25 @@
         added.resize(routes, Instant::now());
     }
 }
+
+/// A server that turns requests away for a time, and one that leaves and is followed
+/// by another process under its id.
+pub(crate) async fn notices(soak: Arc<Soak>, server: Arc<LimitedServer>, id: &'static str) {
+    let mut random = StdRng::seed_from_u64(soak.seed * 1000 + 902);
+    let mut process = 1;
+    while !soak.faults_ended() {
+        pause(&mut random, 100, 1500).await;
+        server.set_pause(Some("0.8"));
+        pause(&mut random, 100, 1200).await;
+        server.set_pause(None);
+        pause(&mut random, 100, 600).await;
+        let began = Instant::now();
+        server.set_leaving(true);
+        pause(&mut random, 200, 6000).await;
+        // It says so until the next process answers.
+        server.set_leaving(false);
+        soak.note_leaving(began..Instant::now());
+        process += 1;
+        server.register(id, process, &soak.store);
+    }
+}
--- a/crates/router/tests/relay/soak/mod.rs
+++ b/crates/router/tests/relay/soak/mod.rs
@@ -9,6 +9,7 @@
 mod faults;
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex as StdMutex};
@@ -23,7 +24,7 @@
 use crate::site::configured_store;
 use crate::site::crashing::{CrashKind, CrashPlan, CrashingServer};
 use crate::site::limited::LimitedServer;
-use crate::site::process::{APPLY_TIME, Life, Lives, Router, address};
+use crate::site::process::{APPLY_TIME, DRAIN_TIME, Life, Lives, Router, address};
 use crate::site::store::Store;
 use callers::{Attempt, Record};
 
@@ -46,6 +47,8 @@
 const LIMIT: f64 = 2.0;
 /// Time until all routers keep it.
 const LIMIT_SPREAD_TIME: Duration = Duration::from_secs(4);
+/// The server that asks for pauses and leaves.
+const NOTICING: &str = "plain-noticing";
 /// How long faults come.
 const FAULT_TIME: Duration = Duration::from_secs(9);
 /// Ends a soak in which the routers don't recover.
@@ -71,6 +74,8 @@
     ended: AtomicBool,
     /// Planned stops that were not complete in time.
     late_stops: AtomicUsize,
+    /// When a server said in its answers that it leaves.
+    leaving: StdMutex<Vec<Range<Instant>>>,
 }
 
 impl Soak {
@@ -82,6 +87,10 @@
         self.ended.load(Ordering::Acquire)
     }
 
+    fn note_leaving(&self, time: Range<Instant>) {
+        self.leaving.lock().expect("no panic").push(time);
+    }
+
     fn note_stop(&self, complete: bool) {
         if !complete {
             self.late_stops.fetch_add(1, Ordering::AcqRel);
@@ -113,6 +122,7 @@
     }
     let limited = LimitedServer::open("plain-limited", StatusCode::OK, &store).await;
     limited.set_limit(Some(LIMIT));
+    let noticing = LimitedServer::open(NOTICING, StatusCode::OK, &store).await;
     let store_address = store.open().await;
     let mut processes: Vec<Router> = (0..routers)
         .map(|n| Router::new(address(seed, n), store_address, folder))
@@ -130,6 +140,7 @@
         record: Record::default(),
         ended: AtomicBool::new(false),
         late_stops: AtomicUsize::new(0),
+        leaving: StdMutex::default(),
     });
     let mut faults = Vec::new();
     for router in 0..routers {
@@ -137,6 +148,8 @@
     }
     faults.push(tokio::spawn(faults::changes(soak.clone())));
     faults.push(tokio::spawn(faults::store(soak.clone())));
+    let notices = faults::notices(soak.clone(), noticing.clone(), NOTICING);
+    faults.push(tokio::spawn(notices));
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| tokio::spawn(callers::run(soak.clone(), caller)))
         .collect();
@@ -150,7 +163,9 @@
         caller.await.expect("no panic");
     }
     wrong.extend(check_limit(&soak, &limited));
-    wrong.extend(judge(&soak, &Runs::of(&backends, &crashing, &limited)));
+    wrong.extend(check_leaving(&soak, &noticing));
+    let plain = [&limited, &noticing];
+    wrong.extend(judge(&soak, &Runs::of(&backends, &crashing, &plain)));
     wrong
 }
 
@@ -245,6 +260,39 @@
     (most > allowed).then(|| format!("limit exceeded: {most} requests, allowed {allowed}"))
 }
 
+/// Checks that no process of a router sent requests to a server long after it had
+/// been told that the server leaves.
+fn check_leaving(soak: &Soak, server: &LimitedServer) -> Vec<String> {
+    let attempts = soak.record.attempts();
+    let arrivals = server.arrivals();
+    let mut wrong = Vec::new();
+    for time in &*soak.leaving.lock().expect("no panic") {
+        // When each process of each router was told first.
+        let mut told: Vec<(usize, usize, Instant)> = Vec::new();
+        for (at, id) in arrivals.iter().filter(|(at, _)| time.contains(at)) {
+            let Some(attempt) = attempts.iter().find(|a| a.id == *id) else {
+                continue;
+            };
+            let Some(process) = attempt.process else {
+                continue;
+            };
+            let by = |t: &&(usize, usize, Instant)| (t.0, t.1) == (attempt.router, process);
+            let Some((.., first)) = told.iter().find(by) else {
+                if matches!(attempt.seen, Seen::Answer(200, true)) {
+                    told.push((attempt.router, process, *at));
+                }
+                continue;
+            };
+            let disturbed = soak.lives[attempt.router].get(process) != Some(Life::Undisturbed);
+            if !disturbed && attempt.sent > *first + DRAIN_TIME {
+                wrong.push(format!("sent to a server that left: {attempt:?}"));
+            }
+        }
+        println!("a server left: {} routers were told", told.len());
+    }
+    wrong
+}
+
 /// How often the backend servers ran each request.
 struct Runs(Vec<String>);
 
@@ -252,12 +300,12 @@
     fn of(
         backends: &[Arc<Backend>],
         crashing: &[Arc<CrashingServer>],
-        limited: &LimitedServer,
+        plain: &[&Arc<LimitedServer>],
     ) -> Self {
         let runs = backends.iter().flat_map(|b| b.executed_requests());
         let mut ids: Vec<String> = runs.map(|run| run.id).collect();
         ids.extend(crashing.iter().flat_map(|server| server.executed_ids()));
-        ids.extend(limited.executed_ids());
+        ids.extend(plain.iter().flat_map(|server| server.executed_ids()));
         ids.sort();
         Self(ids)
     }
