Reserve tokens at the few holders of a budget in large fleets

Cause: each router held a part of each budget.

Ruled out: passing the request on, a transaction of the store for each request, one holder for each budget, leases that end by a clock; see docs/design/leases.md.

Change: in fleets of more than 16 routers, each budget has 3 to 16 holders by rendezvous hashing. The others reserve the most that a request can consume at one of them, in one exchange of datagrams. A lender counts a lease as spent until the borrower says how much was used. A router that is short, in fleets of any size, asks other holders before it refuses. Holders checkpoint more often and the others less; rows leave out budgets of which nothing is held; the first read of a process tells it how many routers there are, for its time-outs.

Core tests at 8, 60, 295 and 1,700 routers; broken on purpose: leases settled twice, leases that open again, a lender that reserves nothing, all routers as holders, a delay that grows with the fleet: each fails one or two of them.

Conclusion: what a budget is worth no longer depends on the number of routers. Left: the rows of 1,700 routers need more than one partition.

--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -12,9 +12,14 @@
 //! The bound grows with the time since the row was written. A router that is
 //! cut off from the table can therefore go on spending, and one that dies while
 //! it writes regularly strands little.
+//!
+//! In a large fleet only the [`holders()`] of a budget have such allocations. The other
+//! routers reserve what a request needs at one of them, see [`Leases`].
 
 mod account;
 mod contention;
+mod holders;
+mod lease;
 mod plan;
 mod rows;
 mod summary;
@@ -22,6 +27,8 @@
 
 pub use account::Account;
 pub use contention::{Change, conflict_backoff, is_large_fleet, max_read_age, select_changes};
+pub use holders::{holder_count, holders};
+pub use lease::{Begin, LeaseId, Leases};
 pub use plan::{Demand, PlanInput, plan_allocation, wanted_change};
 pub use rows::{Allocation, BudgetTotal, HolderRow, Settlement, settle_allocation};
 pub use summary::{BudgetSum, FleetSummary};
--- a/crates/core/src/quota/plan.rs
+++ b/crates/core/src/quota/plan.rs
@@ -1,12 +1,11 @@
 //! How much a router draws from a budget or returns to it.
 //!
-//! The routers hold nearly all of a budget, each in proportion to its demand,
-//! since an outage of the table may begin at any moment and no tokens can be
-//! moved during one. When demand shifts between routers, the holdings follow it
-//! from one checkpoint to the next.
-//!
-//! Constants that end in `LARGE` apply to large fleets, where each change of a
-//! total conflicts with the changes of many other routers.
+//! The holders of a budget hold nearly all of it, since an outage of the table may
+//! begin at any moment and no tokens can be drawn during one. In a small fleet each
+//! router holds a part in proportion to its demand; when demand shifts between
+//! routers, the holdings follow it from one checkpoint to the next. In a large fleet
+//! the few holders of a budget hold equal parts, since the others reserve tokens at
+//! any of them.
 
 use std::time::{Duration, Instant};
 
@@ -15,10 +14,6 @@
 /// Share of the remaining budget that the routers hold. The rest serves requests
 /// for which their router holds too little.
 const HELD_SHARE: f64 = 0.9;
-/// The same in a large fleet. A router is less likely to find what it needs in
-/// its own part there, and something must be left even if all holdings are at
-/// the upper limit of their range.
-const HELD_SHARE_LARGE: f64 = 0.6;
 /// A budget that lasts less than this time at the fleet's demand is scarce. The
 /// routers then hold less of it, so that any router can draw the last tokens.
 const SCARCE_TIME: Duration = Duration::from_secs(15);
@@ -26,17 +21,10 @@
 const REFILL_BELOW: f64 = 0.8;
 /// A holding above this multiple of its target is reduced to the target.
 const RETURN_ABOVE: f64 = 1.3;
-/// The same limits for a large fleet, wider since each change may conflict with
-/// those of other routers.
-const REFILL_BELOW_LARGE: f64 = 0.5;
-const RETURN_ABOVE_LARGE: f64 = 1.6;
 /// Least target in a large fleet, in typical requests. A smaller holding covers
 /// no request, and the small holdings of all routers would be most of what is
 /// left.
 const MIN_TARGET_LARGE: f64 = 2.0;
-/// Share of the remaining budget below which the pool of a large fleet is low.
-/// Routers that hold more than their target then return the excess.
-const LOW_POOL_LARGE: f64 = 0.1;
 /// Weights in a router's share: its part of the demand for this budget, its part
 /// of the demand for all budgets, and an even split. The last two steady the
 /// share, since the demand for one budget at one router is only a few requests
@@ -54,7 +42,9 @@
 const RATE_DELAY: Duration = Duration::from_millis(1400);
 /// Additional delay for each router, since checkpoints are less frequent in a
 /// larger fleet.
-const RATE_DELAY_PER_ROUTER: Duration = Duration::from_millis(15);
+const RATE_DELAY_PER_ROUTER: Duration = Duration::from_millis(6);
+/// Longest delay, so that a fleet of any size serves requests for most of an outage.
+const MAX_RATE_DELAY: Duration = Duration::from_secs(5);
 /// Rate of spending after the delay, as a multiple of the expected demand.
 const RATE_FACTOR: f64 = 2.0;
 /// Time in which a holding may be spent completely after the delay, however small
@@ -86,6 +76,10 @@
     pub others_held: u64,
     /// Number of live routers.
     pub routers: u32,
+    /// Number of routers that hold the budget.
+    pub holders: u32,
+    /// Whether this router is one of them.
+    pub is_holder: bool,
     /// Demand for this budget.
     pub demand: Demand,
     /// Demand for all budgets.
@@ -99,9 +93,12 @@
 impl PlanInput {
     /// The share of a budget that this router should hold.
     pub fn share(&self) -> f64 {
-        if self.stopping {
+        if self.stopping || !self.is_holder {
             return 0.0;
         }
+        if is_large_fleet(self.routers) {
+            return 1.0 / f64::from(self.holders.max(1));
+        }
         let even = 1.0 / f64::from(self.routers.max(1));
         let total = self.total_demand.part().unwrap_or(even);
         let own = self.demand.part().unwrap_or(total);
@@ -126,27 +123,14 @@
     } else {
         1.0
     };
-    let wanted = reduction * input.share() * left;
-    let (target, refill_below, return_above) = if is_large_fleet(input.routers) {
-        let target = HELD_SHARE_LARGE * wanted;
-        let is_worthwhile = target >= MIN_TARGET_LARGE * input.request_size(account);
-        let return_above = if pool < LOW_POOL_LARGE * left {
-            1.0
-        } else {
-            RETURN_ABOVE_LARGE
-        };
-        (
-            if is_worthwhile { target } else { 0.0 },
-            REFILL_BELOW_LARGE,
-            return_above,
-        )
-    } else {
-        (HELD_SHARE * wanted, REFILL_BELOW, RETURN_ABOVE)
-    };
+    let wanted = HELD_SHARE * reduction * input.share() * left;
+    let is_worthwhile =
+        !is_large_fleet(input.routers) || wanted >= MIN_TARGET_LARGE * input.request_size(account);
+    let target = if is_worthwhile { wanted } else { 0.0 };
     let (mut drawn, mut returned) = (0.0, 0.0);
-    if held < need || held < refill_below * target {
+    if held < need || held < REFILL_BELOW * target {
         drawn = (target.max(need) - held).min(pool);
-    } else if held > return_above * target {
+    } else if held > RETURN_ABOVE * target {
         returned = held - target.max(need);
     }
     Change {
@@ -174,6 +158,9 @@
     } else {
         0.0
     };
+    let delay = RATE_DELAY + RATE_DELAY_PER_ROUTER * input.routers;
+    let delay = delay.min(MAX_RATE_DELAY);
+
     let rate = if input.stopping {
         0
     } else {
@@ -183,7 +170,7 @@
         granted,
         spent,
         burst: burst as u64 + change.need,
-        delay_ms: (RATE_DELAY + RATE_DELAY_PER_ROUTER * input.routers).as_millis() as u64,
+        delay_ms: delay.as_millis() as u64,
         rate,
         demand: account.demand_rate(now) as u64,
     }
--- a/crates/core/src/quota/rows.rs
+++ b/crates/core/src/quota/rows.rs
@@ -28,6 +28,11 @@
 }
 
 impl Allocation {
+    /// Whether it says more than no allocation.
+    pub fn is_worth_writing(&self) -> bool {
+        self.granted > 0 || self.demand > 0
+    }
+
     /// The most that can have been spent `elapsed` after the write.
     pub fn max_spent(&self, elapsed: Duration) -> u64 {
         let beyond = elapsed.saturating_sub(Duration::from_millis(self.delay_ms));
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -21,6 +21,8 @@
         pool,
         others_held: 500_000,
         routers: 8,
+        holders: 8,
+        is_holder: true,
         demand,
         total_demand: demand,
         typical_size: 2_000,
@@ -137,6 +139,8 @@
         pool: 1_000_000,
         others_held: 0,
         routers: 8,
+        holders: 8,
+        is_holder: true,
         demand: Demand {
             own: 9_000.0,
             fleet: 10_000.0,
--- a/crates/core/tests/quota_contention.rs
+++ b/crates/core/tests/quota_contention.rs
@@ -65,6 +65,8 @@
         pool: PREPAID.saturating_sub(router.known[budget].0.granted),
         others_held: 0,
         routers: ROUTERS as u32,
+        holders: ROUTERS as u32,
+        is_holder: true,
         demand,
         total_demand: demand,
         typical_size: 2_000,
--- a/crates/router/src/relay/budgets/checkpoint.rs
+++ b/crates/router/src/relay/budgets/checkpoint.rs
@@ -24,15 +24,20 @@
     part: "all",
 };
 /// The first key after those of totals.
-const TOTAL_END: &str = "total0";
+pub(super) const TOTAL_END: &str = "total0";
 /// Time-out for each part of an answer to a read for the summary, and for its
 /// write.
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Shortest time between two checkpoints while no request waits.
 const MIN_PERIOD: Duration = Duration::from_millis(400);
-/// Time between checkpoints for each live router, so that all of them together
-/// use less than half of the writes that one partition of the store sustains.
-const PERIOD_PER_ROUTER: Duration = Duration::from_millis(10);
+/// Time between checkpoints of a router that holds tokens, for each live router: the
+/// writes that one partition of the store sustains in a second are more than those
+/// of all routers.
+const PERIOD_PER_ROUTER: Duration = Duration::from_millis(6);
+/// The same for routers that hold none. Their rows only say that they are live.
+const IDLE_PERIOD_PER_ROUTER: Duration = Duration::from_millis(12);
+/// Longest time between two checkpoints: a router counts as live a little longer.
+const MAX_PERIOD: Duration = Duration::from_secs(4);
 /// Conflicts of one checkpoint after which it changes only the holder row.
 const CONFLICT_LIMIT: u32 = 3;
 
@@ -74,7 +79,13 @@
     }
 
     fn period(&self) -> Duration {
-        MIN_PERIOD.max(PERIOD_PER_ROUTER * self.live_routers())
+        let state = lock(&self.state);
+        let each = if state.is_holder() {
+            PERIOD_PER_ROUTER
+        } else {
+            IDLE_PERIOD_PER_ROUTER
+        };
+        (each * state.routers()).clamp(MIN_PERIOD, MAX_PERIOD)
     }
 
     /// Waits after a conflict, so that writes of other routers can succeed.
@@ -212,7 +223,7 @@
                 state.summary_version,
                 &summary,
             );
-            state.summary = summary;
+            state.set_summary(summary);
             state.summary_at = Some(now);
             commit
         };
@@ -295,10 +306,13 @@
                 continue;
             };
             let (total, version) = state.total_row(name);
+            let holders = state.holders(name);
             let input = PlanInput {
                 pool: prepaid.saturating_sub(total.granted),
                 others_held: state.held_by_others(name),
                 routers,
+                holders: holders.len() as u32,
+                is_holder: holders.contains(&self.address),
                 demand: state.demand(Some(name), now),
                 total_demand: all,
                 typical_size,
@@ -356,7 +370,10 @@
             if scope != Scope::Own || account.held() >= change.need {
                 needs.push((name.clone(), change.need));
             }
-            allocations.push((name.clone(), allocation));
+            // A row without an allocation says as much as one of zeros.
+            if allocation.is_worth_writing() {
+                allocations.push((name.clone(), allocation));
+            }
             if chosen {
                 if let Some(settlement) = unsettled.remove(&**name) {
                     total.settle(&settlement);
--- /dev/null
+++ b/crates/router/src/relay/budgets/lending.rs
@@ -0,0 +1,452 @@
+//! Reservations at other routers: requests for leases, as a lender answers them and
+//! as a borrower sends them, and the messages that settle leases.
+//!
+//! Each message is a datagram. Requests that get no answer are sent once more with
+//! the same number and then cancelled; settlements are repeated until the lender
+//! confirms them. [`poplar_core::quota::Leases`] says why a lost, repeated or late
+//! message can't overspend a budget.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
+
+use poplar_base::log;
+use poplar_core::id::Name;
+use poplar_core::quota::{Begin, LeaseId, Leases};
+use poplar_core::sorted::SortedVec;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, oneshot};
+
+use super::{Budgets, Reservation, ReserveError, Source};
+use crate::sync::lock;
+
+/// Largest message in bytes.
+const MAX_MESSAGE_BYTES: usize = 4096;
+/// Time after which a request without an answer is sent again: several times that of
+/// an answer from another data centre.
+const RESEND_AFTER: Duration = Duration::from_millis(40);
+/// Time after which another lender is asked. A lender may wait for a checkpoint,
+/// which takes some ten milliseconds.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(160);
+/// Most lenders that are asked for one request.
+const MAX_LENDERS_ASKED: usize = 3;
+/// Time for which a lender that did not answer is asked only after the others.
+const SILENCE_TIME: Duration = Duration::from_secs(2);
+/// Time between two messages that settle the same lease.
+const SETTLE_PERIOD: Duration = Duration::from_millis(250);
+/// Time after which a settlement that is not confirmed is given up; the lender then
+/// counts the lease as used.
+const SETTLE_TIME: Duration = Duration::from_secs(30);
+/// Time in which settlements for one lender are collected.
+const COLLECT_TIME: Duration = Duration::from_millis(20);
+/// Most settlements in one message.
+const MAX_SETTLED: usize = 60;
+
+/// Tokens of this router's holding that another router uses.
+#[derive(Debug)]
+struct Lent {
+    budget: Name,
+    tokens: u64,
+}
+
+/// A lender's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reply {
+    Granted,
+    /// It has too few tokens; time until it may have enough, if it knows.
+    Refused(Option<Duration>),
+}
+
+/// A lease that ended at this router and that its lender has not confirmed.
+#[derive(Debug, Clone, Copy)]
+struct Unsettled {
+    lender: IpAddr,
+    number: u64,
+    used: u64,
+    since: Instant,
+    sent: Option<Instant>,
+}
+
+/// The leases that this router has granted and those that it has.
+#[derive(Debug, Default)]
+pub(super) struct Lending {
+    leases: Mutex<Leases<Lent>>,
+    asked: Mutex<SortedVec<u64, oneshot::Sender<Reply>>>,
+    unsettled: Mutex<Vec<Unsettled>>,
+    wake: Notify,
+    numbers: AtomicU64,
+    silent: Mutex<SortedVec<IpAddr, Instant>>,
+    /// The socket and the port of the other routers; unset where there is none.
+    socket: OnceLock<(UdpSocket, u16)>,
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Message {
+    Ask {
+        life: u64,
+        number: u64,
+        budget: Name,
+        tokens: u64,
+        /// Whether it is the first lender that is asked, whose demand it is.
+        first: bool,
+    },
+    Granted {
+        number: u64,
+    },
+    Refused {
+        number: u64,
+        after_ms: Option<u64>,
+    },
+    Settle {
+        life: u64,
+        /// Numbers and tokens used.
+        leases: Vec<(u64, u64)>,
+    },
+    Settled {
+        numbers: Vec<u64>,
+    },
+}
+
+/// A request for a lease that was not answered yet. Dropping it cancels the lease.
+struct Asking<'a> {
+    lending: &'a Lending,
+    lender: IpAddr,
+    number: u64,
+    is_answered: bool,
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        lock(&self.lending.asked).remove(&self.number);
+        if !self.is_answered {
+            self.lending.settle(self.lender, self.number, 0);
+        }
+    }
+}
+
+impl Lending {
+    /// Tells a lender how much of a lease was used.
+    pub(super) fn settle(&self, lender: IpAddr, number: u64, used: u64) {
+        lock(&self.unsettled).push(Unsettled {
+            lender,
+            number,
+            used,
+            since: Instant::now(),
+            sent: None,
+        });
+        self.wake.notify_one();
+    }
+
+    /// Number of leases that this router has granted, for the metrics.
+    pub(super) fn open_count(&self) -> usize {
+        lock(&self.leases).open_count()
+    }
+
+    fn send(&self, to: IpAddr, message: &Message) {
+        let Some((socket, port)) = self.socket.get() else {
+            return;
+        };
+        let bytes = serde_json::to_vec(message).expect("a message can be serialized");
+        // A message that can't be sent is lost like any other.
+        let _ = socket.try_send_to(&bytes, SocketAddr::new(to, *port));
+    }
+
+    /// Sends the settlements that are due; returns when the next one is.
+    fn send_settlements(&self, life: u64, now: Instant) -> Option<Instant> {
+        let mut due: SortedVec<IpAddr, Vec<(u64, u64)>> = SortedVec::new();
+        let mut unsettled = lock(&self.unsettled);
+        unsettled.retain(|lease| now < lease.since + SETTLE_TIME);
+        for lease in unsettled.iter_mut() {
+            if lease.sent.is_some_and(|at| now < at + SETTLE_PERIOD) {
+                continue;
+            }
+            let leases = due.get_or_insert_with(lease.lender, Vec::new);
+            if leases.len() < MAX_SETTLED {
+                leases.push((lease.number, lease.used));
+                lease.sent = Some(now);
+            }
+        }
+        let next = unsettled
+            .iter()
+            .map(|l| l.sent.map_or(now, |at| at + SETTLE_PERIOD));
+        let next = next.min();
+        drop(unsettled);
+        for (lender, leases) in due.to_vec() {
+            self.send(lender, &Message::Settle { life, leases });
+        }
+        next
+    }
+}
+
+impl Budgets {
+    /// Exchanges leases with other routers over `socket`, which has the same port
+    /// everywhere, until the process ends.
+    pub async fn run_lending(self: Arc<Self>, socket: UdpSocket) {
+        let Ok(address) = socket.local_addr() else {
+            return;
+        };
+        let (socket, _) = self.lending.socket.get_or_init(|| (socket, address.port()));
+        let settler = self.clone();
+        tokio::spawn(async move { settler.settle_leases().await });
+        let mut buffer = vec![0; MAX_MESSAGE_BYTES];
+        loop {
+            let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+                tokio::time::sleep(RESEND_AFTER).await;
+                continue;
+            };
+            match serde_json::from_slice(&buffer[..length]) {
+                Ok(message) => self.receive(from.ip(), message),
+                Err(why) => log::debug("lease message invalid").reason(why).write(),
+            }
+        }
+    }
+
+    async fn settle_leases(&self) {
+        loop {
+            tokio::time::sleep(COLLECT_TIME).await;
+            let now = Instant::now();
+            let expired = lock(&self.lending.leases).expire(now);
+            for lent in expired {
+                log::warn("lease not settled")
+                    .workspace(&lent.budget)
+                    .with("tokens", lent.tokens)
+                    .write();
+                self.end_lease(&lent, lent.tokens);
+            }
+            let next = self.lending.send_settlements(self.incarnation, now);
+            let wait = next.map_or(SETTLE_TIME, |at| at.saturating_duration_since(now));
+            let _ = tokio::time::timeout(wait, self.lending.wake.notified()).await;
+        }
+    }
+
+    fn end_lease(&self, lent: &Lent, used: u64) {
+        let mut state = lock(&self.state);
+        if let Some(account) = state.accounts.get_mut(&*lent.budget) {
+            account.settle(lent.tokens, used.min(lent.tokens));
+        }
+    }
+
+    fn receive(self: &Arc<Self>, from: IpAddr, message: Message) {
+        let now = Instant::now();
+        match message {
+            Message::Ask {
+                life,
+                number,
+                budget,
+                tokens,
+                first,
+            } => {
+                let id = LeaseId {
+                    router: from,
+                    incarnation: life,
+                    number,
+                };
+                self.answer(id, budget, tokens, first, now);
+            }
+            Message::Granted { number } => self.complete(number, Reply::Granted),
+            Message::Refused { number, after_ms } => {
+                let after = after_ms.map(Duration::from_millis);
+                self.complete(number, Reply::Refused(after));
+            }
+            Message::Settle { life, leases } => {
+                let numbers = leases.iter().map(|(number, _)| *number).collect();
+                for (number, used) in leases {
+                    let id = LeaseId {
+                        router: from,
+                        incarnation: life,
+                        number,
+                    };
+                    let lent = lock(&self.lending.leases).settle(id, now);
+                    if let Some(lent) = lent {
+                        self.end_lease(&lent, used);
+                    }
+                }
+                self.lending.send(from, &Message::Settled { numbers });
+            }
+            Message::Settled { numbers } => {
+                let is_other = |l: &Unsettled| l.lender != from || !numbers.contains(&l.number);
+                lock(&self.lending.unsettled).retain(is_other);
+            }
+        }
+    }
+
+    fn complete(&self, number: u64, reply: Reply) {
+        if let Some(waiting) = lock(&self.lending.asked).remove(&number) {
+            // The request may have ended meanwhile, which cancels the lease.
+            let _ = waiting.send(reply);
+        }
+    }
+
+    /// Answers a request for a lease, at once if this router holds enough.
+    fn answer(self: &Arc<Self>, id: LeaseId, budget: Name, tokens: u64, first: bool, now: Instant) {
+        let begin = lock(&self.lending.leases).begin(id, now);
+        match begin {
+            Begin::New => {}
+            Begin::Pending => return,
+            Begin::Granted => return self.reply(id, Reply::Granted),
+            Begin::Refused => return self.reply(id, Reply::Refused(None)),
+        }
+        if first {
+            self.record_demand(&budget, tokens, now);
+        }
+        if let Some(reserved) = self.reserve_held(&budget, tokens, now) {
+            return self.grant(id, reserved, now);
+        }
+        let lender = self.clone();
+        tokio::spawn(async move {
+            let reserved = lender
+                .reserve_here(&budget, u64::MAX, tokens, ANSWER_TIMEOUT)
+                .await;
+            let now = Instant::now();
+            match reserved {
+                Ok(reserved) => lender.grant(id, reserved, now),
+                Err(why) => {
+                    lock(&lender.lending.leases).refuse(id, now);
+                    let after = match why {
+                        ReserveError::Away { after } => after,
+                        ReserveError::Spent { .. } | ReserveError::Short => None,
+                    };
+                    lender.reply(id, Reply::Refused(after));
+                }
+            }
+        });
+    }
+
+    fn grant(&self, id: LeaseId, mut reserved: Reservation, now: Instant) {
+        reserved.source = Source::Lent;
+        let lent = Lent {
+            budget: reserved.workspace.clone(),
+            tokens: reserved.worst_case,
+        };
+        let unwanted = lock(&self.lending.leases).grant(id, lent, now);
+        match unwanted {
+            Some(lent) => self.end_lease(&lent, 0),
+            None => self.reply(id, Reply::Granted),
+        }
+    }
+
+    fn reply(&self, id: LeaseId, reply: Reply) {
+        let number = id.number;
+        let message = match reply {
+            Reply::Granted => Message::Granted { number },
+            Reply::Refused(after) => Message::Refused {
+                number,
+                after_ms: after.map(|after| after.as_millis() as u64),
+            },
+        };
+        self.lending.send(id.router, &message);
+    }
+
+    /// The other holders of a budget in the order in which they are asked: at random,
+    /// those last that did not answer a moment ago.
+    fn lenders(&self, workspace: &Name, now: Instant) -> Vec<IpAddr> {
+        let holders = lock(&self.state).holders(workspace);
+        let others = holders.iter().copied().filter(|at| *at != self.address);
+        let mut lenders: Vec<IpAddr> = others.collect();
+        let start = (rand::random::<f64>() * lenders.len() as f64) as usize;
+        lenders.rotate_left(start);
+        let silent = lock(&self.lending.silent);
+        let is_silent = |at: &IpAddr| silent.get(at).is_some_and(|until| now < *until);
+        lenders.sort_by_key(is_silent);
+        lenders.truncate(MAX_LENDERS_ASKED);
+        lenders
+    }
+
+    /// Reserves tokens at another holder of the budget. `counts` says whether the
+    /// request is part of the lender's demand rather than of this router's.
+    ///
+    /// # Errors
+    /// Whether any lender answered, and the time until one may have enough tokens.
+    pub(super) async fn borrow(
+        self: &Arc<Self>,
+        workspace: &Name,
+        tokens: u64,
+        counts: bool,
+    ) -> Result<Reservation, NoLender> {
+        let mut failed = NoLender::default();
+        for (place, lender) in self
+            .lenders(workspace, Instant::now())
+            .into_iter()
+            .enumerate()
+        {
+            let first = counts && place == 0;
+            let (outcome, result) = match self.ask(lender, workspace, tokens, first).await {
+                Some((number, Reply::Granted)) => {
+                    let source = Source::Lease { lender, number };
+                    ("granted", Some(source))
+                }
+                Some((_, Reply::Refused(after))) => {
+                    failed.answered = true;
+                    let soonest = failed.after.into_iter().chain(after).min();
+                    failed.after = soonest;
+                    ("refused", None)
+                }
+                None => {
+                    let until = Instant::now() + SILENCE_TIME;
+                    lock(&self.lending.silent).insert(lender, until);
+                    ("unanswered", None)
+                }
+            };
+            metrics::counter!("poplar_leases_total", "outcome" => outcome).increment(1);
+            if let Some(source) = result {
+                return Ok(Reservation {
+                    budgets: self.clone(),
+                    workspace: workspace.clone(),
+                    worst_case: tokens,
+                    used: 0,
+                    source,
+                });
+            }
+        }
+        Err(failed)
+    }
+
+    /// Asks one lender; `None` if it does not answer in time.
+    async fn ask(
+        &self,
+        lender: IpAddr,
+        workspace: &Name,
+        tokens: u64,
+        first: bool,
+    ) -> Option<(u64, Reply)> {
+        let lending = &self.lending;
+        lending.socket.get()?;
+        let number = lending.numbers.fetch_add(1, Ordering::AcqRel);
+        let (sender, mut reply) = oneshot::channel();
+        lock(&lending.asked).insert(number, sender);
+        let mut asking = Asking {
+            lending,
+            lender,
+            number,
+            is_answered: false,
+        };
+        let message = Message::Ask {
+            life: self.incarnation,
+            number,
+            budget: workspace.clone(),
+            tokens,
+            first,
+        };
+        for wait in [RESEND_AFTER, ANSWER_TIMEOUT - RESEND_AFTER] {
+            lending.send(lender, &message);
+            if let Ok(reply) = tokio::time::timeout(wait, &mut reply).await {
+                asking.is_answered = true;
+                return Some((number, reply.ok()?));
+            }
+        }
+        None
+    }
+}
+
+/// Why no lender granted a lease.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct NoLender {
+    /// Whether a lender answered that it has too few tokens.
+    pub(super) answered: bool,
+    /// Time until one may have enough.
+    pub(super) after: Option<Duration>,
+}
--- a/crates/router/src/relay/budgets/lifecycle.rs
+++ b/crates/router/src/relay/budgets/lifecycle.rs
@@ -10,12 +10,15 @@
 use poplar_platform::store::Error;
 
 use super::Budgets;
-use super::checkpoint::{Checkpoint, PARTITION, put_row};
-use super::state::{PendingWrite, TOTAL_PREFIX, decode};
+use super::checkpoint::{Checkpoint, PARTITION, TOTAL_END, put_row};
+use super::state::{PendingWrite, SUMMARY_KEY, TOTAL_PREFIX, decode};
 use crate::sync::lock;
 
-/// Time-out of the first read and of the first write.
-const TIMEOUT: Duration = Duration::from_millis(500);
+/// Shortest time-out of the first reads and of the first write.
+const MIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same for each live router: their first writes wait for each other if all start
+/// at once. A write that is repeated too early makes the others wait longer.
+const TIMEOUT_PER_ROUTER: Duration = Duration::from_millis(5);
 /// Most attempts of the last writes, since writes of other routers may
 /// conflict.
 const MAX_TRIES: u32 = 10;
@@ -35,9 +38,20 @@
     }
 
     async fn try_take_over(&self) -> Result<(), Error> {
+        // The summary tells how many routers there are.
+        let now = Instant::now();
+        let rows = self
+            .store
+            .read(PARTITION, SUMMARY_KEY, TOTAL_END, MIN_TIMEOUT)
+            .await?;
+        let timeout = {
+            let mut state = lock(&self.state);
+            state.record_snapshot(&rows, now);
+            MIN_TIMEOUT.max(TIMEOUT_PER_ROUTER * state.routers())
+        };
         // Upper bound of a range that contains no key but the own one.
         let end = format!("{}/", self.key);
-        let snapshot = self.store.read(PARTITION, &self.key, &end, TIMEOUT).await?;
+        let snapshot = self.store.read(PARTITION, &self.key, &end, timeout).await?;
         let own = snapshot.rows.iter().find(|row| row.key == self.key);
         let version = own.map_or(0, |row| row.version);
         let previous: HolderRow = own.and_then(decode).unwrap_or_default();
@@ -54,7 +68,7 @@
         };
         let mut commit = Commit::default();
         put_row(&mut commit, self.key.clone(), version, &next);
-        let committed = self.store.commit(PARTITION, commit, TIMEOUT).await?;
+        let committed = self.store.commit(PARTITION, commit, timeout).await?;
         for (name, settlement) in &settlements {
             log::info("grant of previous process settled")
                 .workspace(name)
--- a/crates/router/src/relay/budgets/mod.rs
+++ b/crates/router/src/relay/budgets/mod.rs
@@ -6,9 +6,11 @@
 //! task writes the router's row periodically, as a checkpoint, and in the same
 //! transaction the total of each budget from which it takes tokens or to which
 //! it returns some. A request that finds too few tokens waits for the next
-//! checkpoint, and is refused if that does not help.
+//! checkpoint, or its tokens are reserved at another router (`lending`) that holds
+//! a part of the budget. It is refused if that does not help.
 
 mod checkpoint;
+mod lending;
 mod lifecycle;
 mod state;
 
@@ -17,12 +19,13 @@
 use std::time::{Duration, Instant};
 
 use poplar_core::id::Name;
-use poplar_core::quota::Account;
+use poplar_core::quota::{Account, is_large_fleet};
 use poplar_platform::store::Store;
 use tokio::sync::Notify;
 
 use crate::relay::state::format_age;
 use crate::sync::lock;
+use lending::Lending;
 use state::{HOLDER_PREFIX, State};
 
 /// Age up to which the summary of all routers can prove that a budget is spent.
@@ -67,6 +70,24 @@
     wake: Notify,
     /// Notified after each attempt to write a checkpoint.
     written: Notify,
+    /// Reservations at other routers, and those of others here.
+    lending: Lending,
+}
+
+/// Where the tokens of a reservation come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// This router's holding.
+    Own,
+    /// Another router's holding.
+    Lease {
+        /// The router.
+        lender: IpAddr,
+        /// Identifies the lease there.
+        number: u64,
+    },
+    /// This router's holding, for a request at another router, which ends it.
+    Lent,
 }
 
 /// Tokens reserved for a request. Dropping it frees those that were not used.
@@ -77,13 +98,29 @@
     worst_case: u64,
     /// Tokens used so far.
     pub used: u64,
+    source: Source,
+}
+
+/// The router at which tokens are reserved as it is logged, `none` if it is this one.
+pub fn format_lender(reservation: Option<&Reservation>) -> String {
+    match reservation.map(|r| r.source) {
+        Some(Source::Lease { lender, .. }) => lender.to_string(),
+        _ => "none".to_owned(),
+    }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let mut state = lock(&self.budgets.state);
-        if let Some(account) = state.accounts.get_mut(&*self.workspace) {
-            account.settle(self.worst_case, self.used.min(self.worst_case));
+        let used = self.used.min(self.worst_case);
+        match self.source {
+            Source::Own => {
+                let mut state = lock(&self.budgets.state);
+                if let Some(account) = state.accounts.get_mut(&*self.workspace) {
+                    account.settle(self.worst_case, used);
+                }
+            }
+            Source::Lease { lender, number } => self.budgets.lending.settle(lender, number, used),
+            Source::Lent => {}
         }
     }
 }
@@ -99,6 +136,7 @@
             incarnation,
             wake: Notify::new(),
             written: Notify::new(),
+            lending: Lending::default(),
         })
     }
 
@@ -127,9 +165,14 @@
         state.accounts.iter().map(free).collect()
     }
 
-    /// Reserves `worst_case` tokens of a workspace's budget. Waits for
-    /// checkpoints that may provide them. If the store can't be reached, waits
-    /// up to `longest_wait` for the allocation to allow them.
+    /// Number of leases that this router has granted, for the metrics.
+    pub fn open_leases(&self) -> usize {
+        self.lending.open_count()
+    }
+
+    /// Reserves `worst_case` tokens of a workspace's budget: from this router's
+    /// holding, or at another holder of the budget. Waits up to `longest_wait` for
+    /// tokens that become available with time.
     ///
     /// # Errors
     /// [`ReserveError`] says why not; nothing is reserved then.
@@ -139,9 +182,87 @@
         prepaid: u64,
         worst_case: u64,
         longest_wait: Duration,
+    ) -> Result<Reservation, ReserveError> {
+        let began = Instant::now();
+        let until = began + longest_wait;
+        if self.holds(workspace) {
+            self.record_demand(workspace, worst_case, began);
+            let reserved = self.reserve_here(workspace, prepaid, worst_case, longest_wait);
+            let refused = match reserved.await {
+                Err(why @ (ReserveError::Short | ReserveError::Away { .. })) => why,
+                other => return other,
+            };
+            let borrowed = self.borrow(workspace, worst_case, false).await;
+            return borrowed.map_err(|_| refused);
+        }
+        // Later lenders are asked at once, and the demand counts only once.
+        let mut counts = true;
+        loop {
+            let now = Instant::now();
+            if let Some(reserved) = self.reserve_held(workspace, worst_case, now) {
+                return Ok(reserved);
+            }
+            let failed = match self.borrow(workspace, worst_case, counts).await {
+                Ok(reserved) => return Ok(reserved),
+                Err(failed) => failed,
+            };
+            counts = false;
+            let now = Instant::now();
+            let wait = failed.after.map(|after| after.max(MIN_ALLOCATION_WAIT));
+            if let Some(wait) = wait.filter(|wait| now + *wait <= until) {
+                tokio::time::sleep(wait).await;
+                continue;
+            }
+            if failed.after.is_some() {
+                let after = failed.after;
+                return Err(ReserveError::Away { after });
+            }
+            if failed.answered {
+                return Err(self.reserve_error(workspace, prepaid, worst_case, now));
+            }
+            // No holder can be reached, but the store may be.
+            let left = until.saturating_duration_since(now);
+            return self
+                .reserve_here(workspace, prepaid, worst_case, left)
+                .await;
+        }
+    }
+
+    /// Whether this router is to hold a part of a budget: in a small fleet each does.
+    fn holds(&self, workspace: &Name) -> bool {
+        let mut state = lock(&self.state);
+        !is_large_fleet(state.routers()) || state.holders(workspace).contains(&self.address)
+    }
+
+    /// Reserves tokens of this router's holding, if it has enough now.
+    fn reserve_held(
+        self: &Arc<Self>,
+        workspace: &Name,
+        worst_case: u64,
+        now: Instant,
+    ) -> Option<Reservation> {
+        let has_enough = {
+            let state = lock(&self.state);
+            let account = state.accounts.get(&**workspace);
+            account.is_some_and(|account| account.free(now) >= worst_case)
+        };
+        // Otherwise the tokens would be needed from the next checkpoint.
+        has_enough
+            .then(|| self.try_reserve(workspace, worst_case, now))
+            .flatten()
+    }
+
+    /// Reserves tokens of this router's holding. Waits for checkpoints that may
+    /// provide them. If the store can't be reached, waits up to `longest_wait` for
+    /// the allocation to allow them.
+    async fn reserve_here(
+        self: &Arc<Self>,
+        workspace: &Name,
+        prepaid: u64,
+        worst_case: u64,
+        longest_wait: Duration,
     ) -> Result<Reservation, ReserveError> {
         let until = Instant::now() + longest_wait;
-        self.record_demand(workspace, worst_case, Instant::now());
         for _ in 0..MAX_WRITES_AWAITED {
             let written = self.written.notified();
             let now = Instant::now();
@@ -227,6 +348,7 @@
             workspace: workspace.clone(),
             worst_case,
             used: 0,
+            source: Source::Own,
         })
     }
 
@@ -258,7 +380,8 @@
 
     /// The figures on which a refusal is based, for the log.
     pub fn evidence(&self, workspace: &Name, prepaid: u64, now: Instant) -> String {
-        let state = lock(&self.state);
+        let mut state = lock(&self.state);
+        let holders = state.holders(workspace).len();
         let (total, _) = state.total_row(workspace);
         let age = |at: Option<Instant>| format_age(at.map(|at| now.saturating_duration_since(at)));
         let account = state.accounts.get(&**workspace);
@@ -267,11 +390,12 @@
         let left = state.unspent(workspace, prepaid);
         format!(
             "prepaid {prepaid} taken {} left {left} granted {granted} spent {spent} \
-             free {} rate {:.0} routers {} totals_age {} sums_age {}",
+             free {} rate {:.0} routers {} holders {} totals_age {} sums_age {}",
             total.granted,
             account.map_or(0, |a| a.free(now)),
             account.map_or(0.0, |a| a.demand_rate(now)),
             state.routers(),
+            holders,
             age(state.totals_at),
             age(state.summary_at),
         )
--- a/crates/router/src/relay/budgets/state.rs
+++ b/crates/router/src/relay/budgets/state.rs
@@ -2,12 +2,13 @@
 //! accounts.
 
 use std::net::IpAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
 use poplar_core::id::Name;
 use poplar_core::quota::{
-    Account, BudgetTotal, Demand, FleetSummary, HolderRow, Settlement, TableTimeout,
+    self, Account, BudgetTotal, Demand, FleetSummary, HolderRow, Settlement, TableTimeout,
 };
 use poplar_core::sorted::SortedVec;
 use poplar_platform::rows::{Row, Snapshot};
@@ -67,6 +68,9 @@
     pub(super) failed_at: Option<Instant>,
     /// When a checkpoint that may change totals was last completed.
     pub(super) rebalanced_at: Option<Instant>,
+    /// Holders of budgets among the routers of the summary, and their intended
+    /// number, as far as they were needed.
+    pub(super) holders: SortedVec<Name, (usize, Arc<[IpAddr]>)>,
 }
 
 impl State {
@@ -141,7 +145,7 @@
             let age = snapshot.clock_ms.saturating_sub(summary.clock);
             self.summary_at = now.checked_sub(Duration::from_millis(age));
             self.summary_version = row.version;
-            self.summary = summary;
+            self.set_summary(summary);
         }
     }
 
@@ -156,6 +160,34 @@
         sizes.iter().sum::<u64>() / (sizes.len() as u64).max(1)
     }
 
+    /// The routers that hold a budget; this one is among them only if its row is in
+    /// the summary.
+    pub(super) fn holders(&mut self, name: &Name) -> Arc<[IpAddr]> {
+        let count = quota::holder_count(self.summary.sum(name).demand, self.summary.routers.len());
+        if let Some((known, holders)) = self.holders.get(name)
+            && *known == count
+        {
+            return holders.clone();
+        }
+        let holders: Arc<[IpAddr]> = quota::holders(name, &self.summary.routers, count).into();
+        self.holders.insert(name.clone(), (count, holders.clone()));
+        holders
+    }
+
+    /// Replaces the summary.
+    pub(super) fn set_summary(&mut self, summary: FleetSummary) {
+        if summary.routers != self.summary.routers {
+            self.holders = SortedVec::new();
+        }
+        self.summary = summary;
+    }
+
+    /// Whether this router holds tokens or is to hold some.
+    pub(super) fn is_holder(&self) -> bool {
+        let mut accounts = self.accounts.iter();
+        accounts.any(|(_, account)| account.held() > 0 || account.need() > 0)
+    }
+
     /// Tokens of a budget that the other routers hold.
     pub(super) fn held_by_others(&self, name: &str) -> u64 {
         let account = self.accounts.get(name);
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -13,7 +13,6 @@
 use hyper::body::Incoming;
 use poplar_base::log;
 use poplar_core::affinity::Query;
-use poplar_core::availability::Reason;
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
 use poplar_core::retry::{Failure, Refusal as ServerRefusal};
@@ -21,9 +20,9 @@
 use poplar_platform::headers::{self, ForwardOptions, ResponseHead};
 use tokio::time::timeout;
 
-use crate::relay::budgets::Reservation;
+use crate::relay::budgets::{Reservation, format_lender};
 use crate::relay::crashes::Evidence;
-use crate::relay::refusal::Refusal;
+use crate::relay::refusal::{self, Refusal};
 use crate::relay::request::{CRASHES_SERVERS, ClientRequest};
 use crate::relay::servers::{InFlight, Unavailable};
 use crate::relay::state::{OpenRequest, Relay};
@@ -208,7 +207,8 @@
                     return Err(self.give_up(Failure::Connect, NO_VERSION, now));
                 }
                 Err(Unavailable::Closed { reason, wait }) => {
-                    let mut refusal = self.give_up(Failure::Connect, closed_text(reason), now);
+                    let mut refusal =
+                        self.give_up(Failure::Connect, refusal::closed_text(reason), now);
                     refusal.retry_after = refusal.retry_after.map(|short| wait.unwrap_or(short));
                     return Err(refusal);
                 }
@@ -468,16 +468,6 @@
     }
 }
 
-/// Why a request is refused if all servers of its service are closed.
-fn closed_text(reason: Reason) -> &'static str {
-    match reason {
-        Reason::Limited => "servers limited",
-        Reason::Paused => "servers paused",
-        Reason::Leaving => "servers leaving",
-        Reason::Draining | Reason::Ejected => "no server",
-    }
-}
-
 impl Drop for Exchange {
     fn drop(&mut self) {
         let now = Instant::now();
@@ -502,6 +492,7 @@
             .with("runs", self.runs)
             .with("server", self.last_server.as_deref().unwrap_or("none"))
             .with("tokens", self.reservation.as_ref().map_or(0, |r| r.used))
+            .with("lender", format_lender(self.reservation.as_ref()))
             .with("first_ms", first.as_millis())
             .with("took_ms", took.as_millis())
             .write();
--- a/crates/router/src/relay/lifecycle.rs
+++ b/crates/router/src/relay/lifecycle.rs
@@ -68,6 +68,14 @@
     tokio::spawn(limits::run(relay.clone()));
     tokio::spawn(streams::table::run(relay.clone()));
     tokio::spawn(gossip::run(relay.clone()));
+    let leases = SocketAddr::new(relay.settings.ip, relay.settings.internal_ports.1);
+    match tokio::net::UdpSocket::bind(leases).await {
+        Ok(socket) => {
+            tokio::spawn(relay.budgets.clone().run_lending(socket));
+        }
+        // Requests are then served from this router's own holding only.
+        Err(why) => log::error("leases disabled").reason(why).write(),
+    }
     let budgets = relay.budgets.clone();
     let state = relay.clone();
     let budget_task = tokio::spawn(budgets.run(move || state.deployment()));
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -87,6 +87,7 @@
         }
         metrics::gauge!("poplar_resumable_streams").set(relay.streams.count() as f64);
         metrics::gauge!("poplar_routers").set(f64::from(relay.budgets.live_routers()));
+        metrics::gauge!("poplar_leases_open").set(relay.budgets.open_leases() as f64);
         let version = relay
             .deployment()
             .map_or(0, |deployment| deployment.version);
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -9,6 +9,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
+use poplar_core::availability::Reason;
 use poplar_platform::headers;
 
 /// The body of a response.
@@ -80,3 +81,13 @@
     let never = |never: std::convert::Infallible| match never {};
     Full::new(bytes).map_err(never).boxed_unsync()
 }
+
+/// Why a request is refused if all servers of its service are closed.
+pub fn closed_text(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Limited => "servers limited",
+        Reason::Paused => "servers paused",
+        Reason::Leaving => "servers leaving",
+        Reason::Draining | Reason::Ejected => "no server",
+    }
+}
--- a/crates/router/src/relay/servers/notices.rs
+++ b/crates/router/src/relay/servers/availability.rs
@@ -1,17 +1,40 @@
-//! What servers say in their answers of further requests, see
-//! [`poplar_core::availability`].
+//! Whether servers get requests, and what they say in their answers of further ones,
+//! see [`poplar_core::availability`].
 
 use std::time::Instant;
 
 use poplar_base::log;
-use poplar_core::availability::{Availability, Heard, Reason};
+use poplar_core::availability::{Availability, Heard, Notices, Reason, Signals};
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
+use poplar_core::route::server::HealthState;
+use poplar_core::server_limit::Limits;
 use poplar_platform::headers::{LeavingNotice, PauseNotice};
 
-use super::{InFlight, Servers, State, availability};
+use super::{InFlight, Servers, State, Trackers, limits};
 use crate::sync::lock;
 
+/// Whether a server gets requests now.
+pub(super) fn availability(
+    limits: &mut Limits,
+    health: &Trackers,
+    notices: &Notices,
+    server: &Server,
+    now: Instant,
+) -> Availability {
+    let signals = Signals {
+        ready: server.ready,
+        limit: limits::allowance(limits, server, now),
+        health: health_state(health, server, now),
+    };
+    notices.availability(&server.id, server.started_ms, signals, now)
+}
+
+pub(super) fn health_state(health: &Trackers, server: &Server, now: Instant) -> HealthState {
+    let tracker = health.get(&*server.service);
+    tracker.map_or(HealthState::Healthy, |t| t.state(&server.id, now))
+}
+
 impl Servers {
     /// Whether a request may still be sent to a server that was chosen for it.
     pub fn is_open(&self, server: &Server, now: Instant) -> bool {
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -6,8 +6,8 @@
 //! counts the request at the server until it is dropped. Requests to servers that
 //! name a limit need a permit, see [`limits`].
 
+mod availability;
 pub mod limits;
-mod notices;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -15,15 +15,16 @@
 
 use poplar_base::log;
 use poplar_core::affinity::{self, Candidate, Choice, Query};
-use poplar_core::availability::{Availability, Notices, Reason, Signals};
+use poplar_core::availability::{Availability, Notices, Reason};
 use poplar_core::deployment::{Server, ServerList};
 use poplar_core::health::{Change, HealthTracker};
 use poplar_core::id::Name;
-use poplar_core::route::server::HealthState;
 use poplar_core::server_limit::Limits;
 use poplar_core::sorted::SortedVec;
 use poplar_platform::headers::ServerLoad;
 
+use availability::{availability, health_state};
+
 use crate::relay::gossip::{LoadMessage, ServerWork};
 use crate::sync::lock;
 
@@ -136,27 +137,6 @@
     }
 }
 
-/// Whether a server gets requests now.
-fn availability(
-    limits: &mut Limits,
-    health: &Trackers,
-    notices: &Notices,
-    server: &Server,
-    now: Instant,
-) -> Availability {
-    let signals = Signals {
-        ready: server.ready,
-        limit: limits::allowance(limits, server, now),
-        health: health_state(health, server, now),
-    };
-    notices.availability(&server.id, server.started_ms, signals, now)
-}
-
-fn health_state(health: &Trackers, server: &Server, now: Instant) -> HealthState {
-    let tracker = health.get(&*server.service);
-    tracker.map_or(HealthState::Healthy, |t| t.state(&server.id, now))
-}
-
 /// Requests that the other routers have at a server, and their prefill tokens.
 fn peer_work(peers: &Peers, id: &str, now: Instant) -> (u32, u64) {
     let is_current =
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! The relay between stand-ins for clients, backend servers and the platform's
 //! store.
 
+mod budget_leases;
 mod crash_reports;
 mod crash_trials;
 mod crashing_parts;
