Have all routers agree on the number of holders of a budget

What callers saw: from second 9 on of an outage that began at 5.4 s, requests of the largest workspace were refused as 'budget elsewhere' with most of it unspent.

Change: the number follows the size of the budget, which all have from the same configuration. Up to six holders are asked, of which two may not answer.

Conclusion: routers disagree only while a change of the prepaid tokens spreads.

--- a/crates/core/src/quota/holders.rs
+++ b/crates/core/src/quota/holders.rs
@@ -4,7 +4,9 @@
 //! parts would be smaller than a request, however much of the budget is left. Each
 //! budget therefore has a few holders, which all routers determine alike from the
 //! live routers, and the others [reserve](super::Leases) tokens there. Their number
-//! depends on the demand for the budget, and not on the number of routers.
+//! depends on the size of the budget, which all routers have from the same
+//! configuration, and not on the number of routers. Routers that disagree about it
+//! would use up what the first holders have while the last ones have enough.
 
 use std::net::IpAddr;
 
@@ -15,17 +17,16 @@
 const MIN_HOLDERS: usize = 3;
 /// Most holders.
 const MAX_HOLDERS: usize = 16;
-/// Demand for which there is one holder, in tokens a second. At some thousand tokens
-/// a request these are about ten reservations a second, which the smallest hosts
-/// answer.
-const DEMAND_PER_HOLDER: u64 = 100_000;
+/// Tokens of a budget for which there is one holder. Large budgets are used faster, and
+/// the smallest hosts answer some ten reservations a second.
+const TOKENS_PER_HOLDER: u64 = 500_000;
 
-/// Number of holders of a budget with this demand in tokens a second.
-pub fn holder_count(demand: u64, routers: usize) -> usize {
+/// Number of holders of a budget of `prepaid` tokens.
+pub fn holder_count(prepaid: u64, routers: usize) -> usize {
     if !is_large_fleet(routers as u32) {
         return routers;
     }
-    let wanted = (demand / DEMAND_PER_HOLDER) as usize;
+    let wanted = (prepaid / TOKENS_PER_HOLDER) as usize;
     wanted.clamp(MIN_HOLDERS, MAX_HOLDERS)
 }
 
--- a/crates/router/src/relay/budgets/checkpoint.rs
+++ b/crates/router/src/relay/budgets/checkpoint.rs
@@ -306,7 +306,7 @@
                 continue;
             };
             let (total, version) = state.total_row(name);
-            let holders = state.holders(name);
+            let holders = state.holders(name, prepaid);
             let input = PlanInput {
                 pool: prepaid.saturating_sub(total.granted),
                 others_held: state.held_by_others(name),
--- a/crates/router/src/relay/budgets/lending.rs
+++ b/crates/router/src/relay/budgets/lending.rs
@@ -30,8 +30,9 @@
 /// Time after which another lender is asked. A lender may wait for a checkpoint,
 /// which takes some ten milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(160);
-/// Most lenders that are asked for one request.
-const MAX_LENDERS_ASKED: usize = 3;
+/// Most lenders that are asked for one request, and how many of them may not answer.
+const MAX_LENDERS_ASKED: usize = 6;
+const MAX_UNANSWERED: u32 = 2;
 /// Time for which a lender that did not answer is asked only after the others.
 const SILENCE_TIME: Duration = Duration::from_secs(2);
 /// Time between two messages that settle the same lease.
@@ -343,8 +344,8 @@
 
     /// The other holders of a budget in the order in which they are asked: at random,
     /// those last that did not answer a moment ago.
-    fn lenders(&self, workspace: &Name, now: Instant) -> Vec<IpAddr> {
-        let holders = lock(&self.state).holders(workspace);
+    fn lenders(&self, workspace: &Name, prepaid: u64, now: Instant) -> Vec<IpAddr> {
+        let holders = lock(&self.state).holders(workspace, prepaid);
         let others = holders.iter().copied().filter(|at| *at != self.address);
         let mut lenders: Vec<IpAddr> = others.collect();
         let start = (rand::random::<f64>() * lenders.len() as f64) as usize;
@@ -364,12 +365,14 @@
     pub(super) async fn borrow(
         self: &Arc<Self>,
         workspace: &Name,
+        prepaid: u64,
         tokens: u64,
         counts: bool,
     ) -> Result<Reservation, NoLender> {
         let mut failed = NoLender::default();
+        let mut unanswered = 0;
         for (place, lender) in self
-            .lenders(workspace, Instant::now())
+            .lenders(workspace, prepaid, Instant::now())
             .into_iter()
             .enumerate()
         {
@@ -388,6 +391,7 @@
                 None => {
                     let until = Instant::now() + SILENCE_TIME;
                     lock(&self.lending.silent).insert(lender, until);
+                    unanswered += 1;
                     ("unanswered", None)
                 }
             };
@@ -401,6 +405,9 @@
                     source,
                 });
             }
+            if unanswered >= MAX_UNANSWERED {
+                break;
+            }
         }
         Err(failed)
     }
--- a/crates/router/src/relay/budgets/mod.rs
+++ b/crates/router/src/relay/budgets/mod.rs
@@ -185,14 +185,14 @@
     ) -> Result<Reservation, ReserveError> {
         let began = Instant::now();
         let until = began + longest_wait;
-        if self.holds(workspace) {
+        if self.holds(workspace, prepaid) {
             self.record_demand(workspace, worst_case, began);
             let reserved = self.reserve_here(workspace, prepaid, worst_case, longest_wait);
             let refused = match reserved.await {
                 Err(why @ (ReserveError::Short | ReserveError::Away { .. })) => why,
                 other => return other,
             };
-            let borrowed = self.borrow(workspace, worst_case, false).await;
+            let borrowed = self.borrow(workspace, prepaid, worst_case, false).await;
             return borrowed.map_err(|_| refused);
         }
         // Later lenders are asked at once, and the demand counts only once.
@@ -202,7 +202,7 @@
             if let Some(reserved) = self.reserve_held(workspace, worst_case, now) {
                 return Ok(reserved);
             }
-            let failed = match self.borrow(workspace, worst_case, counts).await {
+            let failed = match self.borrow(workspace, prepaid, worst_case, counts).await {
                 Ok(reserved) => return Ok(reserved),
                 Err(failed) => failed,
             };
@@ -229,9 +229,10 @@
     }
 
     /// Whether this router is to hold a part of a budget: in a small fleet each does.
-    fn holds(&self, workspace: &Name) -> bool {
+    fn holds(&self, workspace: &Name, prepaid: u64) -> bool {
         let mut state = lock(&self.state);
-        !is_large_fleet(state.routers()) || state.holders(workspace).contains(&self.address)
+        !is_large_fleet(state.routers())
+            || state.holders(workspace, prepaid).contains(&self.address)
     }
 
     /// Reserves tokens of this router's holding, if it has enough now.
@@ -381,7 +382,7 @@
     /// The figures on which a refusal is based, for the log.
     pub fn evidence(&self, workspace: &Name, prepaid: u64, now: Instant) -> String {
         let mut state = lock(&self.state);
-        let holders = state.holders(workspace).len();
+        let holders = state.holders(workspace, prepaid).len();
         let (total, _) = state.total_row(workspace);
         let age = |at: Option<Instant>| format_age(at.map(|at| now.saturating_duration_since(at)));
         let account = state.accounts.get(&**workspace);
--- a/crates/router/src/relay/budgets/state.rs
+++ b/crates/router/src/relay/budgets/state.rs
@@ -160,10 +160,10 @@
         sizes.iter().sum::<u64>() / (sizes.len() as u64).max(1)
     }
 
-    /// The routers that hold a budget; this one is among them only if its row is in
-    /// the summary.
-    pub(super) fn holders(&mut self, name: &Name) -> Arc<[IpAddr]> {
-        let count = quota::holder_count(self.summary.sum(name).demand, self.summary.routers.len());
+    /// The routers that hold a budget of `prepaid` tokens; this one is among them only
+    /// if its row is in the summary.
+    pub(super) fn holders(&mut self, name: &Name, prepaid: u64) -> Arc<[IpAddr]> {
+        let count = quota::holder_count(prepaid, self.summary.routers.len());
         if let Some((known, holders)) = self.holders.get(name)
             && *known == count
         {
