Hold nearly all of a budget in large fleets, and spend it from the start

(2) The average demand begins at zero, which made bursts and rates too small for 8 s after each start. (3) The burst covered 2 s, the delay after which more may be spent is 3.2 s with 295 routers, and grew with their number. (4) Holders gave a budget back that was used fast, as routers without leases had to, just before an outage in which it can't be drawn.

--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -6,6 +6,9 @@
 
 /// Time constant of the exponential average of the demand.
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(8);
+/// Least time over which the demand is averaged at first. The average of a shorter time
+/// says little.
+const MIN_DEMAND_TIME: Duration = Duration::from_secs(2);
 /// EWMA smoothing factor of the typical request size.
 const SIZE_SMOOTHING: f64 = 0.15;
 
@@ -29,6 +32,8 @@
     /// Demand in tokens a second as of `rate_at`.
     rate: f64,
     rate_at: Option<Instant>,
+    /// When the first request came.
+    first_at: Option<Instant>,
     typical_size: f64,
     need: u64,
 }
@@ -98,7 +103,8 @@
         self.unconfirmed.iter().map(of).fold(confirmed, u64::min)
     }
 
-    /// Tokens requested a second, as an exponential average.
+    /// Tokens requested a second, as an exponential average. It is too low at first,
+    /// which keeps a router that starts before others from taking their parts.
     pub fn demand_rate(&self, now: Instant) -> f64 {
         let idle = self
             .rate_at
@@ -106,11 +112,22 @@
         self.rate * (-idle / DEMAND_TIME_CONSTANT.as_secs_f64()).exp()
     }
 
+    /// The same over the time since the first request only.
+    pub fn early_demand_rate(&self, now: Instant) -> f64 {
+        let Some(first) = self.first_at else {
+            return 0.0;
+        };
+        let since = now.saturating_duration_since(first).max(MIN_DEMAND_TIME);
+        let covered = 1.0 - (-since.as_secs_f64() / DEMAND_TIME_CONSTANT.as_secs_f64()).exp();
+        self.demand_rate(now) / covered
+    }
+
     /// Records a request for `tokens`, whether or not it is granted.
     pub fn record_demand(&mut self, tokens: u64, now: Instant) {
         self.typical_size += SIZE_SMOOTHING * (tokens as f64 - self.typical_size);
         self.rate = self.demand_rate(now) + tokens as f64 / DEMAND_TIME_CONSTANT.as_secs_f64();
         self.rate_at = Some(now);
+        self.first_at.get_or_insert(now);
     }
 
     /// Reserves `tokens`; otherwise adds them to the need and returns false.
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -29,7 +29,7 @@
 pub use contention::{Change, conflict_backoff, is_large_fleet, max_read_age, select_changes};
 pub use holders::{holder_count, holders};
 pub use lease::{Begin, LeaseId, Leases};
-pub use plan::{Demand, PlanInput, plan_allocation, wanted_change};
+pub use plan::{Demand, PlanInput, demand_rate, plan_allocation, wanted_change};
 pub use rows::{Allocation, BudgetTotal, HolderRow, Settlement, settle_allocation};
 pub use summary::{BudgetSum, FleetSummary};
 pub use timeout::TableTimeout;
--- a/crates/core/src/quota/plan.rs
+++ b/crates/core/src/quota/plan.rs
@@ -14,8 +14,12 @@
 /// Share of the remaining budget that the routers hold. The rest serves requests
 /// for which their router holds too little.
 const HELD_SHARE: f64 = 0.9;
+/// The same in a large fleet, where a router that holds too little reserves what it
+/// needs at another holder. What is left can't be reached during an outage.
+const HELD_SHARE_LARGE: f64 = 0.97;
 /// A budget that lasts less than this time at the fleet's demand is scarce. The
-/// routers then hold less of it, so that any router can draw the last tokens.
+/// routers of a small fleet then hold less of it, so that any router can draw the last
+/// tokens.
 const SCARCE_TIME: Duration = Duration::from_secs(15);
 /// A holding below this fraction of its target is filled up to the target.
 const REFILL_BELOW: f64 = 0.8;
@@ -30,10 +34,14 @@
 /// share, since the demand for one budget at one router is only a few requests
 /// in the time over which it is averaged.
 const SHARE_WEIGHTS: (f64, f64, f64) = (0.35, 0.5, 0.15);
-/// Time of the expected demand that the burst covers in a large fleet.
+/// Least time of the expected demand that the burst covers in a large fleet. It covers
+/// the delay, too: an outage may begin at any moment.
 const BURST_TIME: Duration = Duration::from_millis(2000);
 /// Typical requests that the burst covers in addition.
 const BURST_REQUESTS: f64 = 1.0;
+/// Least share of a holding that the burst is, for requests that come before the demand
+/// is known: all holders would have to write an allocation for the first one at once.
+const MIN_BURST_SHARE: f64 = 0.06;
 /// Largest share of a holding that the burst may be. If all routers are killed
 /// at once, their bursts are stranded.
 const MAX_BURST_SHARE: f64 = 0.3;
@@ -111,22 +119,37 @@
     }
 }
 
+/// Demand at an account in tokens a second. The holders of a large fleet have equal
+/// parts, so that the demand only says how fast they may spend them, and it is not to
+/// be underestimated.
+pub fn demand_rate(account: &Account, routers: u32, now: Instant) -> f64 {
+    if is_large_fleet(routers) {
+        account.early_demand_rate(now)
+    } else {
+        account.demand_rate(now)
+    }
+}
+
 /// What an account should draw from its budget or return to it.
 pub fn wanted_change(account: &Account, input: &PlanInput) -> Change {
     let held = account.held() as f64;
     let need = account.need() as f64;
     let pool = input.pool as f64;
     let left = pool + held + input.others_held as f64;
-    let scarce_below = input.demand.fleet * SCARCE_TIME.as_secs_f64();
-    let reduction = if scarce_below > left {
-        left / scarce_below
+    let wanted = input.share() * left;
+    let target = if is_large_fleet(input.routers) {
+        let target = HELD_SHARE_LARGE * wanted;
+        let is_worthwhile = target >= MIN_TARGET_LARGE * input.request_size(account);
+        if is_worthwhile { target } else { 0.0 }
     } else {
-        1.0
+        let scarce_below = input.demand.fleet * SCARCE_TIME.as_secs_f64();
+        let reduction = if scarce_below > left {
+            left / scarce_below
+        } else {
+            1.0
+        };
+        HELD_SHARE * reduction * wanted
     };
-    let wanted = HELD_SHARE * reduction * input.share() * left;
-    let is_worthwhile =
-        !is_large_fleet(input.routers) || wanted >= MIN_TARGET_LARGE * input.request_size(account);
-    let target = if is_worthwhile { wanted } else { 0.0 };
     let (mut drawn, mut returned) = (0.0, 0.0);
     if held < need || held < REFILL_BELOW * target {
         drawn = (target.max(need) - held).min(pool);
@@ -151,16 +174,15 @@
     let granted = account.granted() + change.drawn - change.returned;
     let left = granted.saturating_sub(spent) as f64;
     let expected = input.share() * input.demand.fleet;
+    let delay = RATE_DELAY + RATE_DELAY_PER_ROUTER * input.routers;
+    let delay = delay.min(MAX_RATE_DELAY);
     let burst = if is_large_fleet(input.routers) {
-        let burst =
-            expected * BURST_TIME.as_secs_f64() + BURST_REQUESTS * input.request_size(account);
-        burst.min(MAX_BURST_SHARE * left)
+        let time = delay.max(BURST_TIME).as_secs_f64();
+        let burst = expected * time + BURST_REQUESTS * input.request_size(account);
+        burst.clamp(MIN_BURST_SHARE * left, MAX_BURST_SHARE * left)
     } else {
         0.0
     };
-    let delay = RATE_DELAY + RATE_DELAY_PER_ROUTER * input.routers;
-    let delay = delay.min(MAX_RATE_DELAY);
-
     let rate = if input.stopping {
         0
     } else {
@@ -172,6 +194,6 @@
         burst: burst as u64 + change.need,
         delay_ms: delay.as_millis() as u64,
         rate,
-        demand: account.demand_rate(now) as u64,
+        demand: demand_rate(account, input.routers, now) as u64,
     }
 }
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -481,3 +481,88 @@
         }
     }
 }
+
+/// Guards against bursts that are too small for an outage soon after the start, since
+/// the demand is averaged over a time that has not passed yet.
+#[test]
+fn the_demand_of_the_first_seconds_is_not_underestimated() {
+    let start = Instant::now();
+    let mut account = Account::default();
+    for n in 0..60 {
+        account.record_demand(1_000, start + SECOND / 10 * n);
+        if n >= 30 {
+            let rate = quota::demand_rate(&account, 295, start + SECOND / 10 * n);
+            assert!(
+                (8_000.0..12_500.0).contains(&rate),
+                "{rate} after {n} requests"
+            );
+        }
+    }
+    assert!(quota::demand_rate(&account, 295, start + 60 * SECOND) < 100.0);
+    // Parts of a small fleet follow the demand, so that the first router to start would
+    // take those of the others.
+    let early = quota::demand_rate(&account, 8, start + 6 * SECOND);
+    assert!(early < 7_000.0, "{early}");
+}
+
+/// Guards against the first requests of a large fleet that all wait for a write at once,
+/// since no holder has seen any demand.
+#[test]
+fn the_first_requests_of_a_large_fleet_need_no_write() {
+    let now = Instant::now();
+    let mut account = Account::default();
+    let idle = Demand {
+        own: 0.0,
+        fleet: 0.0,
+    };
+    let input = PlanInput {
+        pool: 1_600_000,
+        others_held: 0,
+        routers: 295,
+        holders: 3,
+        demand: idle,
+        total_demand: idle,
+        typical_size: 0,
+        ..input(&account, 0, now)
+    };
+    let planned = plan(&account, &input, now);
+    account.record_sent(planned.allocation, now);
+    account.mark_confirmed(now);
+    assert!(account.reserve(10_000, now));
+    assert!(account.reserve(10_000, now));
+    // What a kill strands before any request stays small.
+    let settled = settle_allocation(&planned.allocation, SECOND);
+    assert!(settled.stranded < 1_600_000 / 20, "{settled:?}");
+}
+
+/// Guards against holders that give a large fleet's budget back because its demand is
+/// high, just before an outage in which nothing can be drawn.
+#[test]
+fn holders_of_a_large_fleet_keep_a_budget_that_is_used_fast() {
+    let now = Instant::now();
+    let mut account = Account::default();
+    let demand = Demand {
+        own: 50_000.0,
+        fleet: 800_000.0,
+    };
+    let input = PlanInput {
+        pool: 6_000_000,
+        others_held: 0,
+        routers: 295,
+        holders: 12,
+        demand,
+        total_demand: demand,
+        typical_size: 10_000,
+        ..input(&account, 0, now)
+    };
+    let planned = plan(&account, &input, now);
+    assert!(planned.change.drawn > 450_000, "{planned:?}");
+    account.record_sent(planned.allocation, now);
+    account.mark_confirmed(now);
+    let held = PlanInput {
+        pool: 120_000,
+        others_held: 5_400_000,
+        ..input
+    };
+    assert_eq!(plan(&account, &held, now).change.returned, 0);
+}
--- a/crates/router/src/relay/budgets/state.rs
+++ b/crates/router/src/relay/budgets/state.rs
@@ -199,7 +199,10 @@
     pub(super) fn demand(&self, of: Option<&str>, now: Instant) -> Demand {
         let accounts = self.accounts.iter();
         let own = accounts.filter(|(name, _)| of.is_none_or(|of| ***name == *of));
-        let own: f64 = own.map(|(_, account)| account.demand_rate(now)).sum();
+        let routers = self.routers();
+        let own: f64 = own
+            .map(|(_, account)| quota::demand_rate(account, routers, now))
+            .sum();
         let fleet = match of {
             Some(name) => self.summary.sum(name).demand,
             None => self.summary.demand(),
