Send load alone rarely where it expires before the next message

Cause: each router sent its load to all others within 64 KB/s, so that a message came each 0.8 s and more, while it counts for 0.6 s.

Ruled out: a lower rate for all messages, which holds back reports of crashes, limits and leaving servers; news are looked for at the former pace.

Change: where the next message with load alone would come after the last one has expired, the rate for these is 6 KB/s.

--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -23,6 +23,7 @@
 use crate::relay::crashes::Source;
 use crate::relay::crashes::wire::ReportsWire;
 use crate::relay::limits::LimitNewsWire;
+use crate::relay::servers::MESSAGE_LIFETIME;
 use crate::relay::servers::limits::LimitNews;
 use crate::relay::state::Relay;
 use crate::relay::streams::wire::StreamsWire;
@@ -33,6 +34,10 @@
 /// Bytes a second that a router sends to all others together: about a twentieth
 /// of the smallest link, which the requests need at a router with many callers.
 const MAX_BYTES_PER_S: f64 = 64_000.0;
+/// The same for load alone in a fleet so large that a message expires before the next
+/// one comes. Servers are then chosen by the load that they report and by this
+/// router's own requests.
+const MAX_STALE_BYTES_PER_S: f64 = 6_000.0;
 /// Bytes of the IP and UDP headers of a datagram.
 const HEADER_BYTES: usize = 28;
 /// Largest datagram that can be received, in bytes.
@@ -134,6 +139,7 @@
 async fn send(relay: Arc<Relay>, socket: Arc<UdpSocket>) {
     let mut last_had_content = false;
     let mut pause = MIN_PERIOD;
+    let mut next_load = Instant::now();
     loop {
         tokio::time::sleep(pause).await;
         let peers = relay.budgets.peers();
@@ -141,23 +147,17 @@
         if peers.is_empty() {
             continue;
         }
-        let mut work = relay.servers.own_work();
-        work.sort_by_key(|w| std::cmp::Reverse(w.prefill_tokens));
-        work.truncate(MAX_SERVERS);
-        let holders = relay.servers.take_unannounced();
-        let reports = relay.crashes.take_unsent(Instant::now());
         let now = Instant::now();
-        let limits = relay.servers.take_limit_news(now);
-        let clock = relay.servers.store_clock(now);
-        let streams = clock.map_or_else(Vec::new, |clock| relay.streams.take_unannounced(clock));
-        let message = LoadMessage {
-            work,
-            holders,
-            reports,
-            limits,
-            streams,
-            leaving: relay.servers.take_leaving_reports(),
-        };
+        let mut message = news(&relay, now);
+        if message == LoadMessage::default() && now < next_load {
+            continue;
+        }
+        message.work = relay.servers.own_work();
+        message
+            .work
+            .sort_by_key(|w| std::cmp::Reverse(w.prefill_tokens));
+        message.work.truncate(MAX_SERVERS);
+        message.holders = relay.servers.take_unannounced();
         let empty = message == LoadMessage::default();
         // One empty message says that the last requests have ended.
         if !std::mem::replace(&mut last_had_content, !empty) && empty {
@@ -165,7 +165,8 @@
         }
         let wire = LoadMessageWire::encode(message, Instant::now());
         let bytes = serde_json::to_vec(&wire).expect("a load message can be serialized");
-        pause = period(bytes.len(), peers.len());
+        pause = period(bytes.len(), peers.len(), true);
+        next_load = now + period(bytes.len(), peers.len(), false);
         for peer in peers {
             let to = SocketAddr::new(peer, relay.settings.internal_ports.0);
             // The next message replaces one that is not sent.
@@ -174,11 +175,28 @@
     }
 }
 
-/// Pause after a message of `bytes` to this many peers, which keeps to the
-/// rate.
-fn period(bytes: usize, peers: usize) -> Duration {
+/// What the other routers have to learn soon: all but the load.
+fn news(relay: &Relay, now: Instant) -> LoadMessage {
+    let clock = relay.servers.store_clock(now);
+    LoadMessage {
+        reports: relay.crashes.take_unsent(now),
+        limits: relay.servers.take_limit_news(now),
+        streams: clock.map_or_else(Vec::new, |clock| relay.streams.take_unannounced(clock)),
+        leaving: relay.servers.take_leaving_reports(),
+        ..LoadMessage::default()
+    }
+}
+
+/// Pause after a message of `bytes` to this many peers, which keeps to the rate, until
+/// the next one with news or until the next one without. The latter is not worth the
+/// full rate if it expires before another one comes.
+pub fn period(bytes: usize, peers: usize, has_news: bool) -> Duration {
     let sent = ((bytes + HEADER_BYTES) * peers) as f64;
-    MIN_PERIOD.max(Duration::from_secs_f64(sent / MAX_BYTES_PER_S))
+    let period = MIN_PERIOD.max(Duration::from_secs_f64(sent / MAX_BYTES_PER_S));
+    if has_news || period <= MESSAGE_LIFETIME {
+        return period;
+    }
+    Duration::from_secs_f64(sent / MAX_STALE_BYTES_PER_S)
 }
 
 async fn receive(relay: Arc<Relay>, socket: Arc<UdpSocket>) {
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -36,7 +36,7 @@
 /// engine than computed.
 const FETCH_SPEEDUP: u64 = 3;
 /// How long a message of a peer counts, so that several in a row may be lost.
-const MESSAGE_LIFETIME: Duration = Duration::from_millis(600);
+pub const MESSAGE_LIFETIME: Duration = Duration::from_millis(600);
 
 /// What this router knows about one server.
 #[derive(Debug, Default)]
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod crashing_requests;
 mod endless_answers;
 mod events;
+mod fleet_size;
 mod mirror;
 mod retry_budget;
 mod server_limits;
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -47,6 +47,7 @@
     held_read: Option<Value>,
     /// Reads of tables so far, without the feed.
     reads: u32,
+    feeds: u32,
     /// Most rows in one answer to a read; 0 for no limit.
     page_rows: usize,
     /// A row that is written after the next read.
@@ -154,6 +155,11 @@
         self.tables.lock().expect("no panic").reads
     }
 
+    /// Calls of the feed of changes so far.
+    pub(crate) fn feeds(&self) -> u32 {
+        self.tables.lock().expect("no panic").feeds
+    }
+
     /// Registers a backend server.
     pub(crate) fn register(&self, id: &str, service: &str, address: SocketAddr) {
         self.set("servers", "", id, &entry(service, address).to_string());
@@ -274,6 +280,7 @@
         let table = table.split('&').next().unwrap_or_default();
         let (after, wait) = (number("after"), number("wait_ms"));
         let until = Instant::now() + Duration::from_millis(wait);
+        self.tables.lock().expect("no panic").feeds += 1;
         loop {
             {
                 let tables = self.tables.lock().expect("no panic");
