Read the list of servers at the pace that the drain time allows

Cause: servers write their rows all the time, so that each read of the changes returned at once, ten times a second at each router; and all four tables were tried again each 0.4 s in an outage.

Change: the list is read each tenth of the drain time, and the pace of reads and retries follows the bounds of the deployment.

--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -18,15 +18,20 @@
 
 /// Pause between two updates of a table, since changes come in bursts.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
-/// Pause after an update that failed. A change must be in force within two
-/// seconds, in which two calls may fail.
-const RETRY_INTERVAL: Duration = Duration::from_millis(400);
-/// How long the change feed waits for a change before it answers without one,
-/// so that a longer silence means that the store can't be reached. A store that
-/// could not be reached is asked to answer at once instead, so that its return is
-/// noticed early: servers may leave soon after it.
-const FEED_WAIT: Duration = Duration::from_millis(600);
-/// The same for the reports of crashes, which mostly arrive by datagram before.
+/// Pause between two updates of the list of servers, as a part of the time for which a
+/// server that leaves still serves. Its rows change all the time, so that each update
+/// returns at once.
+const LIST_AGE: f64 = 0.1;
+/// Pause after an update that failed, as a part of the time within which a change must
+/// be in force or a server that leaves still serves. Two calls may fail in it.
+const RETRY_PART: f64 = 0.2;
+/// How long the change feed waits for a change before it answers without one, as a
+/// part of that time, so that a longer silence means that the store can't be reached.
+/// A store that could not be reached is asked to answer at once instead, so that its
+/// return is noticed early: servers may leave soon after it.
+const FEED_PART: f64 = 0.3;
+/// How long the feed of the reports of crashes waits, which mostly arrive by datagram
+/// before.
 const REPORT_FEED_WAIT: Duration = Duration::from_secs(2);
 /// The same for the limits of servers, which are rare.
 const LIMIT_FEED_WAIT: Duration = Duration::from_secs(4);
@@ -36,7 +41,7 @@
 
 /// Follows the configuration until the process ends.
 pub async fn configuration(relay: Arc<Relay>) {
-    let mut watch = TableWatch::new("configuration", OPERATOR_TABLE, FEED_WAIT);
+    let mut watch = TableWatch::within("configuration", OPERATOR_TABLE, relay.settings.apply_time);
     let mut applied_version = 0;
     loop {
         let requested = Instant::now();
@@ -69,7 +74,7 @@
 
 /// Follows the list of backend servers until the process ends.
 pub async fn server_list(relay: Arc<Relay>) {
-    let mut watch = TableWatch::new("servers", SERVERS_TABLE, FEED_WAIT);
+    let mut watch = TableWatch::within("servers", SERVERS_TABLE, relay.settings.drain_time);
     let mut logged: Vec<(String, u64)> = Vec::new();
     loop {
         let requested = Instant::now();
@@ -104,7 +109,8 @@
         } else {
             relay.servers.record_failed_read();
         }
-        tokio::time::sleep(watch.pause()).await;
+        let pause = relay.settings.drain_time.mul_f64(LIST_AGE);
+        tokio::time::sleep(watch.pause().max(pause)).await;
     }
 }
 
@@ -148,23 +154,35 @@
     mirror: Mirror,
     /// How long the change feed waits for a change.
     feed_wait: Duration,
+    /// Pause after an update that failed.
+    retry_pause: Duration,
     /// When the first of the failures in a row was noticed, and their number.
     lost: Option<(Instant, u32)>,
 }
 
 impl TableWatch {
+    /// Follows a table whose feed waits this long.
     fn new(name: &'static str, partition: Partition, feed_wait: Duration) -> Self {
         Self {
             name,
             mirror: Mirror::new(partition),
             feed_wait,
+            retry_pause: feed_wait / 2,
             lost: None,
         }
     }
 
+    /// Follows a table whose changes have to be known within `time`.
+    fn within(name: &'static str, partition: Partition, time: Duration) -> Self {
+        Self {
+            retry_pause: time.mul_f64(RETRY_PART),
+            ..Self::new(name, partition, time.mul_f64(FEED_PART))
+        }
+    }
+
     fn pause(&self) -> Duration {
         if self.lost.is_some() {
-            RETRY_INTERVAL
+            self.retry_pause
         } else {
             UPDATE_INTERVAL
         }
