--- a/crates/router/src/relay/budgets/state.rs
+++ b/crates/router/src/relay/budgets/state.rs
@@ -160,10 +160,10 @@
         sizes.iter().sum::<u64>() / (sizes.len() as u64).max(1)
     }
 
-    /// The routers that hold a budget; this one is among them only if its row is in
-    /// the summary.
-    pub(super) fn holders(&mut self, name: &Name) -> Arc<[IpAddr]> {
-        let count = quota::holder_count(self.summary.sum(name).demand, self.summary.routers.len());
+    /// The routers that hold a budget of `prepaid` tokens; this one is among them only
+    /// if its row is in the summary.
+    pub(super) fn holders(&mut self, name: &Name, prepaid: u64) -> Arc<[IpAddr]> {
+        let count = quota::holder_count(prepaid, self.summary.routers.len());
         if let Some((known, holders)) = self.holders.get(name)
             && *known == count
         {
@@ -199,7 +199,10 @@
     pub(super) fn demand(&self, of: Option<&str>, now: Instant) -> Demand {
         let accounts = self.accounts.iter();
         let own = accounts.filter(|(name, _)| of.is_none_or(|of| ***name == *of));
-        let own: f64 = own.map(|(_, account)| account.demand_rate(now)).sum();
+        let routers = self.routers();
+        let own: f64 = own
+            .map(|(_, account)| quota::demand_rate(account, routers, now))
+            .sum();
         let fleet = match of {
             Some(name) => self.summary.sum(name).demand,
             None => self.summary.demand(),
