--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod events;
 mod fleet_size;
 mod mirror;
+mod repeated_answers;
 mod retry_budget;
 mod server_limits;
 mod server_notices;
