Make the first summary of budgets at once on a store without one

Cause: the first read of a process, which came with the leases, counted as a recent read of the totals, so that the first checkpoint read nothing and made no summary.

Conclusion: a store that has a summary is read as before, as on all starts but the first.

--- a/crates/router/src/relay/budgets/lifecycle.rs
+++ b/crates/router/src/relay/budgets/lifecycle.rs
@@ -47,6 +47,10 @@
         let timeout = {
             let mut state = lock(&self.state);
             state.record_snapshot(&rows, now);
+            if state.summary_version == 0 {
+                // The first checkpoint reads again, and then makes the first summary.
+                state.totals_at = None;
+            }
             MIN_TIMEOUT.max(TIMEOUT_PER_ROUTER * state.routers())
         };
         // Upper bound of a range that contains no key but the own one.
