Log what a budget row allowed and what a router spends without the store

Change: 'grant of previous process settled' has granted, spent, burst and rate of the allocation; 'checkpoint failed' has what was spent, may be spent and is waited for, by workspace.

--- a/crates/router/src/relay/budgets/checkpoint.rs
+++ b/crates/router/src/relay/budgets/checkpoint.rs
@@ -168,10 +168,16 @@
                 false
             }
             Err(why) => {
-                log::warn("checkpoint failed").reason(&why).write();
+                let now = Instant::now();
                 let mut state = lock(&self.state);
                 state.failures += 1;
-                state.failed_at = Some(Instant::now());
+                state.failed_at = Some(now);
+                let spending = state.spending(now);
+                drop(state);
+                log::warn("checkpoint failed")
+                    .reason(&why)
+                    .with("spending", spending)
+                    .write();
                 false
             }
         }
--- a/crates/router/src/relay/budgets/lifecycle.rs
+++ b/crates/router/src/relay/budgets/lifecycle.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
-use poplar_core::quota::{self, Change, HolderRow, Settlement};
+use poplar_core::id::Name;
+use poplar_core::quota::{self, Allocation, Change, HolderRow, Settlement};
 use poplar_core::sorted::SortedVec;
 use poplar_platform::rows::Commit;
 use poplar_platform::store::Error;
@@ -73,14 +74,7 @@
         let mut commit = Commit::default();
         put_row(&mut commit, self.key.clone(), version, &next);
         let committed = self.store.commit(PARTITION, commit, timeout).await?;
-        for (name, settlement) in &settlements {
-            log::info("grant of previous process settled")
-                .workspace(name)
-                .with("released", settlement.released)
-                .with("stranded", settlement.stranded)
-                .with("age_ms", elapsed.as_millis())
-                .write();
-        }
+        log_settlements(&settlements, &previous, elapsed);
         let mut state = lock(&self.state);
         state.own_version = committed.version;
         state.unsettled = settlements.into_iter().collect();
@@ -181,3 +175,22 @@
         })
     }
 }
+
+/// Logs what becomes of the tokens of a previous process, and the allocations from which
+/// that follows.
+fn log_settlements(settlements: &[(Name, Settlement)], row: &HolderRow, elapsed: Duration) {
+    let allocations: SortedVec<Name, Allocation> = row.allocations.iter().cloned().collect();
+    for (name, settlement) in settlements {
+        let allocation = allocations.get(&**name).copied().unwrap_or_default();
+        log::info("grant of previous process settled")
+            .workspace(name)
+            .with("released", settlement.released)
+            .with("stranded", settlement.stranded)
+            .with("age_ms", elapsed.as_millis())
+            .with("granted", allocation.granted)
+            .with("spent", allocation.spent)
+            .with("burst", allocation.burst)
+            .with("rate", allocation.rate)
+            .write();
+    }
+}
--- a/crates/router/src/relay/budgets/state.rs
+++ b/crates/router/src/relay/budgets/state.rs
@@ -213,6 +213,19 @@
         }
     }
 
+    /// What was spent of the tokens granted, how many more may be spent now, and how
+    /// many requests wait for, by workspace, for the log: what is lost if the process
+    /// is killed is what it may have spent and has not.
+    pub(super) fn spending(&self, now: Instant) -> String {
+        let accounts = self.accounts.iter().filter(|(_, a)| a.granted() > 0);
+        let format = |(name, account): (&Name, &Account)| {
+            let (spent, granted) = (account.spent(), account.granted());
+            let (free, need) = (account.free(now), account.need());
+            format!("{name} spent {spent} of {granted} free {free} need {need}")
+        };
+        accounts.map(format).collect::<Vec<_>>().join(", ")
+    }
+
     /// Number of live routers, at least 1.
     pub(super) fn routers(&self) -> u32 {
         (self.summary.routers.len() as u32).max(1)
