Show that budgets are lost if all routers are killed around an outage

Seven tests with routers as processes, at 8 and at 60: kills late in an outage, before it, in series, after cuts, with a budget that is nearly spent; planned stops. Each sends as many streams as there are tokens for, and wants a quarter of them served.

--- /dev/null
+++ b/crates/router/tests/relay/budgets_after_kills.rs
@@ -0,0 +1,258 @@
+//! Prepaid budgets of routers that are all killed around an outage of the store. What
+//! was not spent before must be served after. Each router is a process of its own, with
+//! its own way to the store; the backend server counts what it ran.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::site::backend::{Backend, Behaviour};
+use crate::site::caller::{Seen, ask_once, wait_until};
+use crate::site::configured_store;
+use crate::site::cut::Way;
+use crate::site::process::{Router, address};
+use crate::site::store::Store;
+
+/// Routers of a small and of a large fleet.
+const SMALL: usize = 8;
+const LARGE: usize = 60;
+/// Tokens that each stream consumes: its prompt and four events.
+const STREAM_TOKENS: u64 = 1_020;
+/// A budget that lasts for some minutes of the load, and one for some seconds of it.
+const LARGE_BUDGET: u64 = 200_000;
+const SCARCE_BUDGET: u64 = 60_000;
+/// Time until all routers know of each other.
+const JOIN_TIME: Duration = Duration::from_secs(4);
+/// Outage after which a holding may be spent, however small the demand was.
+const OUTAGE: Duration = Duration::from_secs(10);
+/// Time between two streams of the load.
+const PAUSE: Duration = Duration::from_millis(400);
+/// Time after the routers are back, in which the load goes on.
+const RECOVERY: Duration = Duration::from_secs(6);
+/// Grace period of a planned stop.
+const GRACE: Duration = Duration::from_secs(8);
+
+struct Fleet {
+    routers: Vec<Router>,
+    ways: Vec<Way>,
+    engine: Arc<Backend>,
+    store: Arc<Store>,
+    folder: PathBuf,
+    prepaid: u64,
+    sent: usize,
+}
+
+impl Fleet {
+    async fn open(run: u64, count: usize, prepaid: u64) -> Self {
+        let store = configured_store(prepaid);
+        let (engine, server) = Backend::open(Behaviour::Answer).await;
+        store.register("engine", "engines", server);
+        store.register("plain", "plain", server);
+        let target = store.open().await;
+        let name = format!("poplar-kills-{}-{run}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let (mut routers, mut ways) = (Vec::new(), Vec::new());
+        for n in 0..count {
+            let (way, near) = Way::open(target).await;
+            let mut router = Router::new(address(run, n), near, &folder);
+            router.start();
+            routers.push(router);
+            ways.push(way);
+        }
+        let fleet = Self {
+            routers,
+            ways,
+            engine,
+            store,
+            folder,
+            prepaid,
+            sent: 0,
+        };
+        fleet.wait_ready().await;
+        sleep(JOIN_TIME).await;
+        fleet
+    }
+
+    async fn wait_ready(&self) {
+        for router in &self.routers {
+            let is_answer = |seen| matches!(seen, Seen::Answer(200, _));
+            wait_until(router.callers(), "/read/ready", is_answer).await;
+        }
+    }
+
+    /// Sends a stream to the next router; returns whether it was served.
+    async fn ask(&mut self) -> bool {
+        let router = &self.routers[self.sent % self.routers.len()];
+        self.sent += 1;
+        let id = format!("stream-{}", self.sent);
+        let seen = ask_once(router.callers(), "/stream/x", &id).await;
+        seen == Some(Seen::Answer(200, true))
+    }
+
+    /// Sends a stream now and then.
+    async fn load(&mut self, time: Duration) {
+        let ends = tokio::time::Instant::now() + time;
+        while tokio::time::Instant::now() < ends {
+            self.ask().await;
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// Consumes all but some of the budget.
+    async fn spend_all_but(&mut self, streams: u64) {
+        for _ in 0..(self.prepaid / STREAM_TOKENS).saturating_sub(streams) {
+            self.ask().await;
+        }
+    }
+
+    fn kill_all(&mut self) {
+        self.routers.iter_mut().for_each(Router::kill);
+    }
+
+    fn start_all(&mut self) {
+        self.routers.iter_mut().for_each(Router::start);
+    }
+
+    fn cut(&self, routers: std::ops::Range<usize>, is_cut: bool) {
+        self.ways[routers]
+            .iter()
+            .for_each(|way| way.set_cut(is_cut));
+    }
+
+    fn consumed(&self) -> u64 {
+        let requests = self.engine.executed_requests();
+        let streams = requests.iter().filter(|r| r.id.starts_with("stream-"));
+        streams.count() as u64 * STREAM_TOKENS
+    }
+
+    /// Starts the routers, and checks that at least a quarter of the streams for which
+    /// there are tokens are served, and that nothing is overspent.
+    async fn check_recovery(&mut self) {
+        let unspent = self.prepaid - self.consumed().min(self.prepaid);
+        let wanted = unspent / STREAM_TOKENS;
+        assert!(wanted >= 4, "{unspent} tokens unspent");
+        self.start_all();
+        self.wait_ready().await;
+        sleep(RECOVERY).await;
+        let before = self.consumed();
+        for _ in 0..wanted {
+            self.ask().await;
+        }
+        let served = (self.consumed() - before) / STREAM_TOKENS;
+        println!("{served} of {wanted} streams served after the kill");
+        for _ in 0..wanted {
+            self.ask().await;
+        }
+        let consumed = self.consumed();
+        println!("{consumed} of {} tokens consumed", self.prepaid);
+        assert!(consumed <= self.prepaid);
+        assert!(served * 4 >= wanted, "{served} of {wanted} served");
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Guards against a budget that counts as spent since its holders were killed late in an
+/// outage of the store.
+async fn check_kill_in_an_outage(run: u64, count: usize, prepaid: u64) {
+    let mut fleet = Fleet::open(run, count, prepaid).await;
+    fleet.load(Duration::from_secs(2)).await;
+    fleet.store.set_down(true);
+    fleet.load(OUTAGE).await;
+    fleet.kill_all();
+    fleet.store.set_down(false);
+    fleet.check_recovery().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn budgets_after_kills_in_an_outage() {
+    check_kill_in_an_outage(330, SMALL, LARGE_BUDGET).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn budgets_after_kills_in_an_outage_at_many_routers() {
+    check_kill_in_an_outage(331, LARGE, LARGE_BUDGET).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn budgets_after_kills_in_an_outage_if_nearly_spent() {
+    let mut fleet = Fleet::open(332, SMALL, SCARCE_BUDGET).await;
+    fleet.spend_all_but(30).await;
+    fleet.store.set_down(true);
+    fleet.load(OUTAGE / 2).await;
+    fleet.kill_all();
+    fleet.store.set_down(false);
+    fleet.check_recovery().await;
+}
+
+/// Guards against a budget that counts as spent since an outage went on after its
+/// holders were killed: a process spends nothing once it has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn budgets_after_kills_before_an_outage() {
+    let mut fleet = Fleet::open(333, SMALL, LARGE_BUDGET).await;
+    fleet.load(Duration::from_secs(2)).await;
+    fleet.store.set_down(true);
+    fleet.kill_all();
+    fleet.start_all();
+    sleep(OUTAGE).await;
+    fleet.store.set_down(false);
+    fleet.check_recovery().await;
+}
+
+/// Guards against the same where processes are killed again and again in the outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn budgets_after_kills_in_series() {
+    let mut fleet = Fleet::open(334, SMALL, LARGE_BUDGET).await;
+    fleet.load(Duration::from_secs(2)).await;
+    fleet.store.set_down(true);
+    for _ in 0..3 {
+        fleet.load(OUTAGE / 3).await;
+        fleet.kill_all();
+        fleet.start_all();
+    }
+    fleet.store.set_down(false);
+    fleet.wait_ready().await;
+    fleet.store.set_down(true);
+    fleet.load(OUTAGE / 2).await;
+    fleet.kill_all();
+    fleet.store.set_down(false);
+    fleet.check_recovery().await;
+}
+
+/// Guards against the same where some routers had lost their path to the store before
+/// the outage, and are killed as it ends, as in the report.
+#[tokio::test(flavor = "multi_thread")]
+async fn budgets_after_kills_of_routers_that_were_cut_off() {
+    let mut fleet = Fleet::open(335, SMALL, LARGE_BUDGET).await;
+    fleet.load(Duration::from_secs(2)).await;
+    fleet.cut(0..SMALL * 3 / 4, true);
+    fleet.load(OUTAGE).await;
+    fleet.cut(0..SMALL, true);
+    fleet.load(OUTAGE / 2).await;
+    fleet.cut(0..SMALL, false);
+    fleet.kill_all();
+    fleet.check_recovery().await;
+}
+
+/// Guards against the same where the routers stop as planned while the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn budgets_after_stops_in_an_outage() {
+    let mut fleet = Fleet::open(336, SMALL, LARGE_BUDGET).await;
+    fleet.load(Duration::from_secs(2)).await;
+    fleet.store.set_down(true);
+    for router in &mut fleet.routers {
+        router.signal("TERM");
+    }
+    for router in &mut fleet.routers {
+        router.wait_end(GRACE).await;
+    }
+    fleet.store.set_down(false);
+    fleet.check_recovery().await;
+}
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -2,6 +2,7 @@
 //! store.
 
 mod budget_leases;
+mod budgets_after_kills;
 mod crash_reports;
 mod crash_trials;
 mod crashing_parts;
