Keep half of a holding for twelve seconds without the store

Cause: an allocation bounds what a process may spend without the store by time alone.

Change: in addition to the rate, the tokens that may be spent are bounded by a half-life of 12 s: what is kept halves every 12 s after the delay. The row names the half-life, so that the successor counts with what the process kept to; rows of earlier versions have none. The rate that does not depend on demand allows a holding in 12 s instead of 6. A budget that an outage uses up can be used up after it, so that little is lost by waiting.

Ruled out: a fixed half that is never spent, which fails a_large_budget_is_served_without_the_table_until_most_of_it_is_spent: an outage of minutes would be refused half of each budget.

What a process spends is still not known after its end.

--- a/crates/core/src/quota/plan.rs
+++ b/crates/core/src/quota/plan.rs
@@ -55,9 +55,13 @@
 const MAX_RATE_DELAY: Duration = Duration::from_secs(5);
 /// Rate of spending after the delay, as a multiple of the expected demand.
 const RATE_FACTOR: f64 = 2.0;
-/// Time in which a holding may be spent completely after the delay, however small
-/// the demand was before: half of an ordinary outage.
-const SPEND_TIME: Duration = Duration::from_secs(6);
+/// Time in which a holding could be spent after the delay, however small the demand was
+/// before: an ordinary outage.
+const SPEND_TIME: Duration = Duration::from_secs(12);
+/// Time in which half of what is left of a holding may be spent while the table can't be
+/// reached. All that may have been spent is lost if the process is killed then, and a
+/// budget that an outage would use up can be used up after it instead.
+const HALF_LIFE: Duration = Duration::from_secs(12);
 
 /// Demand in tokens a second.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -195,5 +199,6 @@
         delay_ms: delay.as_millis() as u64,
         rate,
         demand: demand_rate(account, input.routers, now) as u64,
+        half_life_ms: HALF_LIFE.as_millis() as u64,
     }
 }
--- a/crates/core/src/quota/rows.rs
+++ b/crates/core/src/quota/rows.rs
@@ -25,6 +25,10 @@
     pub rate: u64,
     /// Recent demand of the router's callers, in tokens a second.
     pub demand: u64,
+    /// Milliseconds after `delay_ms` in which half of the tokens beyond the burst may
+    /// be spent, and half of the rest in as many again; 0 if all may at any time. The
+    /// others return to the budget if the process ends.
+    pub half_life_ms: u64,
 }
 
 impl Allocation {
@@ -33,12 +37,45 @@
         self.granted > 0 || self.demand > 0
     }
 
+    /// Tokens beyond the burst.
+    fn beyond_burst(&self) -> u64 {
+        let burst_end = self.spent.saturating_add(self.burst);
+        self.granted.saturating_sub(burst_end)
+    }
+
+    /// Granted tokens that may not be spent `beyond` the delay, in whole numbers so
+    /// that all processes get the same result.
+    fn kept(&self, beyond: Duration) -> u64 {
+        if self.half_life_ms == 0 {
+            return 0;
+        }
+        let beyond = beyond.as_millis() as u64;
+        let halvings = (beyond / self.half_life_ms).min(u64::from(u64::BITS - 2));
+        let kept = self.beyond_burst() >> halvings;
+        let part = u128::from(beyond % self.half_life_ms);
+        let freed = u128::from(kept / 2) * part / u128::from(self.half_life_ms);
+        kept - freed as u64
+    }
+
+    /// Time beyond the delay until no more than `kept` tokens are kept.
+    fn time_to_keep(&self, kept: u64) -> Duration {
+        let mut left = self.beyond_burst();
+        let mut time = 0;
+        while left > kept && left / 2 >= kept.max(1) {
+            left /= 2;
+            time += self.half_life_ms;
+        }
+        let over = left.saturating_sub(kept);
+        time += (over * self.half_life_ms).div_ceil((left / 2).max(1));
+        Duration::from_millis(time)
+    }
+
     /// The most that can have been spent `elapsed` after the write.
     pub fn max_spent(&self, elapsed: Duration) -> u64 {
         let beyond = elapsed.saturating_sub(Duration::from_millis(self.delay_ms));
         let grown = (self.rate as f64 * beyond.as_secs_f64()) as u64;
         let bound = self.spent.saturating_add(self.burst).saturating_add(grown);
-        bound.min(self.granted)
+        bound.min(self.granted - self.kept(beyond))
     }
 
     /// Time after the write until `tokens` in total may have been spent; `None`
@@ -54,13 +91,14 @@
         if self.rate == 0 {
             return None;
         }
-        let seconds = beyond as f64 / self.rate as f64;
-        Some(Duration::from_millis(self.delay_ms) + Duration::from_secs_f64(seconds))
+        let at_rate = Duration::from_secs_f64(beyond as f64 / self.rate as f64);
+        let beyond = at_rate.max(self.time_to_keep(self.granted - tokens));
+        Some(Duration::from_millis(self.delay_ms) + beyond)
     }
 }
 
 /// The fields in order, as an array, so that rows stay short for the small hosts
-/// that read them.
+/// that read them. The half-life is the same for all and is in the row.
 type AllocationWire = [u64; 6];
 
 impl From<AllocationWire> for Allocation {
@@ -72,6 +110,7 @@
             delay_ms,
             rate,
             demand,
+            half_life_ms: 0,
         }
     }
 }
@@ -92,24 +131,65 @@
 /// A router's row: its allocation for each budget.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
+#[serde(from = "HolderRowWire", into = "HolderRowWire")]
 pub struct HolderRow {
     /// The incarnation that wrote the row.
-    #[serde(rename = "life")]
     pub incarnation: u64,
     /// Counts the writes of that incarnation.
-    #[serde(rename = "number")]
     pub sequence: u64,
     /// The table's clock before the write, in milliseconds.
     pub clock: u64,
     /// Allocations by budget, in order of the names.
-    #[serde(rename = "terms")]
     pub allocations: Vec<(Name, Allocation)>,
     /// Settlements of earlier incarnations that the totals do not contain yet,
     /// by budget.
-    #[serde(default, rename = "ended")]
     pub unsettled: Vec<(Name, Settlement)>,
 }
 
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct HolderRowWire {
+    life: u64,
+    number: u64,
+    clock: u64,
+    terms: Vec<(Name, Allocation)>,
+    #[serde(default)]
+    ended: Vec<(Name, Settlement)>,
+    /// That of the allocations, in milliseconds; rows of earlier versions have none.
+    #[serde(default)]
+    half_life: u64,
+}
+
+impl From<HolderRowWire> for HolderRow {
+    fn from(wire: HolderRowWire) -> Self {
+        let mut allocations = wire.terms;
+        for (_, allocation) in &mut allocations {
+            allocation.half_life_ms = wire.half_life;
+        }
+        Self {
+            incarnation: wire.life,
+            sequence: wire.number,
+            clock: wire.clock,
+            allocations,
+            unsettled: wire.ended,
+        }
+    }
+}
+
+impl From<HolderRow> for HolderRowWire {
+    fn from(row: HolderRow) -> Self {
+        let half_lives = row.allocations.iter().map(|(_, a)| a.half_life_ms);
+        Self {
+            life: row.incarnation,
+            number: row.sequence,
+            clock: row.clock,
+            half_life: half_lives.min().unwrap_or(0),
+            terms: row.allocations,
+            ended: row.unsettled,
+        }
+    }
+}
+
 impl HolderRow {
     /// Settlements of everything that this incarnation holds, if it ended
     /// `elapsed` after the write, together with the earlier unsettled ones.
