Count a waiting request once in what a checkpoint provides for

Cause: each try of a waiting request added its tokens to the need of the account, and only a checkpoint that took effect reduced it. In an outage a request tries several times, is refused and comes again. The first checkpoint after it then allowed all of that at once, and drew as much from the budget; a kill in the next moments counts it as spent.

Change: a request adds its need once and takes it back when it no longer waits, whether it was served or not. Checkpoints no longer guess which requests they served.

Core tests that relied on the reservation to add the need now add it themselves and check that it does not.

--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -130,10 +130,9 @@
         self.first_at.get_or_insert(now);
     }
 
-    /// Reserves `tokens`; otherwise adds them to the need and returns false.
+    /// Reserves `tokens`, unless fewer are free.
     pub fn reserve(&mut self, tokens: u64, now: Instant) -> bool {
         if self.free(now) < tokens {
-            self.need += tokens;
             return false;
         }
         self.reserved += tokens;
@@ -146,7 +145,12 @@
         self.consumed += used;
     }
 
-    /// Reduces the need by `tokens` that a written allocation covers.
+    /// Adds `tokens` to the need while a request waits for them.
+    pub fn add_need(&mut self, tokens: u64) {
+        self.need += tokens;
+    }
+
+    /// Reduces the need by `tokens` of a request that does not wait any more.
     pub fn reduce_need(&mut self, tokens: u64) {
         self.need = self.need.saturating_sub(tokens);
     }
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -56,6 +56,8 @@
 fn nothing_is_spent_before_an_allocation_is_confirmed() {
     let mut account = Account::default();
     assert!(!account.reserve(1, Instant::now()));
+    assert_eq!(account.need(), 0);
+    account.add_need(1);
     assert_eq!(account.need(), 1);
 }
 
@@ -71,6 +73,8 @@
         let reserved = account.reserve(2_000, now);
         if reserved {
             account.settle(2_000, 1_500);
+        } else {
+            account.add_need(2_000);
         }
         reserved
     };
@@ -183,6 +187,7 @@
     let (mut account, mut pool) = (Account::default(), 1_000_000);
     checkpoint(&mut account, &mut pool, now);
     assert!(!account.reserve(3_000, now));
+    account.add_need(3_000);
     let wait = account
         .time_until_free(3_000, now)
         .expect("it holds enough");
@@ -443,7 +448,11 @@
         for (kind, tokens, wait) in steps {
             now += Duration::from_millis(wait + 1);
             match kind {
-                0 | 1 => if account.reserve(tokens, now) { reserved.push(tokens) },
+                0 | 1 => if account.reserve(tokens, now) {
+                    reserved.push(tokens)
+                } else {
+                    account.add_need(tokens);
+                },
                 2 => if let Some(worst) = reserved.pop() {
                     account.settle(worst, worst * 2 / 3);
                 },
@@ -469,6 +478,8 @@
                     now += Duration::from_millis(1);
                     if account.reserve(tokens, now) {
                         reserved.push(tokens);
+                    } else {
+                        account.add_need(tokens);
                     }
                     account.mark_failed(at);
                 }
--- a/crates/core/tests/quota_leases.rs
+++ b/crates/core/tests/quota_leases.rs
@@ -145,6 +145,7 @@
             if self.routers[at].account.reserve(tokens, self.now) {
                 return true;
             }
+            self.routers[at].account.add_need(tokens);
             self.checkpoint(at);
         }
         false
--- a/crates/router/src/relay/budgets/checkpoint.rs
+++ b/crates/router/src/relay/budgets/checkpoint.rs
@@ -54,9 +54,6 @@
 #[derive(Debug)]
 pub(super) struct Checkpoint {
     pub(super) commit: Commit,
-    /// Tokens that waiting requests need and for which it provides, by
-    /// workspace.
-    pub(super) needs: Vec<(Name, u64)>,
     /// What of [`State::unsettled`](super::state::State::unsettled) remains
     /// after it.
     pub(super) unsettled: SortedVec<Name, Settlement>,
@@ -244,12 +241,7 @@
 
     async fn checkpoint(&self, deployment: &Deployment, scope: Scope) -> Result<(), Error> {
         let now = Instant::now();
-        let Some(Checkpoint {
-            commit,
-            needs,
-            unsettled,
-        }) = self.plan(deployment, scope, now)
-        else {
+        let Some(Checkpoint { commit, unsettled }) = self.plan(deployment, scope, now) else {
             return Ok(());
         };
         let timeout = lock(&self.state).store_timeout.timeout();
@@ -280,11 +272,6 @@
                 for (_, account) in state.accounts.iter_mut() {
                     account.mark_confirmed(now);
                 }
-                for (name, need) in &needs {
-                    if let Some(account) = state.accounts.get_mut(&**name) {
-                        account.reduce_need(*need);
-                    }
-                }
             }
             Err(Error::OutcomeUnknown(_) | Error::Malformed(_)) => {}
             Err(_) => {
@@ -350,18 +337,13 @@
             && fresh
             && !state.has_payable_requests()
         {
-            // There are no tokens for the waiting requests, so they stop
-            // waiting.
-            for (_, account) in state.accounts.iter_mut() {
-                account.reduce_need(account.need());
-            }
+            // There are no tokens for the waiting requests.
             return None;
         }
         let clock = state.clock(now);
         state.writes += 1;
         let sequence = state.writes;
         let mut commit = Commit::default();
-        let mut needs = Vec::new();
         let mut allocations = Vec::new();
         let mut unsettled = state.unsettled.clone();
         for (index, (name, mut total, version, input, change)) in accounts.into_iter().enumerate() {
@@ -372,10 +354,6 @@
                 .get_or_insert_with(name.clone(), Account::default);
             let allocation = quota::plan_allocation(account, &input, &change, now);
             account.record_sent(allocation, now);
-            // Requests that need a change of the total go on waiting for one.
-            if scope != Scope::Own || account.held() >= change.need {
-                needs.push((name.clone(), change.need));
-            }
             // A row without an allocation says as much as one of zeros.
             if allocation.is_worth_writing() {
                 allocations.push((name.clone(), allocation));
@@ -401,11 +379,7 @@
             sequence,
             sent_at: now,
         });
-        Some(Checkpoint {
-            commit,
-            needs,
-            unsettled,
-        })
+        Some(Checkpoint { commit, unsettled })
     }
 
     /// Applies the rows found by a conflict: rows that other routers wrote, or
--- a/crates/router/src/relay/budgets/lifecycle.rs
+++ b/crates/router/src/relay/budgets/lifecycle.rs
@@ -172,11 +172,7 @@
             sequence,
             sent_at: now,
         });
-        Some(Checkpoint {
-            commit,
-            needs: Vec::new(),
-            unsettled,
-        })
+        Some(Checkpoint { commit, unsettled })
     }
 }
 
--- a/crates/router/src/relay/budgets/mod.rs
+++ b/crates/router/src/relay/budgets/mod.rs
@@ -125,6 +125,22 @@
     }
 }
 
+/// A request that waits for tokens.
+struct Waiting<'a> {
+    budgets: &'a Budgets,
+    workspace: &'a Name,
+    tokens: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.budgets.state);
+        if let Some(account) = state.accounts.get_mut(&**self.workspace) {
+            account.reduce_need(self.tokens);
+        }
+    }
+}
+
 impl Budgets {
     /// The budgets of the router at `address`, which holds no tokens yet.
     pub fn new(store: Store, address: IpAddr, incarnation: u64) -> Arc<Self> {
@@ -263,7 +279,12 @@
         worst_case: u64,
         longest_wait: Duration,
     ) -> Result<Reservation, ReserveError> {
-        let until = Instant::now() + longest_wait;
+        let began = Instant::now();
+        let until = began + longest_wait;
+        if let Some(reserved) = self.try_reserve(workspace, worst_case, began) {
+            return Ok(reserved);
+        }
+        let _waiting = self.wait_for(workspace, worst_case);
         for _ in 0..MAX_WRITES_AWAITED {
             let written = self.written.notified();
             let now = Instant::now();
@@ -334,6 +355,20 @@
         account.record_demand(worst_case, now);
     }
 
+    /// Has checkpoints provide for a request until the result is dropped.
+    fn wait_for<'a>(&'a self, workspace: &'a Name, tokens: u64) -> Waiting<'a> {
+        let mut state = lock(&self.state);
+        let account = state
+            .accounts
+            .get_or_insert_with(workspace.clone(), Account::default);
+        account.add_need(tokens);
+        Waiting {
+            budgets: self,
+            workspace,
+            tokens,
+        }
+    }
+
     fn try_reserve(
         self: &Arc<Self>,
         workspace: &Name,
--- a/crates/router/tests/relay/budgets_after_kills.rs
+++ b/crates/router/tests/relay/budgets_after_kills.rs
@@ -10,10 +10,10 @@
 
 use crate::site::backend::{Backend, Behaviour};
 use crate::site::caller::{Seen, ask_once, wait_until};
-use crate::site::configured_store;
 use crate::site::cut::Way;
 use crate::site::process::{Router, address};
 use crate::site::store::Store;
+use crate::site::{TestRelay, configured_store};
 
 /// Routers of a small and of a large fleet.
 const SMALL: usize = 8;
@@ -31,6 +31,10 @@
 const PAUSE: Duration = Duration::from_millis(400);
 /// Time after the routers are back, in which the load goes on.
 const RECOVERY: Duration = Duration::from_secs(6);
+/// Places of fields in the allocation of a holder row.
+const GRANTED: usize = 0;
+const BURST: usize = 2;
+const ID: (&str, &str) = ("x-poplarreel-attempt-id", "a");
 /// Grace period of a planned stop.
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -277,3 +281,40 @@
     fleet.store.set_down(false);
     fleet.check_recovery().await;
 }
+
+/// Guards against tokens that a kill right after an outage loses, since the first
+/// checkpoint provides for requests that were refused long before.
+#[tokio::test(flavor = "multi_thread")]
+async fn budgets_after_an_outage_do_not_provide_for_refused_requests() {
+    const LARGE_REQUEST: (&str, &str) = ("x-poplarreel-token-counts", "60000,20");
+    const KEY: (&str, &str) = ("api-key", "key-1");
+    let store = configured_store(SCARCE_BUDGET * 2);
+    let (_engine, server) = Backend::open(Behaviour::Answer).await;
+    store.register("engine", "engines", server);
+    let relay = TestRelay::open(store.open().await).await;
+    let row = |field: usize| {
+        let row = store.value("budgets", "all", "holder/127.0.0.1");
+        row.and_then(|row| row["terms"][0][1][field].as_u64())
+            .unwrap_or(0)
+    };
+    let small = [KEY, ("x-poplarreel-token-counts", "1000,20"), ID];
+    while row(GRANTED) == 0 {
+        let _ = relay.ask("/stream/x", &small).await;
+    }
+    store.set_down(true);
+    for _ in 0..10 {
+        let answer = relay.ask("/stream/x", &[KEY, LARGE_REQUEST, ID]).await;
+        assert_eq!(answer.expect("a refusal").status.as_u16(), 503);
+    }
+    let version = || {
+        store
+            .value("budgets", "all", "holder/127.0.0.1")
+            .map(|row| row["number"].clone())
+    };
+    let before = version();
+    store.set_down(false);
+    while version() == before {
+        sleep(Duration::from_millis(2)).await;
+    }
+    assert_eq!(row(BURST), 0);
+}
