Keep a reserve of half of a holding, not a half-life of all of it

Cause: with a half-life of 12 s for all that is held, a request that is a third of its router's holding waits for seven seconds, however long the budget would last.

Change: the first half of a holding may be spent at the rate, as before; the reserve, the other half, halves every 20 s. The rate allows a holding in 6 s again.

--- a/crates/core/src/quota/plan.rs
+++ b/crates/core/src/quota/plan.rs
@@ -56,12 +56,12 @@
 /// Rate of spending after the delay, as a multiple of the expected demand.
 const RATE_FACTOR: f64 = 2.0;
 /// Time in which a holding could be spent after the delay, however small the demand was
-/// before: an ordinary outage.
-const SPEND_TIME: Duration = Duration::from_secs(12);
-/// Time in which half of what is left of a holding may be spent while the table can't be
-/// reached. All that may have been spent is lost if the process is killed then, and a
-/// budget that an outage would use up can be used up after it instead.
-const HALF_LIFE: Duration = Duration::from_secs(12);
+/// before: half of an ordinary outage.
+const SPEND_TIME: Duration = Duration::from_secs(6);
+/// Time in which half of the reserve may be spent while the table can't be reached. All
+/// that may have been spent is lost if the process is killed then, and a budget that an
+/// outage would use up can be used up after it instead.
+const HALF_LIFE: Duration = Duration::from_secs(20);
 
 /// Demand in tokens a second.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
--- a/crates/core/src/quota/rows.rs
+++ b/crates/core/src/quota/rows.rs
@@ -25,9 +25,9 @@
     pub rate: u64,
     /// Recent demand of the router's callers, in tokens a second.
     pub demand: u64,
-    /// Milliseconds after `delay_ms` in which half of the tokens beyond the burst may
-    /// be spent, and half of the rest in as many again; 0 if all may at any time. The
-    /// others return to the budget if the process ends.
+    /// Milliseconds after `delay_ms` in which the reserve halves, and again in as many;
+    /// 0 if there is none. The reserve is half of the tokens beyond the burst. It is not
+    /// spent, and returns to the budget if the process ends.
     pub half_life_ms: u64,
 }
 
@@ -37,10 +37,10 @@
         self.granted > 0 || self.demand > 0
     }
 
-    /// Tokens beyond the burst.
-    fn beyond_burst(&self) -> u64 {
+    /// Tokens of the reserve when the allocation was written.
+    fn reserve(&self) -> u64 {
         let burst_end = self.spent.saturating_add(self.burst);
-        self.granted.saturating_sub(burst_end)
+        self.granted.saturating_sub(burst_end) / 2
     }
 
     /// Granted tokens that may not be spent `beyond` the delay, in whole numbers so
@@ -51,7 +51,7 @@
         }
         let beyond = beyond.as_millis() as u64;
         let halvings = (beyond / self.half_life_ms).min(u64::from(u64::BITS - 2));
-        let kept = self.beyond_burst() >> halvings;
+        let kept = self.reserve() >> halvings;
         let part = u128::from(beyond % self.half_life_ms);
         let freed = u128::from(kept / 2) * part / u128::from(self.half_life_ms);
         kept - freed as u64
@@ -59,7 +59,7 @@
 
     /// Time beyond the delay until no more than `kept` tokens are kept.
     fn time_to_keep(&self, kept: u64) -> Duration {
-        let mut left = self.beyond_burst();
+        let mut left = self.reserve();
         let mut time = 0;
         while left > kept && left / 2 >= kept.max(1) {
             left /= 2;
