Allow a burst in a small fleet while answers to checkpoints are lost

Cause: since waiting requests count once, a checkpoint provides for them and nothing more. Each request of a small fleet needs an answered write of its own; before, the needs that were counted again and again covered the next requests by accident.

Change: while the outcome of a write is unknown, the next one allows the burst that large fleets have: the expected demand of two seconds, between 6 and 30 in 100 of the holding.

--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -67,6 +67,11 @@
         self.confirmed.map_or(0, |sent| sent.allocation.granted)
     }
 
+    /// Whether the outcome of an allocation that was sent is unknown.
+    pub fn has_unconfirmed(&self) -> bool {
+        !self.unconfirmed.is_empty()
+    }
+
     /// Granted tokens that are neither spent nor reserved.
     pub fn held(&self) -> u64 {
         self.granted().saturating_sub(self.spent())
--- a/crates/core/src/quota/plan.rs
+++ b/crates/core/src/quota/plan.rs
@@ -35,7 +35,8 @@
 /// in the time over which it is averaged.
 const SHARE_WEIGHTS: (f64, f64, f64) = (0.35, 0.5, 0.15);
 /// Least time of the expected demand that the burst covers in a large fleet. It covers
-/// the delay, too: an outage may begin at any moment.
+/// the delay, too: an outage may begin at any moment. In a small one each request causes
+/// a write, and the burst covers those whose writes stay without an answer.
 const BURST_TIME: Duration = Duration::from_millis(2000);
 /// Typical requests that the burst covers in addition.
 const BURST_REQUESTS: f64 = 1.0;
@@ -180,7 +181,7 @@
     let expected = input.share() * input.demand.fleet;
     let delay = RATE_DELAY + RATE_DELAY_PER_ROUTER * input.routers;
     let delay = delay.min(MAX_RATE_DELAY);
-    let burst = if is_large_fleet(input.routers) {
+    let burst = if is_large_fleet(input.routers) || account.has_unconfirmed() {
         let time = delay.max(BURST_TIME).as_secs_f64();
         let burst = expected * time + BURST_REQUESTS * input.request_size(account);
         burst.clamp(MIN_BURST_SHARE * left, MAX_BURST_SHARE * left)
