Write a checkpoint as soon as the store answers any call again

Cause: a checkpoint that was sent in the outage is awaited for 0.8 s, on a connection that may stay silent for good, and so is the read of totals before it.

Change: when any table is read again, the task gives up what it waits for and begins anew. The write counts as one whose outcome is unknown, as after a time-out.

--- a/crates/router/src/relay/budgets/checkpoint.rs
+++ b/crates/router/src/relay/budgets/checkpoint.rs
@@ -65,8 +65,15 @@
     pub async fn run(self: Arc<Self>, current_deployment: impl Fn() -> Option<Arc<Deployment>>) {
         self.take_over().await;
         loop {
+            let regained = self.regained.notified();
             if let Some(deployment) = current_deployment() {
-                self.write_due(&deployment).await;
+                let is_failing = lock(&self.state).failures > 0;
+                tokio::select! {
+                    () = self.write_due(&deployment) => {}
+                    // An answer that is awaited since the outage may never come. The
+                    // write counts as one without an answer.
+                    () = regained, if is_failing => continue,
+                }
             }
             self.written.notify_waiters();
             let period = self.period();
--- a/crates/router/src/relay/budgets/mod.rs
+++ b/crates/router/src/relay/budgets/mod.rs
@@ -70,6 +70,8 @@
     wake: Notify,
     /// Notified after each attempt to write a checkpoint.
     written: Notify,
+    /// Notified when the store answers again.
+    regained: Notify,
     /// Reservations at other routers, and those of others here.
     lending: Lending,
 }
@@ -152,6 +154,7 @@
             incarnation,
             wake: Notify::new(),
             written: Notify::new(),
+            regained: Notify::new(),
             lending: Lending::default(),
         })
     }
@@ -340,6 +343,11 @@
         lock(&self.state).available_after(workspace, worst_case, now)
     }
 
+    /// Has the next checkpoint written at once: the store answers again.
+    pub fn record_store_regained(&self) {
+        self.regained.notify_waiters();
+    }
+
     /// Begins a planned stop: checkpoints return what is not needed from now
     /// on.
     pub fn begin_stop(&self) {
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -10,7 +10,7 @@
 use poplar_platform::mirror::Mirror;
 use poplar_platform::rows::Partition;
 use poplar_platform::servers;
-use poplar_platform::store::{OPERATOR_TABLE, SERVERS_TABLE, Store};
+use poplar_platform::store::{OPERATOR_TABLE, SERVERS_TABLE};
 
 use crate::relay::crashes;
 use crate::relay::limits as server_limits;
@@ -45,7 +45,7 @@
     let mut applied_version = 0;
     loop {
         let requested = Instant::now();
-        if watch.update(&relay.store, &relay.configuration_read).await {
+        if watch.update(&relay, &relay.configuration_read).await {
             let mut rows = watch.mirror.rows();
             let row = rows.find(|row| *row.key == *configuration::KEY);
             if let Some(row) = row.filter(|row| row.version != applied_version) {
@@ -78,7 +78,7 @@
     let mut logged: Vec<(String, u64)> = Vec::new();
     loop {
         let requested = Instant::now();
-        if watch.update(&relay.store, &relay.server_list_read).await {
+        if watch.update(&relay, &relay.server_list_read).await {
             let mut listed: Vec<Server> = Vec::new();
             let mut invalid = Vec::new();
             for row in watch.mirror.rows() {
@@ -119,7 +119,7 @@
     let mut watch = TableWatch::new("crashes", crashes::table::PARTITION, REPORT_FEED_WAIT);
     loop {
         let requested = Instant::now();
-        if watch.update(&relay.store, &relay.crash_reports_read).await {
+        if watch.update(&relay, &relay.crash_reports_read).await {
             let clock = watch.mirror.clock_ms();
             relay
                 .crashes
@@ -135,7 +135,7 @@
     let mut watch = TableWatch::new("limits", server_limits::PARTITION, LIMIT_FEED_WAIT);
     loop {
         let requested = Instant::now();
-        if watch.update(&relay.store, &relay.limits_read).await {
+        if watch.update(&relay, &relay.limits_read).await {
             let (clock, now) = (watch.mirror.clock_ms(), Instant::now());
             let expired = server_limits::merge_rows(&relay, watch.mirror.rows(), clock, now);
             relay.limits_read.record(requested);
@@ -189,13 +189,13 @@
     }
 
     /// Brings the local copy up to date; false if the store did not answer.
-    async fn update(&mut self, store: &Store, last_read: &LastRead) -> bool {
+    async fn update(&mut self, relay: &Relay, last_read: &LastRead) -> bool {
         let wait = if self.lost.is_some() {
             Duration::ZERO
         } else {
             self.feed_wait
         };
-        let result = self.mirror.update(store, wait, TIMEOUT).await;
+        let result = self.mirror.update(&relay.store, wait, TIMEOUT).await;
         let now = Instant::now();
         match result {
             Ok(update) => {
@@ -211,6 +211,7 @@
                         .with("read", kind)
                         .with("bytes", update.bytes)
                         .write();
+                    relay.budgets.record_store_regained();
                 }
                 true
             }
--- a/crates/router/tests/relay/budgets_after_kills.rs
+++ b/crates/router/tests/relay/budgets_after_kills.rs
@@ -318,3 +318,29 @@
     }
     assert!(row(BURST) <= SCARCE_BUDGET * 2 / 3, "{}", row(BURST));
 }
+
+/// Guards against tokens that a kill loses right after an outage, since the router still
+/// waits for the answer to a checkpoint that it sent in the outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn checkpoints_after_an_outage_do_not_wait_for_lost_answers() {
+    const OUTAGES: usize = 4;
+    const FAILED: &str = "checkpoint failed";
+    const REGAINED: &str = "store regained";
+    let mut fleet = Fleet::open(338, 1, LARGE_BUDGET).await;
+    for n in 0..OUTAGES {
+        fleet.cut(0..1, true);
+        fleet.load(OUTAGE / 2).await;
+        let before = fleet.routers[0].log_text().len();
+        fleet.ways[0].silence();
+        fleet.cut(0..1, false);
+        let log = loop {
+            let log = fleet.routers[0].log_text()[before..].to_owned();
+            if log.contains("checkpoints succeed again") {
+                break log;
+            }
+            sleep(Duration::from_millis(20)).await;
+        };
+        let regained = log.find(REGAINED).unwrap_or(log.len());
+        assert!(!log[regained..].contains(FAILED), "outage {n}: {log}");
+    }
+}
--- a/crates/router/tests/relay/site/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -147,6 +147,11 @@
         SocketAddr::new(self.ip, CALLERS_PORT)
     }
 
+    /// What its processes have logged so far.
+    pub(crate) fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     /// Starts a process, if none runs.
     pub(crate) fn start(&mut self) {
         if self.child.is_some() {
