Log why a server accepts no connection, and when its service last did

Cause: the timeline of the incident of hosts without a path needs to tell a lost path from a server that is gone, and connections that hang from refused ones; 'no connection' says neither.

Change: 'connection failed' has the reason and the time since a server of the service last accepted a connection of this router; poplar_connects_failed_total counts them. All connections to servers are opened in one place, from the address that the settings name.

--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -29,6 +29,7 @@
 
 use self::table::StoredRow;
 use self::verify::Verification;
+use crate::relay::paths::Paths;
 use crate::relay::servers::Listing;
 use crate::sync::lock;
 
@@ -92,6 +93,7 @@
     state: Mutex<State>,
     /// Notified when there is a new report of this router.
     added: Notify,
+    paths: Arc<Paths>,
 }
 
 #[derive(Debug)]
@@ -126,8 +128,9 @@
 }
 
 impl Crashes {
-    /// An empty history for the router `own`.
-    pub fn open(own: Incarnation) -> Arc<Self> {
+    /// An empty history for the router `own`, which finds out by `paths` whether servers
+    /// are dead.
+    pub fn open(own: Incarnation, paths: Arc<Paths>) -> Arc<Self> {
         Arc::new(Self {
             state: Mutex::new(State {
                 history: CrashHistory::new(own, REPORT_TIME),
@@ -139,6 +142,7 @@
                 trials: trial::Seen::default(),
             }),
             added: Notify::new(),
+            paths,
         })
     }
 
--- a/crates/router/src/relay/crashes/verify.rs
+++ b/crates/router/src/relay/crashes/verify.rs
@@ -5,7 +5,6 @@
 //! that gets no answer shows nothing while the server is registered: the network
 //! may be cut between here and there.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -13,7 +12,7 @@
 use poplar_core::id::Name;
 
 use super::{Crashes, Evidence};
-use crate::relay::upstream::{self, ConnectError};
+use crate::relay::upstream::ConnectError;
 use crate::sync::lock;
 
 /// Waits before each connection. A process that crashes may keep its listening
@@ -56,23 +55,23 @@
         }
         let (crashes, server) = (self.clone(), server.clone());
         runtime.spawn(async move {
-            if let Some(evidence) = find_evidence(server.address, listed).await {
+            if let Some(evidence) = crashes.find_evidence(&server, listed).await {
                 crashes.record_dead_server(&server, evidence, Instant::now());
             }
             let verifying = &mut lock(&crashes.state).verifying;
             verifying.retain(|v| *v != verification);
         });
     }
-}
 
-async fn find_evidence(address: SocketAddr, listed: bool) -> Option<Evidence> {
-    for wait in WAITS {
-        tokio::time::sleep(wait).await;
-        match upstream::connect(address).await {
-            Err(ConnectError::Refused) => return Some(Evidence::Refused),
-            Err(ConnectError::NoAnswer) if !listed => return Some(Evidence::Unlisted),
-            Err(ConnectError::NoAnswer) | Ok(_) => {}
+    async fn find_evidence(&self, server: &Server, listed: bool) -> Option<Evidence> {
+        for wait in WAITS {
+            tokio::time::sleep(wait).await;
+            match self.paths.probe(server).await {
+                Err(ConnectError::Refused) => return Some(Evidence::Refused),
+                Err(ConnectError::NoAnswer) if !listed => return Some(Evidence::Unlisted),
+                Err(ConnectError::NoAnswer) | Ok(()) => {}
+            }
         }
+        None
     }
-    None
 }
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -251,7 +251,8 @@
     async fn attempt(&mut self, in_flight: InFlight) -> Result<ServerResponse, Failure> {
         self.sends += 1;
         self.last_server = Some(in_flight.server.id.clone());
-        let connected = upstream::connect(in_flight.server.address).await;
+        let id = &self.request.head.attempt_id;
+        let connected = self.relay.paths.connect(&in_flight.server, id).await;
         let now = Instant::now();
         let (connection, mut sender) = match connected {
             Ok(connected) => connected,
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -18,6 +18,7 @@
 pub mod lifecycle;
 pub mod limits;
 pub mod listeners;
+pub mod paths;
 pub mod refusal;
 pub mod request;
 pub mod response_body;
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -13,6 +13,7 @@
 
 use crate::relay::budgets::Budgets;
 use crate::relay::crashes::Crashes;
+use crate::relay::paths::Paths;
 use crate::relay::response_body::BodyMemory;
 use crate::relay::servers::Servers;
 use crate::relay::streams::StreamVersions;
@@ -27,6 +28,8 @@
     pub store: Store,
     /// The backend servers.
     pub servers: Arc<Servers>,
+    /// The paths to them.
+    pub paths: Arc<Paths>,
     /// Prepaid budgets of the workspaces.
     pub budgets: Arc<Budgets>,
     /// Requests that were on servers when these crashed.
@@ -85,10 +88,12 @@
         let store = Store::open(settings.store);
         let incarnation = rand::random();
         let limits = retry_limits(&settings);
+        let paths = Paths::new(settings.ip);
         Arc::new(Self {
             servers: Servers::new(settings.centre.clone(), settings.ip, settings.drain_time),
+            paths: paths.clone(),
             budgets: Budgets::new(store.clone(), settings.ip, incarnation),
-            crashes: Crashes::open(Incarnation::new(&settings.name, incarnation)),
+            crashes: Crashes::open(Incarnation::new(&settings.name, incarnation), paths),
             streams: StreamVersions::open(),
             deployment: RwLock::default(),
             configuration_read: LastRead::default(),
--- a/crates/router/src/relay/upstream.rs
+++ b/crates/router/src/relay/upstream.rs
@@ -3,7 +3,7 @@
 //! On a new connection there can be no response to an earlier request, and a
 //! failure to connect means that nothing was sent.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -15,7 +15,8 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use poplar_core::retry::Failure;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -51,14 +52,30 @@
     NoAnswer,
 }
 
-/// Connects to a server.
+impl ConnectError {
+    /// The reason in fixed words.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::NoAnswer => "no answer",
+        }
+    }
+}
+
+/// Opens a connection to `address` from this host's address.
 ///
 /// # Errors
-/// [`ConnectError`]; nothing was sent then.
-pub async fn connect(
-    address: SocketAddr,
-) -> Result<(Connection, http1::SendRequest<Full<Bytes>>), ConnectError> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+/// [`ConnectError`]
+pub async fn dial(from: IpAddr, address: SocketAddr) -> Result<TcpStream, ConnectError> {
+    let connect = async {
+        let socket = match from {
+            IpAddr::V4(_) => TcpSocket::new_v4()?,
+            IpAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(from, 0))?;
+        socket.connect(address).await
+    };
+    let stream = timeout(CONNECT_TIMEOUT, connect).await;
     let stream = stream.map_err(|_| ConnectError::NoAnswer)?;
     let stream = stream.map_err(|why| match why.kind() {
         std::io::ErrorKind::ConnectionRefused => ConnectError::Refused,
@@ -66,6 +83,16 @@
     })?;
     // Without this, a small request would wait until more bytes are written.
     let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
+
+/// Prepares an open connection to a server for a request.
+///
+/// # Errors
+/// [`ConnectError`]; nothing was sent then.
+pub async fn handshake(
+    stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+) -> Result<(Connection, http1::SendRequest<Full<Bytes>>), ConnectError> {
     let mut settings = http1::Builder::new();
     settings.max_buf_size(MAX_BUFFER_BYTES);
     let handshake = settings.handshake(TokioIo::new(stream)).await;
--- a/crates/router/tests/relay/crash_reports.rs
+++ b/crates/router/tests/relay/crash_reports.rs
@@ -11,8 +11,11 @@
 use poplar_platform::rows::{Row, Write};
 use poplar_router::relay::crashes::wire::ReportsWire;
 use poplar_router::relay::crashes::{Crashes, Source};
+use poplar_router::relay::paths::Paths;
 use poplar_router::relay::servers::Listing;
 
+const HERE: std::net::IpAddr = std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST);
+
 /// Bytes that a row may have: a tenth of a second of 10 Mbit/s for 40 of them.
 const MAX_ROW_BYTES: usize = 3_000;
 /// Bytes of the reports in one datagram.
@@ -21,7 +24,7 @@
 const MAX_ROWS: u64 = 1_000;
 
 fn crashes(router: &str) -> Arc<Crashes> {
-    Crashes::open(Incarnation::new(router, 1))
+    Crashes::open(Incarnation::new(router, 1), Paths::new(HERE))
 }
 
 fn request(n: u64) -> Fingerprint {
