Show that routers without a path to servers serve nobody

Six tests with routers as processes, at 8 and at 60: one, most and all but a third of them without a path; connections that are silent, reset, or live on while new ones are refused; one service alone; the path back, and gone again. Each router sees the servers at an address of its own, so that its paths can be lost alone.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod endless_answers;
 mod events;
 mod fleet_size;
+mod lost_paths;
 mod mirror;
 mod repeated_answers;
 mod retry_budget;
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod limited;
 pub(crate) mod link;
 pub(crate) mod process;
+pub(crate) mod severed;
 pub(crate) mod store;
 pub(crate) mod unframed;
 pub(crate) mod versioned;
--- /dev/null
+++ b/crates/router/tests/relay/site/severed.rs
@@ -0,0 +1,126 @@
+//! Paths from each router to each backend server that can be lost one by one. A router
+//! sees the servers at an address of its own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Connections that fill the queue of a listener that accepts none.
+const QUEUE_FILL: usize = 3;
+
+/// What becomes of connections on a path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Path {
+    /// They work.
+    Open,
+    /// Nothing is answered, neither on open connections nor on new ones.
+    Silent,
+    /// Open ones are reset, and new ones refused.
+    Reset,
+    /// Open ones work, and new ones are refused.
+    OpenOnly,
+}
+
+/// The path from one router to one server.
+#[derive(Debug)]
+pub(crate) struct ServerPath {
+    near: SocketAddr,
+    far: SocketAddr,
+    state: watch::Sender<Path>,
+    accepting: Option<JoinHandle<()>>,
+    filled: Vec<TcpStream>,
+    accepted: Arc<AtomicUsize>,
+}
+
+fn listen(at: SocketAddr, queue: u32) -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_reuseaddr(true).expect("an option");
+    socket.bind(at).expect("a free address");
+    socket.listen(queue).expect("a listener")
+}
+
+impl ServerPath {
+    /// Opens a path from `near` to the server at `far`.
+    pub(crate) async fn open(near: SocketAddr, far: SocketAddr) -> Self {
+        let mut path = Self {
+            near,
+            far,
+            state: watch::Sender::new(Path::Open),
+            accepting: None,
+            filled: Vec::new(),
+            accepted: Arc::default(),
+        };
+        path.set(Path::Open).await;
+        path
+    }
+
+    /// Connections that were accepted so far.
+    pub(crate) fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::Acquire)
+    }
+
+    /// Changes what becomes of connections.
+    pub(crate) async fn set(&mut self, state: Path) {
+        if let Some(accepting) = self.accepting.take() {
+            accepting.abort();
+            // The listener is closed when the task has ended.
+            let _ = accepting.await;
+        }
+        self.filled.clear();
+        self.state.send_replace(state);
+        match state {
+            Path::Open => self.accept(),
+            Path::Silent => self.fill().await,
+            Path::Reset | Path::OpenOnly => {}
+        }
+    }
+
+    fn accept(&mut self) {
+        let listener = listen(self.near, 1024);
+        let (state, far) = (self.state.clone(), self.far);
+        let accepted = self.accepted.clone();
+        self.accepting = Some(tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                accepted.fetch_add(1, Ordering::AcqRel);
+                tokio::spawn(pass(near, far, state.subscribe()));
+            }
+        }));
+    }
+
+    async fn fill(&mut self) {
+        let listener = listen(self.near, 1);
+        for _ in 0..QUEUE_FILL {
+            let connect = TcpStream::connect(self.near);
+            let wait = std::time::Duration::from_millis(50);
+            if let Ok(Ok(stream)) = tokio::time::timeout(wait, connect).await {
+                self.filled.push(stream);
+            }
+        }
+        self.accepting = Some(tokio::spawn(async move {
+            let _listener = listener;
+            std::future::pending::<()>().await;
+        }));
+    }
+}
+
+async fn pass(mut near: TcpStream, far: SocketAddr, mut state: watch::Receiver<Path>) {
+    let Ok(mut far) = TcpStream::connect(far).await else {
+        return;
+    };
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let lost = |path: &Path| matches!(path, Path::Silent | Path::Reset);
+    let lost = tokio::select! {
+        _ = copy_bidirectional(&mut near, &mut far) => return,
+        Ok(path) = state.wait_for(lost) => *path,
+    };
+    if lost == Path::Silent {
+        // Both ends stay open, and nothing passes any more.
+        std::future::pending::<()>().await;
+    }
+    let _ = near.set_zero_linger();
+}
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -2,7 +2,7 @@
 //! with answers that can be lost, late or out of date. Like the platform's, the
 //! change feed returns every version of a row.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -102,6 +102,21 @@
         serve(move |request| store.clone().handle(request)).await
     }
 
+    /// Starts to serve requests with the addresses of backend servers moved to the
+    /// host `ip`, where they keep their ports; returns the address.
+    pub(crate) async fn open_view(self: &Arc<Self>, ip: IpAddr) -> SocketAddr {
+        let store = self.clone();
+        serve(move |request| {
+            let store = store.clone();
+            async move {
+                let (status, mut answer) = store.clone().answer(request).await?;
+                move_servers(&mut answer, ip);
+                Some(store.respond(status, answer))
+            }
+        })
+        .await
+    }
+
     /// Writes a row, as the operator or a backend server would.
     pub(crate) fn set(&self, table: &str, part: &str, key: &str, value: &str) {
         let mut tables = self.tables.lock().expect("no panic");
@@ -210,6 +225,11 @@
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        let (status, answer) = self.clone().answer(request).await?;
+        Some(self.respond(status, answer))
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<(StatusCode, Value)> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
         let query = head.uri.query().unwrap_or_default();
@@ -220,18 +240,21 @@
                 return None;
             }
         }
-        let (status, answer) = match head.uri.path() {
+        Some(match head.uri.path() {
             "/api/rows-get" => self.get(head.uri.query().unwrap_or_default()),
             "/api/rows-feed" => self.feed(head.uri.query().unwrap_or_default()).await?,
             "/api/rows-tx" => self.transact(&serde_json::from_slice(&body).ok()?)?,
             _ => (StatusCode::NOT_FOUND, json!({})),
-        };
+        })
+    }
+
+    fn respond(&self, status: StatusCode, answer: Value) -> Response<Body> {
         let answer = Bytes::from(answer.to_string());
         let length = answer.len().into();
         let mut response = Response::new(self.link.clone().body(answer));
         *response.status_mut() = status;
         response.headers_mut().insert(CONTENT_LENGTH, length);
-        Some(response)
+        response
     }
 
     fn now(&self) -> u64 {
@@ -349,6 +372,24 @@
     }
 }
 
+fn move_servers(answer: &mut Value, ip: IpAddr) {
+    let rows = answer["rows"].as_array_mut();
+    for row in rows
+        .into_iter()
+        .flatten()
+        .filter(|r| r["table"] == "servers")
+    {
+        let bytes = STANDARD.decode(text(row, "value")).expect("base64");
+        let Ok(mut entry) = serde_json::from_slice::<Value>(&bytes) else {
+            continue;
+        };
+        let address = text(&entry, "address").parse::<SocketAddr>();
+        let address = address.map(|address| SocketAddr::new(ip, address.port()));
+        entry["address"] = json!(address.expect("an address").to_string());
+        row["value"] = json!(STANDARD.encode(entry.to_string()));
+    }
+}
+
 fn entry(service: &str, address: SocketAddr) -> Value {
     json!({"service": service, "address": address.to_string(), "zone": "a", "version": "v1",
            "slots": 8, "state": "ready", "sequence": 1})
