Reach servers by way of other routers where the path to them is lost

Cause: a router sends requests only itself, and takes a lost path for servers that fail one by one: each of them is tried, which spends the retry budget, while the load balancer and open connections go on to bring requests.

Change: a server that does not accept a connection is asked for one by way of another router, before anything is sent and before that counts as a failure. Only the connection goes another way: choice, budget, retries, permits and evidence of crashes stay where the request is. The other router connects only to servers that it lists, only for live routers, and never asks a third one. Answers pass in frames with an empty one at the end, so that one that is cut off is never taken for complete.

Ruled out: passing on whole requests, which needs budgets, retries and what ran to be agreed between two routers; not being ready, which leaves open connections and data centres that are lost as a whole.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod grant;
 pub mod health;
 pub mod id;
+pub mod path;
 pub mod poison;
 pub mod prefix;
 pub mod queue;
--- a/crates/router/src/relay/lifecycle.rs
+++ b/crates/router/src/relay/lifecycle.rs
@@ -13,6 +13,7 @@
 
 use crate::lifecycle::{Error, bind};
 use crate::metrics;
+use crate::relay::paths::tunnel;
 use crate::relay::state::Relay;
 use crate::relay::{crashes, gossip, limits, listeners, streams, watch};
 
@@ -68,6 +69,7 @@
     tokio::spawn(limits::run(relay.clone()));
     tokio::spawn(streams::table::run(relay.clone()));
     tokio::spawn(gossip::run(relay.clone()));
+    tokio::spawn(tunnel::run(relay.clone()));
     let leases = SocketAddr::new(relay.settings.ip, relay.settings.internal_ports.1);
     match tokio::net::UdpSocket::bind(leases).await {
         Ok(socket) => {
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -81,6 +81,7 @@
             .set(f64::from(relay.servers.in_flight_count()));
         metrics::gauge!("poplar_crash_requests").set(relay.crashes.suspected_requests() as f64);
         metrics::gauge!("poplar_limited_servers").set(relay.servers.limited_count() as f64);
+        metrics::gauge!("poplar_paths_lost").set(relay.paths.lost_count() as f64);
         for (reason, count) in relay.servers.left_out(now) {
             metrics::gauge!("poplar_servers_left_out", "reason" => reason.label())
                 .set(count as f64);
--- /dev/null
+++ b/crates/router/src/relay/paths/tunnel.rs
@@ -0,0 +1,221 @@
+//! Connections to backend servers by way of another router.
+//!
+//! A router without a path to a server opens a connection to another router and names
+//! the server. That one connects to it, if it lists the server and has a path itself; it
+//! never asks a third one. The request then passes as it is, and the answer in frames, of
+//! which an empty one is the last: a connection that ends without it, as when the other
+//! router is killed, is not taken for the end of the answer.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::{SinkExt, StreamExt, stream};
+use poplar_base::log;
+use poplar_core::deployment::Server;
+use poplar_core::id::Name;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::io::StreamReader;
+
+use crate::relay::state::Relay;
+use crate::relay::upstream::{self, ConnectError};
+
+/// Time in which the other router answers whether it has connected: longer than it waits
+/// for the server.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Largest frame in bytes.
+const MAX_FRAME_BYTES: usize = 8 << 10;
+/// Most connections for other routers at a time; each takes two buffers of a frame.
+const MAX_TUNNELS: usize = 256;
+/// Pause after a failed accept, while the process is out of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Why another router gave no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TunnelError {
+    /// The server refused it.
+    Refused,
+    /// The server did not answer, or the router knows that it has no path either.
+    NoPath,
+    /// The router did not answer.
+    NoAnswer,
+}
+
+impl TunnelError {
+    /// The reason in fixed words.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::NoPath => "no path",
+            Self::NoAnswer => "no answer",
+        }
+    }
+}
+
+/// The server that a router asks for.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct Ask {
+    server: Name,
+    started_ms: u64,
+}
+
+/// The answer to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Reply {
+    Connected,
+    Refused,
+    NoPath,
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec()
+}
+
+fn encode(message: &impl Serialize) -> Bytes {
+    serde_json::to_vec(message)
+        .expect("a message can be serialized")
+        .into()
+}
+
+/// Opens a connection to a server by way of the router at `peer`.
+///
+/// # Errors
+/// [`TunnelError`]; nothing was sent to the server then.
+pub async fn open(
+    from: IpAddr,
+    peer: SocketAddr,
+    server: &Server,
+) -> Result<impl AsyncRead + AsyncWrite + Send + Unpin + 'static, TunnelError> {
+    let stream = upstream::dial(from, peer).await;
+    let stream = stream.map_err(|_| TunnelError::NoAnswer)?;
+    let (read, write) = stream.into_split();
+    let mut frames = FramedRead::new(read, codec());
+    let mut asks = FramedWrite::new(write, codec());
+    let ask = Ask {
+        server: server.id.clone(),
+        started_ms: server.started_ms,
+    };
+    let exchange = async {
+        asks.send(encode(&ask)).await.ok()?;
+        let reply = frames.next().await?.ok()?;
+        serde_json::from_slice(&reply).ok()
+    };
+    match timeout(ANSWER_TIMEOUT, exchange).await {
+        Ok(Some(Reply::Connected)) => {}
+        Ok(Some(Reply::Refused)) => return Err(TunnelError::Refused),
+        Ok(Some(Reply::NoPath)) => return Err(TunnelError::NoPath),
+        Ok(None) | Err(_) => return Err(TunnelError::NoAnswer),
+    }
+    let answer = stream::try_unfold(frames, |mut frames| async move {
+        match frames.next().await {
+            Some(Ok(frame)) if frame.is_empty() => Ok(None),
+            Some(Ok(frame)) => Ok(Some((frame.freeze(), frames))),
+            Some(Err(why)) => Err(why),
+            None => Err(io::Error::from(io::ErrorKind::UnexpectedEof)),
+        }
+    });
+    let reader = StreamReader::new(Box::pin(answer));
+    Ok(tokio::io::join(reader, asks.into_inner()))
+}
+
+/// Connects to servers for other routers until the process ends.
+pub async fn run(relay: Arc<Relay>) {
+    let address = SocketAddr::new(relay.settings.ip, relay.settings.internal_ports.0);
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        // Other routers ask another one.
+        Err(why) => return log::error("tunnels disabled").reason(why).write(),
+    };
+    let places = Arc::new(Semaphore::new(MAX_TUNNELS));
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            continue;
+        };
+        if !relay.paths.is_peer(from.ip()) {
+            continue;
+        }
+        let relay = relay.clone();
+        tokio::spawn(async move {
+            // A connection that fails here also ends at the other router.
+            let _ = serve(&relay, stream).await;
+            drop(place);
+        });
+    }
+}
+
+async fn serve(relay: &Relay, stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let (read, write) = stream.into_split();
+    let mut asks = FramedRead::new(read, codec());
+    let mut answers = FramedWrite::new(write, codec());
+    let Ok(Some(ask)) = timeout(ANSWER_TIMEOUT, asks.next()).await else {
+        return Ok(());
+    };
+    let ask: Ask = serde_json::from_slice(&ask?)?;
+    let connected = match relay.servers.find(&ask.server, ask.started_ms) {
+        Some(server) => relay.paths.dial_for_peer(&server).await,
+        None => Err(ConnectError::NoAnswer),
+    };
+    let reply = match &connected {
+        Ok(_) => Reply::Connected,
+        Err(ConnectError::Refused) => Reply::Refused,
+        Err(ConnectError::NoAnswer) => Reply::NoPath,
+    };
+    answers.send(encode(&reply)).await?;
+    let Ok(server) = connected else {
+        return Ok(());
+    };
+    let (from_server, mut to_server) = server.into_split();
+    let early = asks.read_buffer().clone();
+    let request = async {
+        let mut from_router = asks.into_inner();
+        forward_request(early, &mut from_router, &mut to_server).await
+    };
+    // The other router closes its side when it has or wants no more of the answer.
+    tokio::select! {
+        ended = request => ended,
+        ended = forward_answer(from_server, &mut answers) => ended,
+    }
+}
+
+async fn forward_request(
+    mut early: BytesMut,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
+) -> io::Result<()> {
+    tokio::io::AsyncWriteExt::write_all_buf(to, &mut early).await?;
+    tokio::io::copy(from, to).await.map(drop)
+}
+
+async fn forward_answer(
+    mut from: OwnedReadHalf,
+    to: &mut FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+) -> io::Result<()> {
+    let mut chunk = BytesMut::with_capacity(MAX_FRAME_BYTES);
+    loop {
+        chunk.reserve(MAX_FRAME_BYTES);
+        let mut limited = (&mut from).take(MAX_FRAME_BYTES as u64);
+        let length = limited.read_buf(&mut chunk).await?;
+        to.send(chunk.split().freeze()).await?;
+        if length == 0 {
+            return Ok(());
+        }
+    }
+}
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -88,7 +88,7 @@
         let store = Store::open(settings.store);
         let incarnation = rand::random();
         let limits = retry_limits(&settings);
-        let paths = Paths::new(settings.ip);
+        let paths = Paths::new(settings.ip, settings.internal_ports.0);
         Arc::new(Self {
             servers: Servers::new(settings.centre.clone(), settings.ip, settings.drain_time),
             paths: paths.clone(),
--- a/crates/router/tests/relay/crash_reports.rs
+++ b/crates/router/tests/relay/crash_reports.rs
@@ -24,7 +24,7 @@
 const MAX_ROWS: u64 = 1_000;
 
 fn crashes(router: &str) -> Arc<Crashes> {
-    Crashes::open(Incarnation::new(router, 1), Paths::new(HERE))
+    Crashes::open(Incarnation::new(router, 1), Paths::new(HERE, 0))
 }
 
 fn request(n: u64) -> Fingerprint {
--- a/crates/router/tests/relay/crash_trials.rs
+++ b/crates/router/tests/relay/crash_trials.rs
@@ -20,7 +20,7 @@
 
 /// A router that read the store's clock as `clock` just now.
 fn router(name: &str, clock: u64) -> Arc<Crashes> {
-    let crashes = Crashes::open(Incarnation::new(name, 1), Paths::new(HERE));
+    let crashes = Crashes::open(Incarnation::new(name, 1), Paths::new(HERE, 0));
     crashes.merge_rows(std::iter::empty(), clock, Instant::now());
     crashes
 }
@@ -80,7 +80,7 @@
     store.set_down(true);
     let away = begin_trial(&a, &client, "away").await;
     assert_eq!(away, Trial::Denied);
-    let unread = Crashes::open(Incarnation::new("b", 1), Paths::new(HERE));
+    let unread = Crashes::open(Incarnation::new("b", 1), Paths::new(HERE, 0));
     store.set_down(false);
     let unread = begin_trial(&unread, &client, "unread").await;
     assert_eq!(unread, Trial::Denied, "the store's clock is not known");
