--- a/crates/router/tests/relay/site/severed.rs
+++ b/crates/router/tests/relay/site/severed.rs
@@ -1,9 +1,11 @@
 //! Paths from each router to each backend server that can be lost one by one. A router
 //! sees the servers at an address of its own.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -37,11 +39,19 @@
     accepted: Arc<AtomicUsize>,
 }
 
-fn listen(at: SocketAddr, queue: u32) -> TcpListener {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.set_reuseaddr(true).expect("an option");
-    socket.bind(at).expect("a free address");
-    socket.listen(queue).expect("a listener")
+/// Listens at an address that another listener may just have had. A process that another
+/// test starts holds all sockets of this one for a moment, closed ones included.
+async fn listen(at: SocketAddr, queue: u32) -> TcpListener {
+    loop {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("an option");
+        match socket.bind(at) {
+            Ok(()) => return socket.listen(queue).expect("a listener"),
+            Err(why) if why.kind() == ErrorKind::AddrInUse => {}
+            Err(why) => panic!("{at}: {why}"),
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
 }
 
 impl ServerPath {
@@ -74,14 +84,14 @@
         self.filled.clear();
         self.state.send_replace(state);
         match state {
-            Path::Open => self.accept(),
+            Path::Open => self.accept().await,
             Path::Silent => self.fill().await,
             Path::Reset | Path::OpenOnly => {}
         }
     }
 
-    fn accept(&mut self) {
-        let listener = listen(self.near, 1024);
+    async fn accept(&mut self) {
+        let listener = listen(self.near, 1024).await;
         let (state, far) = (self.state.clone(), self.far);
         let accepted = self.accepted.clone();
         self.accepting = Some(tokio::spawn(async move {
@@ -93,10 +103,10 @@
     }
 
     async fn fill(&mut self) {
-        let listener = listen(self.near, 1);
+        let listener = listen(self.near, 1).await;
         for _ in 0..QUEUE_FILL {
             let connect = TcpStream::connect(self.near);
-            let wait = std::time::Duration::from_millis(50);
+            let wait = Duration::from_millis(50);
             if let Ok(Ok(stream)) = tokio::time::timeout(wait, connect).await {
                 self.filled.push(stream);
             }
