Test that no head that breaks off, and no error, becomes part of an answer

Two reports of operators of similar systems: an engine stops in the middle of its answer's head, and the client gets an empty answer that looks whole; a stream breaks off, the next engine answers with an error, and the client finds its text in the stream, or an end that looks complete. The second one fails if the status of the answer that goes on with a stream is not checked (tried: ServerError, an event and the error's body follow); the first is kept by the HTTP library, which was not broken on purpose.

--- a/crates/router/tests/relay/site/unframed.rs
+++ b/crates/router/tests/relay/site/unframed.rs
@@ -17,6 +17,8 @@
     Close,
     /// It is reset.
     Reset,
+    /// It is closed after the headers, before the line that ends them.
+    InHead,
 }
 
 /// Starts a server whose answers consist of this body.
@@ -45,6 +47,10 @@
         "HTTP/1.1 200 OK\r\nx-poplarreel-attempt-id: {id}\r\n\
          x-poplarreel-response-seal: a-seal\r\n\r\n"
     );
+    if end == End::InHead {
+        let part = head.trim_end_matches("\r\n");
+        return stream.write_all(part.as_bytes()).await;
+    }
     stream.write_all(head.as_bytes()).await?;
     stream.write_all(body.as_bytes()).await?;
     stream.flush().await?;
--- a/crates/router/tests/relay/unframed_answers.rs
+++ b/crates/router/tests/relay/unframed_answers.rs
@@ -100,3 +100,50 @@
     let resumed = resumed.filter(|run| run.headers.contains_key("last-event-id"));
     assert!(resumed.count() > 0, "no stream was resumed");
 }
+
+/// Guards against a head that breaks off and is passed on as an answer without a body.
+#[tokio::test]
+async fn an_answer_that_ends_inside_its_head_is_none() {
+    for (service, paths) in [
+        ("plain", ["/once/x", "/read/x"]),
+        ("engines", ["/stream/x", "/resume/x"]),
+    ] {
+        let (relay, _store) = start(service, "", End::InHead).await;
+        for path in paths {
+            let answer = ask(&relay, path, path).await.expect("an answer");
+            assert_eq!(answer.status, 502, "{path}");
+        }
+    }
+}
+
+/// Guards against the answer of a server that refuses to go on with a stream, in the
+/// middle of that stream or in place of its end.
+#[tokio::test]
+async fn an_error_in_place_of_the_rest_of_a_stream_is_not_passed_on() {
+    for next in [
+        Behaviour::ServerError,
+        Behaviour::WrongAttemptId,
+        Behaviour::Cut,
+    ] {
+        let store = configured_store(PREPAID);
+        let mut backends = Vec::new();
+        for (n, behaviour) in [Behaviour::BreakAfter(2), next].into_iter().enumerate() {
+            let (backend, address) = Backend::open(behaviour).await;
+            store.register(&format!("engine-{n}"), "engines", address);
+            backends.push(backend);
+        }
+        let relay = TestRelay::open(store.open().await).await;
+        for n in 0..REQUESTS {
+            let id = format!("resume-{n}");
+            // A stream that began may only break off; none is complete.
+            if let Some(answer) = ask(&relay, "/resume/x", &id).await {
+                assert!(!answer.status.is_success(), "{next:?}: {}", text(&answer));
+            }
+        }
+        let all = backends[1].executed_requests();
+        let resumed = all
+            .iter()
+            .filter(|r| r.headers.contains_key("last-event-id"));
+        assert!(resumed.count() > 0, "{next:?}: no stream was resumed");
+    }
+}
