--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -251,8 +251,8 @@
     async fn attempt(&mut self, in_flight: InFlight) -> Result<ServerResponse, Failure> {
         self.sends += 1;
         self.last_server = Some(in_flight.server.id.clone());
-        let id = &self.request.head.attempt_id;
-        let connected = self.relay.paths.connect(&in_flight.server, id).await;
+        let (paths, id) = (&self.relay.paths, &self.request.head.attempt_id);
+        let connected = paths.connect(&in_flight.server, id).await;
         let now = Instant::now();
         let (connection, mut sender) = match connected {
             Ok(connected) => connected,
@@ -270,11 +270,8 @@
                 return Err(Failure::Connect);
             }
         };
-        if !self
-            .relay
-            .servers
-            .is_open(&in_flight.server, Instant::now())
-        {
+        let servers = &self.relay.servers;
+        if !servers.is_open(&in_flight.server, Instant::now()) {
             return Err(Failure::Connect);
         }
         let request = self
--- a/crates/router/src/relay/servers/availability.rs
+++ b/crates/router/src/relay/servers/availability.rs
@@ -36,6 +36,14 @@
 }
 
 impl Servers {
+    /// The listed server with this id whose process started at that time.
+    pub fn find(&self, id: &str, started_ms: u64) -> Option<Server> {
+        let state = lock(&self.state);
+        let mut all = state.list.all();
+        all.find(|s| *s.id == *id && s.started_ms == started_ms)
+            .cloned()
+    }
+
     /// Whether a request may still be sent to a server that was chosen for it.
     pub fn is_open(&self, server: &Server, now: Instant) -> bool {
         let mut state = lock(&self.state);
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -205,14 +205,6 @@
         lock(&self.state).list.record_failed_read();
     }
 
-    /// The listed server with this id whose process started at that time.
-    pub fn find(&self, id: &str, started_ms: u64) -> Option<Server> {
-        let state = lock(&self.state);
-        let mut all = state.list.all();
-        all.find(|s| *s.id == *id && s.started_ms == started_ms)
-            .cloned()
-    }
-
     /// Whether a server is listed.
     pub fn is_listed(&self, id: &str) -> bool {
         lock(&self.state).list.all().any(|s| *s.id == *id)
