Show that a router out of step continues streams at another version

A report of operators of similar systems: during a release, streams that began at engines of a new version went on at another one at a router that was out of step.

Without the store, the versions that it knows count as all there are while its list of servers is younger than 15 s; the limits of the design name this. A router that stood still refuses or continues them rightly, since it reads the versions when it goes on.

--- a/crates/router/tests/relay/stream_versions.rs
+++ b/crates/router/tests/relay/stream_versions.rs
@@ -3,6 +3,7 @@
 //! together: a stream goes on at the version that began it, or not at all. Clients
 //! look at the events that they have.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +12,8 @@
 
 use crate::site::caller::{Seen, wait_until};
 use crate::site::configured_store;
-use crate::site::process::{Router, start_routers};
+use crate::site::cut::Way;
+use crate::site::process::{Router, address, start_routers};
 use crate::site::store::Store;
 use crate::site::versioned::{Received, VersionedEngine};
 
@@ -36,6 +38,7 @@
 /// Routers and engines of one test.
 struct Site {
     store: Arc<Store>,
+    store_address: SocketAddr,
     routers: Vec<Router>,
     engines: Vec<Arc<VersionedEngine>>,
     folder: PathBuf,
@@ -59,6 +62,7 @@
         std::fs::create_dir_all(&folder).expect("a folder");
         let mut site = Self {
             store,
+            store_address,
             routers: Vec::new(),
             engines: Vec::new(),
             folder,
@@ -324,3 +328,52 @@
     site.restart_all().await;
     check_continued(&site.ask(streams, 1, None, |_| None).await);
 }
+
+/// Begins streams while engines of a new version join and the first router is out of
+/// step, and takes those of the new version up there once `rejoin` has run.
+async fn check_out_of_step(site: &mut Site, leave: impl Fn(&mut Site), rejoin: impl Fn(&mut Site)) {
+    leave(site);
+    site.add_engines("v2").await;
+    tokio::time::sleep(LIST_TIME).await;
+    let streams = vec![Received::default(); STREAMS];
+    let mut new = Vec::new();
+    for (n, stream) in streams.into_iter().enumerate() {
+        let router = 1 + n % (ROUTERS - 1);
+        new.extend(
+            site.ask(vec![stream], router, Some(EVENTS_BEFORE), named)
+                .await,
+        );
+    }
+    new.retain(|stream| stream.events.first().is_some_and(|event| *event == "v2"));
+    assert!(!new.is_empty(), "no stream began at the new version");
+    rejoin(site);
+    let mut taken_up = Vec::new();
+    for stream in new {
+        taken_up.extend(site.ask(vec![stream], 0, None, named).await);
+    }
+    check_not_mixed(&taken_up);
+}
+
+/// Guards against streams of a new version that go on at the old one at a router that
+/// was cut off from the store and the others while the new one joined.
+#[tokio::test(flavor = "multi_thread")]
+async fn out_of_step_a_router_that_was_cut_off_does_not_mix_versions() {
+    let mut site = Site::open(481, &["v1"]).await;
+    let (way, near) = Way::open(site.store_address).await;
+    let mut router = Router::new(address(482, 0), near, &site.folder);
+    router.isolate_datagrams(7350);
+    router.start();
+    site.routers[0] = router;
+    site.wait_until_served().await;
+    tokio::time::sleep(LIST_TIME).await;
+    check_out_of_step(&mut site, |_| way.set_cut(true), |_| {}).await;
+}
+
+/// Guards against the same at a router that stood still.
+#[tokio::test(flavor = "multi_thread")]
+async fn out_of_step_a_router_that_stood_still_does_not_mix_versions() {
+    let mut site = Site::open(483, &["v1"]).await;
+    let stop = |site: &mut Site| site.routers[0].signal("STOP");
+    let go_on = |site: &mut Site| site.routers[0].signal("CONT");
+    check_out_of_step(&mut site, stop, go_on).await;
+}
