Look an account up, and start an outage in a test, in one place each

Change: State::account_mut; Fleet::open_in_outage and check_kill_before_an_outage; Demand::default(). Outages, loads, bounds and assertions are the same.

Ruled out: one Fleet for these tests and those of budget_leases, lost_paths and the limits: they share a folder and the wait for routers, and differ in their ways, servers and counts.

--- a/crates/core/tests/quota_reserve.rs
+++ b/crates/core/tests/quota_reserve.rs
@@ -7,20 +7,16 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn input(now: Instant, routers: u32) -> PlanInput {
-    let own = Account::default().demand_rate(now);
-    let demand = Demand {
-        own,
-        fleet: 8.0 * own,
-    };
+/// No request has come yet.
+fn input(routers: u32) -> PlanInput {
     PlanInput {
         pool: 1_000_000,
         others_held: 500_000,
         routers,
         holders: 8,
         is_holder: true,
-        demand,
-        total_demand: demand,
+        demand: Demand::default(),
+        total_demand: Demand::default(),
         typical_size: 2_000,
         stopping: false,
     }
@@ -34,7 +30,7 @@
     let now = Instant::now();
     for routers in [8, 60, 295, 1_700] {
         let mut account = Account::default();
-        let input = input(now, routers);
+        let input = input(routers);
         let change = quota::wanted_change(&account, &input);
         let allocation = quota::plan_allocation(&account, &input, &change, now);
         account.record_sent(allocation, now);
--- a/crates/router/src/relay/budgets/checkpoint.rs
+++ b/crates/router/src/relay/budgets/checkpoint.rs
@@ -7,7 +7,7 @@
 use poplar_base::log;
 use poplar_core::deployment::Deployment;
 use poplar_core::id::Name;
-use poplar_core::quota::{self, Account, Change, HolderRow, PlanInput, Settlement};
+use poplar_core::quota::{self, Change, HolderRow, PlanInput, Settlement};
 use poplar_core::sorted::SortedVec;
 use poplar_platform::rows::{Check, Commit, Partition, Row, Write};
 use poplar_platform::store::Error;
@@ -318,9 +318,7 @@
                 typical_size,
                 stopping: state.stopping,
             };
-            let account = state
-                .accounts
-                .get_or_insert_with(name.clone(), Account::default);
+            let account = state.account_mut(name);
             let change = quota::wanted_change(account, &input);
             accounts.push((name, total, version, input, change));
         }
@@ -356,9 +354,7 @@
         for (index, (name, mut total, version, input, change)) in accounts.into_iter().enumerate() {
             let chosen = chosen.binary_search(&index).is_ok();
             let change = if chosen { change } else { change.need_only() };
-            let account = state
-                .accounts
-                .get_or_insert_with(name.clone(), Account::default);
+            let account = state.account_mut(name);
             let allocation = quota::plan_allocation(account, &input, &change, now);
             account.record_sent(allocation, now);
             // A row without an allocation says as much as one of zeros.
--- a/crates/router/src/relay/budgets/mod.rs
+++ b/crates/router/src/relay/budgets/mod.rs
@@ -357,18 +357,14 @@
 
     fn record_demand(&self, workspace: &Name, worst_case: u64, now: Instant) {
         let mut state = lock(&self.state);
-        let account = state
-            .accounts
-            .get_or_insert_with(workspace.clone(), Account::default);
+        let account = state.account_mut(workspace);
         account.record_demand(worst_case, now);
     }
 
     /// Has checkpoints provide for a request until the result is dropped.
     fn wait_for<'a>(&'a self, workspace: &'a Name, tokens: u64) -> Waiting<'a> {
         let mut state = lock(&self.state);
-        let account = state
-            .accounts
-            .get_or_insert_with(workspace.clone(), Account::default);
+        let account = state.account_mut(workspace);
         account.add_need(tokens);
         Waiting {
             budgets: self,
@@ -384,9 +380,7 @@
         now: Instant,
     ) -> Option<Reservation> {
         let mut state = lock(&self.state);
-        let account = state
-            .accounts
-            .get_or_insert_with(workspace.clone(), Account::default);
+        let account = state.account_mut(workspace);
         account.reserve(worst_case, now).then(|| Reservation {
             budgets: self.clone(),
             workspace: workspace.clone(),
--- a/crates/router/src/relay/budgets/state.rs
+++ b/crates/router/src/relay/budgets/state.rs
@@ -99,6 +99,12 @@
         self.accounts.get(name)?.time_until_free(tokens, now)
     }
 
+    /// The account of a budget, which is opened when it is first needed.
+    pub(super) fn account_mut(&mut self, name: &Name) -> &mut Account {
+        self.accounts
+            .get_or_insert_with(name.clone(), Account::default)
+    }
+
     /// Whether requests wait for which this router holds enough tokens.
     pub(super) fn has_payable_requests(&self) -> bool {
         let mut accounts = self.accounts.iter();
--- a/crates/router/tests/relay/budgets_after_kills.rs
+++ b/crates/router/tests/relay/budgets_after_kills.rs
@@ -25,6 +25,8 @@
 const SCARCE_BUDGET: u64 = 60_000;
 /// Time until all routers know of each other.
 const JOIN_TIME: Duration = Duration::from_secs(4);
+/// Time of the load before an outage.
+const WARM_UP: Duration = Duration::from_secs(2);
 /// Outage after which a holding may be spent, however small the demand was.
 const OUTAGE: Duration = Duration::from_secs(10);
 /// Time between two streams of the load.
@@ -80,6 +82,14 @@
         fleet
     }
 
+    /// Starts routers with some load, of which the store is then away.
+    async fn open_in_outage(run: u64, count: usize, prepaid: u64) -> Self {
+        let mut fleet = Self::open(run, count, prepaid).await;
+        fleet.load(WARM_UP).await;
+        fleet.store.set_down(true);
+        fleet
+    }
+
     async fn wait_ready(&self) {
         for router in &self.routers {
             let is_answer = |seen| matches!(seen, Seen::Answer(200, _));
@@ -174,9 +184,7 @@
 /// Guards against a budget that counts as spent since its holders were killed late in an
 /// outage of the store.
 async fn check_kill_in_an_outage(run: u64, count: usize, prepaid: u64) {
-    let mut fleet = Fleet::open(run, count, prepaid).await;
-    fleet.load(Duration::from_secs(2)).await;
-    fleet.store.set_down(true);
+    let mut fleet = Fleet::open_in_outage(run, count, prepaid).await;
     fleet.load(OUTAGE).await;
     fleet.kill_all();
     fleet.store.set_down(false);
@@ -205,38 +213,31 @@
 }
 
 /// Guards against a budget that counts as spent since an outage went on after its
-/// holders were killed: a process spends nothing once it has ended.
-#[tokio::test(flavor = "multi_thread")]
-async fn budgets_after_kills_before_an_outage() {
-    let mut fleet = Fleet::open(333, SMALL, LARGE_BUDGET).await;
-    fleet.load(Duration::from_secs(2)).await;
-    fleet.store.set_down(true);
+/// holders were killed: a process spends nothing once it has ended. At least `part` of
+/// each `whole` streams have to be served.
+async fn check_kill_before_an_outage(run: u64, outage: Duration, part: u64, whole: u64) {
+    let mut fleet = Fleet::open_in_outage(run, SMALL, LARGE_BUDGET).await;
     fleet.kill_all();
     fleet.start_all();
-    sleep(OUTAGE).await;
+    sleep(outage).await;
     fleet.store.set_down(false);
-    fleet.check_recovery().await;
+    fleet.check_recovery_of(part, whole).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn budgets_after_kills_before_an_outage() {
+    check_kill_before_an_outage(333, OUTAGE, 1, 4).await;
 }
 
-/// Guards against the same in a long outage: nearly nothing was spent.
 #[tokio::test(flavor = "multi_thread")]
 async fn budgets_after_kills_before_a_long_outage() {
-    let mut fleet = Fleet::open(337, SMALL, LARGE_BUDGET).await;
-    fleet.load(Duration::from_secs(2)).await;
-    fleet.store.set_down(true);
-    fleet.kill_all();
-    fleet.start_all();
-    sleep(OUTAGE * 3).await;
-    fleet.store.set_down(false);
-    fleet.check_recovery_of(3, 4).await;
+    check_kill_before_an_outage(337, OUTAGE * 3, 3, 4).await;
 }
 
 /// Guards against the same where processes are killed again and again in the outage.
 #[tokio::test(flavor = "multi_thread")]
 async fn budgets_after_kills_in_series() {
-    let mut fleet = Fleet::open(334, SMALL, LARGE_BUDGET).await;
-    fleet.load(Duration::from_secs(2)).await;
-    fleet.store.set_down(true);
+    let mut fleet = Fleet::open_in_outage(334, SMALL, LARGE_BUDGET).await;
     for _ in 0..3 {
         fleet.load(OUTAGE / 3).await;
         fleet.kill_all();
@@ -256,7 +257,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn budgets_after_kills_of_routers_that_were_cut_off() {
     let mut fleet = Fleet::open(335, SMALL, LARGE_BUDGET).await;
-    fleet.load(Duration::from_secs(2)).await;
+    fleet.load(WARM_UP).await;
     fleet.cut(0..SMALL * 3 / 4, true);
     fleet.load(OUTAGE).await;
     fleet.cut(0..SMALL, true);
@@ -269,9 +270,7 @@
 /// Guards against the same where the routers stop as planned while the store is away.
 #[tokio::test(flavor = "multi_thread")]
 async fn budgets_after_stops_in_an_outage() {
-    let mut fleet = Fleet::open(336, SMALL, LARGE_BUDGET).await;
-    fleet.load(Duration::from_secs(2)).await;
-    fleet.store.set_down(true);
+    let mut fleet = Fleet::open_in_outage(336, SMALL, LARGE_BUDGET).await;
     for router in &mut fleet.routers {
         router.signal("TERM");
     }
