Take the live routers for connections by way of others from the budgets

Change: Paths asks Budgets::peers when it needs other routers, so that it does not depend on the port of the datagrams either; listeners::ACCEPT_RETRY_DELAY serves both; forward_request is gone; site::crashes_of opens the crashes of a router without a store.

Ruled out: tokio-util's ReaderStream in place of the loop that sends frames, since it does not bound what it reads by the largest frame; one function for connect and probe, since a probe logs no failed connection.

--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -143,7 +143,6 @@
     loop {
         tokio::time::sleep(pause).await;
         let peers = relay.budgets.peers();
-        relay.paths.set_peers(peers.clone());
         // What is announced waits until there is a router to tell.
         if peers.is_empty() {
             continue;
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -28,7 +28,7 @@
 const MIN_HEAD_BYTES: usize = 8 << 10;
 /// Pause after a failed accept, so that the loop does not spin while the
 /// process is out of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Serves requests of callers until `stop` is cancelled, then waits for the
 /// open requests to end.
--- a/crates/router/src/relay/paths/mod.rs
+++ b/crates/router/src/relay/paths/mod.rs
@@ -23,6 +23,7 @@
 use poplar_core::sorted::SortedVec;
 use tokio::net::TcpStream;
 
+use crate::relay::budgets::Budgets;
 use crate::relay::state::format_age;
 use crate::relay::upstream::{self, ConnectError, Connection};
 use crate::sync::lock;
@@ -49,8 +50,6 @@
 struct State {
     /// The path to the servers of each service.
     services: SortedVec<Name, Path>,
-    /// The other live routers.
-    peers: Vec<IpAddr>,
     /// Routers that gave no connection, and until when they are avoided.
     avoided: SortedVec<IpAddr, Instant>,
 }
@@ -61,29 +60,22 @@
     address: IpAddr,
     /// Port of the tunnels of all routers.
     port: u16,
+    /// Knows the other live routers.
+    budgets: Arc<Budgets>,
     state: Mutex<State>,
 }
 
 impl Paths {
     /// The paths from the host at `address`; other routers are asked at `port`.
-    pub fn new(address: IpAddr, port: u16) -> Arc<Self> {
+    pub fn new(address: IpAddr, port: u16, budgets: Arc<Budgets>) -> Arc<Self> {
         Arc::new(Self {
             address,
             port,
+            budgets,
             state: Mutex::default(),
         })
     }
 
-    /// Replaces the other live routers.
-    pub fn set_peers(&self, peers: Vec<IpAddr>) {
-        lock(&self.state).peers = peers;
-    }
-
-    /// Whether `peer` is a live router.
-    pub fn is_peer(&self, peer: IpAddr) -> bool {
-        lock(&self.state).peers.contains(&peer)
-    }
-
     /// Services to whose servers this host has no path, for the metrics.
     pub fn lost_count(&self) -> usize {
         let state = lock(&self.state);
@@ -222,10 +214,11 @@
     /// The routers to ask, chosen at random, those last that gave no connection lately.
     /// Neighbours are not asked in turn, since they may have lost the same paths.
     fn candidates(&self, now: Instant) -> Vec<IpAddr> {
+        let live = self.budgets.peers();
+        let count = live.len().min(MAX_SAMPLED);
+        let sample = rand::seq::index::sample(&mut rand::rng(), live.len(), count);
+        let mut peers: Vec<IpAddr> = sample.iter().map(|at| live[at]).collect();
         let state = lock(&self.state);
-        let count = state.peers.len();
-        let sample = rand::seq::index::sample(&mut rand::rng(), count, count.min(MAX_SAMPLED));
-        let mut peers: Vec<IpAddr> = sample.iter().map(|at| state.peers[at]).collect();
         peers.sort_by_key(|peer| state.avoided.get(peer).is_some_and(|until| now < *until));
         peers.truncate(MAX_ASKED);
         peers
--- a/crates/router/src/relay/paths/tunnel.rs
+++ b/crates/router/src/relay/paths/tunnel.rs
@@ -25,6 +25,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 use tokio_util::io::StreamReader;
 
+use crate::relay::listeners::ACCEPT_RETRY_DELAY;
 use crate::relay::state::Relay;
 use crate::relay::upstream::{self, ConnectError};
 
@@ -35,8 +36,6 @@
 const MAX_FRAME_BYTES: usize = 8 << 10;
 /// Most connections for other routers at a time; each takes two buffers of a frame.
 const MAX_TUNNELS: usize = 256;
-/// Pause after a failed accept, while the process is out of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Why another router gave no connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -148,7 +147,7 @@
         let Ok(place) = places.clone().try_acquire_owned() else {
             continue;
         };
-        if !relay.paths.is_peer(from.ip()) {
+        if !relay.budgets.peers().contains(&from.ip()) {
             continue;
         }
         let relay = relay.clone();
@@ -183,27 +182,15 @@
         return Ok(());
     };
     let (from_server, mut to_server) = server.into_split();
-    let early = asks.read_buffer().clone();
-    let request = async {
-        let mut from_router = asks.into_inner();
-        forward_request(early, &mut from_router, &mut to_server).await
-    };
-    // The other router closes its side when it has or wants no more of the answer.
+    // The other router sends nothing of the request until it has the reply, and closes
+    // its side when it has or wants no more of the answer.
+    let mut from_router = asks.into_inner();
     tokio::select! {
-        ended = request => ended,
+        ended = tokio::io::copy(&mut from_router, &mut to_server) => ended.map(drop),
         ended = forward_answer(from_server, &mut answers) => ended,
     }
 }
 
-async fn forward_request(
-    mut early: BytesMut,
-    from: &mut OwnedReadHalf,
-    to: &mut OwnedWriteHalf,
-) -> io::Result<()> {
-    tokio::io::AsyncWriteExt::write_all_buf(to, &mut early).await?;
-    tokio::io::copy(from, to).await.map(drop)
-}
-
 async fn forward_answer(
     mut from: OwnedReadHalf,
     to: &mut FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -88,11 +88,12 @@
         let store = Store::open(settings.store);
         let incarnation = rand::random();
         let limits = retry_limits(&settings);
-        let paths = Paths::new(settings.ip, settings.internal_ports.0);
+        let budgets = Budgets::new(store.clone(), settings.ip, incarnation);
+        let paths = Paths::new(settings.ip, settings.internal_ports.0, budgets.clone());
         Arc::new(Self {
             servers: Servers::new(settings.centre.clone(), settings.ip, settings.drain_time),
             paths: paths.clone(),
-            budgets: Budgets::new(store.clone(), settings.ip, incarnation),
+            budgets,
             crashes: Crashes::open(Incarnation::new(&settings.name, incarnation), paths),
             streams: StreamVersions::open(),
             deployment: RwLock::default(),
--- a/crates/router/tests/relay/crash_reports.rs
+++ b/crates/router/tests/relay/crash_reports.rs
@@ -5,16 +5,14 @@
 use std::time::{Duration, Instant};
 
 use poplar_core::deployment::Server;
-use poplar_core::id::Incarnation;
 use poplar_core::poison::{EXPIRY, Features, Fingerprint, Report};
 use poplar_core::retry::Failure;
 use poplar_platform::rows::{Row, Write};
 use poplar_router::relay::crashes::wire::ReportsWire;
 use poplar_router::relay::crashes::{Crashes, Source};
-use poplar_router::relay::paths::Paths;
 use poplar_router::relay::servers::Listing;
 
-const HERE: std::net::IpAddr = std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST);
+use crate::site::crashes_of;
 
 /// Bytes that a row may have: a tenth of a second of 10 Mbit/s for 40 of them.
 const MAX_ROW_BYTES: usize = 3_000;
@@ -23,10 +21,6 @@
 /// Rows that the table may have.
 const MAX_ROWS: u64 = 1_000;
 
-fn crashes(router: &str) -> Arc<Crashes> {
-    Crashes::open(Incarnation::new(router, 1), Paths::new(HERE, 0))
-}
-
 fn request(n: u64) -> Fingerprint {
     Fingerprint::new("/read/", &n.to_le_bytes())
 }
@@ -79,7 +73,7 @@
 #[test]
 fn each_report_goes_into_three_small_datagrams() {
     let now = Instant::now();
-    let crashes = crashes("a");
+    let crashes = crashes_of("a");
     crash(&crashes, 1, 0..100, now);
     let mut sent: Vec<Report> = Vec::new();
     loop {
@@ -103,7 +97,7 @@
 #[test]
 fn rows_are_small_and_old_ones_are_removed() {
     let now = Instant::now();
-    let crashes = crashes("a");
+    let crashes = crashes_of("a");
     let clock = EXPIRY.as_millis() as u64 * 2;
     crash(&crashes, 1, 0..100, now);
     assert!(crashes.next_writes(now).is_none(), "the table was not read");
@@ -131,7 +125,7 @@
 #[test]
 fn a_router_learns_from_the_table_what_another_one_saw() {
     let now = Instant::now();
-    let (a, b) = (crashes("a"), crashes("b"));
+    let (a, b) = (crashes_of("a"), crashes_of("b"));
     for server in 1..=3 {
         crash(&a, server, 0..1, now);
     }
--- a/crates/router/tests/relay/crash_trials.rs
+++ b/crates/router/tests/relay/crash_trials.rs
@@ -4,23 +4,20 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use poplar_core::id::Incarnation;
 use poplar_core::poison::{CrashId, EXPIRY, Fingerprint, Report, Sighting};
 use poplar_platform::store::Store as Client;
 use poplar_router::relay::crashes::trial::Trial;
 use poplar_router::relay::crashes::{Crashes, Source};
-use poplar_router::relay::paths::Paths;
 
+use crate::site::crashes_of;
 use crate::site::store::{CommitOutcome, Store};
 
-const HERE: std::net::IpAddr = std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST);
-
 /// Time that a request on trial takes at most.
 const TIME_LEFT: Duration = Duration::from_secs(2);
 
 /// A router that read the store's clock as `clock` just now.
 fn router(name: &str, clock: u64) -> Arc<Crashes> {
-    let crashes = Crashes::open(Incarnation::new(name, 1), Paths::new(HERE, 0));
+    let crashes = crashes_of(name);
     crashes.merge_rows(std::iter::empty(), clock, Instant::now());
     crashes
 }
@@ -80,7 +77,7 @@
     store.set_down(true);
     let away = begin_trial(&a, &client, "away").await;
     assert_eq!(away, Trial::Denied);
-    let unread = Crashes::open(Incarnation::new("b", 1), Paths::new(HERE, 0));
+    let unread = crashes_of("b");
     store.set_down(false);
     let unread = begin_trial(&unread, &client, "unread").await;
     assert_eq!(unread, Trial::Denied, "the store's clock is not known");
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -19,7 +19,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -32,7 +32,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use poplar_base::http::{Answer, Client, Error};
+use poplar_core::id::Incarnation;
 use poplar_platform::settings::Settings;
+use poplar_router::relay::budgets::Budgets;
+use poplar_router::relay::crashes::Crashes;
+use poplar_router::relay::paths::Paths;
 use poplar_router::relay::state::Relay;
 use poplar_router::relay::{listeners, watch};
 use tokio::net::TcpListener;
@@ -166,6 +170,14 @@
     }
 }
 
+/// The crashes that the router `name` knows; it has no store and no other routers.
+pub(crate) fn crashes_of(name: &str) -> Arc<Crashes> {
+    let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let store = poplar_platform::store::Store::open(SocketAddr::new(here, 0));
+    let budgets = Budgets::new(store, here, 1);
+    Crashes::open(Incarnation::new(name, 1), Paths::new(here, 0, budgets))
+}
+
 /// A store whose configuration has one route of each kind, and no servers yet.
 pub(crate) fn configured_store(prepaid: u64) -> Arc<Store> {
     let store = Store::new();
