--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -20,6 +20,16 @@
 /// Output tokens in one event.
 pub const STRIDE: u64 = 5;
 
+/// End of the target of a request that crashes the servers that run it.
+pub const CRASHING: &str = "?pole=13";
+/// Time after a crash until the server is back.
+const RESTART_TIME: Duration = Duration::from_secs(3);
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
+
 /// A request that ran.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -28,6 +38,7 @@
     pub service: String,
     pub server: String,
     pub tenant: String,
+    pub at: Instant,
 }
 
 /// All requests that ran, at any server.
@@ -40,7 +51,10 @@
     service: String,
     address: SocketAddr,
     zone: String,
-    born: u64,
+    born: AtomicU64,
+    is_down: AtomicBool,
+    /// Open connections, which a crash ends.
+    open: http::Open,
     streams: bool,
     draining: AtomicBool,
     event_ms: AtomicU64,
@@ -64,13 +78,14 @@
         record: &Record,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind(address)?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH);
         let engine = Arc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
             address,
             zone: zone.to_owned(),
-            born: born.map_or(0, |d| d.as_millis() as u64),
+            born: AtomicU64::new(unix_ms()),
+            is_down: AtomicBool::new(false),
+            open: http::Open::default(),
             streams,
             draining: AtomicBool::new(false),
             event_ms: AtomicU64::new(EVENT_TIME.as_millis() as u64),
@@ -81,18 +96,45 @@
             record: record.clone(),
         });
         let serving = engine.clone();
-        http::serve(listener, move |head, body, to| serving.handle(head, &body, to));
+        let again = store.clone();
+        std::thread::spawn(move || serving.serve(listener, &again));
         engine.register(store);
         let (beating, store) = (engine.clone(), store.clone());
         std::thread::spawn(move || {
             loop {
                 std::thread::sleep(HEARTBEAT);
-                beating.register(&store);
+                if !beating.is_down.load(Ordering::Acquire) {
+                    beating.register(&store);
+                }
             }
         });
         Ok(engine)
     }
 
+    /// Accepts connections, and starts anew under the same id after each crash.
+    fn serve(self: Arc<Self>, mut listener: TcpListener, store: &Arc<Store>) {
+        loop {
+            let serving = self.clone();
+            let handle = move |head: &Head, body: Vec<u8>, to: &mut TcpStream| {
+                serving.handle(head, &body, to)
+            };
+            let crashed = || self.is_down.load(Ordering::Acquire);
+            http::serve_until(listener, handle, crashed, &self.open);
+            std::thread::sleep(RESTART_TIME);
+            listener = loop {
+                match TcpListener::bind(self.address) {
+                    Ok(listener) => break listener,
+                    Err(_) => std::thread::sleep(Duration::from_millis(50)),
+                }
+            };
+            self.born.store(unix_ms(), Ordering::Release);
+            self.sequence.store(0, Ordering::Release);
+            self.is_down.store(false, Ordering::Release);
+            self.record.add(format!("{} is back", self.id));
+            self.register(store);
+        }
+    }
+
     fn register(&self, store: &Store) {
         let sequence = self.sequence.fetch_add(1, Ordering::AcqRel) + 1;
         let state = if self.draining.load(Ordering::Acquire) {
@@ -104,7 +146,10 @@
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":64,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"born\":{},\
              \"sequence\":{sequence}}}",
-            self.service, self.address, self.zone, self.born
+            self.service,
+            self.address,
+            self.zone,
+            self.born.load(Ordering::Acquire)
         );
         store.write("servers", &self.id, Some(&entry));
     }
@@ -138,12 +183,18 @@
             service: self.service.clone(),
             server: self.id.clone(),
             tenant: head.get("x-poplarreel-tenant").unwrap_or("").to_owned(),
+            at: Instant::now(),
         };
         self.record.add(format!(
             "run {} {} at {} of {} for tenant {}",
             run.attempt, run.path, run.server, run.service, run.tenant
         ));
         self.runs.lock().unwrap_or_else(|e| e.into_inner()).push(run);
+        if head.target().ends_with(CRASHING) {
+            self.record.add(format!("{} crashes at {attempt}", self.id));
+            self.is_down.store(true, Ordering::Release);
+            return Ok(false);
+        }
         let seal = format!("seal.{}.{attempt}", self.id);
         let headers = [
             ("X-Poplarreel-Attempt-Id", attempt),
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 /// The head of a message: its first line and its headers with lowercase names.
@@ -109,6 +110,44 @@
     });
 }
 
+/// Open connections.
+pub type Open = Mutex<Vec<TcpStream>>;
+
+/// Serves connections until `ended` says that the server has ended, then closes the
+/// listener and all connections.
+pub fn serve_until(
+    listener: TcpListener,
+    handle: impl Fn(&Head, Vec<u8>, &mut TcpStream) -> io::Result<bool> + Clone + Send + 'static,
+    ended: impl Fn() -> bool,
+    open: &Open,
+) {
+    const PAUSE: Duration = Duration::from_millis(2);
+    let _ = listener.set_nonblocking(true);
+    while !ended() {
+        let Ok((stream, _)) = listener.accept() else {
+            std::thread::sleep(PAUSE);
+            continue;
+        };
+        let _ = stream.set_nonblocking(false);
+        let mut all = open.lock().unwrap_or_else(|e| e.into_inner());
+        all.retain(|stream| stream.peer_addr().is_ok());
+        all.extend(stream.try_clone());
+        drop(all);
+        let handle = handle.clone();
+        std::thread::spawn(move || {
+            let closed = stream.try_clone();
+            let _ = serve_connection(stream, handle);
+            if let Ok(stream) = closed {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+        });
+    }
+    drop(listener);
+    for stream in open.lock().unwrap_or_else(|e| e.into_inner()).drain(..) {
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
 fn serve_connection(
     mut stream: TcpStream,
     handle: impl Fn(&Head, Vec<u8>, &mut TcpStream) -> io::Result<bool>,
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod http;
 mod json;
 mod load;
+mod query_crash;
 mod record;
 mod restart_budget;
 mod silent_engine;
@@ -58,6 +59,7 @@
         "drill_config" => drill_config::run(&record, folder, trouble),
         "silent_engine" => silent_engine::run(&record, folder, trouble),
         "restart_budget" => restart_budget::run(&record, folder, trouble),
+        "query_crash" => query_crash::run(&record, folder, trouble),
         "drill_budget" => drill_budget::run(&record, folder, trouble),
         _ => Ok(Verdict::NotRun),
     };
