Review: show a crashing request that is never refused beside sound ones

What was tried: a read that crashes each server comes once in 3 s, 14 times, at 8 routers; sound reads of the same tenant at the same path differ from it only in the query.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../script.sh" query_crash 5
