--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../script.sh" restart_budget 3
+exec "$(dirname "$0")/../script.sh" out_of_step 3
--- a/review/standin/drill_budget.rs
+++ b/review/standin/drill_budget.rs
@@ -40,6 +40,7 @@
         key,
         tokens: Some((1460, 80)),
         deadline_ms: 8000,
+        is_own: false,
     }
 }
 
--- a/review/standin/drill_config.rs
+++ b/review/standin/drill_config.rs
@@ -36,6 +36,7 @@
         key,
         tokens: None,
         deadline_ms: 1500,
+        is_own: false,
     }
 }
 
@@ -71,6 +72,7 @@
         key: KEPT,
         tokens: Some((1460, 80)),
         deadline_ms: 8000,
+        is_own: false,
     };
     let streams = Load::start(&site, 12, Duration::from_millis(300), plan, &outcomes);
     let reads = Load::start(&site, 6, Duration::from_millis(300), read(KEPT), &outcomes);
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -51,6 +51,7 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    version: String,
     born: AtomicU64,
     is_down: AtomicBool,
     /// Open connections, which a crash ends.
@@ -72,6 +73,7 @@
         service: &str,
         address: SocketAddr,
         zone: &str,
+        version: &str,
         streams: bool,
         store: &Arc<Store>,
         runs: &Runs,
@@ -83,6 +85,7 @@
             service: service.to_owned(),
             address,
             zone: zone.to_owned(),
+            version: version.to_owned(),
             born: AtomicU64::new(unix_ms()),
             is_down: AtomicBool::new(false),
             open: http::Open::default(),
@@ -143,12 +146,13 @@
             "ready"
         };
         let entry = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\
              \"slots\":64,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"born\":{},\
              \"sequence\":{sequence}}}",
             self.service,
             self.address,
             self.zone,
+            self.version,
             self.born.load(Ordering::Acquire)
         );
         store.write("servers", &self.id, Some(&entry));
@@ -219,7 +223,7 @@
         for number in last.unwrap_or(0u64) + 1..=events {
             std::thread::sleep(self.event_time());
             self.wait_if_silent();
-            let event = format!("id: {number}\ndata: {attempt}\n\n");
+            let event = format!("id: {number}\ndata: {} {attempt}\n\n", self.version);
             to.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
         to.write_all(b"0\r\n\r\n")?;
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -122,10 +122,12 @@
 }
 
 impl Fleet {
-    /// Writes the settings files of the routers at these addresses; starts none.
+    /// Writes the settings files of the routers at these addresses; starts none. The first
+    /// one and the others get an address of the store and internal ports.
     pub fn new(
         addresses: &[Ipv4Addr],
-        store: SocketAddr,
+        first: (SocketAddr, &str),
+        others: (SocketAddr, &str),
         program: &Path,
         folder: &Path,
     ) -> io::Result<Self> {
@@ -138,6 +140,7 @@
         let mut routers = Vec::new();
         for (n, ip) in addresses.iter().enumerate() {
             let zone = zones[n % zones.len()];
+            let (store, ports) = if n == 0 { first } else { others };
             let mut text = format!(
                 "node_name=front-{zone}-{n}\nrole=router\nmachine_class=front\nserves=front\n\
                  ip={ip}\nzone={zone}\nregion=waiharakeke\n"
@@ -147,7 +150,7 @@
             }
             text.push_str(&format!(
                 "listen.front={ip}:{FRONT_PORT}\nlisten.ready={ip}:{READY_PORT}\n\
-                 listen.control={ip}:{CONTROL_PORT}\ninternal_ports=7340,7355\nseeds={}\n\
+                 listen.control={ip}:{CONTROL_PORT}\ninternal_ports={ports}\nseeds={}\n\
                  bootstrap=true\ntolerance_member=false\nlimits.cpu_share=0.25\n\
                  limits.cores=1\nlimits.memory_mb=110\nlimits.max_fds=4100\n\
                  limits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery=platform\nentry=vip\n\
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -206,9 +206,22 @@
     headers: &[(&str, &str)],
     body: &[u8],
     patience: Duration,
+) -> Answer {
+    ask_until(at, method, path, headers, body, patience, u64::MAX)
+}
+
+/// As [`ask`], but the connection breaks when so many events have come.
+pub fn ask_until(
+    at: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    patience: Duration,
+    events: u64,
 ) -> Answer {
     let mut answer = Answer::default();
-    let _ = try_ask(at, method, path, headers, body, patience, &mut answer);
+    let _ = try_ask(at, method, path, headers, body, patience, events, &mut answer);
     answer
 }
 
@@ -219,6 +232,7 @@
     headers: &[(&str, &str)],
     body: &[u8],
     patience: Duration,
+    events: u64,
     answer: &mut Answer,
 ) -> io::Result<()> {
     let until = Instant::now() + patience;
@@ -246,6 +260,9 @@
     if head.get("transfer-encoding").is_some() {
         while let Some(chunk) = read_chunk(&mut from)? {
             answer.body.extend(chunk);
+            if answer.events() >= events {
+                return Ok(());
+            }
         }
     } else {
         answer.body = read_body(&mut from, &head)?;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,12 +12,14 @@
 mod http;
 mod json;
 mod load;
+mod out_of_step;
 mod query_crash;
 mod record;
 mod restart_budget;
 mod silent_engine;
 mod site;
 mod store;
+mod way;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -60,6 +62,7 @@
         "silent_engine" => silent_engine::run(&record, folder, trouble),
         "restart_budget" => restart_budget::run(&record, folder, trouble),
         "query_crash" => query_crash::run(&record, folder, trouble),
+        "out_of_step" => out_of_step::run(&record, folder, trouble),
         "drill_budget" => drill_budget::run(&record, folder, trouble),
         _ => Ok(Verdict::NotRun),
     };
--- a/review/standin/query_crash.rs
+++ b/review/standin/query_crash.rs
@@ -54,6 +54,7 @@
         key: KEY,
         tokens: None,
         deadline_ms: 1500,
+        is_own: false,
     };
     let crashing = Query {
         path: "/read/1?pole=13",
--- a/review/standin/restart_budget.rs
+++ b/review/standin/restart_budget.rs
@@ -64,6 +64,7 @@
         key: KEY,
         tokens: Some((110, 1000)),
         deadline_ms: 8000,
+        is_own: false,
     };
     let small = Query {
         tokens: Some((40, 20)),
--- a/review/standin/silent_engine.rs
+++ b/review/standin/silent_engine.rs
@@ -53,6 +53,7 @@
         key: KEY,
         tokens: Some(TOKENS),
         deadline_ms: DEADLINE.as_millis() as u64,
+        is_own: false,
     };
     let plan = Query {
         path: "/plan/1",
