--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/standin review/standin/main.rs
+"${RUSTC:-rustc}" --edition 2024 -O -o target/review/standin review/standin/main.rs
--- a/review/standin/drill_config.rs
+++ b/review/standin/drill_config.rs
@@ -108,7 +108,9 @@
         }
         std::thread::sleep(Duration::from_millis(500));
     }
-    record.say(format!("{broken} of {judged} judged requests handled by the old version"));
+    record.say(format!(
+        "{broken} of {judged} judged requests handled by the old version"
+    ));
     if judged == 0 {
         return Ok(Verdict::NotRun);
     }
@@ -124,14 +126,20 @@
             break;
         }
         if Instant::now() > until {
-            record.say(format!("{stale} routers don't follow it after {since:.1} s"));
+            record.say(format!(
+                "{stale} routers don't follow it after {since:.1} s"
+            ));
             break;
         }
         std::thread::sleep(Duration::from_secs(1));
     }
     streams.stop();
     reads.stop();
-    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if broken > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 /// Whether every router serves a key.
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -193,7 +193,10 @@
             "run {} {} at {} of {} for tenant {}",
             run.attempt, run.path, run.server, run.service, run.tenant
         ));
-        self.runs.lock().unwrap_or_else(|e| e.into_inner()).push(run);
+        self.runs
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .push(run);
         if head.target().ends_with(CRASHING) {
             self.record.add(format!("{} crashes at {attempt}", self.id));
             self.is_down.store(true, Ordering::Release);
@@ -249,7 +252,8 @@
     pub fn fall_silent(&self, time: Duration) {
         let mut until = self.silent_until.lock().unwrap_or_else(|e| e.into_inner());
         *until = Some(Instant::now() + time);
-        self.record.add(format!("{} is silent for {} ms", self.id, time.as_millis()));
+        self.record
+            .add(format!("{} is silent for {} ms", self.id, time.as_millis()));
     }
 
     fn wait_if_silent(&self) {
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -66,8 +66,8 @@
     pub fn signal(&self, name: &str) {
         let child = self.child.lock().unwrap_or_else(|e| e.into_inner());
         if let Some(child) = &*child {
-            let id = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+            let command = format!("kill -{name} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
         }
     }
 
@@ -223,7 +223,9 @@
         let all = &self.routers;
         let start = self.next.fetch_add(1, Ordering::AcqRel);
         let ring = (0..all.len()).map(|n| &all[(start + n) % all.len()]);
-        let mut ready = ring.clone().filter(|r| r.in_rotation.load(Ordering::Acquire));
+        let mut ready = ring
+            .clone()
+            .filter(|r| r.in_rotation.load(Ordering::Acquire));
         let chosen = ready.next().unwrap_or(&all[start % all.len()]);
         chosen.clone()
     }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -221,7 +221,16 @@
     events: u64,
 ) -> Answer {
     let mut answer = Answer::default();
-    let _ = try_ask(at, method, path, headers, body, patience, events, &mut answer);
+    let _ = try_ask(
+        at,
+        method,
+        path,
+        headers,
+        body,
+        patience,
+        events,
+        &mut answer,
+    );
     answer
 }
 
--- a/review/standin/out_of_step.rs
+++ b/review/standin/out_of_step.rs
@@ -38,7 +38,8 @@
     let apart = trouble || std::env::var("APART").is_ok();
     let (mut site, way) = Site::open_with(record, folder, ROUTERS, &config, apart)?;
     for _ in 0..2 {
-        site.add_engine_of("v1", "engines", true)?.set_event_time(EVENT_TIME);
+        site.add_engine_of("v1", "engines", true)?
+            .set_event_time(EVENT_TIME);
     }
     site.add_engine("plain-a", false)?;
     if !site.fleet.start(Duration::from_secs(20))? {
@@ -64,11 +65,15 @@
     }
     let began = Instant::now();
     if trouble {
-        record.say(format!("{} is cut off from the store and the others", routers[0].ip));
+        record.say(format!(
+            "{} is cut off from the store and the others",
+            routers[0].ip
+        ));
         way.set_cut(true);
     }
     for _ in 0..2 {
-        site.add_engine_of("v2", "engines", true)?.set_event_time(EVENT_TIME);
+        site.add_engine_of("v2", "engines", true)?
+            .set_event_time(EVENT_TIME);
     }
     std::thread::sleep(LISTED);
     let begin = |n: usize| {
@@ -78,7 +83,10 @@
     };
     let mut streams = in_parallel((0..STREAMS).collect(), begin);
     streams.retain(|(_, events)| events.iter().any(|version| version == "v2"));
-    record.say(format!("{} streams began at the new version and break", streams.len()));
+    record.say(format!(
+        "{} streams began at the new version and break",
+        streams.len()
+    ));
     let take_up = |(first, mut events): (String, Vec<String>)| {
         let taken_up = Some((&*first, events.len() as u64));
         let (attempt, answer) = site.ask_until(&routers[0], review, u64::MAX, taken_up);
@@ -91,7 +99,10 @@
         whole += u32::from(events.len() as u64 == EVENTS);
         if events.iter().any(|version| *version != events[0]) {
             mixed += 1;
-            record.say(format!("MIXED {first}, taken up as {attempt}: {}", events.join(" ")));
+            record.say(format!(
+                "MIXED {first}, taken up as {attempt}: {}",
+                events.join(" ")
+            ));
         }
     }
     let cut = began.elapsed();
@@ -130,7 +141,9 @@
 /// The versions that the events of a stream name.
 fn versions(body: &[u8]) -> Vec<String> {
     let text = String::from_utf8_lossy(body);
-    let events = text.split("\n\n").filter_map(|event| event.split("data: ").nth(1));
+    let events = text
+        .split("\n\n")
+        .filter_map(|event| event.split("data: ").nth(1));
     let version = |data: &str| data.split(' ').next().unwrap_or_default().to_owned();
     events.map(version).collect()
 }
--- a/review/standin/query_crash.rs
+++ b/review/standin/query_crash.rs
@@ -65,7 +65,10 @@
     for _ in 0..CRASH_COUNT {
         if trouble {
             let (attempt, answer) = site.ask_at(&site.fleet.next(), crashing);
-            record.add(format!("{attempt} crashes servers, answered {}", answer.status));
+            record.add(format!(
+                "{attempt} crashes servers, answered {}",
+                answer.status
+            ));
         }
         std::thread::sleep(CRASH_PERIOD);
     }
@@ -77,7 +80,9 @@
         .map(|run| run.at)
         .collect();
     let third = crashes.get(2);
-    let late = crashes.iter().filter(|at| third.is_some_and(|third| **at > *third + CONTACT));
+    let late = crashes
+        .iter()
+        .filter(|at| third.is_some_and(|third| **at > *third + CONTACT));
     let late = late.count();
     let outcomes = outcomes.lock().unwrap_or_else(|e| e.into_inner());
     let served = outcomes.iter().filter(|o| o.answer.status == 200).count();
--- a/review/standin/silent_engine.rs
+++ b/review/standin/silent_engine.rs
@@ -36,7 +36,12 @@
         keys: &[KEY],
         prepaid: 50_000_000,
     }];
-    let mut site = Site::open(record, folder, ROUTERS, &configuration(7, "plain-a", &tenants))?;
+    let mut site = Site::open(
+        record,
+        folder,
+        ROUTERS,
+        &configuration(7, "plain-a", &tenants),
+    )?;
     for _ in 0..ENGINES {
         site.add_engine("engines", true)?.set_event_time(EVENT_TIME);
     }
@@ -100,9 +105,7 @@
     let outcomes = outcomes.lock().unwrap_or_else(|e| e.into_inner());
     let around = |o: &&Outcome| {
         let term = terms.iter().find(|(ip, _)| *ip == o.router);
-        term.is_some_and(|(_, at)| {
-            o.sent >= *at && o.ended <= *at + GRACE + Duration::from_secs(1)
-        })
+        term.is_some_and(|(_, at)| o.sent >= *at && o.ended <= *at + GRACE + Duration::from_secs(1))
     };
     let mut broken = 0;
     let (mut judged, mut complete) = (0, 0);
@@ -143,5 +146,9 @@
     if judged == 0 || complete == 0 {
         return Ok(Verdict::NotRun);
     }
-    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if broken > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -134,8 +134,13 @@
         let number = self.attempts.fetch_add(1, Ordering::AcqRel) + 1;
         let attempt = format!("{number:016x}");
         let deadline = query.deadline_ms.to_string();
-        let tokens = query.tokens.map(|(prompt, output)| format!("{prompt},{output}"));
-        let own = format!("{number:08x}:{}", query.tokens.map_or(0, |(prompt, _)| prompt));
+        let tokens = query
+            .tokens
+            .map(|(prompt, output)| format!("{prompt},{output}"));
+        let own = format!(
+            "{number:08x}:{}",
+            query.tokens.map_or(0, |(prompt, _)| prompt)
+        );
         let mut headers = vec![
             ("Host", HOST),
             ("X-Poplarreel-Attempt-Id", &*attempt),
@@ -145,7 +150,10 @@
         if let Some(tokens) = &tokens {
             headers.push(("X-Poplarreel-Model", "m"));
             headers.push(("X-Poplarreel-Token-Counts", tokens));
-            headers.push(("X-Poplarreel-Prompt-Prefix", if query.is_own { &own } else { PREFIX }));
+            headers.push((
+                "X-Poplarreel-Prompt-Prefix",
+                if query.is_own { &own } else { PREFIX },
+            ));
         }
         let after = taken_up.map(|(_, event)| event.to_string());
         if let (Some((first, _)), Some(after)) = (taken_up, &after) {
@@ -156,7 +164,11 @@
             "sent {attempt} {} {} key {} to {}",
             query.method, query.path, query.key, router.ip
         ));
-        let body: &[u8] = if query.method == "GET" { b"" } else { b"a prompt" };
+        let body: &[u8] = if query.method == "GET" {
+            b""
+        } else {
+            b"a prompt"
+        };
         let answer = http::ask_until(
             router.front(),
             query.method,
@@ -186,7 +198,9 @@
             TcpListener::bind((Ipv4Addr::new(127, second, third, last), port)).is_ok()
         };
         let free = (1..=routers).all(|last| {
-            [FRONT_PORT, 8220, 7340, 9464].iter().all(|p| is_free(last, *p))
+            [FRONT_PORT, 8220, 7340, 9464]
+                .iter()
+                .all(|p| is_free(last, *p))
         });
         if free && is_free(250, STORE_PORT) && is_free(100, ENGINE_PORT) {
             return Ok((second, third));
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -100,7 +100,9 @@
             started: Instant::now(),
         });
         let serving = store.clone();
-        http::serve(listener, move |head, body, to| serving.handle(head, &body, to));
+        http::serve(listener, move |head, body, to| {
+            serving.handle(head, &body, to)
+        });
         Ok(store)
     }
 
@@ -212,9 +214,8 @@
         let state = self.lock();
         let start = (table.clone(), part.clone(), from);
         let rows = state.content.rows.range(start..);
-        let rows = rows.take_while(|((t, p, k), _)| {
-            *t == table && *p == part && (to.is_empty() || *k < to)
-        });
+        let rows = rows
+            .take_while(|((t, p, k), _)| *t == table && *p == part && (to.is_empty() || *k < to));
         let mut rows: Vec<String> = rows
             .map(|(key, (version, value))| row(key, *version, Some(value), false))
             .take(limit + 1)
@@ -277,8 +278,15 @@
                 entry.get("key").text().to_owned(),
             )
         };
-        let changes = wire.get("put").list().iter().chain(wire.get("remove").list());
-        if changes.clone().any(|c| ["op", "servers"].contains(&c.get("table").text())) {
+        let changes = wire
+            .get("put")
+            .list()
+            .iter()
+            .chain(wire.get("remove").list());
+        if changes
+            .clone()
+            .any(|c| ["op", "servers"].contains(&c.get("table").text()))
+        {
             return Some((403, "{}".to_owned()));
         }
         let mut state = self.lock();
