--- a/review/standin/out_of_step.rs
+++ b/review/standin/out_of_step.rs
@@ -1,6 +1,6 @@
 //! Engines of a new software version join while a router is cut off from the store and
-//! from the other routers. Streams that began at the new version break and are taken up
-//! at that router.
+//! from the other routers. Half of the connections of another router are reset, and the
+//! streams on them are taken up at the other routers in turn.
 
 use std::io;
 use std::path::Path;
@@ -19,7 +19,7 @@
 /// Time until all other routers have the new engines.
 const LISTED: Duration = Duration::from_millis(1500);
 /// Streams that are begun, and how many of them the rule lets be mixed.
-const STREAMS: usize = 24;
+const STREAMS: usize = 90;
 const ALLOWED: usize = 2;
 /// Events that a client has when its connection breaks, and those of a whole stream.
 const EVENTS_BEFORE: u64 = 5;
@@ -76,20 +76,26 @@
             .set_event_time(EVENT_TIME);
     }
     std::thread::sleep(LISTED);
+    // All begin at one router, of which every second connection is reset.
     let begin = |n: usize| {
-        let router = &routers[1 + n % (routers.len() - 1)];
-        let (attempt, answer) = site.ask_until(router, review, EVENTS_BEFORE, None);
-        (attempt, versions(&answer.body))
+        let events = if n % 2 == 0 { EVENTS_BEFORE } else { u64::MAX };
+        let (attempt, answer) = site.ask_until(&routers[1], review, events, None);
+        (attempt, versions(&answer.body), answer.whole)
     };
     let mut streams = in_parallel((0..STREAMS).collect(), begin);
-    streams.retain(|(_, events)| events.iter().any(|version| version == "v2"));
+    streams.retain(|(_, events, whole)| !whole && !events.is_empty());
+    let new = streams.iter().filter(|(_, events, _)| events[0] == "v2");
     record.say(format!(
-        "{} streams began at the new version and break",
-        streams.len()
+        "{} streams break, {} of the new version",
+        streams.len(),
+        new.count()
     ));
-    let take_up = |(first, mut events): (String, Vec<String>)| {
+    let others = [&routers[0], &routers[2], &routers[3]];
+    let streams: Vec<_> = streams.into_iter().enumerate().collect();
+    let take_up = |(n, (first, mut events, _)): (usize, (String, Vec<String>, bool))| {
         let taken_up = Some((&*first, events.len() as u64));
-        let (attempt, answer) = site.ask_until(&routers[0], review, u64::MAX, taken_up);
+        let (attempt, answer) =
+            site.ask_until(others[n % others.len()], review, u64::MAX, taken_up);
         events.extend(versions(&answer.body));
         (first, attempt, answer.status, events)
     };
