Read how many versions there are before a stream goes on at the only one

Cause: while the store could not be read, the versions that a router had last seen counted as all there are for 15 s. Others may have joined since.

Ruled out: datagrams alone (with only these kept away the store tells).

Change: a router takes the only version for the one that began a stream only if the store says so after the client asked. Without the store it continues the streams that it began or was told of. So that a common outage ends no streams of the only version, routers tell each other of all streams while the list of servers can't be read.

--- a/crates/router/src/relay/streams/mod.rs
+++ b/crates/router/src/relay/streams/mod.rs
@@ -7,6 +7,11 @@
 //! into a [`table`] of the platform's store, which survives the routers. While there
 //! is only one version, neither is needed; when a second one comes, the open streams
 //! follow. Which versions there were of late is in the store, too.
+//!
+//! Whether there is only one version can only be told by a read of the store: another
+//! may have joined since the last one. A router that can't read it continues the
+//! streams that it knows, and refuses the others. While the store is away, the other
+//! routers are therefore told of each stream, whatever the number of versions.
 
 pub mod resume;
 pub mod table;
@@ -40,6 +45,9 @@
     stored: SortedVec<Name, StoredVersions>,
     /// The versions of each service in the list of servers.
     listed: SortedVec<Name, Vec<Name>>,
+    /// Whether the last read of the list failed, so that versions may have joined
+    /// since.
+    is_list_lost: bool,
 }
 
 impl State {
@@ -63,6 +71,14 @@
         let several = services.filter(|service| self.possible(service, clock).len() > 1);
         several.cloned().collect()
     }
+
+    /// The services of whose streams the other routers have to be told.
+    fn announced_services(&self, clock: u64) -> Vec<Name> {
+        if self.is_list_lost {
+            return self.listed.iter().map(|(s, _)| s.clone()).collect();
+        }
+        self.services_of_several(clock)
+    }
 }
 
 /// What this router knows of streams and versions.
@@ -82,6 +98,7 @@
     /// Records the versions of each service in the list of servers.
     pub fn set_listed(&self, listed: SortedVec<Name, Vec<Name>>) {
         let mut state = lock(&self.state);
+        state.is_list_lost = false;
         let previous = std::mem::replace(&mut state.listed, listed);
         let is_changed = !previous.iter().eq(state.listed.iter());
         drop(state);
@@ -90,6 +107,11 @@
         }
     }
 
+    /// Records that the list of servers could not be read.
+    pub fn record_list_lost(&self) {
+        lock(&self.state).is_list_lost = true;
+    }
+
     /// Records that the client's attempt got the first event of a stream.
     pub fn record_begun(&self, attempt: &Name, begun: Begun) {
         lock(&self.state).streams.record_own(attempt.clone(), begun);
@@ -104,7 +126,7 @@
     /// Takes the streams for the next datagram. `clock` is the store's.
     pub fn take_unannounced(&self, clock: u64) -> Vec<(Name, Begun)> {
         let mut state = lock(&self.state);
-        let due = state.services_of_several(clock);
+        let due = state.announced_services(clock);
         let is_due = |service: &Name| due.contains(service);
         state.streams.take_unannounced(is_due, MAX_ANNOUNCED)
     }
--- a/crates/router/src/relay/streams/resume.rs
+++ b/crates/router/src/relay/streams/resume.rs
@@ -9,7 +9,7 @@
 
 use super::StreamVersions;
 use crate::relay::refusal::Refusal;
-use crate::relay::state::Relay;
+use crate::relay::state::{Relay, format_age};
 use crate::sync::lock;
 
 /// When the client should ask again if the version is not known: what another router
@@ -18,10 +18,6 @@
 /// Time after which a row that was not found is read again. The router that began
 /// the stream may just be writing it.
 const READ_AGAIN_AFTER: Duration = Duration::from_millis(200);
-/// Age of the list of servers up to which the versions known here count as all there
-/// are while the store can't be reached.
-const MAX_LIST_AGE: Duration = Duration::from_secs(15);
-
 /// Where a stream goes on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Origin {
@@ -45,8 +41,8 @@
     /// `service` if that is not known.
     ///
     /// # Errors
-    /// [`Refusal`] if several versions can have begun it, or its service is no longer
-    /// one of the route.
+    /// [`Refusal`] if several versions can have begun it, the store can't tell how many
+    /// there are, or its service is no longer one of the route.
     pub async fn find(
         &self,
         relay: &Relay,
@@ -62,19 +58,28 @@
         if let Some(begun) = self.known(resumes) {
             return allowed(begun);
         }
-        let read = self.read_versions(relay, service).await;
-        let now = Instant::now();
-        let list_age = relay.server_list_read.age(now);
-        let is_current = read.is_ok() || list_age.is_some_and(|age| age < MAX_LIST_AGE);
-        let clock = relay.servers.store_clock(now).ok_or_else(refused)?;
+        if let Err(why) = self.read_versions(relay, service).await {
+            // A version that joined since the last read may have begun the stream.
+            log::warn("software versions not read")
+                .with("service", service)
+                .with(
+                    "list_age_ms",
+                    format_age(relay.server_list_read.age(Instant::now())),
+                )
+                .reason(why)
+                .write();
+            return Err(refused());
+        }
+        let clock = relay.servers.store_clock(Instant::now());
+        let clock = clock.ok_or_else(refused)?;
         let mut possible = lock(&self.state).possible(service, clock);
-        if possible.len() <= 1 && is_current {
+        if possible.len() <= 1 {
             return Ok(Origin {
                 service: service.clone(),
                 software: possible.pop(),
             });
         }
-        if let (Some(attempt), Ok(())) = (resumes, read) {
+        if let Some(attempt) = resumes {
             for wait in [Duration::ZERO, READ_AGAIN_AFTER] {
                 tokio::time::sleep(wait).await;
                 if let Some(begun) = self.known(resumes) {
--- a/crates/router/src/relay/streams/table.rs
+++ b/crates/router/src/relay/streams/table.rs
@@ -57,8 +57,10 @@
 const MAX_EMPTY_READS: u32 = 2 * KEY_PARTS;
 /// Time-out of a write.
 const TIMEOUT: Duration = Duration::from_millis(600);
-/// Time-out of a read for a client that waits.
-const READ_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time-out of a read for a client that waits: the store may be slow.
+const READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// The same while the store does not answer other reads.
+const LOST_READ_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The key of a stream's row.
 fn key(attempt: &str) -> Name {
@@ -219,7 +221,7 @@
 
     /// Reads the versions of a service from the store.
     pub(super) async fn read_versions(&self, relay: &Relay, service: &Name) -> Result<(), Error> {
-        let rows = read_row(relay, VERSIONS, service).await?;
+        let rows = self.read_row(relay, VERSIONS, service).await?;
         self.set_row(service, &rows.0);
         Ok(())
     }
@@ -230,7 +232,7 @@
         relay: &Relay,
         attempt: &Name,
     ) -> Result<Option<Begun>, Error> {
-        let (rows, clock) = read_row(relay, STREAMS, &key(attempt)).await?;
+        let (rows, clock) = self.read_row(relay, STREAMS, &key(attempt)).await?;
         let Some(row) = rows.first() else {
             return Ok(None);
         };
@@ -250,19 +252,24 @@
             }
         }
     }
-}
 
-/// Reads one row, if it exists, and the store's clock.
-async fn read_row(
-    relay: &Relay,
-    partition: Partition,
-    key: &str,
-) -> Result<(Vec<Row>, u64), Error> {
-    // The least key greater than this one.
-    let to = format!("{key}\0");
-    let read = relay.store.read(partition, key, &to, READ_TIMEOUT);
-    let snapshot = read.await?;
-    Ok((snapshot.rows, snapshot.clock_ms))
+    /// Reads one row, if it exists, and the store's clock.
+    async fn read_row(
+        &self,
+        relay: &Relay,
+        partition: Partition,
+        key: &str,
+    ) -> Result<(Vec<Row>, u64), Error> {
+        let timeout = if lock(&self.state).is_list_lost {
+            LOST_READ_TIMEOUT
+        } else {
+            READ_TIMEOUT
+        };
+        // The least key greater than this one.
+        let to = format!("{key}\0");
+        let snapshot = relay.store.read(partition, key, &to, timeout).await?;
+        Ok((snapshot.rows, snapshot.clock_ms))
+    }
 }
 
 fn write(attempt: &Name, begun: &Begun, clock: u64, now: Instant) -> Write {
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -108,6 +108,7 @@
             relay.server_list_read.record(requested);
         } else {
             relay.servers.record_failed_read();
+            relay.streams.record_list_lost();
         }
         let pause = relay.settings.drain_time.mul_f64(LIST_AGE);
         tokio::time::sleep(watch.pause().max(pause)).await;
--- a/crates/router/tests/relay/stream_versions.rs
+++ b/crates/router/tests/relay/stream_versions.rs
@@ -377,3 +377,47 @@
     let go_on = |site: &mut Site| site.routers[0].signal("CONT");
     check_out_of_step(&mut site, stop, go_on).await;
 }
+
+/// Guards against the same at a router that stood still and was cut off when it went on.
+#[tokio::test(flavor = "multi_thread")]
+async fn out_of_step_a_router_that_stood_still_and_was_cut_off_does_not_mix_versions() {
+    let mut site = Site::open(484, &["v1"]).await;
+    let (way, near) = Way::open(site.store_address).await;
+    let mut router = Router::new(address(485, 0), near, &site.folder);
+    router.isolate_datagrams(7350);
+    router.start();
+    site.routers[0] = router;
+    site.wait_until_served().await;
+    tokio::time::sleep(LIST_TIME).await;
+    let stop = |site: &mut Site| {
+        site.routers[0].signal("STOP");
+        way.set_cut(true);
+    };
+    check_out_of_step(&mut site, stop, |site| site.routers[0].signal("CONT")).await;
+}
+
+/// Guards against the same at a router that reaches the others but not the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn out_of_step_a_router_without_the_store_does_not_mix_versions() {
+    let mut site = Site::open(486, &["v1"]).await;
+    let (way, near) = Way::open(site.store_address).await;
+    site.routers[0] = Router::new(address(487, 0), near, &site.folder);
+    site.routers[0].start();
+    site.wait_until_served().await;
+    tokio::time::sleep(LIST_TIME).await;
+    check_out_of_step(&mut site, |_| way.set_cut(true), |_| {}).await;
+}
+
+/// Guards against refusals of all streams while the store is down, when none can be
+/// read there, though all have one version.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_the_only_version_go_on_without_the_store() {
+    let mut site = Site::open(488, &["v1"]).await;
+    let before = site.begin(Some(EVENTS_BEFORE)).await;
+    site.store.set_down(true);
+    tokio::time::sleep(2 * LIST_TIME).await;
+    let during = site.begin(Some(EVENTS_BEFORE)).await;
+    tokio::time::sleep(MIDDLE).await;
+    check_continued(&site.take_up(before).await);
+    check_continued(&site.take_up(during).await);
+}
