End no accepted answer because its server is silent

Cause: the time-out of an attempt ended it before it was known whether the request may go anywhere else. With no attempt or no retry left, the answer was broken off. The same held for plain answers and streams before their first event at half of the time left, and for streams whose next engine turned them away.

Ruled out: the end of the grace period, the deadline, lost connections.

Change: a silent server is left only for another one that is chosen and for which a retry is taken. A stream that moves keeps the silent engine until the other has begun to answer, 250 ms at most. A request that stays ends when its server is found dead. exchange.rs and stream.rs become folders, with a file for silences in each.

--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -58,7 +58,7 @@
 
 impl Evidence {
     /// Its name in the log.
-    fn text(self) -> &'static str {
+    pub fn text(self) -> &'static str {
         match self {
             Self::Refused => "connection refused",
             Self::Restarted => "restarted",
--- a/crates/router/src/relay/crashes/verify.rs
+++ b/crates/router/src/relay/crashes/verify.rs
@@ -63,7 +63,9 @@
         });
     }
 
-    async fn find_evidence(&self, server: &Server, listed: bool) -> Option<Evidence> {
+    /// Connects to a server a few times; returns what shows that it is dead, if
+    /// anything does.
+    pub async fn find_evidence(&self, server: &Server, listed: bool) -> Option<Evidence> {
         for wait in WAITS {
             tokio::time::sleep(wait).await;
             match self.paths.probe(server).await {
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -4,6 +4,8 @@
 //! a response comes or no further attempt is allowed. It keeps the token
 //! reservation up to date and logs the outcome when it is dropped.
 
+mod silence;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,8 +20,11 @@
 use poplar_core::retry::{Failure, Refusal as ServerRefusal};
 use poplar_core::software::Begun;
 use poplar_platform::headers::{self, ForwardOptions, ResponseHead};
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
+pub use self::silence::CHECK_INTERVAL;
+
 use crate::relay::budgets::{Reservation, format_lender};
 use crate::relay::crashes::Evidence;
 use crate::relay::refusal::{self, Refusal};
@@ -31,16 +36,13 @@
 /// Sends of a request allowed beyond its route's attempts. Only sends that may
 /// have run count as attempts, so that these are for sends that did not run.
 const EXTRA_SENDS: u32 = 2;
-/// Part of the time left that an attempt gets if another may follow.
-const ATTEMPT_FRACTION: f64 = 0.5;
-/// Least time that an attempt gets, as a multiple of the route's target
-/// latency.
-const MIN_ATTEMPT_TARGETS: f64 = 1.5;
 /// Time after the deadline in which a response that the server sends at the
 /// deadline is still accepted.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(60);
 /// When the client should retry if no server is listed or all refuse.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Outcome of an exchange that the client ends by closing the connection.
+const CLIENT_LEFT: &str = "client left";
 /// Why a stream does not go on.
 const NO_VERSION: &str = "no server of the version";
 /// Silence of a server after which the client's leaving counts as a time-out:
@@ -81,6 +83,11 @@
     runs: u32,
     /// When the retry that comes next was taken from the budget.
     retry_taken: Option<Instant>,
+    /// The server of the retry that comes next, if it was chosen before the attempt
+    /// was given up.
+    reserved: Option<InFlight>,
+    /// Notified when the request is sent to a server.
+    sent: Arc<Notify>,
     /// Number of the last event that was forwarded to the client.
     pub last_event: Option<u64>,
     /// Output tokens forwarded so far.
@@ -115,10 +122,12 @@
             sends: 0,
             runs: 0,
             retry_taken: None,
+            reserved: None,
+            sent: Arc::default(),
             output: 0,
             fallback: None,
             first_event: None,
-            outcome: "client left",
+            outcome: CLIENT_LEFT,
             _open: open,
         }
     }
@@ -129,21 +138,6 @@
         (self.request.deadline + DEADLINE_MARGIN).saturating_duration_since(now)
     }
 
-    /// How long an attempt may take until its first response data.
-    pub fn attempt_timeout(&self, now: Instant) -> Duration {
-        let left = self.time_left(now);
-        let repeatable = self.request.route.kind.is_repeatable();
-        if !repeatable || self.runs + 1 >= self.request.route.max_attempts {
-            return left;
-        }
-        let least = self
-            .request
-            .route
-            .target_latency
-            .mul_f64(MIN_ATTEMPT_TARGETS);
-        left.mul_f64(ATTEMPT_FRACTION).max(least).min(left)
-    }
-
     /// Records that a server began the stream: it goes on only at that version of the
     /// software.
     pub fn record_begun(&mut self, server: &Server, now: Instant) {
@@ -198,7 +192,8 @@
             if !self.request.on_trial && self.request.crashes_servers(&self.relay, now) {
                 return Err(self.give_up(Failure::Lost, CRASHES_SERVERS, now));
             }
-            let in_flight = match self.choose(now) {
+            let reserved = self.reserved.take();
+            let in_flight = match reserved.map_or_else(|| self.choose(now), Ok) {
                 Ok(in_flight) => in_flight,
                 Err(Unavailable::NoServer) => {
                     return Err(self.give_up(Failure::Connect, "no server", now));
@@ -284,8 +279,10 @@
             self.relay
                 .record_retry_sent(&self.request.service, taken, now);
         }
-        let sent = upstream::send(&mut sender, request, self.attempt_timeout(now)).await;
-        let checked = sent.and_then(|received| self.check(received, &in_flight));
+        self.sent.notify_one();
+        let head = upstream::send(&mut sender, request, self.time_left(now));
+        let received = self.outlast(&in_flight.server, head).await;
+        let checked = received.and_then(|received| self.check(received, &in_flight));
         let now = Instant::now();
         match checked {
             Ok((head, body)) => Ok(ServerResponse {
@@ -427,10 +424,12 @@
         if !may_retry || !sends_left || now >= self.request.deadline {
             return Err(self.give_up(failure, "given up", now));
         }
-        if !self.relay.take_retry(&self.request.service, now) {
-            return Err(self.give_up(failure, "repeats used up", now));
+        if self.reserved.is_none() {
+            if !self.relay.take_retry(&self.request.service, now) {
+                return Err(self.give_up(failure, "repeats used up", now));
+            }
+            self.retry_taken = Some(now);
         }
-        self.retry_taken = Some(now);
         metrics::counter!("poplar_repeats_total").increment(1);
         Ok(())
     }
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream/mod.rs
@@ -3,7 +3,10 @@
 //! Only complete events are forwarded. A stream that breaks off can thus be
 //! resumed at another engine after the last event; if it can't, the connection
 //! to the client is aborted, so that the client sees that the stream is
-//! incomplete.
+//! incomplete. A stream whose engine falls silent moves to another one, and stays if
+//! no other one takes it.
+
+mod silence;
 
 use std::io;
 use std::time::{Duration, Instant};
@@ -14,6 +17,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use poplar_base::log;
+use poplar_core::deployment::Server;
 use poplar_core::retry::Failure;
 use poplar_platform::headers;
 use tokio::time::timeout_at;
@@ -25,14 +29,13 @@
 use crate::relay::sse::{Event, Parser};
 use crate::relay::upstream::Connection;
 
-/// Time without an event after which a resumable stream is continued at another
-/// engine. Clients give up after two seconds at the earliest.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1200);
-
 /// Time from the first event of an engine to a later one after which its answer
 /// counts as one that does not crash it.
 const PROGRESS_TIME: Duration = Duration::from_secs(1);
 
+/// Why a stream is broken off whose engine answers its resumption with an error.
+const RESUME_REFUSED: &str = "the engine refused to resume the stream";
+
 /// The part of a stream that comes from one engine.
 #[derive(Debug)]
 struct EngineStream {
@@ -43,7 +46,8 @@
     began: Option<Instant>,
     /// Whether the answer has gone on for some time since then.
     progressed: bool,
-    _connection: Connection,
+    /// The connection; `None` once it is closed.
+    connection: Option<Connection>,
 }
 
 impl EngineStream {
@@ -54,7 +58,7 @@
             in_flight,
             began: None,
             progressed: false,
-            _connection: connection,
+            connection: Some(connection),
         }
     }
 
@@ -66,6 +70,11 @@
         shows_progress && !std::mem::replace(&mut self.progressed, true)
     }
 
+    /// Closes the connection, so that the engine stops working.
+    fn close(&mut self) {
+        self.connection = None;
+    }
+
     /// The next complete event; `None` at the end of the stream. Waits up to
     /// `event_timeout` for it, and not at all if that is zero.
     async fn next(&mut self, event_timeout: Duration) -> Result<Option<Event>, Failure> {
@@ -107,6 +116,14 @@
     ended: bool,
 }
 
+/// Why no event comes from an engine.
+enum Ending {
+    /// The engine failed.
+    Failed(Failure),
+    /// It was silent, and no other one takes the stream.
+    Refused(&'static str),
+}
+
 /// Serves a request whose response is a stream.
 ///
 /// # Errors
@@ -133,7 +150,8 @@
             continue;
         }
         let mut engine = EngineStream::new(body, in_flight, connection);
-        match engine.next(exchange.attempt_timeout(Instant::now())).await {
+        let left = exchange.time_left(Instant::now());
+        match exchange.outlast(&server, engine.next(left)).await {
             Ok(first) => {
                 let now = Instant::now();
                 handler::record_first_event(&exchange.request, now);
@@ -185,14 +203,7 @@
             return Ok(None);
         }
         loop {
-            let left = self.exchange.time_left(Instant::now());
-            let resumable = self.exchange.request.route.kind.is_repeatable();
-            let event_timeout = if resumable {
-                left.min(EVENT_TIMEOUT)
-            } else {
-                left
-            };
-            let failure = match self.engine.next(event_timeout).await {
+            let failure = match self.next_event().await {
                 Ok(Some(event)) => match self.is_next(&event) {
                     Some(true) => {
                         self.exchange.record_event(event.number);
@@ -214,7 +225,11 @@
                     self.exchange.record_answer(StatusCode::OK);
                     return Ok(None);
                 }
-                Err(failure) => failure,
+                Err(Ending::Failed(failure)) => failure,
+                Err(Ending::Refused(reason)) => {
+                    self.exchange.outcome = "cut";
+                    return Err(io::Error::other(reason));
+                }
             };
             self.resume(failure).await?;
         }
@@ -255,13 +270,19 @@
         })?;
         if !response.head.status.is_success() {
             self.exchange.outcome = "cut";
-            return Err(io::Error::other("the engine refused to resume the stream"));
+            return Err(io::Error::other(RESUME_REFUSED));
         }
+        self.continue_at(response, &server);
+        Ok(())
+    }
+
+    /// Continues the stream with the answer of another engine than the one `before`.
+    fn continue_at(&mut self, response: ServerResponse, before: &Server) {
         log::info("stream resumed")
             .request(&self.exchange.request.head.attempt_id)
             .with("server", &response.in_flight.server.id)
             .with("software", &response.in_flight.server.software)
-            .with("before", &server.software)
+            .with("before", &before.software)
             .with("event", self.exchange.last_event.unwrap_or_default())
             .write();
         let ServerResponse {
@@ -271,6 +292,5 @@
             ..
         } = response;
         self.engine = EngineStream::new(body, in_flight, connection);
-        Ok(())
     }
 }
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod server_limits;
 mod server_notices;
 mod servers;
+mod silent_servers;
 mod site;
 mod slow_link;
 mod soak;
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod link;
 pub(crate) mod process;
 pub(crate) mod severed;
+pub(crate) mod silent;
 pub(crate) mod store;
 pub(crate) mod unframed;
 pub(crate) mod versioned;
