Count crashes for a request's content beside its resource

Cause: a request was identified by path, workspace and body. An answer to any request with these took back the crashes of all.

Ruled out: late reports; crashes that are not found.

Change: two identities are counted side by side. The content has all that a server gets, in one spelling; the resource is the identity of before, so that a request does not escape by changing details. A resource is not refused if one other content was at all of its crashes, and one of its requests gets a trial. The resource keeps hash and fields, so that the build before counts as it did; contents have fields that it does not read.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -299,17 +299,17 @@
         self.content_reason(fingerprint, &[], now)
     }
 
-    /// As [`Self::refusal_reason`], for a request with these parts. What its own
-    /// parts were at doesn't excuse it.
+    /// As [`Self::refusal_reason`], for a request with these features. What its own
+    /// features were at doesn't excuse it.
     pub(super) fn content_reason(
         &self,
         fingerprint: Fingerprint,
-        parts: &[Fingerprint],
+        own: &[Fingerprint],
         now: Instant,
     ) -> Option<Reason> {
         let crashes = self.requests.get(&fingerprint)?.crashes(now);
         let last = crashes.iter().map(|s| s.at).max()?;
-        let is_own = |other: &Fingerprint| *other == fingerprint || parts.contains(other);
+        let is_own = |other: &Fingerprint| *other == fingerprint || own.contains(other);
         let refused = match crashes.len() {
             n if n >= CRASH_LIMIT => !self.is_explained(&crashes, is_own, now),
             n if n >= CULPRIT_LIMIT => self.is_culprit(&crashes, is_own, now),
@@ -320,7 +320,7 @@
             ago: now.saturating_duration_since(last),
             is_shared: self.is_shared(&crashes, is_own),
             causes: vec![fingerprint],
-            only_parts: false,
+            only_features: false,
         })
     }
 
--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -18,16 +18,18 @@
 //! The cause may also be something that different requests have in common, such as
 //! a part of their prompts. Each such [feature](Features) is counted like a
 //! request, by crashes under any request that has it and by answers to any. The
-//! rules for parts are in [`parts`].
+//! rules for parts are in [`parts`], and those for requests that differ only in
+//! details in [`features`].
 
+pub mod features;
 mod history;
 pub mod parts;
 
 use std::fmt;
 use std::time::{Duration, Instant};
 
+pub use features::Features;
 pub use history::{CrashHistory, EXPIRY};
-pub use parts::Features;
 
 use crate::id::{Incarnation, Name};
 
@@ -39,19 +41,59 @@
 /// at all of them and no other server crashed meanwhile.
 pub const CULPRIT_LIMIT: usize = 2;
 
-/// Identity of a request's content, a hash of its model and messages, or of another
-/// feature of it.
+/// What a fingerprint identifies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Fingerprint(pub u128);
+pub enum Kind {
+    /// A feature that different requests may have.
+    Feature,
+    /// All that tells a request from others.
+    Request,
+}
+
+/// Identity of a request's content, or of a feature of it, as a hash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint {
+    /// What it identifies.
+    pub kind: Kind,
+    /// The hash.
+    pub hash: u128,
+}
 
 impl Fingerprint {
-    /// The fingerprint of a request for `model` with this prompt.
+    /// The fingerprint of a feature with this hash.
+    pub fn of_feature(hash: u128) -> Self {
+        Self {
+            kind: Kind::Feature,
+            hash,
+        }
+    }
+
+    /// The fingerprint of a request with this hash.
+    pub fn of_request(hash: u128) -> Self {
+        Self {
+            kind: Kind::Request,
+            hash,
+        }
+    }
+
+    /// The fingerprint of requests for `model` with this prompt.
     pub fn new(model: &str, prompt: &[u8]) -> Self {
         let mut hash = xxhash_rust::xxh3::Xxh3::new();
         hash.update(&(model.len() as u64).to_le_bytes());
         hash.update(model.as_bytes());
         hash.update(prompt);
-        Self(hash.digest128())
+        Self::of_feature(hash.digest128())
+    }
+
+    /// The fingerprint of the request that consists of these fields.
+    pub fn of_fields<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hash = xxhash_rust::xxh3::Xxh3::with_seed(2);
+        for field in fields {
+            // The length comes first, so that fields can't be confused.
+            hash.update(&(field.len() as u64).to_le_bytes());
+            hash.update(field);
+        }
+        Self::of_request(hash.digest128())
     }
 
     /// The fingerprint of a part of prompts for the servers of `service`.
@@ -60,14 +102,14 @@
         let mut hash = xxhash_rust::xxh3::Xxh3::with_seed(1);
         hash.update(service.as_bytes());
         hash.update(&id.to_le_bytes());
-        Self(hash.digest128())
+        Self::of_feature(hash.digest128())
     }
 }
 
 impl fmt::Display for Fingerprint {
     /// The first half of the hash, which is enough to compare log lines.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0 >> 64)
+        write!(f, "{:016x}", self.hash >> 64)
     }
 }
 
@@ -127,15 +169,15 @@
     pub is_shared: bool,
     /// The features to which the crashes are attributed.
     pub causes: Vec<Fingerprint>,
-    /// Whether all of these are parts of prompts.
-    pub only_parts: bool,
+    /// Whether all of these are features that other requests may have.
+    pub only_features: bool,
 }
 
 impl Reason {
     /// Whether the request may be sent once on trial. Other requests have the same
-    /// parts, so that a wrong verdict on one has to come to light.
+    /// features, so that a wrong verdict on one has to come to light.
     pub fn allows_trial(&self) -> bool {
-        self.is_shared || self.only_parts
+        self.is_shared || self.only_features
     }
 }
 
--- a/crates/core/src/poison/parts.rs
+++ b/crates/core/src/poison/parts.rs
@@ -25,22 +25,6 @@
 /// times a second.
 const OCCASION_TIME: Duration = Duration::from_millis(250);
 
-/// What a request has in common with others, any of which may crash servers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Features {
-    /// Its content, which its copies have in common.
-    pub content: Fingerprint,
-    /// Parts of its prompt that other requests may have.
-    pub parts: Vec<Fingerprint>,
-}
-
-impl Features {
-    /// All of them.
-    pub fn iter(&self) -> impl Iterator<Item = Fingerprint> + Clone {
-        std::iter::once(self.content).chain(self.parts.iter().copied())
-    }
-}
-
 /// Number of times at which there were crashes.
 fn occasions(crashes: &[&Sighting]) -> usize {
     let mut times: Vec<Instant> = crashes.iter().map(|s| s.at).collect();
@@ -55,25 +39,8 @@
 }
 
 impl CrashHistory {
-    /// Why a request with these features is to be refused; `None` if it may run.
-    pub fn refusal_reason_of(&self, features: &Features, now: Instant) -> Option<Reason> {
-        let content = self.content_reason(features.content, &features.parts, now);
-        if let Some(certain) = content.as_ref().filter(|reason| !reason.is_shared) {
-            return Some(certain.clone());
-        }
-        let parts = features.parts.iter();
-        let reasons = parts.filter_map(|part| self.part_reason(*part, now));
-        content.into_iter().chain(reasons).reduce(|a, b| Reason {
-            crashes: a.crashes.max(b.crashes),
-            ago: a.ago.min(b.ago),
-            is_shared: a.is_shared && b.is_shared,
-            causes: [a.causes, b.causes].concat(),
-            only_parts: a.only_parts && b.only_parts,
-        })
-    }
-
     /// Why requests with a part are to be refused.
-    fn part_reason(&self, part: Fingerprint, now: Instant) -> Option<Reason> {
+    pub(super) fn part_reason(&self, part: Fingerprint, now: Instant) -> Option<Reason> {
         let crashes = self.counted(part, now);
         let last = crashes.iter().map(|s| s.at).max()?;
         let enough = match occasions(&crashes) {
@@ -90,7 +57,7 @@
             ago: now.saturating_duration_since(last),
             is_shared: self.is_shared(&crashes, is_own),
             causes: vec![part],
-            only_parts: true,
+            only_features: true,
         })
     }
 
--- a/crates/core/tests/poison_parts.rs
+++ b/crates/core/tests/poison_parts.rs
@@ -27,6 +27,7 @@
 fn features(name: &str, parts: &[u64]) -> Features {
     Features {
         content: content(name),
+        resource: None,
         parts: parts.iter().copied().map(part).collect(),
     }
 }
--- a/crates/router/src/backends/crashes.rs
+++ b/crates/router/src/backends/crashes.rs
@@ -80,7 +80,7 @@
     };
     let age = now.saturating_duration_since(sighting.at);
     Some(SightingWire {
-        print: sighting.fingerprint.0.to_be_bytes().to_vec(),
+        print: sighting.fingerprint.hash.to_be_bytes().to_vec(),
         server: sighting.server.to_string(),
         witness: reporter.to_string(),
         number: *number,
@@ -93,7 +93,7 @@
     let print = wire.print.as_slice().try_into().ok()?;
     let age = Duration::from_millis(wire.age);
     Some(Sighting {
-        fingerprint: Fingerprint(u128::from_be_bytes(print)),
+        fingerprint: Fingerprint::of_feature(u128::from_be_bytes(print)),
         server: wire.server.as_str().into(),
         id: CrashId::Report {
             reporter: Incarnation(wire.witness.as_str().into()),
--- a/crates/router/src/relay/crashes/trial.rs
+++ b/crates/router/src/relay/crashes/trial.rs
@@ -10,12 +10,12 @@
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
-use poplar_core::poison::{EXPIRY, Fingerprint};
+use poplar_core::poison::{EXPIRY, Fingerprint, Kind};
 use poplar_platform::rows::{Check, Commit, Partition, Row, Write};
 use poplar_platform::store::{Error, Store};
 use serde::{Deserialize, Serialize};
 
-use super::wire::{decode_fingerprint, encode_fingerprint};
+use super::wire::{decode_hash, encode_hash};
 use super::{Crashes, join};
 use crate::relay::age::time_of;
 use crate::sync::lock;
@@ -36,6 +36,9 @@
 const MAX_TRIAL_TIME: Duration = Duration::from_secs(3);
 /// Separates the causes that one trial tests.
 const SEPARATOR: char = '-';
+/// Begins a cause that is a request. Builds that count only features can't decode it,
+/// and take such a trial for one of something else.
+const REQUEST_MARK: char = 'r';
 
 /// Whether a request may be sent on trial.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,11 +58,26 @@
     trials: Vec<TrialWire>,
 }
 
+fn encode(cause: &Fingerprint) -> String {
+    let hash = encode_hash(*cause);
+    match cause.kind {
+        Kind::Feature => hash,
+        Kind::Request => format!("{REQUEST_MARK}{hash}"),
+    }
+}
+
+fn decode(text: &str) -> Option<Fingerprint> {
+    match text.strip_prefix(REQUEST_MARK) {
+        Some(hash) => decode_hash(hash).map(Fingerprint::of_request),
+        None => decode_hash(text).map(Fingerprint::of_feature),
+    }
+}
+
 /// A trial. Times are those of the store's clock, in milliseconds.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
 struct TrialWire {
-    /// The request, or the parts that it tests.
+    /// The request, or the features that it tests.
     request: String,
     began: u64,
     /// When the request has ended at the latest.
@@ -69,23 +87,23 @@
 impl TrialWire {
     /// Whether it tested nothing else than these.
     fn is_within(&self, causes: &[Fingerprint]) -> bool {
-        let mut tested = self.request.split(SEPARATOR).map(decode_fingerprint);
+        let mut tested = self.request.split(SEPARATOR).map(decode);
         tested.all(|tested| tested.is_some_and(|tested| causes.contains(&tested)))
     }
 
     /// What it tested.
     fn causes(&self) -> Vec<Fingerprint> {
         let tested = self.request.split(SEPARATOR);
-        tested.filter_map(decode_fingerprint).collect()
+        tested.filter_map(decode).collect()
     }
 }
 
 /// What a trial is to test.
 struct Subject<'a> {
     causes: &'a [Fingerprint],
-    /// Whether these are parts, of which another request may be tried if a trial
+    /// Whether these are features, for which another request may be tried if a trial
     /// gave no result.
-    only_parts: bool,
+    only_features: bool,
 }
 
 /// The version and contents of the row as last seen.
@@ -120,7 +138,7 @@
         has_crashed: impl Fn(&TrialWire) -> bool,
     ) -> Option<Trial> {
         let trials = &self.row.trials;
-        let excludes = |t: &TrialWire| !subject.only_parts || has_crashed(t);
+        let excludes = |t: &TrialWire| !subject.only_features || has_crashed(t);
         if trials
             .iter()
             .any(|t| t.is_within(subject.causes) && excludes(t))
@@ -146,11 +164,14 @@
         &self,
         store: &Store,
         causes: &[Fingerprint],
-        only_parts: bool,
+        only_features: bool,
         time_left: Duration,
     ) -> Trial {
-        let subject = Subject { causes, only_parts };
-        let tested: Vec<String> = causes.iter().copied().map(encode_fingerprint).collect();
+        let subject = Subject {
+            causes,
+            only_features,
+        };
+        let tested: Vec<String> = causes.iter().map(encode).collect();
         let tested = tested.join(&SEPARATOR.to_string());
         let time_left = time_left.min(MAX_TRIAL_TIME);
         let Some(clock) = self.store_clock(Instant::now()) else {
--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -28,7 +28,7 @@
 use crate::relay::budgets::{Reservation, format_lender};
 use crate::relay::crashes::Evidence;
 use crate::relay::refusal::{self, Refusal};
-use crate::relay::request::{CRASHES_SERVERS, ClientRequest};
+use crate::relay::request::{CRASHES_SERVERS, ClientRequest, format_resource};
 use crate::relay::servers::{InFlight, Unavailable};
 use crate::relay::state::{OpenRequest, Relay};
 use crate::relay::upstream::{self, ConnectError, Connection};
@@ -406,6 +406,7 @@
         log::info("attempt failed")
             .request(&self.request.head.attempt_id)
             .with("content", self.request.features.content)
+            .with("resource", format_resource(&self.request.features))
             .with("parts", self.request.head.shared_parts())
             .with("server", &server.id)
             .reason(failure)
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -18,7 +18,7 @@
 use crate::relay::budgets::{Reservation, ReserveError};
 use crate::relay::exchange::Exchange;
 use crate::relay::refusal::{self, Body, Refusal};
-use crate::relay::request::{self, ClientRequest};
+use crate::relay::request::{self, ClientRequest, Identity};
 use crate::relay::state::{OpenRequest, Relay, format_age};
 use crate::relay::stream;
 
@@ -179,9 +179,18 @@
     let known = deployment.services.get(&**service);
     let stride = known.and_then(|s| s.engine).map_or(1, |e| e.stride);
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let content = request::fingerprint(parts.uri.path(), workspace.as_ref(), &body);
+    let features = request::features(&Identity {
+        method: &parts.method,
+        uri: &parts.uri,
+        workspace: workspace.as_ref(),
+        route: &route.name,
+        service,
+        prompt: &head.prompt_parts,
+        shared: head.shared_parts(),
+        body: &body,
+    });
     Ok(ClientRequest {
-        features: request::features(content, service, head.shared_parts()),
+        features,
         software: None,
         on_trial: false,
         stride: u64::from(stride),
--- a/crates/router/src/relay/request.rs
+++ b/crates/router/src/relay/request.rs
@@ -8,7 +8,7 @@
 use poplar_core::deployment::{Route, Workspace};
 use poplar_core::id::Name;
 use poplar_core::poison::{Features, Fingerprint, Reason};
-use poplar_platform::headers::{RequestHead, SharedParts};
+use poplar_platform::headers::{PromptPart, RequestHead, SharedParts};
 
 use crate::relay::crashes::join;
 use crate::relay::crashes::trial::Trial;
@@ -44,8 +44,7 @@
     pub arrived: Instant,
     /// When the response is due at the latest.
     pub deadline: Instant,
-    /// What identifies it among requests that crash servers: the path, workspace
-    /// and body together, and each shared part of the prompt.
+    /// What identifies it among requests that crash servers.
     pub features: Features,
     /// The version of the software that the server must have, if a stream goes on.
     pub software: Option<Name>,
@@ -53,25 +52,99 @@
     pub on_trial: bool,
 }
 
+/// What a request is identified by.
+#[derive(Debug, Clone, Copy)]
+pub struct Identity<'a> {
+    /// Its method.
+    pub method: &'a Method,
+    /// Its path and query.
+    pub uri: &'a Uri,
+    /// The workspace that its key belongs to.
+    pub workspace: Option<&'a Workspace>,
+    /// The route that it matches.
+    pub route: &'a str,
+    /// The service that it is sent to.
+    pub service: &'a str,
+    /// The parts of its prompt.
+    pub prompt: &'a [PromptPart],
+    /// Those that other requests may have.
+    pub shared: SharedParts<'a>,
+    /// Its body.
+    pub body: &'a [u8],
+}
+
 /// What a request has in common with its copies and with other requests.
-pub fn features(content: Fingerprint, service: &str, parts: SharedParts<'_>) -> Features {
-    let parts = parts.0.iter();
+pub fn features(identity: &Identity<'_>) -> Features {
+    let parts = identity.shared.0.iter();
     Features {
-        content,
+        content: content(identity),
+        resource: Some(resource(identity)),
         parts: parts
-            .map(|part| Fingerprint::of_part(service, part.id))
+            .map(|part| Fingerprint::of_part(identity.service, part.id))
             .collect(),
     }
 }
 
-/// Identifies the content of a request: its path, workspace and body.
-pub fn fingerprint(path: &str, workspace: Option<&Workspace>, body: &[u8]) -> Fingerprint {
-    let name = workspace.map_or("", |w| &*w.name);
+/// Identifies a request by all that a server gets of it. Spellings of a path that mean
+/// the same count as one, and so do the keys of a workspace.
+fn content(identity: &Identity<'_>) -> Fingerprint {
+    let path = unescape(identity.uri.path());
+    let query = unescape(identity.uri.query().unwrap_or_default());
+    let prompt = identity.prompt.iter().flat_map(|p| p.id.to_le_bytes());
+    let prompt: Vec<u8> = prompt.collect();
+    Fingerprint::of_fields([
+        identity.method.as_str().as_bytes(),
+        identity.route.as_bytes(),
+        &path,
+        &query,
+        identity.workspace.map_or("", |w| &*w.name).as_bytes(),
+        &prompt,
+        identity.body,
+    ])
+}
+
+/// Identifies the requests with a path, workspace and body.
+fn resource(identity: &Identity<'_>) -> Fingerprint {
+    let name = identity.workspace.map_or("", |w| &*w.name);
     // The length comes first, so that the name and the body can't be confused.
     let mut content = (name.len() as u64).to_le_bytes().to_vec();
     content.extend_from_slice(name.as_bytes());
-    content.extend_from_slice(body);
-    Fingerprint::new(path, &content)
+    content.extend_from_slice(identity.body);
+    Fingerprint::new(identity.uri.path(), &content)
+}
+
+/// Decodes characters that mean the same when they are not percent-encoded, and writes
+/// the other codes in capitals.
+fn unescape(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        let code = tail.get(..2).filter(|_| *first == b'%');
+        let code = code.and_then(|code| std::str::from_utf8(code).ok());
+        let decoded = code.and_then(|code| u8::from_str_radix(code, 16).ok());
+        match decoded {
+            Some(byte) if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            Some(_) => {
+                bytes.push(b'%');
+                bytes.extend(tail[..2].to_ascii_uppercase());
+                rest = &tail[2..];
+            }
+            None => {
+                bytes.push(*first);
+                rest = tail;
+            }
+        }
+    }
+    bytes
+}
+
+/// The resource as it is logged, `none` if there is none.
+pub fn format_resource(features: &Features) -> String {
+    let resource = features.resource.as_ref();
+    resource.map_or("none".to_owned(), Fingerprint::to_string)
 }
 
 impl ClientRequest {
@@ -98,7 +171,7 @@
             let time_left = self.deadline.saturating_duration_since(now);
             let crashes = &relay.crashes;
             crashes
-                .begin_trial(&relay.store, &why.causes, why.only_parts, time_left)
+                .begin_trial(&relay.store, &why.causes, why.only_features, time_left)
                 .await
         } else {
             Trial::Denied
--- a/crates/router/tests/relay/crash_reports.rs
+++ b/crates/router/tests/relay/crash_reports.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use poplar_core::deployment::Server;
-use poplar_core::poison::{EXPIRY, Features, Fingerprint, Report};
+use poplar_core::poison::{CrashId, EXPIRY, Features, Fingerprint, Report, Sighting};
 use poplar_core::retry::Failure;
 use poplar_platform::rows::{Row, Write};
 use poplar_router::relay::crashes::wire::ReportsWire;
@@ -29,6 +29,7 @@
 fn features(n: u64) -> Features {
     Features {
         content: request(n),
+        resource: None,
         parts: Vec::new(),
     }
 }
@@ -153,3 +154,76 @@
     b.merge(answer, Source::Peer, later);
     assert!(b.refusal_reason(&features(0), later).is_none());
 }
+
+/// Reports as builds decode them that count only features of requests.
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+struct OldReports {
+    #[serde(default)]
+    crashes: Vec<OldCrash>,
+    #[serde(default)]
+    answers: Vec<OldAnswer>,
+}
+
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+struct OldCrash {
+    server: String,
+    started_ms: u64,
+    requests: Vec<String>,
+}
+
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+struct OldAnswer {
+    request: String,
+}
+
+fn sighting(fingerprint: Fingerprint, at: Instant) -> Report {
+    Report::Crash(Sighting {
+        fingerprint,
+        server: "i-1".into(),
+        id: CrashId::Process(7),
+        at,
+    })
+}
+
+/// Guards against reports that the build before can't read, or by which it would count
+/// a crash twice.
+#[test]
+fn builds_that_count_only_features_read_these_and_nothing_else() {
+    let now = Instant::now();
+    let resource = request(1);
+    let content = Fingerprint::of_fields([b"GET".as_slice(), b"/read/"]);
+    let answer = |fingerprint| Report::Answer {
+        fingerprint,
+        at: now,
+    };
+    let reports = [
+        sighting(content, now),
+        sighting(resource, now),
+        answer(content),
+        answer(resource),
+    ];
+    let wire = ReportsWire::encode(&reports, now);
+    let text = serde_json::to_string(&wire).expect("plain data");
+    let hash = format!("{:032x}", resource.hash);
+    let old: OldReports = serde_json::from_str(&text).expect("readable");
+    let [crash] = &old.crashes[..] else {
+        panic!("{old:?}");
+    };
+    assert_eq!((&*crash.server, crash.started_ms), ("i-1", 7));
+    assert_eq!(crash.requests, std::slice::from_ref(&hash));
+    let answers: Vec<&str> = old.answers.iter().map(|a| &*a.request).collect();
+    assert_eq!(answers, [&*hash]);
+    let decoded = serde_json::from_str::<ReportsWire>(&text).expect("readable");
+    let decoded = decoded.decode(now);
+    assert!(reports.iter().all(|report| decoded.contains(report)));
+    // What the build before sends.
+    let old = format!(
+        "{{\"crashes\":[{{\"server\":\"i-1\",\"started_ms\":7,\"age_ms\":0,\
+         \"requests\":[\"{hash}\"]}}],\"answers\":[{{\"request\":\"{hash}\",\"age_ms\":0}}]}}"
+    );
+    let old = serde_json::from_str::<ReportsWire>(&old).expect("readable");
+    assert_eq!(old.decode(now), [sighting(resource, now), answer(resource)]);
+}
--- a/crates/router/tests/relay/crashing_requests.rs
+++ b/crates/router/tests/relay/crashing_requests.rs
@@ -336,6 +336,88 @@
     site.check_refused("/read/crash").await;
 }
 
+/// Guards against a request that is never refused, since sound ones that differ from it
+/// only in their query are answered between its crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_refused_beside_sound_ones_with_another_query() {
+    let mut site = Setup::new(216, "plain", CrashKind::Reset).open().await;
+    let mut sound = Vec::new();
+    for n in 0..30 {
+        if site.crashes() >= CRASHES_ALLOWED {
+            break;
+        }
+        site.ask(n % ROUTERS, "/read/item?name=crash").await;
+        // While servers are away, requests may be refused for that.
+        tokio::time::sleep(2 * DOWN_TIME).await;
+        for router in 0..ROUTERS {
+            let seen = site.ask(router, &format!("/read/item?name={n}")).await;
+            sound.push(seen);
+        }
+    }
+    let is_served = |seen: &&Option<Seen>| **seen == Some(Seen::Answer(200, true));
+    let served = sound.iter().filter(is_served).count();
+    assert!(served * 10 >= sound.len() * 9, "{sound:?}");
+    tokio::time::sleep(SPREAD_TIME).await;
+    for router in 0..ROUTERS {
+        site.wait_until_served(router, "/read/item?name=sound")
+            .await;
+    }
+    site.check_refused("/read/item?name=crash").await;
+}
+
+/// Guards against sound requests that are refused for one that differs from them only
+/// in its query, when none of them was answered between its crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn sound_requests_do_not_pay_for_one_with_another_query() {
+    let mut site = Setup::new(217, "plain", CrashKind::Reset).open().await;
+    site.crash_servers(&[0, 1, 2, 3], "/read/item?name=crash")
+        .await;
+    tokio::time::sleep(SPREAD_TIME).await;
+    for router in 0..ROUTERS {
+        let seen = site.ask(router, &format!("/read/item?name={router}")).await;
+        assert_eq!(seen, Some(Seen::Answer(200, true)), "router {router}");
+    }
+    site.check_refused("/read/item?name=crash").await;
+}
+
+/// Guards against a request that escapes by a detail that it changes each time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_changes_its_query_is_refused() {
+    let mut site = Setup::new(218, "plain", CrashKind::Reset).open().await;
+    for n in 0..30 {
+        if site.crashes() >= CRASHES_ALLOWED {
+            break;
+        }
+        site.ask(n % ROUTERS, &format!("/read/item?crash={n}"))
+            .await;
+    }
+    tokio::time::sleep(SPREAD_TIME).await;
+    let before = site.crashes();
+    for n in 0..6 * ROUTERS {
+        site.ask(n % ROUTERS, &format!("/read/item?crash=again-{n}"))
+            .await;
+    }
+    let crashes = site.crashes() - before;
+    assert!(crashes <= RETRIES_ALLOWED, "{crashes} crashes afterwards");
+}
+
+/// Guards against a request that escapes by another spelling of its query, beside
+/// sound ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_spelled_otherwise_is_refused() {
+    let mut site = Setup::new(219, "plain", CrashKind::Reset).open().await;
+    for n in 0..30 {
+        if site.crashes() >= CRASHES_ALLOWED {
+            break;
+        }
+        let query = ["name=crash", "%6eame=crash", "n%61me=crash"][n % 3];
+        site.ask(n % ROUTERS, &format!("/read/item?{query}")).await;
+        site.ask(n % ROUTERS, &format!("/read/item?name={n}")).await;
+    }
+    tokio::time::sleep(SPREAD_TIME).await;
+    site.check_refused("/read/item?name=crash").await;
+}
+
 /// The site after a request has crashed its only server several times, each
 /// time with another request on it.
 async fn site_with_shared_crashes(run: u64) -> Site {
--- a/crates/router/tests/relay/site/crashing.rs
+++ b/crates/router/tests/relay/site/crashing.rs
@@ -23,7 +23,7 @@
 use super::store::Store;
 use super::{Body, full_body, signed_response};
 
-/// Marks the path of a request that ends the servers that run it.
+/// Marks the path or query of a request that ends the servers that run it.
 pub(crate) const CRASH_MARK: &str = "crash";
 /// Begins the identity of a part of a prompt that ends the servers that run it.
 pub(crate) const CRASH_PART: &str = "dead";
@@ -113,7 +113,7 @@
         self.crashes.load(Ordering::Acquire)
     }
 
-    /// How often it ran requests with this path.
+    /// How often it ran requests with this path and query.
     pub(crate) fn runs(&self, path: &str) -> usize {
         let runs = self.runs.lock().expect("no panic");
         runs.iter().filter(|run| run.path == path).count()
@@ -176,7 +176,7 @@
     ) -> Option<Response<Body>> {
         let (head, body) = request.into_parts();
         body.collect().await.ok()?;
-        let path = head.uri.path().to_owned();
+        let path = head.uri.to_string();
         let id = head.headers.get("x-poplarreel-attempt-id")?.clone();
         let crash_part = crash_part(&head.headers);
         self.runs.lock().expect("no panic").push(Run {
