Take in a planned stop only what can end, and answer the rest

What callers saw (reported by operators of a system like ours, shown here by tests): calls and reads that came 3.3 s after the signal, and those that were open before it, ended with a closed connection and no answer.

Cause: whether a request was taken depended on the time since the signal only, and nothing answered what was open at the end. A stop did not wait for connections of other routers that go by way of it.

Change: relay::stop decides by the deadline of the request. 1.1 s before the kill, requests without an answer get 504 if they were sent, else 503 as not run. Connections by way of a stopping router count as open, and new ones are refused.

--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -100,7 +100,7 @@
     /// How the exchange ended. It keeps its initial value if the client closes
     /// the connection, which drops the exchange.
     pub outcome: &'static str,
-    _open: OpenRequest,
+    open: OpenRequest,
 }
 
 impl Exchange {
@@ -128,7 +128,7 @@
             fallback: None,
             first_event: None,
             outcome: CLIENT_LEFT,
-            _open: open,
+            open,
         }
     }
 
@@ -279,6 +279,7 @@
             self.relay
                 .record_retry_sent(&self.request.service, taken, now);
         }
+        self.open.record_sent();
         self.sent.notify_one();
         let head = upstream::send(&mut sender, request, self.time_left(now));
         let received = self.outlast(&in_flight.server, head).await;
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -3,6 +3,7 @@
 //! response.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 use crate::relay::refusal::{self, Body, Refusal};
 use crate::relay::request::{self, ClientRequest, Identity};
 use crate::relay::state::{OpenRequest, Relay, format_age};
+use crate::relay::stop::Stop;
 use crate::relay::stream;
 
 /// When the client should retry if this router has no configuration yet.
@@ -27,6 +29,8 @@
 /// When the client should retry, at another router, if this one is stopping or
 /// may lack the configuration that allows the request.
 const OTHER_ROUTER_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Why a request is refused in a planned stop.
+const STOPPING: &str = "stopping";
 /// When the client should retry if another router may hold enough of the
 /// budget.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -39,12 +43,6 @@
 /// latency, if the tokens become available within it: a retry would take
 /// longer.
 const BUDGET_WAIT_TARGETS: f64 = 2.0;
-/// Part of the grace period of a stop after which streams are refused, so that
-/// clients go to other routers.
-const STREAM_GRACE_FRACTION: f64 = 0.35;
-/// Part of the grace period of a stop after which all requests are refused.
-const REQUEST_GRACE_FRACTION: f64 = 0.7;
-
 /// Serves one request.
 pub async fn serve(relay: Arc<Relay>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
@@ -57,8 +55,12 @@
     let head = RequestHead::parse(&parts.headers);
     let id = head.as_ref().ok().map(|head| head.attempt_id.clone());
     let chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
+    let was_sent = open.was_sent();
     let handled = match head {
-        Ok(head) => handle(&relay, deployment, parts, body, head, open, arrived).await,
+        Ok(head) => tokio::select! {
+            handled = handle(&relay, deployment, parts, body, head, open, arrived) => handled,
+            () = relay.wait_answer_time() => Err(by_stop(was_sent.load(Ordering::Acquire))),
+        },
         Err(why) => {
             log::info("request headers invalid").reason(why).write();
             Err(Refusal::new(StatusCode::BAD_REQUEST, "malformed headers"))
@@ -101,6 +103,14 @@
     refusal
 }
 
+/// The refusal of a request that has no answer at the end of a planned stop.
+fn by_stop(was_sent: bool) -> Refusal {
+    if was_sent {
+        return Refusal::new(StatusCode::GATEWAY_TIMEOUT, STOPPING);
+    }
+    Refusal::not_run(STOPPING, OTHER_ROUTER_RETRY_AFTER)
+}
+
 async fn handle(
     relay: &Arc<Relay>,
     deployment: Option<Arc<Deployment>>,
@@ -113,25 +123,17 @@
     let deployment = deployment.ok_or(Refusal::not_run("no configuration", UNREADY_RETRY_AFTER))?;
     let body = read_body(body, &deployment.limits).await?;
     let mut request = identify(&deployment, parts, body, head, arrived)?;
-    let streams = request.route.kind.is_stream();
-    let grace = relay.settings.stop_grace;
-    let accept_for = grace.mul_f64(if streams {
-        STREAM_GRACE_FRACTION
-    } else {
-        REQUEST_GRACE_FRACTION
-    });
-    if relay
-        .stopping_for(arrived)
-        .is_some_and(|since| since > accept_for)
-    {
-        return Err(Refusal::not_run("stopping", OTHER_ROUTER_RETRY_AFTER));
+    let kind = request.route.kind;
+    let takes = |stop: Stop| stop.takes(kind, request.deadline, Instant::now());
+    if !relay.stop().is_none_or(takes) {
+        return Err(Refusal::not_run(STOPPING, OTHER_ROUTER_RETRY_AFTER));
     }
     request.find_software(relay).await?;
     request.check_crashes(relay, arrived).await?;
     relay.record_request(&request.service, arrived);
     let reservation = reserve(relay, &request).await?;
     let exchange = Exchange::new(relay.clone(), request, reservation, open);
-    if streams {
+    if kind.is_stream() {
         stream::serve(exchange).await
     } else {
         serve_plain(exchange).await
--- a/crates/router/src/relay/lifecycle.rs
+++ b/crates/router/src/relay/lifecycle.rs
@@ -23,8 +23,6 @@
 /// checks once a second and stops sending connections after the second failed
 /// check.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3200);
-/// Part of the grace period that is kept for the last writes and the exit.
-const WRITE_RESERVE: Duration = Duration::from_millis(900);
 /// Part of the grace period that is kept for the exit itself.
 const EXIT_RESERVE: Duration = Duration::from_millis(150);
 /// How often the settings file is read; it may change without a signal.
@@ -94,19 +92,21 @@
     tokio::spawn(follow_settings(relay.clone(), path));
     wait_for_stop_signal().await?;
     let began = Instant::now();
-    relay.begin_stop(began);
+    let stop_plan = relay.begin_stop(began);
     relay.budgets.begin_stop();
     log::info("relay stopping")
         .with("open", relay.open_requests())
         .write();
-    let deadline = began + relay.settings.stop_grace.saturating_sub(WRITE_RESERVE);
+    let deadline = stop_plan.deadline();
     drain(&relay, began, deadline, stop).await;
     // Requests that are still open at the deadline are abandoned; the
     // platform's SIGKILL would cut them off anyway.
     let left = deadline.saturating_duration_since(Instant::now());
     let _ = tokio::time::timeout(left, caller_task).await;
     budget_task.abort();
-    let left = (began + relay.settings.stop_grace).saturating_duration_since(Instant::now());
+    let left = stop_plan
+        .kill_time()
+        .saturating_duration_since(Instant::now());
     relay
         .budgets
         .return_unspent(left.saturating_sub(EXIT_RESERVE))
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -25,6 +25,7 @@
 pub mod servers;
 pub mod sse;
 pub mod state;
+pub mod stop;
 pub mod stream;
 pub mod streams;
 pub mod upstream;
--- a/crates/router/src/relay/paths/tunnel.rs
+++ b/crates/router/src/relay/paths/tunnel.rs
@@ -159,7 +159,9 @@
     }
 }
 
-async fn serve(relay: &Relay, stream: TcpStream) -> io::Result<()> {
+async fn serve(relay: &Arc<Relay>, stream: TcpStream) -> io::Result<()> {
+    // A planned stop waits for it, as for the requests of this router.
+    let _open = relay.open_request();
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
     let mut asks = FramedRead::new(read, codec());
@@ -169,6 +171,8 @@
     };
     let ask: Ask = serde_json::from_slice(&ask?)?;
     let connected = match relay.servers.find(&ask.server, ask.started_ms) {
+        // The answer might not be complete before this process ends.
+        Some(_) if relay.is_stopping() => Err(ConnectError::NoAnswer),
         Some(server) => relay.paths.dial_for_peer(&server).await,
         None => Err(ConnectError::NoAnswer),
     };
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -1,6 +1,6 @@
 //! State that the tasks of a relay share.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,7 @@
 use crate::relay::paths::Paths;
 use crate::relay::response_body::BodyMemory;
 use crate::relay::servers::Servers;
+use crate::relay::stop::Stop;
 use crate::relay::streams::StreamVersions;
 use crate::sync::lock;
 
@@ -49,7 +50,8 @@
     pub body_memory: BodyMemory,
     retry_limits: RwLock<SharedBudget>,
     retry_shares: Mutex<Shares>,
-    stop_began: Mutex<Option<Instant>>,
+    stop: Mutex<Option<Stop>>,
+    stop_begun: Notify,
     open_requests: AtomicUsize,
     became_idle: Notify,
 }
@@ -80,6 +82,19 @@
 #[derive(Debug)]
 pub struct OpenRequest {
     relay: Arc<Relay>,
+    was_sent: Arc<AtomicBool>,
+}
+
+impl OpenRequest {
+    /// Records that it is sent to a server, which may run it.
+    pub fn record_sent(&self) {
+        self.was_sent.store(true, Ordering::Release);
+    }
+
+    /// Whether it was sent to a server, also after this is dropped.
+    pub fn was_sent(&self) -> Arc<AtomicBool> {
+        self.was_sent.clone()
+    }
 }
 
 impl Relay {
@@ -104,7 +119,8 @@
             body_memory: BodyMemory::default(),
             retry_limits: RwLock::new(limits),
             retry_shares: Mutex::new(Shares::new(Instant::now())),
-            stop_began: Mutex::default(),
+            stop: Mutex::default(),
+            stop_begun: Notify::new(),
             open_requests: AtomicUsize::new(0),
             became_idle: Notify::new(),
             settings,
@@ -177,19 +193,32 @@
     }
 
     /// Begins a planned stop.
-    pub fn begin_stop(&self, now: Instant) {
-        lock(&self.stop_began).get_or_insert(now);
+    pub fn begin_stop(&self, now: Instant) -> Stop {
+        let stop = Stop::new(self.settings.stop_grace, now);
+        let stop = *lock(&self.stop).get_or_insert(stop);
+        self.stop_begun.notify_waiters();
+        stop
     }
 
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        lock(&self.stop_began).is_some()
+        self.stop().is_some()
     }
 
-    /// How long ago a planned stop began.
-    pub fn stopping_for(&self, now: Instant) -> Option<Duration> {
-        let since = *lock(&self.stop_began);
-        since.map(|at| now.saturating_duration_since(at))
+    /// The planned stop that has begun, if one has.
+    pub fn stop(&self) -> Option<Stop> {
+        *lock(&self.stop)
+    }
+
+    /// Waits until requests without an answer get one because of a planned stop.
+    pub async fn wait_answer_time(&self) {
+        loop {
+            let begun = self.stop_begun.notified();
+            if let Some(stop) = self.stop() {
+                return tokio::time::sleep_until(stop.answer_time().into()).await;
+            }
+            begun.await;
+        }
     }
 
     /// Counts a request as open until the result is dropped.
@@ -197,6 +226,7 @@
         self.open_requests.fetch_add(1, Ordering::AcqRel);
         OpenRequest {
             relay: self.clone(),
+            was_sent: Arc::default(),
         }
     }
 
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod fleet_size;
 mod lost_paths;
 mod mirror;
+mod planned_stops;
 mod repeated_answers;
 mod retry_budget;
 mod server_limits;
--- a/crates/router/tests/relay/silent_servers.rs
+++ b/crates/router/tests/relay/silent_servers.rs
@@ -22,7 +22,7 @@
 /// Requests that are open at a time.
 const REQUESTS: usize = 24;
 /// Deadline of the requests.
-const DEADLINE: Duration = Duration::from_secs(8);
+pub(crate) const DEADLINE: Duration = Duration::from_secs(8);
 /// Longer than a server may be silent until its streams move to another one.
 const SILENCE: Duration = Duration::from_millis(1700);
 /// Longer than an attempt may take if another one may follow.
@@ -31,9 +31,9 @@
 const MIDDLE: Duration = Duration::from_millis(300);
 
 /// Routers and servers of one test.
-struct Site {
-    routers: Vec<Router>,
-    servers: Vec<Arc<SilentServer>>,
+pub(crate) struct Site {
+    pub(crate) routers: Vec<Router>,
+    pub(crate) servers: Vec<Arc<SilentServer>>,
     folder: PathBuf,
 }
 
@@ -45,12 +45,8 @@
 
 impl Site {
     /// Starts routers and this many servers of `service`.
-    async fn open(run: u64, service: &str, servers: usize) -> Self {
-        let store = Store::new();
-        let timeout = format!("\"timeout_ms\":{}", DEADLINE.as_millis());
-        let configuration =
-            configuration(7, PREPAID * 1000, 0).replace("\"timeout_ms\":2000", &timeout);
-        store.set("op", "", "config", &configuration);
+    pub(crate) async fn open(run: u64, service: &str, servers: usize) -> Self {
+        let store = patient_store();
         let mut started = Vec::new();
         for n in 0..servers {
             let (server, address) = SilentServer::open().await;
@@ -99,22 +95,43 @@
         }
     }
 
-    fn set_silent(&self, is_silent: bool) {
+    pub(crate) fn set_silent(&self, is_silent: bool) {
         let servers = self.servers.iter();
         servers.for_each(|server| server.set_silent(is_silent));
     }
 }
 
+/// A store whose configuration has one route of each kind with a long deadline.
+pub(crate) fn patient_store() -> Arc<Store> {
+    let store = Store::new();
+    let timeout = format!("\"timeout_ms\":{}", DEADLINE.as_millis());
+    let configuration = configuration(7, PREPAID * 1000, 0);
+    let configuration = configuration.replace("\"timeout_ms\":2000", &timeout);
+    store.set("op", "", "config", &configuration);
+    store
+}
+
 /// What a caller got.
 #[derive(Debug)]
-struct Answer {
-    status: Option<u16>,
+pub(crate) struct Answer {
+    /// The status; `None` if no head came.
+    pub(crate) status: Option<u16>,
     /// Whether it is complete, with each event once and in order.
-    whole: bool,
+    pub(crate) whole: bool,
     took: Duration,
 }
 
 async fn ask(router: SocketAddr, path: &'static str, id: String) -> Answer {
+    ask_within(router, path, id, DEADLINE).await
+}
+
+/// Sends a request with this deadline.
+pub(crate) async fn ask_within(
+    router: SocketAddr,
+    path: &'static str,
+    id: String,
+    deadline: Duration,
+) -> Answer {
     let began = Instant::now();
     let mut status = None;
     let received = async {
@@ -124,7 +141,7 @@
             .header("api-key", "key-1")
             .header("x-poplarreel-attempt-id", &id)
             .header("x-poplarreel-token-counts", "1000,150")
-            .header("x-poplarreel-deadline-ms", DEADLINE.as_millis().to_string());
+            .header("x-poplarreel-deadline-ms", deadline.as_millis().to_string());
         let request = request.body(Full::from(id.clone())).expect("a request");
         let response = sender.send_request(request).await.ok()?;
         status = Some(response.status().as_u16());
