Limit what many answers keep together, and answers of calls

What can happen (reported by operators of a system like ours, shown here by tests): 500 streams with an unfinished event each took a router to 152,784 KB, where the smallest host has 112,640 KB and the process is killed. Calls of the product's own API read an answer without end until their time-out.

Cause: each read had a limit, and only plain bodies had one for all together. The client of the product's own API and of the store had none.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -14,6 +14,9 @@
 use serde::de::DeserializeOwned;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest answer in bytes unless a call has another limit: twice the largest object of
+/// the platform's store. A server in trouble may send bytes without end.
+pub const MAX_ANSWER_BYTES: u64 = 16 << 20;
 /// Idle connections are closed after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -119,12 +122,13 @@
 }
 
 impl ReadLimits {
-    /// The same time-out for each part of the answer, of any size.
+    /// The same time-out for each part of the answer, which may have
+    /// [`MAX_ANSWER_BYTES`].
     pub fn with_timeout(timeout: Duration) -> Self {
         Self {
             head_timeout: timeout,
             read_timeout: timeout,
-            max_bytes: u64::MAX,
+            max_bytes: MAX_ANSWER_BYTES,
         }
     }
 }
@@ -194,7 +198,8 @@
     /// Sends a request and reads the complete answer within `timeout`.
     ///
     /// # Errors
-    /// [`Error::Connect`] if nothing was sent, else [`Error::Lost`].
+    /// [`Error::Connect`] if nothing was sent, [`Error::TooLarge`] if the answer has
+    /// more than [`MAX_ANSWER_BYTES`], else [`Error::Lost`].
     pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
--- a/crates/base/tests/http.rs
+++ b/crates/base/tests/http.rs
@@ -1,7 +1,8 @@
-//! Reads of the platform over a slow connection.
+//! Reads over a slow connection, and of answers that have no end.
 
 use std::time::Duration;
 
+use poplar_base::http::{Client, Error, MAX_ANSWER_BYTES, ReadLimits, get_request};
 use poplar_base::platform::{Platform, client};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -64,3 +65,36 @@
     let why = why.expect_err("no complete answer").to_string();
     assert!(why.contains("of 16 bytes"), "{why}");
 }
+
+/// A server that sends a body without end; returns its address.
+async fn open_endless() -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let _ = stream.read(&mut [0; 4096]).await;
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await;
+                while stream.write_all(&[b'a'; 64 << 10]).await.is_ok() {}
+            });
+        }
+    });
+    address
+}
+
+/// Guards against an answer that is read until memory is used up.
+#[tokio::test]
+async fn an_answer_without_end_is_given_up() {
+    let url = format!("http://{}/", open_endless().await);
+    let client = Client::open();
+    let called = client.get(&url, Duration::from_secs(30)).await;
+    assert!(
+        matches!(called, Err(Error::TooLarge(MAX_ANSWER_BYTES))),
+        "{:?}",
+        called.map(|answer| answer.body.len())
+    );
+    let limits = ReadLimits::with_timeout(Duration::from_secs(30));
+    let request = get_request(&url).expect("a request");
+    let read = client.read(request, limits).await;
+    assert!(matches!(read, Err(Error::TooLarge(MAX_ANSWER_BYTES))));
+}
--- a/crates/router/src/flow/chat.rs
+++ b/crates/router/src/flow/chat.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use poplar_base::http::Error as HttpError;
 use poplar_core::bill::Answer;
 use poplar_core::id::Name;
@@ -27,7 +27,7 @@
 use crate::budget::reservation::Reservation;
 use crate::flow::billing::{self, BillState, CompletedRequest};
 use crate::flow::chunk::{Chunk, ChunkReader, StreamError};
-use crate::flow::refusals::{failure_of, record_refusal};
+use crate::flow::refusals::{read_failure, record_refusal};
 use crate::flow::replay;
 use crate::flow::request::{Chat, Job, Message};
 use crate::refusal::{Code, Execution, Refusal};
@@ -328,7 +328,7 @@
             Err(_) => return Outcome::Failed(Failure::Timeout),
         };
         if response.status() != StatusCode::OK {
-            return Outcome::Failed(decode_failure(response).await);
+            return Outcome::Failed(read_failure(response, IDLE_TIMEOUT).await);
         }
         let id = self.job.id.clone();
         let mut reader = ChunkReader::open(response.into_body(), &id.0, self.tokens);
@@ -469,13 +469,6 @@
     })
 }
 
-/// Decodes an engine's error response.
-async fn decode_failure(response: http::Response<hyper::body::Incoming>) -> Failure {
-    let body = tokio::time::timeout(IDLE_TIMEOUT, response.into_body().collect()).await;
-    let bytes = body.ok().and_then(Result::ok).map(|b| b.to_bytes());
-    bytes.map_or(Failure::Lost, |bytes| failure_of(&bytes))
-}
-
 #[derive(Debug)]
 #[derive(Serialize)]
 struct EngineWire<'a> {
--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -4,6 +4,7 @@
 //! a response comes or no further attempt is allowed. It keeps the token
 //! reservation up to date and logs the outcome when it is dropped.
 
+mod body;
 mod silence;
 
 use std::sync::Arc;
@@ -21,7 +22,6 @@
 use poplar_core::software::Begun;
 use poplar_platform::headers::{self, ForwardOptions, ResponseHead};
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
 pub use self::silence::CHECK_INTERVAL;
 
@@ -450,21 +450,6 @@
         };
         Refusal::new(status, reason)
     }
-
-    /// Reads the complete body of a response that is not a stream.
-    ///
-    /// # Errors
-    /// [`Failure`] if the connection fails, or the body is too large or not
-    /// complete in time. It counts against the health of the server.
-    pub async fn read_body(&self, body: Incoming, server: &InFlight) -> Result<Bytes, Failure> {
-        let left = self.time_left(Instant::now());
-        let collected = timeout(left, self.relay.body_memory.collect(body)).await;
-        let collected = collected.unwrap_or(Err(Failure::Timeout));
-        if collected.is_err() {
-            server.record_outcome(false, Instant::now());
-        }
-        collected
-    }
 }
 
 impl Drop for Exchange {
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -21,7 +21,7 @@
 pub mod paths;
 pub mod refusal;
 pub mod request;
-pub mod response_body;
+pub mod response_memory;
 pub mod servers;
 pub mod sse;
 pub mod state;
--- a/crates/router/src/relay/sse.rs
+++ b/crates/router/src/relay/sse.rs
@@ -53,6 +53,11 @@
         self.buffer.len() <= MAX_EVENT_BYTES
     }
 
+    /// Bytes of memory that are kept.
+    pub fn kept(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
         // The end may begin in bytes that were searched before.
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -14,7 +14,7 @@
 use crate::relay::budgets::Budgets;
 use crate::relay::crashes::Crashes;
 use crate::relay::paths::Paths;
-use crate::relay::response_body::BodyMemory;
+use crate::relay::response_memory::ResponseMemory;
 use crate::relay::servers::Servers;
 use crate::relay::stop::Stop;
 use crate::relay::streams::StreamVersions;
@@ -46,8 +46,8 @@
     pub crash_reports_read: LastRead,
     /// When the copy of the limits of servers was last current.
     pub limits_read: LastRead,
-    /// Memory of responses that are being collected.
-    pub body_memory: BodyMemory,
+    /// Memory of responses that are not forwarded yet.
+    pub response_memory: Arc<ResponseMemory>,
     retry_limits: RwLock<SharedBudget>,
     retry_shares: Mutex<Shares>,
     stop: Mutex<Option<Stop>>,
@@ -116,7 +116,7 @@
             server_list_read: LastRead::default(),
             crash_reports_read: LastRead::default(),
             limits_read: LastRead::default(),
-            body_memory: BodyMemory::default(),
+            response_memory: Arc::default(),
             retry_limits: RwLock::new(limits),
             retry_shares: Mutex::new(Shares::new(Instant::now())),
             stop: Mutex::default(),
--- a/crates/router/src/relay/stream/mod.rs
+++ b/crates/router/src/relay/stream/mod.rs
@@ -25,6 +25,7 @@
 use crate::relay::exchange::{Exchange, ServerResponse};
 use crate::relay::handler;
 use crate::relay::refusal::{Body, Refusal};
+use crate::relay::response_memory::Share;
 use crate::relay::servers::InFlight;
 use crate::relay::sse::{Event, Parser};
 use crate::relay::upstream::Connection;
@@ -41,6 +42,8 @@
 struct EngineStream {
     body: Incoming,
     parser: Parser,
+    /// Counts what the parser keeps.
+    memory: Share,
     in_flight: InFlight,
     /// When the first event came.
     began: Option<Instant>,
@@ -51,10 +54,11 @@
 }
 
 impl EngineStream {
-    fn new(body: Incoming, in_flight: InFlight, connection: Connection) -> Self {
+    fn new(body: Incoming, in_flight: InFlight, connection: Connection, memory: Share) -> Self {
         Self {
             body,
             parser: Parser::default(),
+            memory,
             in_flight,
             began: None,
             progressed: false,
@@ -86,6 +90,8 @@
         let until = tokio::time::Instant::now() + event_timeout;
         loop {
             if let Some(event) = self.parser.next_event() {
+                // What is left is less than before.
+                let _ = self.memory.set(self.parser.kept());
                 self.in_flight.record_first_token();
                 return Ok(Some(event));
             }
@@ -96,10 +102,11 @@
                 Ok(None) => return Err(Failure::Lost),
                 Err(_) => return Err(Failure::Timeout),
             };
-            if let Ok(data) = frame.into_data()
-                && !self.parser.push(&data)
-            {
-                return Err(Failure::TooLarge);
+            if let Ok(data) = frame.into_data() {
+                let is_small = self.parser.push(&data);
+                if !is_small || !self.memory.set(self.parser.kept()) {
+                    return Err(Failure::TooLarge);
+                }
             }
         }
     }
@@ -149,7 +156,7 @@
             }
             continue;
         }
-        let mut engine = EngineStream::new(body, in_flight, connection);
+        let mut engine = EngineStream::new(body, in_flight, connection, exchange.memory_share());
         let left = exchange.time_left(Instant::now());
         match exchange.outlast(&server, engine.next(left)).await {
             Ok(first) => {
@@ -291,6 +298,7 @@
             connection,
             ..
         } = response;
-        self.engine = EngineStream::new(body, in_flight, connection);
+        let memory = self.exchange.memory_share();
+        self.engine = EngineStream::new(body, in_flight, connection, memory);
     }
 }
--- a/crates/router/tests/relay/endless_answers.rs
+++ b/crates/router/tests/relay/endless_answers.rs
@@ -5,6 +5,7 @@
 use futures::future::join_all;
 
 use crate::PREPAID;
+use crate::silent_servers::{ask_within, patient_store};
 use crate::site::backend::{Backend, Behaviour};
 use crate::site::caller::{Seen, ask_once, wait_until};
 use crate::site::configured_store;
@@ -13,6 +14,10 @@
 
 /// Requests that are open at the same time.
 const REQUESTS: usize = 40;
+/// Requests of which each has an unfinished event.
+const MANY_REQUESTS: usize = 500;
+/// Their deadline.
+const PATIENT_DEADLINE: Duration = Duration::from_secs(8);
 /// Deadline of the requests, and time after it until which an answer is in time,
 /// on a busy machine.
 const DEADLINE: Duration = Duration::from_secs(2);
@@ -136,6 +141,46 @@
     check(608, Endless::SlowBody, "/once/x").await;
 }
 
+/// As above, for the extension of a chunk.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_chunk_extension_without_end_ends_the_attempt() {
+    check(612, Endless::ChunkExtension, "/once/x").await;
+}
+
+/// As above, for the trailers of a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn trailers_without_end_end_the_attempt() {
+    check(613, Endless::Trailers, "/once/x").await;
+}
+
+/// Guards against memory that is used up by many streams of which each keeps a part of
+/// an event.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_streams_with_unfinished_events_share_a_limit() {
+    let store = patient_store();
+    let (server, server_address) = EndlessServer::open(Endless::HalfEvent).await;
+    store.register("half", "engines", server_address);
+    let store_address = store.open().await;
+    let name = format!("poplar-half-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let mut router = Router::new(address(614, 0), store_address, &folder);
+    router.start();
+    let callers = router.callers();
+    let is_unknown = |seen| seen == Seen::Answer(404, true);
+    wait_until(callers, "/nowhere/x", is_unknown).await;
+    let requests = (0..MANY_REQUESTS)
+        .map(|n| ask_within(callers, "/stream/x", format!("half-{n}"), PATIENT_DEADLINE));
+    for answer in join_all(requests).await {
+        assert!(matches!(answer.status, Some(502..=504)), "{answer:?}");
+    }
+    let peak = router.peak_memory_kb();
+    let sent = server.requests();
+    println!("{sent} unfinished events: peak memory {peak} KB");
+    assert!(peak < MEMORY_KB, "peak memory {peak} KB");
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
 /// Guards against an event that is collected until memory is used up.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_event_without_end_ends_the_attempt() {
--- a/crates/router/tests/relay/site/endless.rs
+++ b/crates/router/tests/relay/site/endless.rs
@@ -33,8 +33,14 @@
     ChunkedBody,
     /// A body in chunks, a few bytes at a time.
     SlowBody,
+    /// The extension of a chunk of a body.
+    ChunkExtension,
+    /// Trailers after a body in chunks.
+    Trailers,
     /// An event of a stream.
     Event,
+    /// A part of an event of a stream, and then nothing.
+    HalfEvent,
     /// An event of a stream, a few bytes at a time.
     SlowEvent,
     /// Events of a stream, all in order.
@@ -69,6 +75,12 @@
             Self::Garbage | Self::HeadField | Self::Body => vec![b'a'; CHUNK_BYTES],
             Self::HeadFields | Self::SlowHead => format!("x-{number}: a\r\n").into_bytes(),
             Self::Informational => b"HTTP/1.1 102 Processing\r\n\r\n".to_vec(),
+            Self::ChunkExtension if number == 1 => b"2;long=".to_vec(),
+            Self::ChunkExtension => vec![b'a'; CHUNK_BYTES],
+            Self::Trailers if number == 1 => b"2\r\naa\r\n0\r\n".to_vec(),
+            Self::Trailers => format!("x-{number}: a\r\n").into_bytes(),
+            Self::HalfEvent if number <= 2 => chunk(&[b'a'; CHUNK_BYTES - 1024]),
+            Self::HalfEvent => Vec::new(),
             Self::ChunkedBody | Self::Event => chunk(&[b'a'; CHUNK_BYTES]),
             Self::SlowBody | Self::SlowEvent => chunk(b"a"),
             Self::Events => chunk(format!("id: {number}\ndata: e{number}\n\n").as_bytes()),
@@ -76,7 +88,10 @@
     }
 
     fn is_slow(self) -> bool {
-        matches!(self, Self::SlowHead | Self::SlowBody | Self::SlowEvent)
+        matches!(
+            self,
+            Self::SlowHead | Self::SlowBody | Self::SlowEvent | Self::HalfEvent
+        )
     }
 }
 
