Count retries that are reserved for a silent server

poplar_repeats_total left out the moves of streams, and counted a reserved retry of a plain request when its attempt had failed. One function takes a retry now. Nothing else changes.

--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -426,16 +426,23 @@
         if !may_retry || !sends_left || now >= self.request.deadline {
             return Err(self.give_up(failure, "given up", now));
         }
-        if self.reserved.is_none() {
-            if !self.relay.take_retry(&self.request.service, now) {
-                return Err(self.give_up(failure, "repeats used up", now));
-            }
-            self.retry_taken = Some(now);
+        if self.reserved.is_none() && !self.take_retry(now) {
+            return Err(self.give_up(failure, "repeats used up", now));
         }
-        metrics::counter!("poplar_repeats_total").increment(1);
         Ok(())
     }
 
+    /// Takes the retry that comes next from the budget of the service; false if that
+    /// is used up.
+    fn take_retry(&mut self, now: Instant) -> bool {
+        let is_taken = self.relay.take_retry(&self.request.service, now);
+        if is_taken {
+            self.retry_taken = Some(now);
+            metrics::counter!("poplar_repeats_total").increment(1);
+        }
+        is_taken
+    }
+
     /// Ends the exchange; returns the response for the client.
     fn give_up(&mut self, failure: Failure, reason: &'static str, now: Instant) -> Refusal {
         self.outcome = reason;
--- a/crates/router/src/relay/exchange/silence.rs
+++ b/crates/router/src/relay/exchange/silence.rs
@@ -90,10 +90,9 @@
         let Some(other) = other else {
             return false;
         };
-        if !self.relay.take_retry(&self.request.service, now) {
+        if !self.take_retry(now) {
             return false;
         }
-        self.retry_taken = Some(now);
         self.reserved = Some(other);
         true
     }
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -43,6 +43,7 @@
 /// latency, if the tokens become available within it: a retry would take
 /// longer.
 const BUDGET_WAIT_TARGETS: f64 = 2.0;
+
 /// Serves one request.
 pub async fn serve(relay: Arc<Relay>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
