Give the tests of planned stops addresses of their own

Their numbers were those of the soak's seeds, modulo 250, so that the soak failed at once when all tests ran together: 'another test has address'.

--- a/crates/router/tests/relay/planned_stops.rs
+++ b/crates/router/tests/relay/planned_stops.rs
@@ -50,7 +50,7 @@
 /// Guards against requests that are taken late in a stop, passed on and cut at its end.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_request_that_may_not_end_in_a_stop_is_refused() {
-    let mut site = Site::open(501, "plain", 1).await;
+    let mut site = Site::open(497, "plain", 1).await;
     let before = site.servers[0].runs();
     let seen = ask_late(&mut site, DEADLINE, false).await;
     assert_eq!(seen, [Some(503), Some(503)]);
@@ -60,7 +60,7 @@
 /// Guards against refusals of requests that can still be served in a stop.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_request_that_ends_in_a_stop_is_served() {
-    let mut site = Site::open(502, "plain", 1).await;
+    let mut site = Site::open(498, "plain", 1).await;
     let seen = ask_late(&mut site, SHORT, true).await;
     assert_eq!(seen, [Some(200), Some(200)]);
 }
@@ -68,7 +68,7 @@
 /// Guards against requests that are cut without an answer when their router ends.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_are_open_at_the_end_of_a_stop_are_answered() {
-    let mut site = Site::open(503, "plain", 1).await;
+    let mut site = Site::open(499, "plain", 1).await;
     site.set_silent(true);
     let at = site.routers[0].callers();
     let open = ["/once/x", "/read/x"].map(|path| {
@@ -95,7 +95,7 @@
     std::fs::create_dir_all(&folder).expect("a folder");
     let (mut routers, mut paths) = (Vec::new(), Vec::new());
     for n in 0..2 {
-        let ip = address(504, n);
+        let ip = address(500, n);
         let IpAddr::V4(v4) = ip else {
             panic!("not an IPv4 address");
         };
