Verify a silent server once, however many requests wait for it

Cause: since each request that waits for a silent server looked by itself whether that had ended. At 40 routers without a path each such request asked up to six others for a connection, again and again.

Change: the check for crashed servers is used, which runs once for each server, and what it finds is remembered for 5 s.

--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -15,12 +15,13 @@
 mod verify;
 pub mod wire;
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
 use poplar_core::deployment::Server;
-use poplar_core::id::Incarnation;
+use poplar_core::id::{Incarnation, Name};
 use poplar_core::poison::{
     CULPRIT_LIMIT, CrashHistory, Features, Fingerprint, Reason, Report, Sighting,
 };
@@ -40,6 +41,10 @@
 const REPORT_TIME: Duration = Duration::from_millis(200);
 /// Most reports in one datagram, about 40 bytes each.
 const MAX_SENT_REPORTS: usize = 16;
+/// Most processes that are remembered as dead, and for how long: a refused connection
+/// may be followed by one that is accepted.
+const MAX_DEAD: usize = 64;
+const DEAD_TIME: Duration = Duration::from_secs(5);
 /// Most reports that wait to be sent, or to be written.
 const MAX_QUEUED: usize = 1024;
 
@@ -58,7 +63,7 @@
 
 impl Evidence {
     /// Its name in the log.
-    pub fn text(self) -> &'static str {
+    fn text(self) -> &'static str {
         match self {
             Self::Refused => "connection refused",
             Self::Restarted => "restarted",
@@ -100,6 +105,9 @@
 struct State {
     history: CrashHistory,
     verifying: Vec<Verification>,
+    /// The processes of servers that were found dead last, by id and start time, and
+    /// when that was.
+    dead: VecDeque<(Name, u64, Instant)>,
     /// This router's reports that go into further datagrams, and into how many.
     unsent: Vec<(Report, u32)>,
     /// This router's reports that are not in the table yet.
@@ -135,6 +143,7 @@
             state: Mutex::new(State {
                 history: CrashHistory::new(own, REPORT_TIME),
                 verifying: Vec::new(),
+                dead: VecDeque::new(),
                 unsent: Vec::new(),
                 unwritten: Vec::new(),
                 rows: Vec::new(),
@@ -198,6 +207,12 @@
     /// it stopped answering were then on a server that crashed.
     pub fn record_dead_server(&self, server: &Server, evidence: Evidence, now: Instant) {
         let mut state = lock(&self.state);
+        if state.dead.len() >= MAX_DEAD {
+            state.dead.pop_front();
+        }
+        state
+            .dead
+            .push_back((server.id.clone(), server.started_ms, now));
         let process = Some(server.started_ms);
         let sightings = state.history.record_dead_server(&server.id, process, now);
         let count = |s: &Sighting| state.history.crashes(s.fingerprint, now);
@@ -225,6 +240,14 @@
             .increment(sightings.len() as u64);
     }
 
+    /// Whether a server's process was found dead lately.
+    pub fn is_dead(&self, server: &Server, now: Instant) -> bool {
+        let dead = &lock(&self.state).dead;
+        dead.iter().any(|(id, started_ms, at)| {
+            *id == server.id && *started_ms == server.started_ms && now < *at + DEAD_TIME
+        })
+    }
+
     /// Records that a request was answered, so that neither it nor what it has in
     /// common with others crashes every server.
     pub fn record_answer(&self, features: &Features, now: Instant) {
--- a/crates/router/src/relay/crashes/verify.rs
+++ b/crates/router/src/relay/crashes/verify.rs
@@ -36,7 +36,7 @@
     /// Connects to a server until that shows that it is dead, a few times at
     /// most. A server that is not registered and gives no answer is dead, too;
     /// one that left without notice still accepts connections for some time.
-    pub(super) fn verify(self: &Arc<Self>, server: &Server, listed: bool) {
+    pub fn verify(self: &Arc<Self>, server: &Server, listed: bool) {
         let verification = Verification {
             server: server.id.clone(),
             started_ms: server.started_ms,
@@ -63,9 +63,7 @@
         });
     }
 
-    /// Connects to a server a few times; returns what shows that it is dead, if
-    /// anything does.
-    pub async fn find_evidence(&self, server: &Server, listed: bool) -> Option<Evidence> {
+    async fn find_evidence(&self, server: &Server, listed: bool) -> Option<Evidence> {
         for wait in WAITS {
             tokio::time::sleep(wait).await;
             match self.paths.probe(server).await {
--- a/crates/router/src/relay/exchange/silence.rs
+++ b/crates/router/src/relay/exchange/silence.rs
@@ -97,23 +97,22 @@
         true
     }
 
-    /// Returns once a silent server is found dead.
+    /// Returns once a silent server is found dead. However many requests wait for it,
+    /// it is verified once at a time.
     pub fn found_dead(&self, server: &Server) -> impl Future<Output = ()> + use<> {
         let (relay, server) = (self.relay.clone(), server.clone());
         async move {
             loop {
                 let listing = relay.servers.listing(&server);
-                if matches!(listing, Listing::Restarted | Listing::Replaced) {
-                    return;
-                }
-                let is_listed = listing == Listing::Listed;
-                if let Some(evidence) = relay.crashes.find_evidence(&server, is_listed).await {
+                let is_replaced = matches!(listing, Listing::Restarted | Listing::Replaced);
+                if is_replaced || relay.crashes.is_dead(&server, Instant::now()) {
                     log::info("silent server found dead")
                         .with("server", &server.id)
-                        .reason(evidence.text())
+                        .with("listing", format_args!("{listing:?}"))
                         .write();
                     return;
                 }
+                relay.crashes.verify(&server, listing == Listing::Listed);
                 sleep(CHECK_INTERVAL).await;
             }
         }
