Keep one entry for each server found dead, and share steps of tests

Each refused connection added an entry for the same server, so that a busy one could push out the others. One entry for each server, dropped after 5 s, needs no limit of its own. The tests of silent servers repeated the same waits; their steps and assertions are as they were.

clippy without warnings; 51 tests of silent servers, planned stops, crashes and lost paths of most routers pass.

--- a/crates/router/src/relay/crashes/mod.rs
+++ b/crates/router/src/relay/crashes/mod.rs
@@ -15,7 +15,6 @@
 mod verify;
 pub mod wire;
 
-use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -26,6 +25,7 @@
     CULPRIT_LIMIT, CrashHistory, Features, Fingerprint, Reason, Report, Sighting,
 };
 use poplar_core::retry::Failure;
+use poplar_core::sorted::SortedVec;
 use tokio::sync::Notify;
 
 use self::table::StoredRow;
@@ -41,9 +41,8 @@
 const REPORT_TIME: Duration = Duration::from_millis(200);
 /// Most reports in one datagram, about 40 bytes each.
 const MAX_SENT_REPORTS: usize = 16;
-/// Most processes that are remembered as dead, and for how long: a refused connection
-/// may be followed by one that is accepted.
-const MAX_DEAD: usize = 64;
+/// Time for which a process is remembered as dead: a refused connection may be followed
+/// by one that is accepted.
 const DEAD_TIME: Duration = Duration::from_secs(5);
 /// Most reports that wait to be sent, or to be written.
 const MAX_QUEUED: usize = 1024;
@@ -105,9 +104,9 @@
 struct State {
     history: CrashHistory,
     verifying: Vec<Verification>,
-    /// The processes of servers that were found dead last, by id and start time, and
-    /// when that was.
-    dead: VecDeque<(Name, u64, Instant)>,
+    /// The processes of servers that were found dead lately, by start time, and when
+    /// that was.
+    dead: SortedVec<Name, (u64, Instant)>,
     /// This router's reports that go into further datagrams, and into how many.
     unsent: Vec<(Report, u32)>,
     /// This router's reports that are not in the table yet.
@@ -143,7 +142,7 @@
             state: Mutex::new(State {
                 history: CrashHistory::new(own, REPORT_TIME),
                 verifying: Vec::new(),
-                dead: VecDeque::new(),
+                dead: SortedVec::new(),
                 unsent: Vec::new(),
                 unwritten: Vec::new(),
                 rows: Vec::new(),
@@ -207,12 +206,10 @@
     /// it stopped answering were then on a server that crashed.
     pub fn record_dead_server(&self, server: &Server, evidence: Evidence, now: Instant) {
         let mut state = lock(&self.state);
-        if state.dead.len() >= MAX_DEAD {
-            state.dead.pop_front();
-        }
+        state.dead.retain(|_, (_, at)| now < *at + DEAD_TIME);
         state
             .dead
-            .push_back((server.id.clone(), server.started_ms, now));
+            .insert(server.id.clone(), (server.started_ms, now));
         let process = Some(server.started_ms);
         let sightings = state.history.record_dead_server(&server.id, process, now);
         let count = |s: &Sighting| state.history.crashes(s.fingerprint, now);
@@ -242,9 +239,10 @@
 
     /// Whether a server's process was found dead lately.
     pub fn is_dead(&self, server: &Server, now: Instant) -> bool {
-        let dead = &lock(&self.state).dead;
-        dead.iter().any(|(id, started_ms, at)| {
-            *id == server.id && *started_ms == server.started_ms && now < *at + DEAD_TIME
+        let state = lock(&self.state);
+        let found = state.dead.get(&*server.id);
+        found.is_some_and(|(started_ms, at)| {
+            *started_ms == server.started_ms && now < *at + DEAD_TIME
         })
     }
 
--- a/crates/router/src/relay/exchange/silence.rs
+++ b/crates/router/src/relay/exchange/silence.rs
@@ -28,7 +28,7 @@
 
 impl Exchange {
     /// How long an attempt may take until its first response data.
-    pub fn attempt_timeout(&self, now: Instant) -> Duration {
+    fn attempt_timeout(&self, now: Instant) -> Duration {
         let left = self.time_left(now);
         if !self.may_repeat() {
             return left;
--- a/crates/router/tests/relay/silent_servers.rs
+++ b/crates/router/tests/relay/silent_servers.rs
@@ -95,6 +95,23 @@
         }
     }
 
+    /// Has all servers be silent for some time in the middle of their streams.
+    async fn fall_silent(&self) {
+        tokio::time::sleep(MIDDLE).await;
+        self.set_silent(true);
+        tokio::time::sleep(SILENCE).await;
+        self.set_silent(false);
+    }
+
+    /// Has no router repeat a request.
+    async fn forbid_retries(&self) {
+        for router in &self.routers {
+            router.change_settings(0);
+        }
+        // The settings are read once a second.
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+    }
+
     pub(crate) fn set_silent(&self, is_silent: bool) {
         let servers = self.servers.iter();
         servers.for_each(|server| server.set_silent(is_silent));
@@ -181,10 +198,7 @@
     site.warm_up().await;
     let asked = site.ask("/resume/x", REQUESTS);
     for _ in 0..2 {
-        tokio::time::sleep(MIDDLE).await;
-        site.set_silent(true);
-        tokio::time::sleep(SILENCE).await;
-        site.set_silent(false);
+        site.fall_silent().await;
     }
     check_whole(&answers(asked).await);
 }
@@ -194,16 +208,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_outlast_a_silence_when_no_retry_is_left() {
     let site = Site::open(492, "engines", 2).await;
-    for router in &site.routers {
-        router.change_settings(0);
-    }
-    // The settings are read once a second.
-    tokio::time::sleep(Duration::from_millis(1500)).await;
+    site.forbid_retries().await;
     let asked = site.ask("/resume/x", ROUTERS);
-    tokio::time::sleep(MIDDLE).await;
-    site.set_silent(true);
-    tokio::time::sleep(SILENCE).await;
-    site.set_silent(false);
+    site.fall_silent().await;
     check_whole(&answers(asked).await);
 }
 
@@ -214,10 +221,7 @@
     site.warm_up().await;
     site.servers[1].set_full(true);
     let asked = site.ask("/resume/x", ROUTERS);
-    tokio::time::sleep(MIDDLE).await;
-    site.set_silent(true);
-    tokio::time::sleep(SILENCE).await;
-    site.set_silent(false);
+    site.fall_silent().await;
     check_whole(&answers(asked).await);
 }
 
@@ -239,10 +243,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn plain_answers_outlast_a_silence_when_no_retry_is_left() {
     let site = Site::open(495, "plain", 2).await;
-    for router in &site.routers {
-        router.change_settings(0);
-    }
-    tokio::time::sleep(Duration::from_millis(1500)).await;
+    site.forbid_retries().await;
     site.set_silent(true);
     let asked = site.ask("/read/x", ROUTERS);
     tokio::time::sleep(LONG_SILENCE).await;
