Log what ends an answer, which process was chosen, and how an origin is known

Change: the last line of a request has the number of the last event and what ended the server's answer (its length or chunks, or the connection); choices of servers, lists and continued streams have the start time of the process; a stream that a client takes up has how its version is known. No decision changes.

--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -31,7 +31,7 @@
 use crate::relay::request::{CRASHES_SERVERS, ClientRequest, format_resource};
 use crate::relay::servers::{InFlight, Unavailable};
 use crate::relay::state::{OpenRequest, Relay};
-use crate::relay::upstream::{self, ConnectError, Connection};
+use crate::relay::upstream::{self, ConnectError, Connection, Framing};
 
 /// Sends of a request allowed beyond its route's attempts. Only sends that may
 /// have run count as attempts, so that these are for sends that did not run.
@@ -97,6 +97,8 @@
     pub fallback: Option<(response::Parts, Bytes)>,
     /// When the first event of a stream came.
     pub first_event: Option<Instant>,
+    /// What ends the last answer that a server began.
+    framing: Framing,
     /// How the exchange ended. It keeps its initial value if the client closes
     /// the connection, which drops the exchange.
     pub outcome: &'static str,
@@ -127,6 +129,7 @@
             output: 0,
             fallback: None,
             first_event: None,
+            framing: Framing::None,
             outcome: CLIENT_LEFT,
             open,
         }
@@ -235,6 +238,7 @@
             .request(&self.request.head.attempt_id)
             .with("server", &in_flight.server.id)
             .with("software", &in_flight.server.software)
+            .with("started_ms", in_flight.server.started_ms)
             .with("home", in_flight.is_home)
             .with("ahead", in_flight.work_ahead as u64)
             .with("shared", shared_tokens)
@@ -286,12 +290,15 @@
         let checked = received.and_then(|received| self.check(received, &in_flight));
         let now = Instant::now();
         match checked {
-            Ok((head, body)) => Ok(ServerResponse {
-                head,
-                body,
-                in_flight,
-                connection,
-            }),
+            Ok((head, body)) => {
+                self.framing = Framing::of(&head);
+                Ok(ServerResponse {
+                    head,
+                    body,
+                    in_flight,
+                    connection,
+                })
+            }
             Err(failure) => {
                 in_flight.record_outcome(false, now);
                 if failure.not_run()
@@ -484,6 +491,8 @@
             .with("server", self.last_server.as_deref().unwrap_or("none"))
             .with("tokens", self.reservation.as_ref().map_or(0, |r| r.used))
             .with("lender", format_lender(self.reservation.as_ref()))
+            .with("event", self.last_event.unwrap_or_default())
+            .with("framing", self.framing.label())
             .with("first_ms", first.as_millis())
             .with("took_ms", took.as_millis())
             .write();
--- a/crates/router/src/relay/request.rs
+++ b/crates/router/src/relay/request.rs
@@ -223,10 +223,15 @@
             .with("event", self.head.last_event.unwrap_or_default())
             .with("attempt", resumes.map_or("none", |attempt| attempt))
             .with("software", software.unwrap_or("unknown"))
+            .with(
+                "source",
+                origin.as_ref().map_or("none", |o| o.source.label()),
+            )
             .write();
         Origin {
             service: self.service,
             software: self.software,
+            ..
         } = origin?;
         Ok(())
     }
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -257,6 +257,7 @@
                     .with("address", server.address)
                     .with("ready", server.ready)
                     .with("software", &server.software)
+                    .with("started_ms", server.started_ms)
                     .with("version", version)
                     .write();
             }
--- a/crates/router/src/relay/stream/mod.rs
+++ b/crates/router/src/relay/stream/mod.rs
@@ -289,6 +289,7 @@
             .request(&self.exchange.request.head.attempt_id)
             .with("server", &response.in_flight.server.id)
             .with("software", &response.in_flight.server.software)
+            .with("started_ms", response.in_flight.server.started_ms)
             .with("before", &before.software)
             .with("event", self.exchange.last_event.unwrap_or_default())
             .write();
--- a/crates/router/src/relay/streams/resume.rs
+++ b/crates/router/src/relay/streams/resume.rs
@@ -18,6 +18,29 @@
 /// Time after which a row that was not found is read again. The router that began
 /// the stream may just be writing it.
 const READ_AGAIN_AFTER: Duration = Duration::from_millis(200);
+
+/// How the origin of a stream is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// This router began it, or another one told of it.
+    Memory,
+    /// No other version can have begun it.
+    OnlyVersion,
+    /// Its row in the store.
+    Row,
+}
+
+impl Source {
+    /// Its name in the log.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::OnlyVersion => "only version",
+            Self::Row => "row",
+        }
+    }
+}
+
 /// Where a stream goes on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Origin {
@@ -25,13 +48,16 @@
     pub service: Name,
     /// The version of its software; `None` if no engine of the service is known.
     pub software: Option<Name>,
+    /// How this is known.
+    pub source: Source,
 }
 
-impl From<Begun> for Origin {
-    fn from(begun: Begun) -> Self {
+impl Origin {
+    fn new(begun: Begun, source: Source) -> Self {
         Self {
             service: begun.service,
             software: Some(begun.software),
+            source,
         }
     }
 }
@@ -51,12 +77,13 @@
         resumes: Option<&Name>,
     ) -> Result<Origin, Refusal> {
         let refused = || Refusal::not_run("version of the stream unknown", UNKNOWN_RETRY_AFTER);
-        let allowed = |begun: Begun| {
+        let allowed = |begun: Begun, source| {
             let is_allowed = route.allows(&begun.service);
-            is_allowed.then(|| begun.into()).ok_or_else(refused)
+            let origin = is_allowed.then(|| Origin::new(begun, source));
+            origin.ok_or_else(refused)
         };
         if let Some(begun) = self.known(resumes) {
-            return allowed(begun);
+            return allowed(begun, Source::Memory);
         }
         if let Err(why) = self.read_versions(relay, service).await {
             // A version that joined since the last read may have begun the stream.
@@ -77,16 +104,17 @@
             return Ok(Origin {
                 service: service.clone(),
                 software: possible.pop(),
+                source: Source::OnlyVersion,
             });
         }
         if let Some(attempt) = resumes {
             for wait in [Duration::ZERO, READ_AGAIN_AFTER] {
                 tokio::time::sleep(wait).await;
                 if let Some(begun) = self.known(resumes) {
-                    return allowed(begun);
+                    return allowed(begun, Source::Memory);
                 }
                 match self.read_stream(relay, attempt).await {
-                    Ok(Some(begun)) => return allowed(begun),
+                    Ok(Some(begun)) => return allowed(begun, Source::Row),
                     Ok(None) => {}
                     Err(why) => {
                         log::warn("stream not read").reason(why).write();
--- a/crates/router/src/relay/upstream.rs
+++ b/crates/router/src/relay/upstream.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -43,6 +43,38 @@
     }
 }
 
+/// What ends an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// There is none.
+    None,
+    /// Its length, or its last chunk.
+    Message,
+    /// Nothing but the end of its connection.
+    Connection,
+}
+
+impl Framing {
+    /// What ends the body after this head.
+    pub fn of(head: &response::Parts) -> Self {
+        let names = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        if names.iter().any(|name| head.headers.contains_key(name)) {
+            Self::Message
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// Its name in the log.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Message => "message",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// Why no connection was made. Nothing was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectError {
