Show streams that end too early or hold events of two versions

Engines are killed, so that the system ends their connections in order, and come back at once under their id with another version, or freeze, drain, or stay away; routers are killed, stopped, frozen and cut off from the store or the engines. What clients have over all of their tries is judged for both forms of the rule. Routers can be chosen from several builds.

--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -23,6 +23,7 @@
 mod slow_link;
 mod soak;
 mod stale_configuration;
+mod stream_order;
 mod stream_versions;
 mod unframed_answers;
 
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -1,12 +1,14 @@
 //! Stand-ins for the users' platform, written after its documentation: the
 //! store and backend servers; and a relay that runs between them.
 
+pub(crate) mod apart;
 pub(crate) mod backend;
 pub(crate) mod caller;
 pub(crate) mod chosen;
 pub(crate) mod crashing;
 pub(crate) mod cut;
 pub(crate) mod endless;
+pub(crate) mod engine;
 pub(crate) mod failing;
 pub(crate) mod fleet;
 pub(crate) mod limited;
--- a/crates/router/tests/relay/site/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -98,6 +98,7 @@
     settings: PathBuf,
     log: PathBuf,
     store: SocketAddr,
+    program: PathBuf,
     child: Option<Child>,
     pub(crate) lives: Lives,
 }
@@ -110,6 +111,7 @@
             settings: folder.join(format!("{ip}.conf")),
             log: folder.join(format!("{ip}.log")),
             store,
+            program: PathBuf::from(env!("CARGO_BIN_EXE_poplar-router")),
             child: None,
             lives: Lives::default(),
         };
@@ -117,6 +119,11 @@
         router
     }
 
+    /// Gives the processes that start from now on another program.
+    pub(crate) fn set_program(&mut self, program: &Path) {
+        self.program = program.to_owned();
+    }
+
     /// Changes the limit of retries in the settings file.
     pub(crate) fn change_settings(&self, retry_slack: u32) {
         self.write_settings(retry_slack, INTERNAL_PORTS);
@@ -158,7 +165,7 @@
             return;
         }
         let log = File::options().create(true).append(true).open(&self.log);
-        let child = Command::new(env!("CARGO_BIN_EXE_poplar-router"))
+        let child = Command::new(&self.program)
             .arg("--platform")
             .env("POPLARREEL_BOOT", &self.settings)
             .stdin(Stdio::null())
--- a/crates/router/tests/relay/site/severed.rs
+++ b/crates/router/tests/relay/site/severed.rs
@@ -125,7 +125,11 @@
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let lost = |path: &Path| matches!(path, Path::Silent | Path::Reset);
     let lost = tokio::select! {
-        _ = copy_bidirectional(&mut near, &mut far) => return,
+        copied = copy_bidirectional(&mut near, &mut far) => match copied {
+            Ok(_) => return,
+            // A reset at one end is one at the other.
+            Err(_) => Path::Reset,
+        },
         Ok(path) = state.wait_for(lost) => *path,
     };
     if lost == Path::Silent {
