--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -5,6 +5,7 @@
 //! reservation up to date and logs the outcome when it is dropped.
 
 mod body;
+mod connect;
 mod silence;
 
 use std::sync::Arc;
@@ -31,7 +32,7 @@
 use crate::relay::request::{CRASHES_SERVERS, ClientRequest, format_resource};
 use crate::relay::servers::{InFlight, Unavailable};
 use crate::relay::state::{OpenRequest, Relay};
-use crate::relay::upstream::{self, ConnectError, Connection, Framing};
+use crate::relay::upstream::{self, Connection, Framing};
 
 /// Sends of a request allowed beyond its route's attempts. Only sends that may
 /// have run count as attempts, so that these are for sends that did not run.
@@ -48,8 +49,6 @@
 /// Silence of a server after which the client's leaving counts as a time-out:
 /// clients leave because nothing comes.
 const SUSPICIOUS_SILENCE: Duration = Duration::from_secs(1);
-/// Failures that a failed connection counts as for the health of the server.
-const CONNECT_FAILURE_WEIGHT: u32 = 3;
 
 /// The response of a server, of which the head has been received.
 #[derive(Debug)]
@@ -250,25 +249,8 @@
     async fn attempt(&mut self, in_flight: InFlight) -> Result<ServerResponse, Failure> {
         self.sends += 1;
         self.last_server = Some(in_flight.server.id.clone());
-        let (paths, id) = (&self.relay.paths, &self.request.head.attempt_id);
-        let connected = paths.connect(&in_flight.server, id).await;
+        let (connection, mut sender) = self.connect(&in_flight).await?;
         let now = Instant::now();
-        let (connection, mut sender) = match connected {
-            Ok(connected) => connected,
-            Err(why) => {
-                if why == ConnectError::Refused {
-                    self.relay.crashes.record_dead_server(
-                        &in_flight.server,
-                        Evidence::Refused,
-                        now,
-                    );
-                }
-                for _ in 0..CONNECT_FAILURE_WEIGHT {
-                    in_flight.record_outcome(false, now);
-                }
-                return Err(Failure::Connect);
-            }
-        };
         let servers = &self.relay.servers;
         if !servers.is_open(&in_flight.server, Instant::now()) {
             return Err(Failure::Connect);
