Take an answer for complete only if the process that sent it still runs

What callers saw: streams that end as complete before their last event, answered with 200. An engine that was killed had sent them without a length or chunks.

Cause: the end of a connection was taken for the end of such an answer unless the connection was reset. When a process is killed, the system ends its connections in order, and the router can't tell that from an answer that is complete. The class is a silence or an end that is taken for a statement of the other side.

Evidence: all streams of the failing test that end too early have framing=connection and outcome=whole.

Change: when an answer begins that only its connection ends, an engine is asked which process it is, on another connection; when it ends, it is asked again. Only if the same process answers is the answer complete; otherwise it counts as lost, and goes on elsewhere if it can. Plain servers state no start time: those that accept no more connections have ended. Answers with a length or chunks cost nothing more.

Streams of two versions are another fault and still fail the test.

--- a/crates/router/src/relay/exchange/body.rs
+++ b/crates/router/src/relay/exchange/body.rs
@@ -1,17 +1,88 @@
 //! What an exchange keeps of answers until it can forward it.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use poplar_base::log;
+use poplar_core::deployment::Server;
+use poplar_core::id::Name;
 use poplar_core::retry::Failure;
+use tokio::sync::OnceCell;
 use tokio::time::timeout;
 
 use super::Exchange;
+use crate::relay::identity::{self, Identity};
 use crate::relay::response_memory::Share;
 use crate::relay::servers::InFlight;
+use crate::relay::state::Relay;
+use crate::relay::upstream::Framing;
+
+/// Tells whether an answer whose body has ended is complete.
+#[derive(Debug, Clone)]
+pub struct EndOfAnswer {
+    relay: Arc<Relay>,
+    request: Name,
+    server: Server,
+    framing: Framing,
+    /// The process of an engine that began the answer.
+    process: Arc<OnceCell<Identity>>,
+}
+
+impl EndOfAnswer {
+    /// Checks that a body that has ended is complete. The end of a connection alone
+    /// does not show that: the connections of a process that is killed end in order.
+    ///
+    /// # Errors
+    /// [`Failure::Lost`] if its server has ended, too.
+    pub async fn check(&self) -> Result<(), Failure> {
+        if self.framing != Framing::Connection || self.runs().await {
+            return Ok(());
+        }
+        log::info("answer ended with its server")
+            .request(&self.request)
+            .with("server", &self.server.id)
+            .with("started_ms", self.server.started_ms)
+            .write();
+        Err(Failure::Lost)
+    }
+
+    /// Whether the process that began the answer still runs.
+    async fn runs(&self) -> bool {
+        if !self.relay.is_engine(&self.server.service) {
+            return identity::accepts(&self.relay, &self.server).await;
+        }
+        let began = self.process().await;
+        let now = identity::current(&self.relay, &self.server, &self.request).await;
+        now == began && now != Identity::Silent
+    }
+
+    /// The process of the engine when this was asked for first.
+    async fn process(&self) -> Identity {
+        let current = || identity::current(&self.relay, &self.server, &self.request);
+        *self.process.get_or_init(current).await
+    }
+}
 
 impl Exchange {
+    /// How to tell whether an answer that a server has begun is complete.
+    pub fn end_of_answer(&self, framing: Framing, server: &Server) -> EndOfAnswer {
+        let end = EndOfAnswer {
+            relay: self.relay.clone(),
+            request: self.request.head.attempt_id.clone(),
+            server: server.clone(),
+            framing,
+            process: Arc::default(),
+        };
+        if framing == Framing::Connection && self.relay.is_engine(&server.service) {
+            // The list may not show yet that another process runs.
+            let begun = end.clone();
+            tokio::spawn(async move { begun.process().await });
+        }
+        end
+    }
+
     /// Counts the memory of an answer.
     pub fn memory_share(&self) -> Share {
         self.relay.response_memory.share()
@@ -22,9 +93,19 @@
     /// # Errors
     /// [`Failure`] if the connection fails, or the body is too large or not
     /// complete in time. It counts against the health of the server.
-    pub async fn read_body(&self, body: Incoming, server: &InFlight) -> Result<Bytes, Failure> {
+    pub async fn read_body(
+        &self,
+        body: Incoming,
+        framing: Framing,
+        server: &InFlight,
+    ) -> Result<Bytes, Failure> {
         let left = self.time_left(Instant::now());
-        let collected = timeout(left, self.relay.response_memory.collect(body)).await;
+        let end = self.end_of_answer(framing, &server.server);
+        let complete = async {
+            let bytes = self.relay.response_memory.collect(body).await?;
+            end.check().await.map(|()| bytes)
+        };
+        let collected = timeout(left, complete).await;
         let collected = collected.unwrap_or(Err(Failure::Timeout));
         if collected.is_err() {
             server.record_outcome(false, Instant::now());
--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -24,6 +24,7 @@
 use poplar_platform::headers::{self, ForwardOptions, ResponseHead};
 use tokio::sync::Notify;
 
+pub use self::body::EndOfAnswer;
 pub use self::silence::CHECK_INTERVAL;
 
 use crate::relay::budgets::{Reservation, format_lender};
@@ -61,6 +62,8 @@
     pub in_flight: InFlight,
     /// The connection, which the body still needs.
     pub connection: Connection,
+    /// What ends the body.
+    pub framing: Framing,
 }
 
 /// A request and the state of the attempts to have it served.
@@ -275,6 +278,7 @@
             Ok((head, body)) => {
                 self.framing = Framing::of(&head);
                 Ok(ServerResponse {
+                    framing: self.framing,
                     head,
                     body,
                     in_flight,
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -281,7 +281,10 @@
             Err(refusal) => return fallback_response(&mut exchange).ok_or(refusal),
         };
         let server = response.in_flight.server.clone();
-        let failure = match exchange.read_body(response.body, &response.in_flight).await {
+        let failure = match exchange
+            .read_body(response.body, response.framing, &response.in_flight)
+            .await
+        {
             Ok(bytes) => {
                 exchange.record_answer(response.head.status);
                 let failed = response.head.status.is_server_error();
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -15,6 +15,7 @@
 pub mod exchange;
 pub mod gossip;
 pub mod handler;
+pub mod identity;
 pub mod lifecycle;
 pub mod limits;
 pub mod listeners;
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -134,6 +134,13 @@
         deployment.unwrap_or_else(|e| e.into_inner()).clone()
     }
 
+    /// Whether a service consists of model engines.
+    pub fn is_engine(&self, service: &str) -> bool {
+        let deployment = self.deployment();
+        let service = deployment.as_ref().and_then(|d| d.services.get(service));
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Whether a copy of the configuration of this age may lack a change for
     /// longer than a change may take.
     pub fn is_stale(&self, age: Option<Duration>) -> bool {
--- a/crates/router/src/relay/stream/mod.rs
+++ b/crates/router/src/relay/stream/mod.rs
@@ -22,7 +22,7 @@
 use poplar_platform::headers;
 use tokio::time::timeout_at;
 
-use crate::relay::exchange::{Exchange, ServerResponse};
+use crate::relay::exchange::{EndOfAnswer, Exchange, ServerResponse};
 use crate::relay::handler;
 use crate::relay::refusal::{Body, Refusal};
 use crate::relay::response_memory::Share;
@@ -51,14 +51,25 @@
     progressed: bool,
     /// The connection; `None` once it is closed.
     connection: Option<Connection>,
+    /// Tells whether the stream is complete when it ends.
+    end: EndOfAnswer,
 }
 
 impl EngineStream {
-    fn new(body: Incoming, in_flight: InFlight, connection: Connection, memory: Share) -> Self {
+    /// The stream that a response consists of.
+    fn new(response: ServerResponse, exchange: &Exchange) -> Self {
+        let ServerResponse {
+            body,
+            in_flight,
+            connection,
+            framing,
+            ..
+        } = response;
         Self {
             body,
             parser: Parser::default(),
-            memory,
+            memory: exchange.memory_share(),
+            end: exchange.end_of_answer(framing, &in_flight.server),
             in_flight,
             began: None,
             progressed: false,
@@ -98,7 +109,9 @@
             let frame = match timeout_at(until, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Err(Failure::Lost),
-                Ok(None) if self.parser.take_rest().is_empty() => return Ok(None),
+                Ok(None) if self.parser.take_rest().is_empty() => {
+                    return self.end.check().await.map(|()| None);
+                }
                 Ok(None) => return Err(Failure::Lost),
                 Err(_) => return Err(Failure::Timeout),
             };
@@ -138,15 +151,16 @@
 pub async fn serve(mut exchange: Exchange) -> Result<Response<Body>, Refusal> {
     loop {
         let response = exchange.send().await?;
-        let ServerResponse {
-            head,
-            body,
-            in_flight,
-            connection,
-        } = response;
-        let server = in_flight.server.clone();
-        if !head.status.is_success() {
-            match exchange.read_body(body, &in_flight).await {
+        let server = response.in_flight.server.clone();
+        if !response.head.status.is_success() {
+            let ServerResponse {
+                head,
+                body,
+                in_flight,
+                framing,
+                ..
+            } = response;
+            match exchange.read_body(body, framing, &in_flight).await {
                 Ok(bytes) => {
                     exchange.outcome = "fault";
                     exchange.record_answer(head.status);
@@ -156,16 +170,16 @@
             }
             continue;
         }
-        let mut engine = EngineStream::new(body, in_flight, connection, exchange.memory_share());
+        let mut forwarded = Response::new(());
+        *forwarded.status_mut() = response.head.status;
+        *forwarded.headers_mut() = headers::forward_response(&response.head.headers);
+        let mut engine = EngineStream::new(response, &exchange);
         let left = exchange.time_left(Instant::now());
         match exchange.outlast(&server, engine.next(left)).await {
             Ok(first) => {
                 let now = Instant::now();
                 handler::record_first_event(&exchange.request, now);
                 exchange.first_event = Some(now);
-                let mut response = Response::new(());
-                *response.status_mut() = head.status;
-                *response.headers_mut() = headers::forward_response(&head.headers);
                 let ended = first.is_none();
                 let stream = ForwardedStream {
                     exchange,
@@ -173,7 +187,7 @@
                     first,
                     ended,
                 };
-                return Ok(response.map(|()| response_body(stream)));
+                return Ok(forwarded.map(|()| response_body(stream)));
             }
             Err(failure) => {
                 engine.in_flight.record_outcome(false, Instant::now());
@@ -293,13 +307,6 @@
             .with("before", &before.software)
             .with("event", self.exchange.last_event.unwrap_or_default())
             .write();
-        let ServerResponse {
-            body,
-            in_flight,
-            connection,
-            ..
-        } = response;
-        let memory = self.exchange.memory_share();
-        self.engine = EngineStream::new(body, in_flight, connection, memory);
+        self.engine = EngineStream::new(response, &self.exchange);
     }
 }
--- a/crates/router/tests/relay/unframed_answers.rs
+++ b/crates/router/tests/relay/unframed_answers.rs
@@ -19,7 +19,8 @@
 /// A relay with a server whose answers consist of this body.
 async fn start(service: &str, body: &'static str, end: End) -> (TestRelay, std::sync::Arc<Store>) {
     let store = configured_store(PREPAID);
-    store.register("unframed", service, unframed::open(body, end).await);
+    let address = unframed::open(body, end).await;
+    store.register_started("unframed", service, address, unframed::BORN);
     (TestRelay::open(store.open().await).await, store)
 }
 
@@ -81,6 +82,48 @@
     assert!(ask(&relay, "/stream/x", "a").await.is_none());
 }
 
+/// Guards against a part of an answer that looks like all of it because the system ends
+/// the connections of a process that was killed in order.
+#[tokio::test]
+async fn an_answer_that_ends_with_its_killed_server_is_not_whole() {
+    for path in ["/once/x", "/read/x"] {
+        let (relay, _store) = start("plain", "an ans", End::Killed).await;
+        let answer = ask(&relay, path, path).await.expect("an answer");
+        assert_eq!(answer.status, 502, "{path}");
+    }
+}
+
+/// Guards against a part of a stream that looks like all of it because the system ends
+/// the connections of an engine that was killed in order, also if it is back at once.
+#[tokio::test]
+async fn a_stream_that_ends_with_its_killed_engine_is_not_whole() {
+    for end in [End::Killed, End::Restarted] {
+        for path in ["/stream/x", "/resume/x"] {
+            let (relay, _store) = start("engines", &WHOLE[..WHOLE.len() / 2], end).await;
+            assert!(ask(&relay, path, path).await.is_none(), "{path}, {end:?}");
+        }
+    }
+}
+
+/// Guards against a resumable stream of a killed engine that isn't continued since it
+/// looks complete.
+#[tokio::test]
+async fn a_resumable_stream_of_a_killed_engine_goes_on_elsewhere() {
+    let (relay, store) = start("engines", &WHOLE[..WHOLE.len() / 2], End::Restarted).await;
+    let (backend, address) = Backend::open(Behaviour::Answer).await;
+    store.register("whole", "engines", address);
+    while !relay.state.servers.is_listed("whole") {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    for n in 0..REQUESTS {
+        let answer = ask(&relay, "/resume/x", &format!("{n}")).await;
+        assert_eq!(text(&answer.expect("a whole stream")), WHOLE);
+    }
+    let resumed = backend.executed_requests().into_iter();
+    let resumed = resumed.filter(|run| run.headers.contains_key("last-event-id"));
+    assert!(resumed.count() > 0, "no stream was resumed");
+}
+
 /// Guards against a resumable stream that isn't continued since its broken event
 /// looks like its end.
 #[tokio::test]
