Begin and continue a stream only at the process that the list shows

What callers saw: streams, within an answer or over a client's tries, that hold events of two software versions, without any router or store out of step.

Cause: an engine that ends may start again at once, at its address and under its id, with another version. Until it registers, the list shows the process before it, and the router took what came from the new one for the old one's version: it began streams there that went on at the old version, and continued streams of the old version there. The class is an address or a name that is taken for the process that last had it.

Evidence: in the failing test, the events of streams of two versions come from processes that started after the one in 'server chosen' (started_ms).

Change: on a connection for a stream that may go on elsewhere, the engine is asked for its report before the request; the start time there has to be the one in the list. Another process gets no such stream until it is listed. All other requests are sent as before. An engine without start times, in its entry or in its report, is not asked or is taken for the listed one.

Why it works: one connection leads to one process, and the list has the version of each process that it shows.

--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -31,7 +31,7 @@
 use crate::relay::crashes::Evidence;
 use crate::relay::refusal::{self, Refusal};
 use crate::relay::request::{CRASHES_SERVERS, ClientRequest, format_resource};
-use crate::relay::servers::{InFlight, Unavailable};
+use crate::relay::servers::{InFlight, Requirement, Unavailable};
 use crate::relay::state::{OpenRequest, Relay};
 use crate::relay::upstream::{self, Connection, Framing};
 
@@ -231,11 +231,13 @@
             random: rand::random(),
         };
         let prefill_tokens = self.request.head.tokens.map_or(0, |t| t.prompt);
-        let (service, software) = (&self.request.service, self.request.software.as_ref());
-        let in_flight =
-            self.relay
-                .servers
-                .choose(service, software, &query, prefill_tokens, now)?;
+        let software = &self.request.software;
+        let requirement = Requirement {
+            versions: software.is_some().then(|| software.as_slice()),
+            as_listed: self.depends_on_version(),
+        };
+        let (servers, service) = (&self.relay.servers, &self.request.service);
+        let in_flight = servers.choose(service, requirement, &query, prefill_tokens, now)?;
         log::info("server chosen")
             .request(&self.request.head.attempt_id)
             .with("server", &in_flight.server.id)
--- a/crates/router/src/relay/servers/availability.rs
+++ b/crates/router/src/relay/servers/availability.rs
@@ -155,17 +155,34 @@
 
     /// Logs that a header of the server's answers is invalid, once for each process.
     pub(super) fn log_invalid(&self, header: &'static str) {
+        if self.is_first_fault(header) {
+            log::warn("server header invalid")
+                .with("server", &self.server.id)
+                .with("header", header)
+                .write();
+        }
+    }
+
+    /// Logs that the server does not state the start time of its process, once for
+    /// each process.
+    pub fn log_unstated_start(&self) {
+        if self.is_first_fault("start time") {
+            log::warn("server states no start time")
+                .with("server", &self.server.id)
+                .with("started_ms", self.server.started_ms)
+                .write();
+        }
+    }
+
+    /// Whether this is the first answer of the process in which `part` is invalid.
+    fn is_first_fault(&self, part: &'static str) -> bool {
         let mut state = lock(&self.servers.state);
         let known = state.states.get_mut(&*self.server.id);
-        let Some(known) = known.filter(|known| !known.invalid.contains(&header)) else {
-            return;
-        };
-        known.invalid.push(header);
-        drop(state);
-        log::warn("server header invalid")
-            .with("server", &self.server.id)
-            .with("header", header)
-            .write();
+        let known = known.filter(|known| !known.invalid.contains(&part));
+        known.is_some_and(|known| {
+            known.invalid.push(part);
+            true
+        })
     }
 }
 
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -8,6 +8,7 @@
 
 mod availability;
 pub mod limits;
+mod requirement;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -24,6 +25,8 @@
 use poplar_platform::headers::ServerLoad;
 
 use availability::{availability, health_state};
+use requirement::Ended;
+pub use requirement::Requirement;
 
 use crate::relay::gossip::{LoadMessage, ServerWork};
 use crate::sync::lock;
@@ -49,7 +52,7 @@
     load: Option<ServerLoad>,
     /// Start time that the server registered, in Unix milliseconds.
     started_ms: u64,
-    /// Headers of its responses that were found invalid and logged.
+    /// Parts of its responses that were found invalid and logged.
     invalid: Vec<&'static str>,
 }
 
@@ -88,6 +91,8 @@
     limits: Limits,
     /// What servers said of themselves in their answers.
     notices: Notices,
+    /// Listed processes that have ended.
+    ended: Ended,
 }
 
 /// Why no server was chosen.
@@ -188,6 +193,7 @@
             unannounced: Vec::new(),
             limits: Limits::new(router),
             notices: Notices::new(drain_time),
+            ended: Ended::default(),
         };
         Arc::new(Self {
             state: Mutex::new(state),
@@ -230,6 +236,7 @@
             health,
             states,
             holders,
+            ended,
             ..
         } = &mut *state;
         let previous: Vec<Server> = list.all().cloned().collect();
@@ -269,6 +276,7 @@
                     .write();
             }
         }
+        ended.expire(list);
         states.retain(|id, state| state.requests > 0 || list.all().any(|s| s.id == *id));
         for (service, names) in services.iter() {
             let tracker = health.get_or_insert_with(service.clone(), HealthTracker::new);
@@ -288,15 +296,15 @@
         previous.into_iter().filter_map(with_listing).collect()
     }
 
-    /// Chooses a server of `service`, of this version of its software if there is one
-    /// named, and counts a request with `prefill_tokens` prompt tokens there.
+    /// Chooses a server of `service` that meets the requirement, and counts a request
+    /// with `prefill_tokens` prompt tokens there.
     ///
     /// # Errors
     /// [`Unavailable`] if no server takes it now.
     pub fn choose(
         self: &Arc<Self>,
         service: &Name,
-        software: Option<&Name>,
+        requirement: Requirement<'_>,
         query: &Query<'_>,
         prefill_tokens: u64,
         now: Instant,
@@ -310,18 +318,12 @@
             holders,
             limits,
             notices,
+            ended,
             ..
         } = &mut *state;
         limits.record_request(service, now);
         let mut listed: Vec<&Server> = list.of_service(service, now).collect();
-        if let Some(software) = software
-            && listed.iter().any(|server| server.ready)
-        {
-            listed.retain(|server| server.software == *software);
-            if !listed.iter().any(|server| server.ready) {
-                return Err(Unavailable::NoVersion);
-            }
-        }
+        requirement.apply(&mut listed, ended)?;
         let mut candidates = Vec::with_capacity(listed.len());
         let mut closed = Vec::new();
         for server in &listed {
--- a/crates/router/tests/relay/servers.rs
+++ b/crates/router/tests/relay/servers.rs
@@ -7,7 +7,9 @@
 use poplar_core::affinity::{Query, home_server};
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
-use poplar_router::relay::servers::{InFlight, Listing, Servers};
+use poplar_router::relay::servers::{
+    Requirement, {InFlight, Listing, Servers},
+};
 
 /// Failures in a row that eject a server, of three.
 const FAILURES: usize = 3;
@@ -44,7 +46,13 @@
         tried,
         random: 0.0,
     };
-    let chosen = servers.choose(&"engines".into(), None, &query, 5_000, now);
+    let chosen = servers.choose(
+        &"engines".into(),
+        Requirement::default(),
+        &query,
+        5_000,
+        now,
+    );
     chosen.expect("a server is listed")
 }
 
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -193,16 +193,19 @@
         self.set("servers", "", id, &entry.to_string());
     }
 
-    /// Registers a backend server with the version of its software.
+    /// Registers a backend server with the version of its software and the time of its
+    /// start.
     pub(crate) fn register_version(
         &self,
         id: &str,
         service: &str,
         address: SocketAddr,
         version: &str,
+        started_ms: u64,
     ) {
         let mut entry = entry(service, address);
         entry["version"] = json!(version);
+        entry["born"] = json!(started_ms);
         self.set("servers", "", id, &entry.to_string());
     }
 
--- a/crates/router/tests/relay/site/versioned.rs
+++ b/crates/router/tests/relay/site/versioned.rs
@@ -18,8 +18,10 @@
 
 use super::caller::connect;
 use super::store::Store;
-use super::{Body, signed_response};
+use super::{Body, full_body, signed_response};
 
+/// The start time of its first process, in Unix milliseconds.
+const BORN: u64 = 1_000;
 /// Events of a complete stream.
 pub(crate) const EVENTS: u64 = 15;
 /// Pause between two events.
@@ -34,6 +36,8 @@
     pub(crate) software: &'static str,
     address: SocketAddr,
     store: Arc<Store>,
+    /// The version of the process that runs, and how many ran before it.
+    process: Mutex<(&'static str, u64)>,
     /// Cancelled to break off all its streams.
     streams: Mutex<CancellationToken>,
 }
@@ -47,6 +51,7 @@
             software,
             address: listener.local_addr().expect("an address"),
             store: store.clone(),
+            process: Mutex::new((software, 0)),
             streams: Mutex::default(),
         });
         engine.register();
@@ -69,7 +74,16 @@
     /// Registers the engine, again if it was removed.
     pub(crate) fn register(&self) {
         self.store
-            .register_version(&self.id, "engines", self.address, self.software);
+            .register_version(&self.id, "engines", self.address, self.software, BORN);
+    }
+
+    /// Ends its process, and starts one with another version at once, which does not
+    /// register yet.
+    pub(crate) fn restart_as(&self, software: &'static str) {
+        let mut process = self.process.lock().expect("no panic");
+        *process = (software, process.1 + 1);
+        drop(process);
+        self.break_streams();
     }
 
     /// Removes its entry, as if it had left.
@@ -88,10 +102,14 @@
     ) -> Result<Response<Body>, std::io::Error> {
         let (head, body) = request.into_parts();
         body.collect().await.map_err(std::io::Error::other)?;
+        let (software, restarts) = *self.process.lock().expect("no panic");
+        if head.uri.path() == "/api/report" {
+            let report = format!("{{\"born\": {}}}", BORN + restarts);
+            return Ok(Response::new(full_body(report)));
+        }
         let id = head.headers["x-poplarreel-attempt-id"].clone();
         let after = head.headers.get("last-event-id");
         let after = after.and_then(|v| v.to_str().ok()?.parse().ok());
-        let software = self.software;
         let events = stream::unfold(after.unwrap_or(0) + 1, move |n| async move {
             if n > EVENTS {
                 return None;
--- a/crates/router/tests/relay/stream_order/clients.rs
+++ b/crates/router/tests/relay/stream_order/clients.rs
@@ -4,7 +4,7 @@
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::Path;
 use std::process::Child;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -128,7 +128,7 @@
 
 /// Starts the clients, who ask these routers for some seconds and then write what
 /// they have to `record`.
-pub(crate) fn spawn(routers: &[SocketAddr], seed: u64, seconds: u64, record: &PathBuf) -> Child {
+pub(crate) fn spawn(routers: &[SocketAddr], seed: u64, seconds: u64, record: &Path) -> Child {
     let routers: Vec<String> = routers.iter().map(SocketAddr::to_string).collect();
     let settings = [
         (ROUTERS, routers.join(",")),
@@ -140,7 +140,7 @@
 }
 
 /// What the clients wrote.
-pub(crate) fn read(record: &PathBuf) -> Vec<Stream> {
+pub(crate) fn read(record: &Path) -> Vec<Stream> {
     let text = std::fs::read_to_string(record).expect("the clients' record");
     let streams = text.lines().map(serde_json::from_str);
     streams.collect::<Result<_, _>>().expect("streams")
--- a/crates/router/tests/relay/stream_versions.rs
+++ b/crates/router/tests/relay/stream_versions.rs
@@ -213,6 +213,32 @@
     check_not_mixed(&streams);
 }
 
+/// Guards against a stream that goes on at an engine that has started again with
+/// another version, which the list does not show yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_does_not_go_on_at_an_engine_that_restarted_with_another_version() {
+    let mut site = Site::open(489, &["v1"]).await;
+    site.warm_up().await;
+    let engines = site.engines.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(MIDDLE).await;
+        engines[1].restart_as("v2");
+        engines[0].break_streams();
+    });
+    let streams = site.begin(None).await;
+    check_not_mixed(&streams);
+}
+
+/// Guards against a stream that counts as one of the version that is listed though
+/// the engine had started again with another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_does_not_begin_at_an_engine_that_restarted_with_another_version() {
+    let mut site = Site::open(490, &["v1"]).await;
+    site.engines[1].restart_as("v2");
+    let streams = site.begin(Some(EVENTS_BEFORE)).await;
+    check_continued(&site.take_up(streams).await);
+}
+
 /// Guards against a stream that a client takes up at another router, which doesn't
 /// know which version began it.
 #[tokio::test(flavor = "multi_thread")]
