Check the first event of a stream that a client resumes like the others

An engine that does not begin after the last event that the client names, but before or later, would have given the client an event twice, or one too few.

Cause: the events after the first one, and those of an engine that continues a stream within an answer, were compared with the last one forwarded; the first event of an answer was not, though a client that resumes a stream has a last event, too.

Change: the same comparison for the first event. What the client has is dropped; a gap counts as a garbled answer, which may be sent elsewhere.

Before and after: both new tests fail with the comparison left out and pass with it.

--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -233,7 +233,7 @@
         let prefill_tokens = self.request.head.tokens.map_or(0, |t| t.prompt);
         let software = &self.request.software;
         let requirement = Requirement {
-            versions: software.is_some().then(|| software.as_slice()),
+            versions: software.as_ref().map(std::slice::from_ref),
             as_listed: self.depends_on_version(),
         };
         let (servers, service) = (&self.relay.servers, &self.request.service);
--- a/crates/router/src/relay/sse.rs
+++ b/crates/router/src/relay/sse.rs
@@ -16,6 +16,28 @@
     pub number: Option<u64>,
 }
 
+/// How an event follows the last one that a client has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// It is the next one, or has no number.
+    Next,
+    /// The client has it.
+    Repeated,
+    /// One before it is missing.
+    Gap,
+}
+
+impl Event {
+    /// How the event follows the one numbered `last`.
+    pub fn order_after(&self, last: Option<u64>) -> Order {
+        match (last, self.number) {
+            (Some(last), Some(number)) if number <= last => Order::Repeated,
+            (Some(last), Some(number)) if number > last + 1 => Order::Gap,
+            _ => Order::Next,
+        }
+    }
+}
+
 /// Collects the bytes of a stream until they make up a complete event.
 #[derive(Debug, Default)]
 pub struct Parser {
--- a/crates/router/src/relay/stream/mod.rs
+++ b/crates/router/src/relay/stream/mod.rs
@@ -27,7 +27,7 @@
 use crate::relay::refusal::{Body, Refusal};
 use crate::relay::response_memory::Share;
 use crate::relay::servers::InFlight;
-use crate::relay::sse::{Event, Parser};
+use crate::relay::sse::{Event, Order, Parser};
 use crate::relay::upstream::Connection;
 
 /// Time from the first event of an engine to a later one after which its answer
@@ -90,6 +90,23 @@
         self.connection = None;
     }
 
+    /// The first event after the one numbered `last`, which the client has; `None` at
+    /// the end of the stream. Waits up to `event_timeout` for each event.
+    async fn first_after(
+        &mut self,
+        last: Option<u64>,
+        event_timeout: Duration,
+    ) -> Result<Option<Event>, Failure> {
+        loop {
+            let event = self.next(event_timeout).await?;
+            match event.as_ref().map(|event| event.order_after(last)) {
+                None | Some(Order::Next) => return Ok(event),
+                Some(Order::Repeated) => {}
+                Some(Order::Gap) => return Err(Failure::Garbled),
+            }
+        }
+    }
+
     /// The next complete event; `None` at the end of the stream. Waits up to
     /// `event_timeout` for it, and not at all if that is zero.
     async fn next(&mut self, event_timeout: Duration) -> Result<Option<Event>, Failure> {
@@ -175,7 +192,8 @@
         *forwarded.headers_mut() = headers::forward_response(&response.head.headers);
         let mut engine = EngineStream::new(response, &exchange);
         let left = exchange.time_left(Instant::now());
-        match exchange.outlast(&server, engine.next(left)).await {
+        let first = engine.first_after(exchange.last_event, left);
+        match exchange.outlast(&server, first).await {
             Ok(first) => {
                 let now = Instant::now();
                 handler::record_first_event(&exchange.request, now);
@@ -225,8 +243,8 @@
         }
         loop {
             let failure = match self.next_event().await {
-                Ok(Some(event)) => match self.is_next(&event) {
-                    Some(true) => {
+                Ok(Some(event)) => match event.order_after(self.exchange.last_event) {
+                    Order::Next => {
                         self.exchange.record_event(event.number);
                         let now = Instant::now();
                         if self.engine.record_event(now) {
@@ -234,9 +252,8 @@
                         }
                         return Ok(Some(event.bytes));
                     }
-                    // The engine repeats an event that was already forwarded.
-                    Some(false) => continue,
-                    None => Failure::Garbled,
+                    Order::Repeated => continue,
+                    Order::Gap => Failure::Garbled,
                 },
                 Ok(None) => {
                     self.ended = true;
@@ -256,18 +273,6 @@
         }
     }
 
-    /// Whether an event is the next one: false if it was already forwarded,
-    /// `None` if an event before it is missing.
-    fn is_next(&self, event: &Event) -> Option<bool> {
-        let (Some(last), Some(number)) = (self.exchange.last_event, event.number) else {
-            return Some(true);
-        };
-        if number <= last {
-            return Some(false);
-        }
-        (number == last + 1).then_some(true)
-    }
-
     /// Resumes the stream at another engine; an error aborts the stream.
     async fn resume(&mut self, failure: Failure) -> io::Result<()> {
         let in_flight = &self.engine.in_flight;
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -199,6 +199,28 @@
     panic!("no stream was resumed");
 }
 
+/// Guards against events that reach a client twice because an engine begins before the
+/// last event that the client names.
+#[tokio::test]
+async fn a_stream_that_a_client_resumes_repeats_no_event() {
+    let (relay, _, _) = start("engines", &[Behaviour::BeginAt(-2)]).await;
+    let headers = [KEY, TOKENS, (ID, "a"), ("last-event-id", "2")];
+    let answer = relay.ask("/resume/x", &headers).await;
+    let answer = answer.expect("a complete response");
+    assert_eq!(text(&answer), "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n");
+}
+
+/// Guards against a stream with a missing event because an engine begins later than
+/// after the last event that the client names.
+#[tokio::test]
+async fn a_stream_that_a_client_resumes_misses_no_event() {
+    let (relay, backends, _) = start("engines", &[Behaviour::BeginAt(1)]).await;
+    let headers = [KEY, TOKENS, (ID, "a"), ("last-event-id", "2")];
+    let answer = relay.ask("/resume/x", &headers).await;
+    assert_eq!(answer.expect("a response").status, 502);
+    assert!(runs(&backends) > 0);
+}
+
 #[tokio::test]
 async fn requests_with_invalid_headers_are_not_sent() {
     let (relay, backends, _) = start("plain", &[Behaviour::Answer]).await;
--- a/crates/router/tests/relay/site/backend.rs
+++ b/crates/router/tests/relay/site/backend.rs
@@ -28,6 +28,9 @@
     Cut,
     /// Runs it, and breaks its stream off after this many events.
     BreakAfter(u64),
+    /// Begins its stream this many events after the last one that the client has, or
+    /// before that if it is negative.
+    BeginAt(i64),
     /// Refuses it with the header that says that it did not run.
     RefuseAsNotRun,
     /// Returns the response to another request.
@@ -93,6 +96,9 @@
         let body = match behaviour {
             Behaviour::Cut => return None,
             Behaviour::BreakAfter(events) => event_body(after, after + events, true),
+            Behaviour::BeginAt(events) => {
+                event_body(after.saturating_add_signed(events), EVENTS, false)
+            }
             _ if streams => event_body(after, EVENTS, false),
             _ => full_body("an answer"),
         };
