Play streams with engines that get a new id, and judge runs and exact events

Events have to be exactly as an engine sent them, so that two that are joined count as missing; a stream that may not be repeated has to run once, and not at all if it was refused as not run. Engines close the connection after some of their reports.

--- a/crates/router/tests/relay/site/engine.rs
+++ b/crates/router/tests/relay/site/engine.rs
@@ -3,7 +3,7 @@
 //! software.
 //!
 //! Its events name the process and the run that made them. They come in segments that
-//! end anywhere, and every third answer has neither a length nor chunks.
+//! end anywhere, and some answers have neither a length nor chunks.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -26,13 +26,26 @@
 const ID: &str = "POPLAR_ENGINE_ID";
 const SOFTWARE: &str = "POPLAR_ENGINE_SOFTWARE";
 const BORN: &str = "POPLAR_ENGINE_BORN";
+const STATES_START: &str = "POPLAR_ENGINE_STATES_START";
+const UNFRAMED: &str = "POPLAR_ENGINE_UNFRAMED";
+/// Begins the line of a run in the log.
+const RUN: &str = "run of ";
+/// Part of the reports after which the connection is closed.
+const CLOSING_SHARE: f64 = 0.1;
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
-/// Every so many answers one has neither a length nor chunks.
-const UNFRAMED: u64 = 3;
 /// Places of an engine.
 const SLOTS: u32 = 64;
 
+/// How engines behave.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Habits {
+    /// Every so many answers one has neither a length nor chunks; none if 0.
+    pub(crate) unframed: u64,
+    /// Whether they state when their process started.
+    pub(crate) state_start: bool,
+}
+
 /// An engine, of which one process runs at a time.
 #[derive(Debug)]
 pub(crate) struct Engine {
@@ -40,6 +53,7 @@
     pub(crate) address: SocketAddr,
     /// How far its clock is ahead, in milliseconds.
     clock_ahead: i64,
+    habits: Habits,
     log: PathBuf,
     child: Option<Child>,
     /// The version and the start time of its process.
@@ -49,8 +63,15 @@
 
 impl Engine {
     /// An engine that is not started yet.
-    pub(crate) fn new(id: &str, address: SocketAddr, clock_ahead: i64, log: PathBuf) -> Self {
+    pub(crate) fn new(
+        id: &str,
+        address: SocketAddr,
+        clock_ahead: i64,
+        habits: Habits,
+        log: PathBuf,
+    ) -> Self {
         Self {
+            habits,
             id: id.to_owned(),
             address,
             clock_ahead,
@@ -84,6 +105,8 @@
             (ID, self.id.clone()),
             (SOFTWARE, software.to_owned()),
             (BORN, born.to_string()),
+            (UNFRAMED, self.habits.unframed.to_string()),
+            (STATES_START, self.habits.state_start.to_string()),
         ];
         self.child = Some(apart::spawn(ROLE, &settings, &self.log));
         while TcpStream::connect(self.address).await.is_err() {
@@ -110,11 +133,13 @@
     pub(crate) fn register(&mut self, state: &str, store: &Store) {
         self.sequence += 1;
         let (software, born) = &self.process;
-        let entry = json!({
+        let mut entry = json!({
             "service": "engines", "address": self.address.to_string(), "zone": "a",
-            "version": software, "slots": SLOTS, "state": state, "born": born,
-            "sequence": self.sequence,
+            "version": software, "slots": SLOTS, "state": state, "sequence": self.sequence,
         });
+        if self.habits.state_start {
+            entry["born"] = json!(born);
+        }
         store.set("servers", "", &self.id, &entry.to_string());
     }
 
@@ -136,9 +161,16 @@
     id: String,
     software: String,
     born: u64,
+    unframed: u64,
+    states_start: bool,
     answers: AtomicU64,
 }
 
+/// The attempts of clients that an engine ran, one for each run, as its log has them.
+pub(crate) fn runs(log: &str) -> impl Iterator<Item = &str> {
+    log.lines().filter_map(|line| line.strip_prefix(RUN))
+}
+
 /// Serves requests until the process is killed.
 pub(crate) async fn run() {
     let address: SocketAddr = apart::setting(ADDRESS);
@@ -146,6 +178,8 @@
         id: apart::setting(ID),
         software: apart::setting(SOFTWARE),
         born: apart::setting(BORN),
+        unframed: apart::setting(UNFRAMED),
+        states_start: apart::setting(STATES_START),
         answers: AtomicU64::new(0),
     });
     let listener = TcpListener::bind(address).await.expect("its address");
@@ -204,13 +238,22 @@
         stream.set_nodelay(true)?;
         let mut buffer = Vec::new();
         while let Some(request) = Request::read(&mut stream, &mut buffer).await? {
-            if request.path == "/api/report" {
-                let report = json!({"stage": "both", "born": self.born, "queued": 0, "active": 0});
+            let expected = request.header("x-poplarreel-expect-instance");
+            let is_other = expected.is_some_and(|id| id != self.id);
+            if request.path == "/api/report" && !is_other {
+                let mut report = json!({"stage": "both", "queued": 0, "active": 0});
+                if self.states_start {
+                    report["born"] = json!(self.born);
+                }
+                if rand::rng().random_bool(CLOSING_SHARE) {
+                    let head = "200 OK\r\nconnection: close";
+                    return self.answer(&mut stream, head, &report.to_string()).await;
+                }
                 self.answer(&mut stream, "200 OK", &report.to_string())
                     .await?;
                 continue;
             }
-            if request.header("x-poplarreel-expect-instance") != Some(&*self.id) {
+            if is_other || expected.is_none() {
                 let head = "421 Misdirected Request\r\nx-poplarreel-not-executed: 1";
                 self.answer(&mut stream, head, "").await?;
                 continue;
@@ -235,13 +278,14 @@
     /// connection ends with the answer. Stops if the connection is closed.
     async fn stream(&self, stream: &mut TcpStream, request: &Request) -> std::io::Result<bool> {
         let run = self.answers.fetch_add(1, Ordering::AcqRel);
-        let is_framed = !run.is_multiple_of(UNFRAMED);
+        let is_framed = self.unframed == 0 || !run.is_multiple_of(self.unframed);
         let framing = if is_framed {
             "transfer-encoding: chunked\r\n"
         } else {
             ""
         };
         let id = request.header("x-poplarreel-attempt-id").unwrap_or("none");
+        println!("{RUN}{id}");
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
              x-poplarreel-attempt-id: {id}\r\nx-poplarreel-response-seal: {}.{run}\r\n\
--- a/crates/router/tests/relay/stream_order/clients.rs
+++ b/crates/router/tests/relay/stream_order/clients.rs
@@ -333,14 +333,18 @@
     }
 }
 
-/// An event: its number, and which process and run made it.
+/// An event: its number, and which process and run made it. One with other lines, as if
+/// parts of two were joined, has the number 0.
 fn parse(text: &str) -> Event {
-    let field = |name: &str| text.lines().find_map(|line| line.strip_prefix(name));
-    let mut words = field("data: ").unwrap_or_default().split(' ');
-    let mut word = || words.next().unwrap_or_default().to_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    let field = |name: &str| lines.iter().find_map(|line| line.strip_prefix(name));
+    let words: Vec<&str> = field("data: ").unwrap_or_default().split(' ').collect();
+    let word = |n: usize| words.get(n).copied().unwrap_or_default().to_owned();
+    let is_sound = lines.len() == 2 && words.len() == 3;
+    let number = field("id: ").filter(|_| is_sound);
     Event {
-        number: field("id: ").and_then(|n| n.parse().ok()).unwrap_or(0),
-        software: word(),
-        run: word(),
+        number: number.and_then(|n| n.parse().ok()).unwrap_or(0),
+        software: word(0),
+        run: word(1),
     }
 }
--- a/crates/router/tests/relay/stream_order/faults.rs
+++ b/crates/router/tests/relay/stream_order/faults.rs
@@ -113,6 +113,15 @@
     }
     let next = other_version(random, place.engine.software());
     place.registers_at = Instant::now() + lag;
+    if !site.scenario.same_id {
+        place.engine.kill();
+        let (store, id) = (site.store.clone(), place.engine.id.clone());
+        tokio::spawn(async move {
+            sleep(EXPIRY).await;
+            store.remove("servers", "", &id);
+        });
+        place.rename(engine);
+    }
     place.engine.start(next).await;
     drop(place);
     let site = site.clone();
@@ -150,8 +159,7 @@
     let mut place = site.engines[engine].lock().await;
     place.engine.unregister(&site.store);
     place.engine.kill();
-    place.generation += 1;
-    place.engine.id = format!("engine-{engine}-{}", place.generation);
+    place.rename(engine);
     place.engine.start(software).await;
     place.is_leaving = false;
     place.registers_at = Instant::now();
--- a/crates/router/tests/relay/stream_order/judge.rs
+++ b/crates/router/tests/relay/stream_order/judge.rs
@@ -15,21 +15,25 @@
     EarlyEnd,
     /// It holds events of two software versions.
     Versions,
+    /// It ran more often than it may, or though it was refused as not run.
+    Runs,
 }
 
 impl Fault {
     /// All of them.
-    pub(crate) const ALL: [Self; 5] = [
+    pub(crate) const ALL: [Self; 6] = [
         Self::Missing,
         Self::Twice,
         Self::Joined,
         Self::EarlyEnd,
         Self::Versions,
+        Self::Runs,
     ];
 }
 
-/// What is wrong with a stream over all tries of its client.
-pub(crate) fn faults(stream: &Stream) -> Vec<Fault> {
+/// What is wrong with a stream over all tries of its client. `runs` are the attempts
+/// that engines ran, in order.
+pub(crate) fn faults(stream: &Stream, runs: &[String]) -> Vec<Fault> {
     let mut found = Vec::new();
     let events: Vec<&Event> = stream.tries.iter().flat_map(|t| &t.events).collect();
     for (event, expected) in events.iter().zip(1..) {
@@ -59,6 +63,15 @@
     if is_whole && (events.len() as u64) < stream.whole {
         found.push(Fault::EarlyEnd);
     }
+    let ran_wrongly = stream.tries.iter().any(|tried| {
+        let from = runs.partition_point(|run| *run < tried.attempt);
+        let same = runs[from..].iter().take_while(|run| **run == tried.attempt);
+        let most = usize::from(tried.end != End::Status(503));
+        same.count() > most
+    });
+    if !stream.resumable && ran_wrongly {
+        found.push(Fault::Runs);
+    }
     found.sort_unstable();
     found.dedup();
     found
--- a/crates/router/tests/relay/stream_order/mod.rs
+++ b/crates/router/tests/relay/stream_order/mod.rs
@@ -30,7 +30,7 @@
 use crate::site::caller::{Seen, wait_until};
 use crate::site::chosen;
 use crate::site::cut::Way;
-use crate::site::engine::{self, Engine};
+use crate::site::engine::{self, Engine, Habits};
 use crate::site::process::{Router, address};
 use crate::site::severed::ServerPath;
 use crate::site::store::Store;
@@ -57,6 +57,33 @@
 const SEEDS: [u64; 2] = [1, 2];
 /// Distinguishes the addresses of these runs from those of other tests.
 const FIRST_RUN: u64 = 600;
+/// Most seeds of one test.
+const MOST_SEEDS: u64 = 50;
+
+/// What engines do in a run.
+#[derive(Debug, Clone, Copy)]
+struct Scenario {
+    /// Whether a process that starts again has the id of the one before.
+    same_id: bool,
+    habits: Habits,
+}
+
+/// Engines come back under their id, and say when they started.
+const SAME_ID: Scenario = Scenario {
+    same_id: true,
+    habits: Habits {
+        unframed: 3,
+        state_start: true,
+    },
+};
+/// Each process has an id of its own, as in whlt-scenes.
+const NEW_ID: Scenario = Scenario {
+    same_id: false,
+    habits: Habits {
+        unframed: 6,
+        state_start: false,
+    },
+};
 
 /// An engine and what becomes of it.
 struct Place {
@@ -68,9 +95,18 @@
     registers_at: Instant,
 }
 
+impl Place {
+    /// Gives the next process an id of its own.
+    fn rename(&mut self, engine: usize) {
+        self.generation += 1;
+        self.engine.id = format!("engine-{engine}-{}", self.generation);
+    }
+}
+
 /// The processes of a run.
 struct Site {
     seed: u64,
+    scenario: Scenario,
     store: Arc<Store>,
     routers: Vec<Mutex<Router>>,
     /// The ways of the routers to the store.
@@ -108,7 +144,7 @@
     }
 
     /// Starts the processes of a run and waits until the routers serve.
-    async fn open(seed: u64, run: u64, folder: &FilePath) -> Arc<Self> {
+    async fn open(scenario: Scenario, seed: u64, run: u64, folder: &FilePath) -> Arc<Self> {
         let mut random = StdRng::seed_from_u64(seed * 1000 + 400);
         let store = Store::new();
         store.set("op", "", "config", &configuration());
@@ -119,7 +155,8 @@
             let at = SocketAddr::new(engine_ip, ENGINE_PORT + n as u16);
             let clock = random.random_range(-CLOCK_ERROR_MS..=CLOCK_ERROR_MS);
             let log = folder.join(format!("engine-{n}.log"));
-            let mut engine = Engine::new(&format!("engine-{n}"), at, clock, log);
+            let id = format!("engine-{n}");
+            let mut engine = Engine::new(&id, at, clock, scenario.habits, log);
             engine.start(VERSIONS[n % 2]).await;
             engine.register("ready", &store);
             engines.push(Mutex::new(Place {
@@ -132,6 +169,7 @@
         let (mut routers, mut ways, mut paths) = (Vec::new(), Vec::new(), Vec::new());
         let mut site = Self {
             seed,
+            scenario,
             builds: builds(),
             store: store.clone(),
             routers: Vec::new(),
@@ -208,8 +246,8 @@
 }
 
 /// Runs clients beside faults, and returns the streams that they have.
-async fn run(seed: u64, run: u64, folder: &FilePath) -> Vec<Stream> {
-    let site = Site::open(seed, run, folder).await;
+async fn run(scenario: Scenario, seed: u64, run: u64, folder: &FilePath) -> Vec<Stream> {
+    let site = Site::open(scenario, seed, run, folder).await;
     let mut routers = Vec::new();
     for router in &site.routers {
         routers.push(router.lock().await.callers());
@@ -227,10 +265,22 @@
     clients::read(&record)
 }
 
+/// The attempts that engines ran, in order.
+fn engine_runs(folder: &FilePath) -> Vec<String> {
+    let logs = (0..ENGINES).map(|n| folder.join(format!("engine-{n}.log")));
+    let logs = logs.map(|log| std::fs::read_to_string(log).expect("an engine's log"));
+    let mut runs: Vec<String> = Vec::new();
+    for log in logs {
+        runs.extend(engine::runs(&log).map(str::to_owned));
+    }
+    runs.sort_unstable();
+    runs
+}
+
 /// What is wrong with the streams of a run; prints its figures.
-fn check(seed: u64, streams: &[Stream]) -> Vec<String> {
-    let judged: Vec<(&Stream, Vec<Fault>)> =
-        streams.iter().map(|s| (s, judge::faults(s))).collect();
+fn check(seed: u64, streams: &[Stream], runs: &[String]) -> Vec<String> {
+    let faults = |stream| (stream, judge::faults(stream, runs));
+    let judged: Vec<(&Stream, Vec<Fault>)> = streams.iter().map(faults).collect();
     let is_whole = |s: &&Stream| s.tries.last().is_some_and(|t| t.end == End::Whole);
     let whole = streams.iter().filter(is_whole).count();
     let count = |fault: Fault| judged.iter().filter(|(_, f)| f.contains(&fault)).count();
@@ -289,19 +339,17 @@
     format!("{} events: {}", stream.whole, tries.join("; "))
 }
 
-/// Guards against streams that reach a client with an event missing or twice, with
-/// events of two runs or two software versions, or as complete before their end.
-#[tokio::test(flavor = "multi_thread")]
-async fn streams_stay_in_order_while_engines_and_routers_are_replaced() {
+/// Plays a scenario with each seed.
+async fn check_seeds(scenario: Scenario, first_run: u64) {
     let mut wrong = Vec::new();
-    for (n, seed) in chosen::seeds("POPLAR_ORDER_SEEDS", &SEEDS)
-        .into_iter()
-        .enumerate()
-    {
-        let name = format!("poplar-order-{}-{seed}", std::process::id());
+    let seeds = chosen::seeds("POPLAR_ORDER_SEEDS", &SEEDS);
+    for (n, seed) in seeds.into_iter().enumerate() {
+        let run_number = first_run + n as u64;
+        let name = format!("poplar-order-{}-{run_number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
-        let found = check(seed, &run(seed, FIRST_RUN + n as u64, &folder).await);
+        let streams = run(scenario, seed, run_number, &folder).await;
+        let found = check(seed, &streams, &engine_runs(&folder));
         if found.is_empty() {
             let _ = std::fs::remove_dir_all(&folder);
         } else {
@@ -312,6 +360,20 @@
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
 
+/// Guards against streams that reach a client with an event missing or twice, with
+/// events of two runs or two software versions, or as complete before their end, where
+/// engines come back at once under their id.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_stay_in_order_while_engines_come_back_under_their_id() {
+    check_seeds(SAME_ID, FIRST_RUN).await;
+}
+
+/// Guards against the same where each process of an engine has an id of its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_stay_in_order_while_engines_and_routers_are_replaced() {
+    check_seeds(NEW_ID, FIRST_RUN + MOST_SEEDS).await;
+}
+
 /// The program of the processes that the tests start.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "a process of another test"]
