Tell a server that has ended from one that does not answer

Change: the process that is listed and still answers began the answer, so that no first question is needed there; another process counts only if it answered while the body was open, and never for a stream whose process was checked before. No answer is asked for again until the client's deadline; a refused connection, another id (421) or another process in the list ends that. The question before a stream goes on a connection of its own, after that of the stream was opened: a server may close a connection after any answer. Silence costs the engine no health. A report that can't be read tells nothing, instead of passing for one without a start time, so that the stand-ins of crashing engines answer with a report.

--- a/crates/router/src/relay/exchange/body.rs
+++ b/crates/router/src/relay/exchange/body.rs
@@ -1,7 +1,7 @@
 //! What an exchange keeps of answers until it can forward it.
 
-use std::sync::Arc;
-use std::time::Instant;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -9,8 +9,7 @@
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
 use poplar_core::retry::Failure;
-use tokio::sync::OnceCell;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::Exchange;
 use crate::relay::identity::{self, Identity};
@@ -19,6 +18,9 @@
 use crate::relay::state::Relay;
 use crate::relay::upstream::Framing;
 
+/// Pause after a server did not say which process it is.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
+
 /// Tells whether an answer whose body has ended is complete.
 #[derive(Debug, Clone)]
 pub struct EndOfAnswer {
@@ -26,8 +28,8 @@
     request: Name,
     server: Server,
     framing: Framing,
-    /// The process of an engine that began the answer.
-    process: Arc<OnceCell<Identity>>,
+    /// The process of an engine that answered while the body was still open.
+    process: Arc<OnceLock<Identity>>,
 }
 
 impl EndOfAnswer {
@@ -35,7 +37,8 @@
     /// does not show that: the connections of a process that is killed end in order.
     ///
     /// # Errors
-    /// [`Failure::Lost`] if its server has ended, too.
+    /// [`Failure::Lost`] if its server has ended, too. Waits for as long as that is not
+    /// known.
     pub async fn check(&self) -> Result<(), Failure> {
         if self.framing != Framing::Connection || self.runs().await {
             return Ok(());
@@ -53,21 +56,30 @@
         if !self.relay.is_engine(&self.server.service) {
             return identity::accepts(&self.relay, &self.server).await;
         }
-        let began = self.process().await;
-        let now = identity::current(&self.relay, &self.server, &self.request).await;
-        now == began && now != Identity::Silent
+        let began = self.process.get().copied();
+        loop {
+            match self.current().await {
+                // It was listed before the request was sent.
+                Identity::Listed | Identity::Unstated => return true,
+                now @ Identity::Other(_) => return began == Some(now),
+                Identity::Misdirected | Identity::Ended => return false,
+                Identity::Unknown if identity::is_replaced(&self.relay, &self.server) => {
+                    return false;
+                }
+                Identity::Unknown => sleep(ASK_AGAIN_AFTER).await,
+            }
+        }
     }
 
-    /// The process of the engine when this was asked for first.
-    async fn process(&self) -> Identity {
-        let current = || identity::current(&self.relay, &self.server, &self.request);
-        *self.process.get_or_init(current).await
+    async fn current(&self) -> Identity {
+        identity::current(&self.relay, &self.server, &self.request).await
     }
 }
 
 impl Exchange {
     /// How to tell whether an answer that a server has begun is complete.
     pub fn end_of_answer(&self, framing: Framing, server: &Server) -> EndOfAnswer {
+        let is_engine = self.relay.is_engine(&server.service);
         let end = EndOfAnswer {
             relay: self.relay.clone(),
             request: self.request.head.attempt_id.clone(),
@@ -75,10 +87,13 @@
             framing,
             process: Arc::default(),
         };
-        if framing == Framing::Connection && self.relay.is_engine(&server.service) {
+        if framing == Framing::Connection && is_engine && !self.depends_on_version() {
             // The list may not show yet that another process runs.
             let begun = end.clone();
-            tokio::spawn(async move { begun.process().await });
+            tokio::spawn(async move {
+                let identity = begun.current().await;
+                let _ = begun.process.set(identity);
+            });
         }
         end
     }
--- a/crates/router/src/relay/exchange/connect.rs
+++ b/crates/router/src/relay/exchange/connect.rs
@@ -27,36 +27,47 @@
     /// # Errors
     /// [`Failure::Connect`]; nothing of the request was sent then.
     pub(super) async fn connect(&self, in_flight: &InFlight) -> Result<Ready, Failure> {
-        let (connection, mut sender) = self.open_connection(in_flight).await?;
-        if !self.depends_on_version() || in_flight.server.started_ms == 0 {
-            return Ok((connection, sender));
+        let ready = self.open_connection(in_flight).await?;
+        let server = &in_flight.server;
+        let states_start = server.started_ms != 0 && self.relay.is_engine(&server.service);
+        if self.depends_on_version() && states_start {
+            // A process that was listed before the connection was opened and runs after
+            // that is the one at its other end.
+            let id = &self.request.head.attempt_id;
+            let identity = identity::current(&self.relay, server, id).await;
+            self.check_identity(in_flight, identity)?;
         }
+        Ok(ready)
+    }
+
+    /// Checks that a server is the process that is listed, as far as it tells.
+    fn check_identity(&self, in_flight: &InFlight, identity: Identity) -> Result<(), Failure> {
         let server = &in_flight.server;
-        match identity::ask(&mut sender, server).await {
-            Identity::Listed => {}
-            Identity::Unstated => in_flight.log_unstated_start(),
-            Identity::Silent => {
-                in_flight.record_outcome(false, Instant::now());
-                return Err(Failure::Connect);
+        match identity {
+            Identity::Listed => Ok(()),
+            Identity::Unstated => {
+                in_flight.log_unstated_start();
+                Ok(())
             }
-            Identity::Other(started_ms) => {
+            Identity::Ended | Identity::Unknown => Err(Failure::Connect),
+            other @ (Identity::Other(_) | Identity::Misdirected) => {
                 log::info("server has another process")
                     .request(&self.request.head.attempt_id)
                     .with("server", &server.id)
                     .with("listed_ms", server.started_ms)
-                    .with("started_ms", started_ms)
+                    .with("found", format_args!("{other:?}"))
                     .write();
+                let evidence = if other == Identity::Misdirected {
+                    Evidence::Replaced
+                } else {
+                    Evidence::Restarted
+                };
                 let crashes = &self.relay.crashes;
-                crashes.record_dead_server(server, Evidence::Restarted, Instant::now());
+                crashes.record_dead_server(server, evidence, Instant::now());
                 self.relay.servers.record_ended(server);
-                return Err(Failure::Connect);
+                Err(Failure::Connect)
             }
         }
-        // A server may close the connection after any answer.
-        if sender.ready().await.is_err() {
-            return self.open_connection(in_flight).await;
-        }
-        Ok((connection, sender))
     }
 
     /// Whether the answer may go on at another server, which has to have the version
--- a/crates/router/src/relay/identity.rs
+++ b/crates/router/src/relay/identity.rs
@@ -8,17 +8,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
+use http::{HeaderValue, Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::SendRequest;
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
-use poplar_platform::report;
+use poplar_platform::{headers, report};
 use tokio::time::{sleep, timeout};
 
 use crate::relay::servers::Listing;
 use crate::relay::state::Relay;
-use crate::relay::upstream;
+use crate::relay::upstream::{self, ConnectError};
 
 /// Time-out of the question. Engines answer it without a free place.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -35,47 +35,58 @@
     Listed,
     /// One that started at this time, in Unix milliseconds.
     Other(u64),
-    /// It does not tell.
+    /// One of another server.
+    Misdirected,
+    /// It states no start time.
     Unstated,
-    /// None in time.
-    Silent,
+    /// None: connections are refused.
+    Ended,
+    /// Unknown: nothing that is a report came in time.
+    Unknown,
 }
 
-/// Asks the server behind an open connection which process it is. `sender` can be
-/// used for a request after that unless the server closes the connection.
-pub async fn ask(sender: &mut SendRequest<Full<Bytes>>, server: &Server) -> Identity {
-    let answered = timeout(ASK_TIMEOUT, read_started_ms(sender, server)).await;
-    match answered.ok().flatten() {
-        None => Identity::Silent,
-        Some(None) => Identity::Unstated,
-        Some(Some(started_ms)) if started_ms == server.started_ms => Identity::Listed,
-        Some(Some(started_ms)) => Identity::Other(started_ms),
+/// Asks the server behind an open connection which process it is.
+async fn ask(sender: &mut SendRequest<Full<Bytes>>, server: &Server) -> Identity {
+    let read = timeout(ASK_TIMEOUT, read_report(sender, server)).await;
+    let Some((status, body)) = read.ok().flatten() else {
+        return Identity::Unknown;
+    };
+    match status {
+        StatusCode::OK => {}
+        StatusCode::MISDIRECTED_REQUEST => return Identity::Misdirected,
+        _ => return Identity::Unknown,
+    }
+    match report::started_ms(&body) {
+        Ok(Some(started_ms)) if started_ms == server.started_ms => Identity::Listed,
+        Ok(Some(started_ms)) => Identity::Other(started_ms),
+        Ok(None) => Identity::Unstated,
+        Err(_) => Identity::Unknown,
     }
 }
 
-/// The start time that a server states, if it answers.
-async fn read_started_ms(
+/// The status and the body of a server's report, if it answers.
+async fn read_report(
     sender: &mut SendRequest<Full<Bytes>>,
     server: &Server,
-) -> Option<Option<u64>> {
-    let request = Request::get(report::PATH)
-        .header(header::HOST, server.address.to_string())
-        .body(Full::default())
-        .ok()?;
+) -> Option<(StatusCode, Bytes)> {
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = Uri::from_static(report::PATH);
+    let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
+    let (name, id) = headers::expected_server_header(&server.id);
+    request.headers_mut().insert(header::HOST, host);
+    request.headers_mut().insert(name, id);
     let response = upstream::send(sender, request, ASK_TIMEOUT).await.ok()?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?;
-    if head.status != StatusCode::OK {
-        return Some(None);
-    }
-    Some(report::started_ms(&body.to_bytes()).ok().flatten())
+    Some((head.status, body.to_bytes()))
 }
 
 /// Asks on a connection of its own which process of a server answers.
 pub async fn current(relay: &Relay, server: &Server, request: &Name) -> Identity {
     match relay.paths.connect(server, request).await {
         Ok((_connection, mut sender)) => ask(&mut sender, server).await,
-        Err(_) => Identity::Silent,
+        Err(ConnectError::Refused) => Identity::Ended,
+        Err(ConnectError::NoAnswer) => Identity::Unknown,
     }
 }
 
@@ -87,6 +98,11 @@
             return false;
         }
     }
+    !is_replaced(relay, server)
+}
+
+/// Whether the list shows another process in the place of this one.
+pub fn is_replaced(relay: &Relay, server: &Server) -> bool {
     let listing = relay.servers.listing(server);
-    !matches!(listing, Listing::Restarted | Listing::Replaced)
+    matches!(listing, Listing::Restarted | Listing::Replaced)
 }
--- a/crates/router/src/relay/stream/mod.rs
+++ b/crates/router/src/relay/stream/mod.rs
@@ -127,7 +127,8 @@
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Err(Failure::Lost),
                 Ok(None) if self.parser.take_rest().is_empty() => {
-                    return self.end.check().await.map(|()| None);
+                    let checked = timeout_at(until, self.end.check()).await;
+                    return checked.unwrap_or(Err(Failure::Timeout)).map(|()| None);
                 }
                 Ok(None) => return Err(Failure::Lost),
                 Err(_) => return Err(Failure::Timeout),
--- a/crates/router/tests/relay/site/crashing.rs
+++ b/crates/router/tests/relay/site/crashing.rs
@@ -21,7 +21,7 @@
 use super::backend::{EVENTS, event_body};
 use super::caller::is_stream;
 use super::store::Store;
-use super::{Body, full_body, signed_response};
+use super::{Body, full_body, report_response, signed_response};
 
 /// Marks the path or query of a request that ends the servers that run it.
 pub(crate) const CRASH_MARK: &str = "crash";
@@ -177,6 +177,11 @@
         let (head, body) = request.into_parts();
         body.collect().await.ok()?;
         let path = head.uri.to_string();
+        if path == "/api/report" {
+            // The count is ahead by one.
+            let started_ms = self.started_ms.load(Ordering::Acquire) - 1;
+            return Some(report_response(started_ms));
+        }
         let id = head.headers.get("x-poplarreel-attempt-id")?.clone();
         let crash_part = crash_part(&head.headers);
         self.runs.lock().expect("no panic").push(Run {
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -73,6 +73,12 @@
     response
 }
 
+/// An engine's report, whose process started at this Unix millisecond.
+pub(crate) fn report_response(started_ms: u64) -> Response<Body> {
+    let report = serde_json::json!({"stage": "both", "born": started_ms});
+    Response::new(full_body(report.to_string()))
+}
+
 /// A backend server's response that says that the request did not run.
 pub(crate) fn not_run_response() -> Response<Body> {
     let mut response = Response::new(full_body(""));
--- a/crates/router/tests/relay/site/unframed.rs
+++ b/crates/router/tests/relay/site/unframed.rs
@@ -9,6 +9,7 @@
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
 /// Time after which the data written so far has been read.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
@@ -35,23 +36,21 @@
 pub(crate) async fn open(body: &'static str, end: End) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    let mut listener = Some(listener);
+    let killed = CancellationToken::new();
     // Answers that have ended with their connection.
     let closed = Arc::new(AtomicU64::new(0));
     tokio::spawn(async move {
-        while let Some(open) = &listener {
-            let Ok((stream, _)) = open.accept().await else {
-                return;
-            };
-            // Connections that show only whether it listens send nothing.
-            let Some(request) = read(&stream).await else {
-                continue;
-            };
-            if end == End::Killed {
-                listener = None;
-            }
-            let closed = closed.clone();
-            tokio::spawn(async move { answer(stream, request, body, end, &closed).await });
+        while let Some(Ok((stream, _))) = killed.run_until_cancelled(listener.accept()).await {
+            let (killed, closed) = (killed.clone(), closed.clone());
+            tokio::spawn(async move {
+                let Some(request) = read(&stream).await else {
+                    return;
+                };
+                if end == End::Killed && !request.starts_with(b"GET") {
+                    killed.cancel();
+                }
+                let _ = answer(stream, request, body, end, &closed).await;
+            });
         }
     });
     address
@@ -60,7 +59,8 @@
 /// Reads a request; `None` if the connection ends before.
 async fn read(stream: &TcpStream) -> Option<Vec<u8>> {
     let mut request = Vec::new();
-    while !request.ends_with(b"a body") && !request.starts_with(b"GET /api/report") {
+    let is_report = |read: &[u8]| read.starts_with(b"GET ") && read.ends_with(b"\r\n\r\n");
+    while !request.ends_with(b"a body") && !is_report(&request) {
         stream.readable().await.ok()?;
         match stream.try_read_buf(&mut request) {
             Ok(0) => return None,
--- a/crates/router/tests/relay/site/versioned.rs
+++ b/crates/router/tests/relay/site/versioned.rs
@@ -18,7 +18,7 @@
 
 use super::caller::connect;
 use super::store::Store;
-use super::{Body, full_body, signed_response};
+use super::{Body, report_response, signed_response};
 
 /// The start time of its first process, in Unix milliseconds.
 const BORN: u64 = 1_000;
@@ -104,8 +104,7 @@
         body.collect().await.map_err(std::io::Error::other)?;
         let (software, restarts) = *self.process.lock().expect("no panic");
         if head.uri.path() == "/api/report" {
-            let report = format!("{{\"born\": {}}}", BORN + restarts);
-            return Ok(Response::new(full_body(report)));
+            return Ok(report_response(BORN + restarts));
         }
         let id = head.headers["x-poplarreel-attempt-id"].clone();
         let after = head.headers.get("last-event-id");
