Take an engine that has no report for one that states no start time

Change: an answer other than a refusal by another server, or than that the server can't tell, counts as a report without a start time. No answer still stands for an unknown process.

--- a/crates/router/src/relay/identity.rs
+++ b/crates/router/src/relay/identity.rs
@@ -41,7 +41,7 @@
     Unstated,
     /// None: connections are refused.
     Ended,
-    /// Unknown: nothing that is a report came in time.
+    /// Unknown: no answer came in time, or the server could not tell.
     Unknown,
 }
 
@@ -54,13 +54,14 @@
     match status {
         StatusCode::OK => {}
         StatusCode::MISDIRECTED_REQUEST => return Identity::Misdirected,
-        _ => return Identity::Unknown,
+        // A process that is just starting may not be able to tell yet.
+        _ if status.is_server_error() => return Identity::Unknown,
+        _ => return Identity::Unstated,
     }
     match report::started_ms(&body) {
         Ok(Some(started_ms)) if started_ms == server.started_ms => Identity::Listed,
         Ok(Some(started_ms)) => Identity::Other(started_ms),
-        Ok(None) => Identity::Unstated,
-        Err(_) => Identity::Unknown,
+        Ok(None) | Err(_) => Identity::Unstated,
     }
 }
 
