--- a/crates/router/tests/relay/stream_order/mod.rs
+++ b/crates/router/tests/relay/stream_order/mod.rs
@@ -55,10 +55,10 @@
 /// Least part of the streams that are whole, so that a run shows something.
 const LEAST_WHOLE: f64 = 0.5;
 const SEEDS: [u64; 2] = [1, 2];
-/// Distinguishes the addresses of these runs from those of other tests.
-const FIRST_RUN: u64 = 600;
-/// Most seeds of one test.
-const MOST_SEEDS: u64 = 50;
+/// The first runs of the two scenarios, whose addresses differ from those of the other
+/// tests, and of each other for up to 50 seeds.
+const SAME_ID_RUN: u64 = 20;
+const NEW_ID_RUN: u64 = 120;
 
 /// What engines do in a run.
 #[derive(Debug, Clone, Copy)]
@@ -365,13 +365,13 @@
 /// engines come back at once under their id.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_stay_in_order_while_engines_come_back_under_their_id() {
-    check_seeds(SAME_ID, FIRST_RUN).await;
+    check_seeds(SAME_ID, SAME_ID_RUN).await;
 }
 
 /// Guards against the same where each process of an engine has an id of its own.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_stay_in_order_while_engines_and_routers_are_replaced() {
-    check_seeds(NEW_ID, FIRST_RUN + MOST_SEEDS).await;
+    check_seeds(NEW_ID, NEW_ID_RUN).await;
 }
 
 /// The program of the processes that the tests start.
