Do not take an engine that was unreachable for the one that sent an answer

The engine had ended, its path accepted connections and closed them, and the question was asked again until the engine was back. Engines there state no start time, so that the new process passed for the one before.

Cause: an engine that states no start time counted as running whenever it answered. Only one that answers at once can be the one that just closed the connection.

Change: such an engine has to answer the first question. In the scenario with new ids, an engine that crashed now gets one, too; it had kept its id.

--- a/crates/router/src/relay/exchange/body.rs
+++ b/crates/router/src/relay/exchange/body.rs
@@ -57,16 +57,22 @@
             return identity::accepts(&self.relay, &self.server).await;
         }
         let began = self.process.get().copied();
+        let mut was_unknown = false;
         loop {
             match self.current().await {
                 // It was listed before the request was sent.
-                Identity::Listed | Identity::Unstated => return true,
+                Identity::Listed => return true,
+                // One that was not there at once may be another one by now.
+                Identity::Unstated => return !was_unknown,
                 now @ Identity::Other(_) => return began == Some(now),
                 Identity::Misdirected | Identity::Ended => return false,
                 Identity::Unknown if identity::is_replaced(&self.relay, &self.server) => {
                     return false;
                 }
-                Identity::Unknown => sleep(ASK_AGAIN_AFTER).await,
+                Identity::Unknown => {
+                    was_unknown = true;
+                    sleep(ASK_AGAIN_AFTER).await;
+                }
             }
         }
     }
--- a/crates/router/tests/relay/stream_order/faults.rs
+++ b/crates/router/tests/relay/stream_order/faults.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::{Site, VERSIONS};
+use super::{Place, Site, VERSIONS};
 use crate::site::process::DRAIN_TIME;
 use crate::site::severed::Path;
 
@@ -115,12 +115,7 @@
     place.registers_at = Instant::now() + lag;
     if !site.scenario.same_id {
         place.engine.kill();
-        let (store, id) = (site.store.clone(), place.engine.id.clone());
-        tokio::spawn(async move {
-            sleep(EXPIRY).await;
-            store.remove("servers", "", &id);
-        });
-        place.rename(engine);
+        retire(site, &mut place, engine);
     }
     place.engine.start(next).await;
     drop(place);
@@ -131,6 +126,17 @@
     });
 }
 
+/// Gives the next process of an engine an id of its own; the entry of the one before
+/// expires.
+fn retire(site: &Site, place: &mut Place, engine: usize) {
+    let (store, id) = (site.store.clone(), place.engine.id.clone());
+    tokio::spawn(async move {
+        sleep(EXPIRY).await;
+        store.remove("servers", "", &id);
+    });
+    place.rename(engine);
+}
+
 /// Kills an engine, which is back with the same version after some time.
 async fn crash(site: Arc<Site>, engine: usize, down: Duration, lag: Duration) {
     let software = {
@@ -145,6 +151,9 @@
     let mut place = site.engines[engine].lock().await;
     if !place.engine.runs() {
         place.registers_at = Instant::now() + lag;
+        if !site.scenario.same_id {
+            retire(&site, &mut place, engine);
+        }
         place.engine.start(&software).await;
     }
 }
