Share what the change had twice: signals, entries, connections, one test's steps

Read-through of the change; no behaviour, bound or assertion changes. The signal of a router and of an engine, the entries of servers with a start time, the type of a ready connection and the steps of two tests of streams that go on elsewhere are each one piece now. Whether a service has engines is looked up only for answers without a length.

--- a/crates/router/src/relay/exchange/body.rs
+++ b/crates/router/src/relay/exchange/body.rs
@@ -85,7 +85,6 @@
 impl Exchange {
     /// How to tell whether an answer that a server has begun is complete.
     pub fn end_of_answer(&self, framing: Framing, server: &Server) -> EndOfAnswer {
-        let is_engine = self.relay.is_engine(&server.service);
         let end = EndOfAnswer {
             relay: self.relay.clone(),
             request: self.request.head.attempt_id.clone(),
@@ -93,7 +92,8 @@
             framing,
             process: Arc::default(),
         };
-        if framing == Framing::Connection && is_engine && !self.depends_on_version() {
+        let may_be_unlisted = framing == Framing::Connection && !self.depends_on_version();
+        if may_be_unlisted && self.relay.is_engine(&server.service) {
             // The list may not show yet that another process runs.
             let begun = end.clone();
             tokio::spawn(async move {
--- a/crates/router/src/relay/exchange/connect.rs
+++ b/crates/router/src/relay/exchange/connect.rs
@@ -2,24 +2,19 @@
 
 use std::time::Instant;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::SendRequest;
 use poplar_base::log;
 use poplar_core::retry::Failure;
 
 use super::Exchange;
 use crate::relay::crashes::Evidence;
 use crate::relay::identity::{self, Identity};
+use crate::relay::paths::Ready;
 use crate::relay::servers::InFlight;
-use crate::relay::upstream::{ConnectError, Connection};
+use crate::relay::upstream::ConnectError;
 
 /// Failures that a failed connection counts as for the health of the server.
 const CONNECT_FAILURE_WEIGHT: u32 = 3;
 
-/// An open connection that is ready for a request.
-type Ready = (Connection, SendRequest<Full<Bytes>>);
-
 impl Exchange {
     /// Opens a connection for the request. If its stream may go on elsewhere, the
     /// connection leads to the process that is listed, whose version is known.
--- a/crates/router/src/relay/paths/mod.rs
+++ b/crates/router/src/relay/paths/mod.rs
@@ -44,7 +44,7 @@
 const PROBE: &str = "probe";
 
 /// An open connection that is ready for a request.
-type Ready = (Connection, SendRequest<Full<Bytes>>);
+pub type Ready = (Connection, SendRequest<Full<Bytes>>);
 
 #[derive(Debug, Default)]
 struct State {
--- a/crates/router/tests/relay/servers.rs
+++ b/crates/router/tests/relay/servers.rs
@@ -7,9 +7,7 @@
 use poplar_core::affinity::{Query, home_server};
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
-use poplar_router::relay::servers::{
-    Requirement, {InFlight, Listing, Servers},
-};
+use poplar_router::relay::servers::{InFlight, Listing, Requirement, Servers};
 
 /// Failures in a row that eject a server, of three.
 const FAILURES: usize = 3;
--- a/crates/router/tests/relay/site/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -7,6 +7,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use super::apart;
+
 /// Time within which a change must be in force.
 pub(crate) const APPLY_TIME: Duration = Duration::from_millis(1500);
 /// Time for which requests may reach a server that leaves.
@@ -193,11 +195,7 @@
         if name == "STOP" {
             self.lives.mark_disturbed();
         }
-        let id = child.id().to_string();
-        let sent = Command::new("kill")
-            .args([&format!("-{name}"), &id])
-            .status();
-        assert!(sent.is_ok(), "{sent:?}");
+        apart::signal(child, name);
     }
 
     /// Kills the process.
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -21,6 +21,9 @@
 
 type Key = (String, String, String);
 
+/// The version of a backend server's software unless a test names another one.
+const VERSION: &str = "v1";
+
 /// What happens to a transaction.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) enum CommitOutcome {
@@ -188,9 +191,7 @@
         address: SocketAddr,
         started_ms: u64,
     ) {
-        let mut entry = entry(service, address);
-        entry["born"] = json!(started_ms);
-        self.set("servers", "", id, &entry.to_string());
+        self.register_version(id, service, address, VERSION, started_ms);
     }
 
     /// Registers a backend server with the version of its software and the time of its
@@ -394,7 +395,7 @@
 }
 
 fn entry(service: &str, address: SocketAddr) -> Value {
-    json!({"service": service, "address": address.to_string(), "zone": "a", "version": "v1",
+    json!({"service": service, "address": address.to_string(), "zone": "a", "version": VERSION,
            "slots": 8, "state": "ready", "sequence": 1})
 }
 
--- a/crates/router/tests/relay/stream_order/clients.rs
+++ b/crates/router/tests/relay/stream_order/clients.rs
@@ -252,7 +252,7 @@
 
     /// One attempt, and how long to wait before the next one if the answer says so.
     async fn attempt(&mut self, stream: &Stream, left: Duration) -> (Try, Option<Duration>) {
-        let before: Vec<&Try> = stream.tries.iter().collect();
+        let before = &stream.tries;
         let got: usize = before.iter().map(|t| t.events.len()).sum();
         let router = self.random.random_range(0..self.clients.routers.len());
         let mut tried = Try {
--- a/crates/router/tests/relay/unframed_answers.rs
+++ b/crates/router/tests/relay/unframed_answers.rs
@@ -29,6 +29,25 @@
     relay.ask(path, &[KEY, TOKENS, (ID, id)]).await.ok()
 }
 
+/// Checks that streams of a server whose answers end before their last event go on at
+/// another one.
+async fn check_goes_on_elsewhere(body: &'static str, end: End) {
+    let (relay, store) = start("engines", body, end).await;
+    let (backend, address) = Backend::open(Behaviour::Answer).await;
+    store.register("whole", "engines", address);
+    // Requests before that would use up the repeats.
+    while !relay.state.servers.is_listed("whole") {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    for n in 0..REQUESTS {
+        let answer = ask(&relay, "/resume/x", &format!("{n}")).await;
+        assert_eq!(text(&answer.expect("a whole stream")), WHOLE);
+    }
+    let resumed = backend.executed_requests().into_iter();
+    let resumed = resumed.filter(|run| run.headers.contains_key("last-event-id"));
+    assert!(resumed.count() > 0, "no stream was resumed");
+}
+
 /// Guards against answers that are taken for broken since nothing but the end of the
 /// connection ends them.
 #[tokio::test]
@@ -109,39 +128,14 @@
 /// looks complete.
 #[tokio::test]
 async fn a_resumable_stream_of_a_killed_engine_goes_on_elsewhere() {
-    let (relay, store) = start("engines", &WHOLE[..WHOLE.len() / 2], End::Restarted).await;
-    let (backend, address) = Backend::open(Behaviour::Answer).await;
-    store.register("whole", "engines", address);
-    while !relay.state.servers.is_listed("whole") {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    for n in 0..REQUESTS {
-        let answer = ask(&relay, "/resume/x", &format!("{n}")).await;
-        assert_eq!(text(&answer.expect("a whole stream")), WHOLE);
-    }
-    let resumed = backend.executed_requests().into_iter();
-    let resumed = resumed.filter(|run| run.headers.contains_key("last-event-id"));
-    assert!(resumed.count() > 0, "no stream was resumed");
+    check_goes_on_elsewhere(&WHOLE[..WHOLE.len() / 2], End::Restarted).await;
 }
 
 /// Guards against a resumable stream that isn't continued since its broken event
 /// looks like its end.
 #[tokio::test]
 async fn a_resumable_stream_that_ends_inside_an_event_goes_on_elsewhere() {
-    let (relay, store) = start("engines", INSIDE_EVENT, End::Close).await;
-    let (backend, address) = Backend::open(Behaviour::Answer).await;
-    store.register("whole", "engines", address);
-    // Requests before that would use up the repeats.
-    while !relay.state.servers.is_listed("whole") {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    for n in 0..REQUESTS {
-        let answer = ask(&relay, "/resume/x", &format!("{n}")).await;
-        assert_eq!(text(&answer.expect("a whole stream")), WHOLE);
-    }
-    let resumed = backend.executed_requests().into_iter();
-    let resumed = resumed.filter(|run| run.headers.contains_key("last-event-id"));
-    assert!(resumed.count() > 0, "no stream was resumed");
+    check_goes_on_elsewhere(INSIDE_EVENT, End::Close).await;
 }
 
 /// Guards against a head that breaks off and is passed on as an answer without a body.
