--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -31,7 +31,7 @@
 use crate::relay::crashes::Evidence;
 use crate::relay::refusal::{self, Refusal};
 use crate::relay::request::{CRASHES_SERVERS, ClientRequest, format_resource};
-use crate::relay::servers::{InFlight, Requirement, Unavailable};
+use crate::relay::servers::{Demand, InFlight, Requirement, Unavailable};
 use crate::relay::state::{OpenRequest, Relay};
 use crate::relay::upstream::{self, Connection, Framing};
 
@@ -230,14 +230,21 @@
             tried: &self.tried,
             random: rand::random(),
         };
-        let prefill_tokens = self.request.head.tokens.map_or(0, |t| t.prompt);
+        let demand = self
+            .request
+            .head
+            .tokens
+            .map_or(Demand::default(), |t| Demand {
+                prompt_tokens: t.prompt,
+                output_tokens: t.output,
+            });
         let software = &self.request.software;
         let requirement = Requirement {
             versions: software.as_ref().map(std::slice::from_ref),
             as_listed: self.depends_on_version(),
         };
         let (servers, service) = (&self.relay.servers, &self.request.service);
-        let in_flight = servers.choose(service, requirement, &query, prefill_tokens, now)?;
+        let in_flight = servers.choose(service, requirement, &query, demand, now)?;
         log::info("server chosen")
             .request(&self.request.head.attempt_id)
             .with("server", &in_flight.server.id)
@@ -246,7 +253,7 @@
             .with("home", in_flight.is_home)
             .with("ahead", in_flight.work_ahead as u64)
             .with("shared", shared_tokens)
-            .with("prompt", prefill_tokens)
+            .with("prompt", demand.prompt_tokens)
             .write();
         Ok(in_flight)
     }
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -17,6 +17,7 @@
 use poplar_core::id::Name;
 use poplar_core::poison::Report;
 use poplar_core::software::Begun;
+use poplar_core::sorted::SortedVec;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -55,6 +56,11 @@
     pub requests: u32,
     /// Prompt tokens of those that have not had their first event yet.
     pub prefill_tokens: u64,
+    /// Work that is left of them, in milliseconds of a server at its usual pace; 0 if
+    /// unknown.
+    pub left_ms: u64,
+    /// Tokens that they hold in the server's memory, at most; 0 if unknown.
+    pub held_tokens: u64,
 }
 
 /// A message from one router to another.
@@ -75,6 +81,23 @@
     pub leaving: Vec<(Name, u64)>,
 }
 
+impl LoadMessage {
+    /// The datagram for a message that is sent at `now`.
+    pub fn encode(self, now: Instant) -> Vec<u8> {
+        let wire = LoadMessageWire::encode(self, now);
+        serde_json::to_vec(&wire).expect("a load message can be serialized")
+    }
+
+    /// The message in a datagram that arrived at `now`.
+    ///
+    /// # Errors
+    /// If it is not valid JSON, lacks a field or has one of another type.
+    pub fn decode(datagram: &[u8], now: Instant) -> Result<Self, serde_json::Error> {
+        let wire: LoadMessageWire = serde_json::from_slice(datagram)?;
+        Ok(wire.decode(now))
+    }
+}
+
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 struct LoadMessageWire {
@@ -88,13 +111,23 @@
     streams: StreamsWire,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     leaving: Vec<(Name, u64)>,
+    /// Work left in milliseconds and tokens held, by server. Builds before this field
+    /// neither send nor read it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    ahead: Vec<(Name, u64, u64)>,
 }
 
 impl LoadMessageWire {
     /// Encodes a message that is sent at `now`.
     fn encode(message: LoadMessage, now: Instant) -> Self {
         let entry = |w: ServerWork| (w.server, w.requests, w.prefill_tokens);
+        let known = message
+            .work
+            .iter()
+            .filter(|w| w.left_ms > 0 || w.held_tokens > 0);
+        let ahead = known.map(|w| (w.server.clone(), w.left_ms, w.held_tokens));
         Self {
+            ahead: ahead.collect(),
             work: message.work.into_iter().map(entry).collect(),
             held: message.holders,
             reports: ReportsWire::encode(&message.reports, now),
@@ -106,10 +139,20 @@
 
     /// The message, which arrived at `now`.
     fn decode(self, now: Instant) -> LoadMessage {
-        let entry = |(server, requests, prefill_tokens)| ServerWork {
-            server,
-            requests,
-            prefill_tokens,
+        let ahead: SortedVec<Name, (u64, u64)> = self
+            .ahead
+            .into_iter()
+            .map(|(server, left_ms, held_tokens)| (server, (left_ms, held_tokens)))
+            .collect();
+        let entry = |(server, requests, prefill_tokens): (Name, u32, u64)| {
+            let (left_ms, held_tokens) = ahead.get(&*server).copied().unwrap_or_default();
+            ServerWork {
+                server,
+                requests,
+                prefill_tokens,
+                left_ms,
+                held_tokens,
+            }
         };
         LoadMessage {
             work: self.work.into_iter().map(entry).collect(),
@@ -163,8 +206,7 @@
         if !std::mem::replace(&mut last_had_content, !empty) && empty {
             continue;
         }
-        let wire = LoadMessageWire::encode(message, Instant::now());
-        let bytes = serde_json::to_vec(&wire).expect("a load message can be serialized");
+        let bytes = message.encode(Instant::now());
         pause = period(bytes.len(), peers.len(), true);
         next_load = now + period(bytes.len(), peers.len(), false);
         for peer in peers {
@@ -206,10 +248,9 @@
             tokio::time::sleep(MIN_PERIOD).await;
             continue;
         };
-        match serde_json::from_slice::<LoadMessageWire>(&buffer[..length]) {
-            Ok(wire) => {
-                let now = Instant::now();
-                let mut message = wire.decode(now);
+        let now = Instant::now();
+        match LoadMessage::decode(&buffer[..length], now) {
+            Ok(mut message) => {
                 let reports = std::mem::take(&mut message.reports);
                 let limits = std::mem::take(&mut message.limits);
                 let leaving = std::mem::take(&mut message.leaving);
--- /dev/null
+++ b/crates/router/tests/relay/load_messages.rs
@@ -0,0 +1,48 @@
+//! Datagrams of load between routers of this build and of the ones before.
+
+use std::time::Instant;
+
+use poplar_router::relay::gossip::{LoadMessage, ServerWork};
+
+fn work(left_ms: u64, held_tokens: u64) -> ServerWork {
+    ServerWork {
+        server: "i-1".into(),
+        requests: 2,
+        prefill_tokens: 900,
+        left_ms,
+        held_tokens,
+    }
+}
+
+fn message(work: ServerWork) -> LoadMessage {
+    LoadMessage {
+        work: vec![work],
+        ..LoadMessage::default()
+    }
+}
+
+/// Guards against a datagram of the build before, which does not state what is ahead,
+/// that is not understood.
+#[test]
+fn a_message_of_the_build_before_is_understood() {
+    let now = Instant::now();
+    let datagram = br#"{"work":[["i-1",2,900]],"held":[]}"#;
+    let decoded = LoadMessage::decode(datagram, now).expect("a message");
+    assert_eq!(decoded, message(work(0, 0)));
+}
+
+/// Guards against a datagram that the build before does not understand: what it reads
+/// keeps its place, and what it does not know has a field of its own.
+#[test]
+fn a_message_keeps_the_fields_that_the_build_before_reads() {
+    let now = Instant::now();
+    let datagram = message(work(340, 5_000)).encode(now);
+    let value: serde_json::Value = serde_json::from_slice(&datagram).expect("valid JSON");
+    assert_eq!(value["work"], serde_json::json!([["i-1", 2, 900]]));
+    assert_eq!(value["ahead"], serde_json::json!([["i-1", 340, 5_000]]));
+    let decoded = LoadMessage::decode(&datagram, now).expect("a message");
+    assert_eq!(decoded, message(work(340, 5_000)));
+    let unknown = message(work(0, 0)).encode(now);
+    let value: serde_json::Value = serde_json::from_slice(&unknown).expect("valid JSON");
+    assert!(value.get("ahead").is_none());
+}
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod endless_answers;
 mod events;
 mod fleet_size;
+mod load_messages;
 mod lost_paths;
 mod mirror;
 mod planned_stops;
--- a/crates/router/tests/relay/servers.rs
+++ b/crates/router/tests/relay/servers.rs
@@ -7,7 +7,7 @@
 use poplar_core::affinity::{Query, home_server};
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
-use poplar_router::relay::servers::{InFlight, Listing, Requirement, Servers};
+use poplar_router::relay::servers::{Demand, InFlight, Listing, Requirement, Servers};
 
 /// Failures in a row that eject a server, of three.
 const FAILURES: usize = 3;
@@ -48,7 +48,10 @@
         &"engines".into(),
         Requirement::default(),
         &query,
-        5_000,
+        Demand {
+            prompt_tokens: 5_000,
+            ..Demand::default()
+        },
         now,
     );
     chosen.expect("a server is listed")
