Predict a request's cost and completion, and learn the pace of servers

Requests that look alike cost servers very different work, and servers of one service differ by almost three times in pace. core::cost predicts output tokens and call times, core::pace learns how fast a server works, and core::completion chooses by predicted completion where a server states the fourth figure of its load. Nothing calls it yet.

--- a/crates/core/examples/cost.rs
+++ b/crates/core/examples/cost.rs
@@ -3,11 +3,15 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
+use poplar_core::affinity::{Candidate, Query};
+use poplar_core::completion::{self, Outlook};
+use poplar_core::cost::Work;
 use poplar_core::id::Name;
+use poplar_core::pace::{Common, Pace};
 use poplar_core::prefix::CacheView;
 use poplar_core::queue::{Entry, Queue};
 use poplar_core::route::rng::SplitMix64;
-use poplar_core::route::server::{InFlight, LoadReport, Server};
+use poplar_core::route::server::{HealthState, InFlight, LoadReport, Server};
 use poplar_core::route::{Fleet, Job, Policy, choose};
 
 const MS: Duration = Duration::from_millis(1);
@@ -40,6 +44,34 @@
     (0..count).map(server).collect()
 }
 
+/// Engines with paces that were learned, a quarter of them in the own data centre.
+fn candidates(count: usize, now: Instant) -> Vec<Candidate> {
+    let mut rng = SplitMix64::new(2);
+    let mut common = Common::default();
+    let candidate = |at: usize| {
+        let mut pace = Pace::default();
+        pace.record_figure(100, now);
+        let took = MS * (60 + rng.below(100) as u32);
+        (0..9).for_each(|_| pace.record(&mut common, took, 100.0, 1.0, now));
+        Candidate {
+            id: format!("engine-{at}").into(),
+            same_centre: at % 4 == 0,
+            in_flight: 3,
+            prefill_tokens: 900,
+            running: 8,
+            waiting: 0,
+            health: HealthState::Healthy,
+            last_resort: false,
+            outlook: Some(Outlook {
+                left_ms: 500.0 * rng.next_f64(),
+                slots: 16,
+                pace,
+            }),
+        }
+    };
+    (0..count).map(candidate).collect()
+}
+
 fn time(name: &str, size: usize, mut decide: impl FnMut(u32)) {
     let start = Instant::now();
     (0..ITERATIONS).for_each(&mut decide);
@@ -69,6 +101,24 @@
             black_box(choose(&fleet, &job, |_| 0, &[], i.into(), now));
         });
     }
+    for count in [9, 90, 900] {
+        let all = candidates(count, now);
+        let work = Work {
+            prompt_tokens: 600,
+            shared_tokens: 13_000,
+            output_tokens: 150,
+            call_ms: 0.0,
+        };
+        time("choose by completion, servers", count, |i| {
+            let query = Query {
+                prompt_id: i.into(),
+                shared_tokens: 13_000,
+                tried: &[],
+                random: f64::from(i) / f64::from(ITERATIONS),
+            };
+            black_box(completion::choose(&all, &query, &work, now));
+        });
+    }
     for workspaces in [10, 100, 1_000] {
         let names: Vec<Name> = (0..workspaces).map(|i| format!("w{i}").into()).collect();
         let mut queue = Queue::new(100_000);
--- a/crates/core/src/affinity.rs
+++ b/crates/core/src/affinity.rs
@@ -7,6 +7,7 @@
 //! prefix elsewhere. Short prompts and calls of plain services go to the least
 //! loaded server, with a preference for the router's own data centre.
 
+use crate::completion::Outlook;
 use crate::id::Name;
 use crate::route::server::HealthState;
 
@@ -47,6 +48,8 @@
     pub health: HealthState,
     /// Whether it gets requests only if no other server is left.
     pub last_resort: bool,
+    /// What a prediction of completion needs; `None` if there is none.
+    pub outlook: Option<Outlook>,
 }
 
 /// What the choice needs to know about the request.
@@ -73,9 +76,12 @@
     pub home_server: Option<Name>,
     /// Work ahead of the request there, in prompt tokens.
     pub work: f64,
+    /// Predicted time to completion in milliseconds, if the choice was made by it.
+    pub completion_ms: Option<f64>,
 }
 
-fn work(candidate: &Candidate) -> f64 {
+/// Work at a server, in prompt tokens.
+pub(crate) fn work(candidate: &Candidate) -> f64 {
     let running = f64::from(candidate.running.max(candidate.in_flight));
     let penalty = if candidate.health == HealthState::Healthy {
         0.0
@@ -89,7 +95,7 @@
 }
 
 /// Weight of a server in rendezvous hashing; the home has the greatest.
-fn weight(prompt_id: u64, id: &str) -> u64 {
+pub(crate) fn weight(prompt_id: u64, id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), prompt_id)
 }
 
@@ -101,11 +107,9 @@
     ids.into_iter().max_by_key(|id| weight(prompt_id, id))
 }
 
-/// Chooses a server; `None` if there are no candidates.
-///
-/// Servers that are a last resort or were tried before are used only if no other is
-/// left.
-pub fn choose(candidates: &[Candidate], query: &Query<'_>) -> Option<Choice> {
+/// The candidates that may be used: servers that are a last resort or were tried before
+/// only if no other is left.
+pub(crate) fn usable<'a>(candidates: &'a [Candidate], query: &Query<'_>) -> Vec<&'a Candidate> {
     let untried = |c: &&Candidate| !query.tried.contains(&c.id);
     let preferred = |c: &&Candidate| !c.last_resort;
     let mut usable: Vec<&Candidate> = candidates
@@ -119,6 +123,15 @@
     if usable.is_empty() {
         usable = candidates.iter().collect();
     }
+    usable
+}
+
+/// Chooses a server; `None` if there are no candidates.
+///
+/// Servers that are a last resort or were tried before are used only if no other is
+/// left.
+pub fn choose(candidates: &[Candidate], query: &Query<'_>) -> Option<Choice> {
+    let usable = usable(candidates, query);
     let has_home = query.shared_tokens >= MIN_SHARED_TOKENS;
     let ids = usable.iter().map(|c| &c.id);
     let home = if has_home {
@@ -150,6 +163,7 @@
                 is_home,
                 home_server: home.filter(|_| !is_home).cloned(),
                 work,
+                completion_ms: None,
             };
             best = Some((cost, choice));
         }
--- a/crates/core/tests/affinity.rs
+++ b/crates/core/tests/affinity.rs
@@ -14,6 +14,7 @@
         waiting: 0,
         health: HealthState::Healthy,
         last_resort: false,
+        outlook: None,
     };
     (0..count).map(engine).collect()
 }
