Choose servers by predicted completion where they state their work time

A router placed requests by counts and prompt tokens, so that long outputs and slow servers filled up unseen. It now learns output tokens at the end of complete streams, call times from complete answers, and the servers' paces from first events, groups of eight events and calls. It states the work that its requests leave at servers in its datagrams and counts that of the others; requests of a router that does not state it count at the mean cost. The work of other routers is summed up when a message comes: a choice went through all messages for each server before. The choice by completion is in force for services of which a server states the fourth figure.

--- a/crates/core/examples/cost.rs
+++ b/crates/core/examples/cost.rs
@@ -55,7 +55,7 @@
         (0..9).for_each(|_| pace.record(&mut common, took, 100.0, 1.0, now));
         Candidate {
             id: format!("engine-{at}").into(),
-            same_centre: at % 4 == 0,
+            same_centre: at.is_multiple_of(4),
             in_flight: 3,
             prefill_tokens: 900,
             running: 8,
--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod connect;
+mod cost;
 mod silence;
 
 use std::sync::Arc;
@@ -31,7 +32,7 @@
 use crate::relay::crashes::Evidence;
 use crate::relay::refusal::{self, Refusal};
 use crate::relay::request::{CRASHES_SERVERS, ClientRequest, format_resource};
-use crate::relay::servers::{Demand, InFlight, Requirement, Unavailable};
+use crate::relay::servers::{InFlight, Requirement, Unavailable};
 use crate::relay::state::{OpenRequest, Relay};
 use crate::relay::upstream::{self, Connection, Framing};
 
@@ -230,14 +231,7 @@
             tried: &self.tried,
             random: rand::random(),
         };
-        let demand = self
-            .request
-            .head
-            .tokens
-            .map_or(Demand::default(), |t| Demand {
-                prompt_tokens: t.prompt,
-                output_tokens: t.output,
-            });
+        let demand = self.relay.costs.demand(&self.request, self.output);
         let software = &self.request.software;
         let requirement = Requirement {
             versions: software.as_ref().map(std::slice::from_ref),
@@ -254,11 +248,17 @@
             .with("ahead", in_flight.work_ahead as u64)
             .with("shared", shared_tokens)
             .with("prompt", demand.prompt_tokens)
+            .with("output", demand.likely_output)
+            .with("pace", format_args!("{:.2}", in_flight.progress.pace))
+            .with(
+                "predicted_ms",
+                in_flight.progress.completion_ms.unwrap_or_default() as u64,
+            )
             .write();
         Ok(in_flight)
     }
 
-    async fn attempt(&mut self, in_flight: InFlight) -> Result<ServerResponse, Failure> {
+    async fn attempt(&mut self, mut in_flight: InFlight) -> Result<ServerResponse, Failure> {
         self.sends += 1;
         self.last_server = Some(in_flight.server.id.clone());
         let (connection, mut sender) = self.connect(&in_flight).await?;
@@ -278,6 +278,7 @@
                 .record_retry_sent(&self.request.service, taken, now);
         }
         self.open.record_sent();
+        in_flight.record_sent(now);
         self.sent.notify_one();
         let head = upstream::send(&mut sender, request, self.time_left(now));
         let received = self.outlast(&in_flight.server, head).await;
@@ -340,7 +341,7 @@
         let (head, body) = received.into_parts();
         let response = ResponseHead::parse(&head.headers);
         if let Some(load) = response.load {
-            in_flight.record_load(load);
+            in_flight.record_load(load, Instant::now());
         }
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             let now = Instant::now();
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -276,7 +276,7 @@
 /// Serves a request whose response is not a stream.
 async fn serve_plain(mut exchange: Exchange) -> Result<Response<Body>, Refusal> {
     loop {
-        let response = match exchange.send().await {
+        let mut response = match exchange.send().await {
             Ok(response) => response,
             Err(refusal) => return fallback_response(&mut exchange).ok_or(refusal),
         };
@@ -288,7 +288,11 @@
             Ok(bytes) => {
                 exchange.record_answer(response.head.status);
                 let failed = response.head.status.is_server_error();
-                response.in_flight.record_outcome(!failed, Instant::now());
+                let now = Instant::now();
+                response.in_flight.record_outcome(!failed, now);
+                if response.head.status.is_success() {
+                    exchange.record_call_cost(&mut response.in_flight, now);
+                }
                 if !failed || !exchange.request.route.kind.is_repeatable() {
                     exchange.outcome = "whole";
                     return Ok(forward_response(response.head, bytes));
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -80,6 +80,7 @@
         metrics::gauge!("poplar_requests_at_servers")
             .set(f64::from(relay.servers.in_flight_count()));
         metrics::gauge!("poplar_crash_requests").set(relay.crashes.suspected_requests() as f64);
+        metrics::gauge!("poplar_request_costs").set(relay.costs.pairs() as f64);
         metrics::gauge!("poplar_limited_servers").set(relay.servers.limited_count() as f64);
         metrics::gauge!("poplar_paths_lost").set(relay.paths.lost_count() as f64);
         for (reason, count) in relay.servers.left_out(now) {
--- a/crates/router/src/relay/servers/choice.rs
+++ b/crates/router/src/relay/servers/choice.rs
@@ -1,20 +1,18 @@
 //! The choice of a server for a request.
 
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
 use poplar_core::affinity::{self, Candidate, Choice, Query};
 use poplar_core::availability::Availability;
+use poplar_core::completion;
+use poplar_core::cost::Work;
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
 
 use super::availability::{availability, health_state};
-use super::{
-    InFlight, MESSAGE_LIFETIME, Peers, Requirement, ServerState, Servers, State, Unavailable,
-    limits,
-};
-use crate::relay::gossip::ServerWork;
+use super::pace::{Progress, ServicePace, micros};
+use super::{InFlight, Requirement, ServerState, Servers, State, Unavailable, limits};
 use crate::sync::lock;
 
 /// How many times faster the cache of a prompt part is fetched from another
@@ -28,18 +26,22 @@
     pub prompt_tokens: u64,
     /// Most tokens of its output.
     pub output_tokens: u64,
+    /// Tokens of its output that are likely.
+    pub likely_output: u64,
+    /// Time that it is likely to take in microseconds, if it has no tokens.
+    pub call_us: u64,
 }
 
-/// Requests that the other routers have at a server, and their prefill tokens.
-fn peer_work(peers: &Peers, id: &str, now: Instant) -> (u32, u64) {
-    let is_current =
-        |(_, (at, _)): &(&IpAddr, &(Instant, Vec<ServerWork>))| now < *at + MESSAGE_LIFETIME;
-    let work = peers.iter().filter(is_current);
-    let work = work.flat_map(|(_, (_, work))| work);
-    let here = work.filter(|w| *w.server == *id);
-    here.fold((0, 0), |sum, w| {
-        (sum.0 + w.requests, sum.1 + w.prefill_tokens)
-    })
+impl Demand {
+    /// The work of the request if this many tokens of its prompt may be cached.
+    fn work(&self, shared_tokens: u64) -> Work {
+        Work {
+            prompt_tokens: self.prompt_tokens.saturating_sub(shared_tokens),
+            shared_tokens: shared_tokens.min(self.prompt_tokens),
+            output_tokens: self.likely_output,
+            call_ms: self.call_us as f64 / 1e3,
+        }
+    }
 }
 
 impl Servers {
@@ -62,6 +64,7 @@
             health,
             states,
             peers,
+            paces,
             holders,
             limits,
             notices,
@@ -69,6 +72,8 @@
             ..
         } = &mut *state;
         limits.record_request(service, now);
+        peers.expire(now);
+        let pace = paces.get_or_insert_with(service.clone(), ServicePace::default);
         let mut listed: Vec<&Server> = list.of_service(service, now).collect();
         requirement.apply(&mut listed, ended)?;
         let mut candidates = Vec::with_capacity(listed.len());
@@ -81,27 +86,31 @@
             }
             let known = states.get(&*server.id);
             let load = known.and_then(|k| k.load);
-            let (requests, prefill_tokens) = peer_work(peers, &server.id, now);
+            let others = peers.at(&server.id);
             candidates.push(Candidate {
                 id: server.id.clone(),
                 same_centre: server.centre == self.centre,
-                in_flight: requests + known.map_or(0, |k| k.requests),
-                prefill_tokens: prefill_tokens + known.map_or(0, |k| k.prefill_tokens),
+                in_flight: others.requests + known.map_or(0, |k| k.requests),
+                prefill_tokens: others.prefill_tokens + known.map_or(0, |k| k.prefill_tokens),
                 running: load.map_or(0, |l| l.running),
                 waiting: load.map_or(0, |l| l.waiting),
                 health: health_state(health, server, now),
                 last_resort: matches!(availability, Availability::LastResort(_)),
+                outlook: Some(pace.outlook(known, &others, server.slots, now)),
             });
         }
         if candidates.is_empty() {
             return Err(limits::unavailable(limits, &closed));
         }
+        let shared_work = demand.work(query.shared_tokens);
         let Choice {
             id,
             is_home,
             home_server,
             work,
-        } = affinity::choose(&candidates, query).ok_or(Unavailable::NoServer)?;
+            completion_ms,
+        } = completion::choose(&candidates, query, &shared_work, now)
+            .ok_or(Unavailable::NoServer)?;
         let find = |id: &Name| listed.iter().copied().find(|s| s.id == *id && s.ready);
         let server = find(&id).ok_or(Unavailable::NoServer)?.clone();
         limits.take_permit(&id);
@@ -121,9 +130,23 @@
             None => 0,
         };
         let prefill_tokens = demand.prompt_tokens.saturating_sub(cached);
+        let work_there = Work {
+            prompt_tokens: prefill_tokens,
+            ..demand.work(query.shared_tokens)
+        };
+        let share_ms = work_there.share_ms(server.slots);
+        pace.record_request(share_ms);
         let known = states.get_or_insert_with(id, ServerState::default);
+        let others = peers.at(&server.id);
+        let is_free = known
+            .load
+            .is_none_or(|l| l.waiting == 0 && l.running < server.slots);
+        let mut progress = Progress::new(work_there, micros(share_ms), completion_ms, now);
+        progress.ahead = is_free.then_some(known.prefill_tokens + others.prefill_tokens);
+        progress.pace = known.pace.slow();
         known.requests += 1;
         known.prefill_tokens += prefill_tokens;
+        known.left_us += progress.left_us;
         Ok(InFlight {
             servers: self.clone(),
             server,
@@ -133,6 +156,7 @@
             prompt_id: (query.shared_tokens >= affinity::MIN_SHARED_TOKENS)
                 .then_some(query.prompt_id),
             prefill_tokens,
+            progress,
         })
     }
 }
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -9,6 +9,8 @@
 mod availability;
 mod choice;
 pub mod limits;
+mod pace;
+mod peers;
 mod requirement;
 
 use std::net::{IpAddr, SocketAddr};
@@ -20,11 +22,14 @@
 use poplar_core::deployment::{Server, ServerList};
 use poplar_core::health::{Change, HealthTracker};
 use poplar_core::id::Name;
+use poplar_core::pace::Pace;
 use poplar_core::server_limit::Limits;
 use poplar_core::sorted::SortedVec;
 use poplar_platform::headers::ServerLoad;
 
 pub use choice::Demand;
+use pace::{Progress, ServicePace};
+use peers::Peers;
 use requirement::Ended;
 pub use requirement::Requirement;
 
@@ -47,6 +52,12 @@
     prefill_tokens: u64,
     /// Load that the server last reported.
     load: Option<ServerLoad>,
+    /// When it did.
+    reported: Option<Instant>,
+    /// Work left of this router's requests, in microseconds at the usual pace.
+    left_us: u64,
+    /// How fast it works.
+    pace: Pace,
     /// Start time that the server registered, in Unix milliseconds.
     started_ms: u64,
     /// Parts of its responses that were found invalid and logged.
@@ -66,9 +77,6 @@
     Unlisted,
 }
 
-/// The last message of each other router, and when it came.
-type Peers = SortedVec<IpAddr, (Instant, Vec<ServerWork>)>;
-
 /// Health of the servers, by service.
 type Trackers = SortedVec<Name, HealthTracker>;
 
@@ -79,6 +87,8 @@
     /// What is known about each server, by its id.
     states: SortedVec<Name, ServerState>,
     peers: Peers,
+    /// What was learned of each service.
+    paces: SortedVec<Name, ServicePace>,
     /// The server that last processed each shared prompt, by the hash of the
     /// prompt.
     holders: SortedVec<u64, Name>,
@@ -162,6 +172,8 @@
     /// if the shared prompt is too short.
     prompt_id: Option<u64>,
     prefill_tokens: u64,
+    /// How it gets on there.
+    pub progress: Progress,
 }
 
 impl Servers {
@@ -173,7 +185,8 @@
             list: ServerList::default(),
             health: SortedVec::new(),
             states: SortedVec::new(),
-            peers: SortedVec::new(),
+            peers: Peers::default(),
+            paces: SortedVec::new(),
             holders: SortedVec::new(),
             unannounced: Vec::new(),
             limits: Limits::new(router),
@@ -240,6 +253,7 @@
             });
             if std::mem::replace(&mut state.started_ms, started_ms) != started_ms {
                 state.load = None;
+                state.pace = Pace::default();
                 state.invalid.clear();
                 restarted.push(server);
             }
@@ -301,7 +315,7 @@
             server: id.clone(),
             requests: known.requests,
             prefill_tokens: known.prefill_tokens,
-            left_ms: 0,
+            left_ms: known.left_us.div_ceil(1_000),
             held_tokens: 0,
         });
         work.collect()
@@ -316,10 +330,7 @@
     /// Records a message of another router, which replaces its previous one.
     pub fn record_peer_message(&self, from: IpAddr, message: LoadMessage, now: Instant) {
         let mut state = lock(&self.state);
-        state
-            .peers
-            .retain(|_, (at, _)| now < *at + MESSAGE_LIFETIME);
-        state.peers.insert(from, (now, message.work));
+        state.peers.record(from, message.work, now);
         for (prompt_id, server) in message.holders {
             state.record_holder(prompt_id, server);
         }
@@ -349,10 +360,14 @@
     }
 
     /// Records the load that the server reported.
-    pub fn record_load(&self, load: ServerLoad) {
+    pub fn record_load(&self, load: ServerLoad, now: Instant) {
         let mut state = lock(&self.servers.state);
         if let Some(known) = state.states.get_mut(&*self.server.id) {
             known.load = Some(load);
+            known.reported = Some(now);
+            if let Some(percent) = load.work_time {
+                known.pace.record_figure(percent, now);
+            }
         }
     }
 
@@ -389,6 +404,7 @@
         release_prefill(&mut state, &self.server.id, &mut self.prefill_tokens);
         if let Some(known) = state.states.get_mut(&*self.server.id) {
             known.requests = known.requests.saturating_sub(1);
+            known.left_us = known.left_us.saturating_sub(self.progress.left_us);
         }
     }
 }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use crate::relay::budgets::Budgets;
+use crate::relay::costs::Costs;
 use crate::relay::crashes::Crashes;
 use crate::relay::paths::Paths;
 use crate::relay::response_memory::ResponseMemory;
@@ -29,6 +30,8 @@
     pub store: Store,
     /// The backend servers.
     pub servers: Arc<Servers>,
+    /// Costs of requests, as learned.
+    pub costs: Costs,
     /// The paths to them.
     pub paths: Arc<Paths>,
     /// Prepaid budgets of the workspaces.
@@ -107,6 +110,7 @@
         let paths = Paths::new(settings.ip, settings.internal_ports.0, budgets.clone());
         Arc::new(Self {
             servers: Servers::new(settings.centre.clone(), settings.ip, settings.drain_time),
+            costs: Costs::default(),
             paths: paths.clone(),
             budgets,
             crashes: Crashes::open(Incarnation::new(&settings.name, incarnation), paths),
--- a/crates/router/src/relay/stream/mod.rs
+++ b/crates/router/src/relay/stream/mod.rs
@@ -45,6 +45,8 @@
     /// Counts what the parser keeps.
     memory: Share,
     in_flight: InFlight,
+    /// Output tokens in one event.
+    stride: u64,
     /// When the first event came.
     began: Option<Instant>,
     /// Whether the answer has gone on for some time since then.
@@ -71,6 +73,7 @@
             memory: exchange.memory_share(),
             end: exchange.end_of_answer(framing, &in_flight.server),
             in_flight,
+            stride: exchange.request.stride,
             began: None,
             progressed: false,
             connection: Some(connection),
@@ -120,7 +123,7 @@
             if let Some(event) = self.parser.next_event() {
                 // What is left is less than before.
                 let _ = self.memory.set(self.parser.kept());
-                self.in_flight.record_first_token();
+                self.in_flight.record_event(self.stride, Instant::now());
                 return Ok(Some(event));
             }
             let frame = match timeout_at(until, self.body.frame()).await {
@@ -258,7 +261,10 @@
                 },
                 Ok(None) => {
                     self.ended = true;
-                    self.engine.in_flight.record_outcome(true, Instant::now());
+                    let now = Instant::now();
+                    self.engine.in_flight.record_outcome(true, now);
+                    self.exchange
+                        .record_stream_cost(&self.engine.in_flight, now);
                     self.exchange.outcome = "whole";
                     self.exchange.record_whole();
                     self.exchange.record_answer(StatusCode::OK);
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -13,7 +13,7 @@
 //! 8. the burn counts.
 //!
 //! On the users' platform the locks are those of the configuration, the state of
-//! the servers, the paths to them, the state of the budgets, the crashes, the streams and the retry shares. There,
+//! the servers, the costs of requests, the paths to servers, the state of the budgets, the crashes, the streams and the retry shares. There,
 //! none is taken while another is held.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod mirror;
 mod planned_stops;
 mod repeated_answers;
+mod request_costs;
 mod retry_budget;
 mod server_limits;
 mod server_notices;
