State work left only where it is used, and log loads that can't be read

With what is ahead at 16 servers a datagram has about 950 bytes, of which a router of a fleet of 72 may send one each 1.1 s: the load would expire before the next one comes. Routers state the work that is left at servers which state the fourth figure only, and leave out the servers with the least work as far as it takes for the message to come in time. A load whose figures can't all be read is logged once for each process.

--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -352,6 +352,9 @@
         let is_own = response.attempt_id.as_ref() == Some(&self.request.head.attempt_id);
         if is_own || response.not_run {
             let now = Instant::now();
+            if response.load_invalid {
+                in_flight.log_invalid("server-load");
+            }
             in_flight.record_limit(response.limit, now);
             let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE;
             in_flight.record_notices(response.leaving, response.pause, is_refusal, now);
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -63,6 +63,13 @@
     pub held_tokens: u64,
 }
 
+impl ServerWork {
+    /// Whether it states what is ahead at the server.
+    fn states_ahead(&self) -> bool {
+        self.left_ms > 0 || self.held_tokens > 0
+    }
+}
+
 /// A message from one router to another.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct LoadMessage {
@@ -121,10 +128,7 @@
     /// Encodes a message that is sent at `now`.
     fn encode(message: LoadMessage, now: Instant) -> Self {
         let entry = |w: ServerWork| (w.server, w.requests, w.prefill_tokens);
-        let known = message
-            .work
-            .iter()
-            .filter(|w| w.left_ms > 0 || w.held_tokens > 0);
+        let known = message.work.iter().filter(|w| w.states_ahead());
         let ahead = known.map(|w| (w.server.clone(), w.left_ms, w.held_tokens));
         Self {
             ahead: ahead.collect(),
@@ -198,7 +202,7 @@
         message.work = relay.servers.own_work();
         message
             .work
-            .sort_by_key(|w| std::cmp::Reverse(w.prefill_tokens));
+            .sort_by_key(|w| std::cmp::Reverse((w.prefill_tokens, w.left_ms)));
         message.work.truncate(MAX_SERVERS);
         message.holders = relay.servers.take_unannounced();
         let empty = message == LoadMessage::default();
@@ -206,7 +210,7 @@
         if !std::mem::replace(&mut last_had_content, !empty) && empty {
             continue;
         }
-        let bytes = message.encode(Instant::now());
+        let bytes = encode_in_time(message, peers.len(), Instant::now());
         pause = period(bytes.len(), peers.len(), true);
         next_load = now + period(bytes.len(), peers.len(), false);
         for peer in peers {
@@ -217,6 +221,28 @@
     }
 }
 
+/// The datagram for a message, with as many servers as may be sent to this many peers
+/// before the message expires. Those with the least work are left out. If it expires
+/// without any, or states nothing of what is ahead at servers, all stay.
+pub fn encode_in_time(message: LoadMessage, peers: usize, now: Instant) -> Vec<u8> {
+    let fits = |bytes: &[u8]| period(bytes.len(), peers, false) <= MESSAGE_LIFETIME;
+    let states_ahead = message.work.iter().any(ServerWork::states_ahead);
+    let all = message.clone().encode(now);
+    if !states_ahead {
+        return all;
+    }
+    let mut short = message;
+    loop {
+        let bytes = short.clone().encode(now);
+        if fits(&bytes) {
+            return bytes;
+        }
+        if short.work.pop().is_none() {
+            return all;
+        }
+    }
+}
+
 /// What the other routers have to learn soon: all but the load.
 fn news(relay: &Relay, now: Instant) -> LoadMessage {
     let clock = relay.servers.store_clock(now);
--- a/crates/router/src/relay/servers/availability.rs
+++ b/crates/router/src/relay/servers/availability.rs
@@ -154,7 +154,7 @@
     }
 
     /// Logs that a header of the server's answers is invalid, once for each process.
-    pub(super) fn log_invalid(&self, header: &'static str) {
+    pub fn log_invalid(&self, header: &'static str) {
         if self.is_first_fault(header) {
             log::warn("server header invalid")
                 .with("server", &self.server.id)
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -234,6 +234,7 @@
             health,
             states,
             holders,
+            paces,
             ended,
             ..
         } = &mut *state;
@@ -277,6 +278,7 @@
         }
         ended.expire(list);
         states.retain(|id, state| state.requests > 0 || list.all().any(|s| s.id == *id));
+        paces.retain(|service, _| services.contains(service));
         for (service, names) in services.iter() {
             let tracker = health.get_or_insert_with(service.clone(), HealthTracker::new);
             tracker.set_servers(names.iter().cloned());
@@ -315,7 +317,7 @@
             server: id.clone(),
             requests: known.requests,
             prefill_tokens: known.prefill_tokens,
-            left_ms: known.left_us.div_ceil(1_000),
+            left_ms: known.stated_left_ms(),
             held_tokens: 0,
         });
         work.collect()
--- a/crates/router/src/relay/servers/pace.rs
+++ b/crates/router/src/relay/servers/pace.rs
@@ -83,6 +83,18 @@
     }
 }
 
+impl ServerState {
+    /// Work left of this router's requests, in milliseconds; 0, which is unknown to
+    /// others, if the server is not chosen by it: datagrams are short in large fleets.
+    pub(super) fn stated_left_ms(&self) -> u64 {
+        if self.pace.is_stated() {
+            self.left_us.div_ceil(1_000)
+        } else {
+            0
+        }
+    }
+}
+
 /// How a request gets on at its server.
 #[derive(Debug, Default)]
 pub struct Progress {
--- a/crates/router/tests/relay/load_messages.rs
+++ b/crates/router/tests/relay/load_messages.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use poplar_router::relay::gossip::{LoadMessage, ServerWork};
+use poplar_router::relay::gossip::{LoadMessage, ServerWork, encode_in_time, period};
+use poplar_router::relay::servers::MESSAGE_LIFETIME;
 
 fn work(left_ms: u64, held_tokens: u64) -> ServerWork {
     ServerWork {
@@ -46,3 +47,31 @@
     let value: serde_json::Value = serde_json::from_slice(&unknown).expect("valid JSON");
     assert!(value.get("ahead").is_none());
 }
+
+/// Guards against messages of a large fleet that expire before the next one comes since
+/// they state more of each server.
+#[test]
+fn a_message_is_short_enough_to_come_before_it_expires() {
+    let now = Instant::now();
+    let mut full = LoadMessage::default();
+    for at in 0..16 {
+        let mut entry = work(340, 5_000);
+        entry.server = format!("engine-east-{at:02}").into();
+        full.work.push(entry);
+    }
+    for peers in [3, 61, 71] {
+        let datagram = encode_in_time(full.clone(), peers, now);
+        assert!(period(datagram.len(), peers, false) <= MESSAGE_LIFETIME);
+        let kept = LoadMessage::decode(&datagram, now).expect("a message").work;
+        assert!(!kept.is_empty() && kept == full.work[..kept.len()]);
+        assert_eq!(kept.len() == 16, peers == 3);
+    }
+    let all = encode_in_time(full.clone(), 1_700, now);
+    assert_eq!(LoadMessage::decode(&all, now).expect("a message"), full);
+    // A deployment that states nothing of what is ahead sends the same as before.
+    for entry in &mut full.work {
+        (entry.left_ms, entry.held_tokens) = (0, 0);
+    }
+    let same = encode_in_time(full.clone(), 200, now);
+    assert_eq!(same, full.encode(now));
+}
--- a/crates/router/tests/relay/request_costs.rs
+++ b/crates/router/tests/relay/request_costs.rs
@@ -75,6 +75,9 @@
     let now = Instant::now();
     let servers = servers(now);
     let mut request = choose(&servers, "e-1", now);
+    // A server that is not chosen by it needs no bytes in datagrams.
+    assert_eq!(left_ms(&servers), 0);
+    state_figure(&request, now);
     // 10 ms of prompt, and an eighth of 200 steps of 5.2 ms.
     assert_eq!(left_ms(&servers), 140);
     request.record_event(STRIDE, now);
