--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod config;
 pub mod cost;
 pub mod deployment;
+pub mod engine_memory;
 pub mod generation;
 pub mod grant;
 pub mod health;
