Evacuate data centres by a row of the store, and confine requests to home regions

A row `evacuate/ZONE` in the table `op`, the settings `zones.NAME` and `region`, and `home_regions` of routes and workspaces were not read.

Servers of an evacuated data centre are closed for the choice, for retries and before the send, give no cached prompt, and get no connections for other routers; answers that have begun go on. Load returns in four steps of a second. The rows of a read are applied before its configuration, so that a router knows of an evacuation before it is ready. Servers outside of a request's home regions are removed before the choice. A router asked for a connection for a confined request confirms that its region is allowed; a build that does not know the question is not sent a body.

Seen failing: without the check of the availability 4 of the tests of evacuations fail (40 requests at evacuated servers instead of 0); without the check of tunnels a request is served by way of the other router; without the steps 40 of 40 requests return at once; with an assertion in place of an answer that goes on, that test fails. Without the filter by region 60 of 60 requests leave it; if a router does not check its own region, a body reaches the wrong one; if an unconfirmed connection is taken, the test of older builds fails.

The tests of core and platform pass; of the router's tests 66 of 68 in one run beside a load average of 110. The other two, of crashing_parts (many_routers_refuse_a_part_that_crashes_servers and routers_that_get_no_datagrams_refuse_a_part_that_crashes_servers), had too few requests served in that run and pass when run one at a time (43 s for both). The whole suite was not run.

--- a/crates/core/src/availability/mod.rs
+++ b/crates/core/src/availability/mod.rs
@@ -1,9 +1,9 @@
 //! Whether a router may send requests to a server's process now.
 //!
-//! Several things can speak against it: the server is registered as draining, it
-//! said in an answer that it leaves or wants no requests for a time, a limit that
-//! it named allows none, or it was ejected for failures. [`Availability`] is the
-//! answer for all of them.
+//! Several things can speak against it: the server is registered as draining, its
+//! data centre is evacuated, it said in an answer that it leaves or wants no requests
+//! for a time, a limit that it named allows none, or it was ejected for failures.
+//! [`Availability`] is the answer for all of them.
 //!
 //! What a server says in answers to this router binds this router, whatever the
 //! list of servers shows: the list may be older or out of reach. [`Notices`] keeps
@@ -16,6 +16,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::evacuation::Intake;
 use crate::route::server::HealthState;
 use crate::server_limit::Allowance;
 
@@ -26,23 +27,29 @@
 pub enum Reason {
     /// It is registered as draining.
     Draining,
+    /// Its data centre is evacuated.
+    Evacuated,
     /// It said that it leaves.
     Leaving,
     /// It said that it wants no requests from this router for a time.
     Paused,
     /// The limit that it named allows no request now.
     Limited,
+    /// Its data centre was evacuated and gets only a part of the requests.
+    Returning,
     /// It was ejected for failures.
     Ejected,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 7] = [
         Self::Draining,
+        Self::Evacuated,
         Self::Leaving,
         Self::Paused,
         Self::Limited,
+        Self::Returning,
         Self::Ejected,
     ];
 
@@ -50,9 +57,11 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Draining => "draining",
+            Self::Evacuated => "evacuated",
             Self::Leaving => "leaving",
             Self::Paused => "paused",
             Self::Limited => "limited",
+            Self::Returning => "returning",
             Self::Ejected => "ejected",
         }
     }
@@ -95,6 +104,10 @@
 pub struct Signals {
     /// Whether it is registered as accepting requests.
     pub ready: bool,
+    /// What its data centre gets.
+    pub intake: Intake,
+    /// The request's draw from 0 to 1 for a data centre that gets only a part.
+    pub draw: f64,
     /// What its limit allows.
     pub limit: Allowance,
     /// Its health.
--- a/crates/core/src/availability/notices.rs
+++ b/crates/core/src/availability/notices.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Availability, Reason, Signals};
+use crate::evacuation::Intake;
 use crate::id::Name;
 use crate::route::server::HealthState;
 use crate::server_limit::Allowance;
@@ -163,6 +164,9 @@
         if !signals.ready {
             return closed(Reason::Draining, None);
         }
+        if signals.intake == Intake::None {
+            return closed(Reason::Evacuated, None);
+        }
         // A list that shows an earlier process is older than the notice.
         let entry = self.entries.get(server).filter(|e| e.process >= process);
         let mut last_resort = None;
@@ -186,6 +190,9 @@
         if signals.limit == Allowance::Exhausted {
             return closed(Reason::Limited, None);
         }
+        if !signals.intake.includes(signals.draw) {
+            last_resort = last_resort.or(Some(Reason::Returning));
+        }
         if signals.health == HealthState::Ejected {
             last_resort = last_resort.or(Some(Reason::Ejected));
         }
--- a/crates/core/src/deployment/mod.rs
+++ b/crates/core/src/deployment/mod.rs
@@ -61,6 +61,8 @@
     pub max_attempts: u32,
     /// Whether callers need no access key.
     pub allow_anonymous: bool,
+    /// Regions to which its requests are confined; empty if they are not.
+    pub home_regions: Vec<Name>,
 }
 
 impl Route {
@@ -114,6 +116,8 @@
     pub priority: Option<u8>,
     /// Prepaid tokens that it may consume; `None` for no limit.
     pub prepaid: Option<u64>,
+    /// Regions to which its requests are confined; empty if they are not.
+    pub home_regions: Vec<Name>,
 }
 
 /// Limits on what callers send.
--- a/crates/core/tests/availability.rs
+++ b/crates/core/tests/availability.rs
@@ -5,6 +5,7 @@
 
 use poplar_core::availability::{Availability, Heard, MAX_PAUSE, News, Notices, Reason, Signals};
 use poplar_core::deployment::{Server, ServerList};
+use poplar_core::evacuation::Intake;
 use poplar_core::id::Name;
 use poplar_core::route::server::HealthState;
 use poplar_core::server_limit::Allowance;
@@ -15,6 +16,8 @@
 const MILLISECOND: Duration = Duration::from_millis(1);
 const OPEN: Signals = Signals {
     ready: true,
+    intake: Intake::Full,
+    draw: 0.0,
     limit: Allowance::Unlimited,
     health: HealthState::Healthy,
 };
--- a/crates/router/src/relay/exchange/connect.rs
+++ b/crates/router/src/relay/exchange/connect.rs
@@ -74,7 +74,11 @@
 
     async fn open_connection(&self, in_flight: &InFlight) -> Result<Ready, Failure> {
         let (paths, id) = (&self.relay.paths, &self.request.head.attempt_id);
-        let connected = paths.connect(&in_flight.server, id).await;
+        let own = self.relay.settings.regions.own.as_ref();
+        let within = self.request.home().router_regions(own);
+        let connected = paths
+            .connect(&in_flight.server, id, within.as_deref())
+            .await;
         connected.map_err(|why| {
             let now = Instant::now();
             if why == ConnectError::Refused {
--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -227,7 +227,10 @@
             ..self.relay.costs.demand(&self.request, self.output)
         };
         let software = &self.request.software;
+        let home = self.request.home();
+        let regions = &self.relay.settings.regions;
         let requirement = Requirement {
+            home: (!home.is_anywhere()).then_some((home, regions)),
             versions: software.as_ref().map(std::slice::from_ref),
             as_listed: self.depends_on_version(),
         };
--- a/crates/router/src/relay/exchange/unavailable.rs
+++ b/crates/router/src/relay/exchange/unavailable.rs
@@ -10,38 +10,29 @@
 use crate::relay::refusal::{self, Refusal};
 use crate::relay::servers::Unavailable;
 
-/// Why a stream does not go on.
-const NO_VERSION: &str = "no server of the version";
-/// Why a request is refused if no engine has room in its memory.
-const FULL: &str = "engines full";
-/// Why a request is refused that may exceed the memory of every engine.
-const TOO_LARGE: &str = "larger than engine memory";
-
 impl Exchange {
     /// Ends the exchange because no server was chosen; returns the response for the
     /// client.
     pub(super) fn refuse_unavailable(&mut self, why: Unavailable, now: Instant) -> Refusal {
+        let (reason, wait) = refusal::unavailable(why);
         match why {
-            Unavailable::NoServer => self.give_up(Failure::Connect, "no server", now),
-            Unavailable::NoVersion => self.give_up(Failure::Connect, NO_VERSION, now),
-            Unavailable::Closed { reason, wait } => {
-                let mut refusal = self.give_up(Failure::Connect, refusal::closed_text(reason), now);
-                refusal.retry_after = refusal.retry_after.map(|short| wait.unwrap_or(short));
-                refusal
-            }
-            Unavailable::Full => {
-                self.log_memory("engines have no room");
-                self.give_up(Failure::Connect, FULL, now)
-            }
             Unavailable::TooLarge => {
                 self.log_memory("request larger than engine memory");
-                self.outcome = TOO_LARGE;
+                self.outcome = reason;
                 // A retry at another router is no use unless its configuration is newer.
                 Refusal {
                     by_configuration: self.runs == 0,
-                    ..Refusal::new(StatusCode::BAD_GATEWAY, TOO_LARGE)
+                    ..Refusal::new(StatusCode::BAD_GATEWAY, reason)
                 }
             }
+            _ => {
+                if why == Unavailable::Full {
+                    self.log_memory("engines have no room");
+                }
+                let mut refusal = self.give_up(Failure::Connect, reason, now);
+                refusal.retry_after = refusal.retry_after.map(|short| wait.unwrap_or(short));
+                refusal
+            }
         }
     }
 
--- a/crates/router/src/relay/identity.rs
+++ b/crates/router/src/relay/identity.rs
@@ -84,7 +84,8 @@
 
 /// Asks on a connection of its own which process of a server answers.
 pub async fn current(relay: &Relay, server: &Server, request: &Name) -> Identity {
-    match relay.paths.connect(server, request).await {
+    // The question holds nothing of the request, which may be confined to regions.
+    match relay.paths.connect(server, request, None).await {
         Ok((_connection, mut sender)) => ask(&mut sender, server).await,
         Err(ConnectError::Refused) => Identity::Ended,
         Err(ConnectError::NoAnswer) => Identity::Unknown,
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -90,6 +90,9 @@
             metrics::gauge!("poplar_servers_left_out", "reason" => reason.label())
                 .set(count as f64);
         }
+        let (evacuated, returning) = relay.servers.evacuated_counts(now);
+        metrics::gauge!("poplar_centres_evacuated").set(evacuated as f64);
+        metrics::gauge!("poplar_centres_returning").set(returning as f64);
         metrics::gauge!("poplar_resumable_streams").set(relay.streams.count() as f64);
         metrics::gauge!("poplar_routers").set(f64::from(relay.budgets.live_routers()));
         metrics::gauge!("poplar_leases_open").set(relay.budgets.open_leases() as f64);
--- a/crates/router/src/relay/paths/mod.rs
+++ b/crates/router/src/relay/paths/mod.rs
@@ -33,6 +33,9 @@
 /// One that has no path either says so at once.
 const MAX_ASKED: usize = 6;
 const MAX_UNANSWERED: usize = 2;
+/// Most routers that are asked for a request that is confined to some regions: those of
+/// other regions say so at once, and three of four may be in such.
+const MAX_ASKED_CONFINED: usize = 24;
 /// Hosts that a server has refused before it counts as ended.
 const HOSTS_REFUSED: usize = 2;
 /// Most routers among which they are chosen.
@@ -82,7 +85,8 @@
         state.services.iter().filter(|(_, p)| p.is_lost()).count()
     }
 
-    /// Connects to a server for the request with this id.
+    /// Connects to a server for the request with this id. If there is no path from here,
+    /// only routers in the regions `within` are asked, if these are given.
     ///
     /// # Errors
     /// [`ConnectError`]; nothing was sent then.
@@ -90,6 +94,7 @@
         self: &Arc<Self>,
         server: &Server,
         request: &Name,
+        within: Option<&[Name]>,
     ) -> Result<Ready, ConnectError> {
         let mut refused = false;
         if self.is_lost(&server.service) {
@@ -103,7 +108,7 @@
                 }
             }
         }
-        self.connect_by_way(server, request, refused).await
+        self.connect_by_way(server, request, refused, within).await
     }
 
     /// Finds out whether a server accepts connections, of this host or of another one.
@@ -118,7 +123,9 @@
                 Err(why) => refused = why == ConnectError::Refused,
             }
         }
-        let connected = self.connect_by_way(server, &PROBE.into(), refused).await;
+        let connected = self
+            .connect_by_way(server, &PROBE.into(), refused, None)
+            .await;
         connected.map(drop)
     }
 
@@ -174,12 +181,13 @@
         server: &Server,
         request: &Name,
         refused: bool,
+        within: Option<&[Name]>,
     ) -> Result<Ready, ConnectError> {
         let mut refusals = usize::from(refused);
         let mut unanswered = 0;
-        for peer in self.candidates(Instant::now()) {
+        for peer in self.candidates(within.is_some(), Instant::now()) {
             let at = SocketAddr::new(peer, self.port);
-            let opened = tunnel::open(self.address, at, server).await;
+            let opened = tunnel::open(self.address, at, server, within).await;
             let outcome = opened.as_ref().err().map_or("connected", |e| e.label());
             metrics::counter!("poplar_tunnels_total", "outcome" => outcome).increment(1);
             log::info("server asked for by way of another router")
@@ -196,6 +204,7 @@
                     unanswered += 1;
                     self.avoid(peer, Instant::now());
                 }
+                Err(TunnelError::OtherRegion) => {}
             }
             if refusals >= HOSTS_REFUSED {
                 return Err(ConnectError::Refused);
@@ -212,15 +221,21 @@
     }
 
     /// The routers to ask, chosen at random, those last that gave no connection lately.
+    /// Where only those of some regions connect, more are asked.
     /// Neighbours are not asked in turn, since they may have lost the same paths.
-    fn candidates(&self, now: Instant) -> Vec<IpAddr> {
+    fn candidates(&self, is_confined: bool, now: Instant) -> Vec<IpAddr> {
         let live = self.budgets.peers();
-        let count = live.len().min(MAX_SAMPLED);
+        let (sampled, asked) = if is_confined {
+            (MAX_ASKED_CONFINED, MAX_ASKED_CONFINED)
+        } else {
+            (MAX_SAMPLED, MAX_ASKED)
+        };
+        let count = live.len().min(sampled);
         let sample = rand::seq::index::sample(&mut rand::rng(), live.len(), count);
         let mut peers: Vec<IpAddr> = sample.iter().map(|at| live[at]).collect();
         let state = lock(&self.state);
         peers.sort_by_key(|peer| state.avoided.get(peer).is_some_and(|until| now < *until));
-        peers.truncate(MAX_ASKED);
+        peers.truncate(asked);
         peers
     }
 
--- a/crates/router/src/relay/paths/tunnel.rs
+++ b/crates/router/src/relay/paths/tunnel.rs
@@ -46,6 +46,9 @@
     NoPath,
     /// The router did not answer.
     NoAnswer,
+    /// The router is in none of the regions to which the request is confined, or does
+    /// not say that it is in one.
+    OtherRegion,
 }
 
 impl TunnelError {
@@ -55,6 +58,7 @@
             Self::Refused => "refused",
             Self::NoPath => "no path",
             Self::NoAnswer => "no answer",
+            Self::OtherRegion => "other region",
         }
     }
 }
@@ -65,6 +69,10 @@
 struct Ask {
     server: Name,
     started_ms: u64,
+    /// Regions in one of which the other router has to be; builds that don't know them
+    /// ignore the field and don't confirm it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    within: Option<Vec<Name>>,
 }
 
 /// The answer to it.
@@ -73,8 +81,34 @@
 #[serde(rename_all = "snake_case")]
 enum Reply {
     Connected,
+    /// Connected, by a router in one of the regions that the question names.
+    ConnectedWithin,
     Refused,
     NoPath,
+    /// The question names regions, and the router is in none of them.
+    OtherRegion,
+}
+
+impl Ask {
+    /// Whether a router in the region `own` may connect.
+    fn allows(&self, own: Option<&Name>) -> bool {
+        let is_in = |within: &Vec<Name>| own.is_some_and(|own| within.contains(own));
+        self.within.as_ref().is_none_or(is_in)
+    }
+
+    /// What a reply to it means.
+    ///
+    /// # Errors
+    /// [`TunnelError`] if nothing may be sent.
+    fn check(&self, reply: Reply) -> Result<(), TunnelError> {
+        match reply {
+            Reply::ConnectedWithin => Ok(()),
+            Reply::Connected if self.within.is_none() => Ok(()),
+            Reply::Connected | Reply::OtherRegion => Err(TunnelError::OtherRegion),
+            Reply::Refused => Err(TunnelError::Refused),
+            Reply::NoPath => Err(TunnelError::NoPath),
+        }
+    }
 }
 
 fn codec() -> LengthDelimitedCodec {
@@ -89,7 +123,8 @@
         .into()
 }
 
-/// Opens a connection to a server by way of the router at `peer`.
+/// Opens a connection to a server by way of the router at `peer`, which has to be in one
+/// of the regions `within` if that is given.
 ///
 /// # Errors
 /// [`TunnelError`]; nothing was sent to the server then.
@@ -97,6 +132,7 @@
     from: IpAddr,
     peer: SocketAddr,
     server: &Server,
+    within: Option<&[Name]>,
 ) -> Result<impl AsyncRead + AsyncWrite + Send + Unpin + 'static, TunnelError> {
     let stream = upstream::dial(from, peer).await;
     let stream = stream.map_err(|_| TunnelError::NoAnswer)?;
@@ -106,6 +142,7 @@
     let ask = Ask {
         server: server.id.clone(),
         started_ms: server.started_ms,
+        within: within.map(<[Name]>::to_vec),
     };
     let exchange = async {
         asks.send(encode(&ask)).await.ok()?;
@@ -113,9 +150,7 @@
         serde_json::from_slice(&reply).ok()
     };
     match timeout(ANSWER_TIMEOUT, exchange).await {
-        Ok(Some(Reply::Connected)) => {}
-        Ok(Some(Reply::Refused)) => return Err(TunnelError::Refused),
-        Ok(Some(Reply::NoPath)) => return Err(TunnelError::NoPath),
+        Ok(Some(reply)) => ask.check(reply)?,
         Ok(None) | Err(_) => return Err(TunnelError::NoAnswer),
     }
     let answer = stream::try_unfold(frames, |mut frames| async move {
@@ -170,27 +205,41 @@
         return Ok(());
     };
     let ask: Ask = serde_json::from_slice(&ask?)?;
-    let connected = match relay.servers.find(&ask.server, ask.started_ms) {
+    if !ask.allows(relay.settings.regions.own.as_ref()) {
+        return answers.send(encode(&Reply::OtherRegion)).await;
+    }
+    let listed = relay.servers.find(&ask.server, ask.started_ms);
+    let listed = listed.filter(|server| !relay.servers.is_evacuated(server));
+    let connected = match &listed {
         // The answer might not be complete before this process ends.
         Some(_) if relay.is_stopping() => Err(ConnectError::NoAnswer),
-        Some(server) => relay.paths.dial_for_peer(&server).await,
+        Some(server) => relay.paths.dial_for_peer(server).await,
         None => Err(ConnectError::NoAnswer),
     };
     let reply = match &connected {
+        Ok(_) if ask.within.is_some() => Reply::ConnectedWithin,
         Ok(_) => Reply::Connected,
         Err(ConnectError::Refused) => Reply::Refused,
         Err(ConnectError::NoAnswer) => Reply::NoPath,
     };
     answers.send(encode(&reply)).await?;
-    let Ok(server) = connected else {
+    let (Some(listed), Ok(server)) = (listed, connected) else {
         return Ok(());
     };
     let (from_server, mut to_server) = server.into_split();
     // The other router sends nothing of the request until it has the reply, and closes
     // its side when it has or wants no more of the answer.
     let mut from_router = asks.into_inner();
+    let forward = async {
+        // The other router may not know yet that the data centre is evacuated.
+        let length = from_router.peek(&mut [0]).await?;
+        if length > 0 && relay.servers.is_evacuated(&listed) {
+            return Err(io::Error::other("evacuated"));
+        }
+        tokio::io::copy(&mut from_router, &mut to_server).await
+    };
     tokio::select! {
-        ended = tokio::io::copy(&mut from_router, &mut to_server) => ended.map(drop),
+        ended = forward => ended.map(drop),
         ended = forward_answer(from_server, &mut answers) => ended,
     }
 }
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -12,6 +12,8 @@
 use poplar_core::availability::Reason;
 use poplar_platform::headers;
 
+use crate::relay::servers::Unavailable;
+
 /// The body of a response.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
@@ -82,12 +84,25 @@
     Full::new(bytes).map_err(never).boxed_unsync()
 }
 
+/// Why a request is refused if no server was chosen, and when one may be open.
+pub fn unavailable(why: Unavailable) -> (&'static str, Option<Duration>) {
+    match why {
+        Unavailable::NoServer => ("no server", None),
+        Unavailable::NoVersion => ("no server of the version", None),
+        Unavailable::NoRegion => ("no server in a home region", None),
+        Unavailable::Full => ("engines full", None),
+        Unavailable::TooLarge => ("larger than engine memory", None),
+        Unavailable::Closed { reason, wait } => (closed_text(reason), wait),
+    }
+}
+
 /// Why a request is refused if all servers of its service are closed.
-pub fn closed_text(reason: Reason) -> &'static str {
+fn closed_text(reason: Reason) -> &'static str {
     match reason {
         Reason::Limited => "servers limited",
         Reason::Paused => "servers paused",
         Reason::Leaving => "servers leaving",
-        Reason::Draining | Reason::Ejected => "no server",
+        Reason::Evacuated => "data centre evacuated",
+        Reason::Draining | Reason::Returning | Reason::Ejected => "no server",
     }
 }
--- a/crates/router/src/relay/request.rs
+++ b/crates/router/src/relay/request.rs
@@ -8,6 +8,7 @@
 use poplar_core::deployment::{Route, Workspace};
 use poplar_core::id::Name;
 use poplar_core::poison::{Features, Fingerprint, Reason};
+use poplar_core::regions::Home;
 use poplar_platform::headers::{PromptPart, RequestHead, SharedParts};
 
 use crate::relay::crashes::join;
@@ -198,6 +199,15 @@
         }
     }
 
+    /// The regions to which it is confined.
+    pub fn home(&self) -> Home<'_> {
+        let workspace = self.workspace.as_ref();
+        Home {
+            route: &self.route.home_regions,
+            workspace: workspace.map_or(&[], |w| &w.home_regions),
+        }
+    }
+
     /// Whether the client has events of the stream from an earlier attempt.
     pub fn is_resumption(&self) -> bool {
         self.route.kind.is_stream() && self.head.last_event.is_some_and(|event| event > 0)
--- a/crates/router/src/relay/servers/availability.rs
+++ b/crates/router/src/relay/servers/availability.rs
@@ -6,6 +6,7 @@
 use poplar_base::log;
 use poplar_core::availability::{Availability, Heard, Notices, Reason, Signals};
 use poplar_core::deployment::Server;
+use poplar_core::evacuation::Intake;
 use poplar_core::id::Name;
 use poplar_core::route::server::HealthState;
 use poplar_core::server_limit::Limits;
@@ -14,16 +15,24 @@
 use super::{InFlight, Servers, State, Trackers, limits};
 use crate::sync::lock;
 
-/// Whether a server gets requests now.
+/// The draw of no request in particular: whatever gets only a part of the requests is
+/// left out.
+pub(super) const NO_REQUEST: f64 = 1.0;
+
+/// Whether a server gets requests now, with the intake of its data centre and the
+/// request's draw for it.
 pub(super) fn availability(
     limits: &mut Limits,
     health: &Trackers,
     notices: &Notices,
     server: &Server,
+    (intake, draw): (Intake, f64),
     now: Instant,
 ) -> Availability {
     let signals = Signals {
         ready: server.ready,
+        intake,
+        draw,
         limit: limits::allowance(limits, server, now),
         health: health_state(health, server, now),
     };
@@ -52,17 +61,19 @@
             health,
             limits,
             notices,
+            evacuations,
             ..
         } = &mut *state;
         let mut listed = list.of_service(&server.service, now);
         let Some(listed) = listed.find(|s| s.id == server.id) else {
             return false;
         };
+        let place = (evacuations.intake(&listed.centre, now), NO_REQUEST);
         // Its permit was taken when it was chosen.
         !matches!(
-            availability(limits, health, notices, listed, now),
+            availability(limits, health, notices, listed, place, now),
             Availability::Closed {
-                reason: Reason::Draining | Reason::Leaving | Reason::Paused,
+                reason: Reason::Draining | Reason::Evacuated | Reason::Leaving | Reason::Paused,
                 ..
             }
         )
@@ -100,10 +111,13 @@
             health,
             limits,
             notices,
+            evacuations,
             ..
         } = &mut *state;
-        let all = list.all();
-        let reasons = all.map(|s| availability(limits, health, notices, s, now).reason());
+        let reasons = list.all().map(|s| {
+            let place = (evacuations.intake(&s.centre, now), NO_REQUEST);
+            availability(limits, health, notices, s, place, now).reason()
+        });
         let reasons: Vec<Reason> = reasons.flatten().collect();
         let count = |reason| reasons.iter().filter(|r| **r == reason).count();
         Reason::ALL.map(|reason| (reason, count(reason))).to_vec()
--- a/crates/router/src/relay/servers/choice.rs
+++ b/crates/router/src/relay/servers/choice.rs
@@ -9,6 +9,7 @@
 use poplar_core::cost::Work;
 use poplar_core::deployment::Server;
 use poplar_core::engine_memory::Reservation;
+use poplar_core::evacuation;
 use poplar_core::id::Name;
 
 use super::availability::{availability, health_state};
@@ -51,6 +52,15 @@
     }
 }
 
+/// Decides whether a request may choose a data centre that gets a part of them.
+/// Requests with the same shared prompt decide alike, so that its home changes once.
+fn draw(query: &Query<'_>) -> f64 {
+    if query.shared_tokens < affinity::MIN_SHARED_TOKENS {
+        return rand::random();
+    }
+    evacuation::draw_of(query.prompt_id)
+}
+
 impl Servers {
     /// Chooses a server of `service` that meets the requirement, and counts a request
     /// with this demand there.
@@ -76,6 +86,7 @@
             limits,
             notices,
             ended,
+            evacuations,
             ..
         } = &mut *state;
         let need = memory::need(query, &demand);
@@ -88,10 +99,12 @@
         let pace = paces.get_or_insert_with(service.clone(), ServicePace::default);
         let mut listed: Vec<&Server> = list.of_service(service, now).collect();
         requirement.apply(&mut listed, ended)?;
+        let draw = draw(query);
         let mut candidates = Vec::with_capacity(listed.len());
         let mut closed = Vec::new();
         for server in &listed {
-            let availability = availability(limits, health, notices, server, now);
+            let place = (evacuations.intake(&server.centre, now), draw);
+            let availability = availability(limits, health, notices, server, place, now);
             if let Availability::Closed { reason, wait } = availability {
                 closed.push((*server, reason, wait));
                 continue;
@@ -141,7 +154,10 @@
             Some(holder) => Some(holder),
             None => home_server,
         };
-        let fetch_from = holder.and_then(|id| Some(find(&id)?.address));
+        // A fetch is work for the server that holds the prompt.
+        let source = holder.and_then(|id| find(&id));
+        let source = source.filter(|s| !evacuations.is_evacuated(&s.centre));
+        let fetch_from = source.map(|server| server.address);
         // A part that is fetched counts only for the time that the fetch takes; one
         // whose home is this server does not count.
         let cached = match fetch_from {
--- a/crates/router/src/relay/servers/limits.rs
+++ b/crates/router/src/relay/servers/limits.rs
@@ -14,6 +14,10 @@
 use super::{InFlight, Servers, State, Unavailable};
 use crate::sync::lock;
 
+/// When clients should retry if all servers are in evacuated data centres: an
+/// evacuation lasts until the operator ends it.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// What a message to another router says of limits.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct LimitNews {
@@ -50,6 +54,12 @@
         let reason = Reason::Leaving;
         return Unavailable::Closed { reason, wait: None };
     }
+    if closed.iter().any(|(_, r, _)| *r == Reason::Evacuated) {
+        return Unavailable::Closed {
+            reason: Reason::Evacuated,
+            wait: Some(EVACUATED_RETRY_AFTER),
+        };
+    }
     Unavailable::NoServer
 }
 
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -8,6 +8,7 @@
 
 mod availability;
 mod choice;
+mod evacuation;
 pub mod limits;
 mod memory;
 mod pace;
@@ -22,6 +23,7 @@
 use poplar_core::availability::{Notices, Reason};
 use poplar_core::deployment::{Server, ServerList};
 use poplar_core::engine_memory::{Account, Reservation};
+use poplar_core::evacuation::Evacuations;
 use poplar_core::health::{Change, HealthTracker};
 use poplar_core::id::Name;
 use poplar_core::pace::Pace;
@@ -104,6 +106,8 @@
     notices: Notices,
     /// Listed processes that have ended.
     ended: Ended,
+    /// Data centres that the operator has evacuated.
+    evacuations: Evacuations,
 }
 
 /// Why no server was chosen.
@@ -124,6 +128,8 @@
     Full,
     /// The request may exceed the memory of each.
     TooLarge,
+    /// None is in a home region of the request.
+    NoRegion,
 }
 
 impl State {
@@ -204,6 +210,7 @@
             limits: Limits::new(router),
             notices: Notices::new(drain_time),
             ended: Ended::default(),
+            evacuations: Evacuations::default(),
         };
         Arc::new(Self {
             state: Mutex::new(state),
--- a/crates/router/src/relay/servers/requirement.rs
+++ b/crates/router/src/relay/servers/requirement.rs
@@ -2,6 +2,7 @@
 
 use poplar_core::deployment::{Server, ServerList};
 use poplar_core::id::Name;
+use poplar_core::regions::{Home, Regions};
 use poplar_core::sorted::SortedVec;
 
 use super::{Servers, Unavailable};
@@ -14,6 +15,9 @@
     pub versions: Option<&'a [Name]>,
     /// Whether it has to be the process that is listed.
     pub as_listed: bool,
+    /// The home regions of the request, and the regions of the data centres; `None` if
+    /// there is no constraint.
+    pub home: Option<(Home<'a>, &'a Regions)>,
 }
 
 impl Requirement<'_> {
@@ -21,7 +25,7 @@
     ///
     /// # Errors
     /// [`Unavailable::NoVersion`] if there are servers that are ready and none of them
-    /// meets it.
+    /// meets it, or [`Unavailable::NoRegion`] if none of them is in a home region.
     pub(super) fn apply(
         self,
         servers: &mut Vec<&Server>,
@@ -30,6 +34,12 @@
         if !servers.iter().any(|server| server.ready) {
             return Ok(());
         }
+        if let Some((home, regions)) = self.home {
+            servers.retain(|server| home.allows_centre(regions, &server.centre));
+            if !servers.iter().any(|server| server.ready) {
+                return Err(Unavailable::NoRegion);
+            }
+        }
         servers.retain(|server| {
             let has_version = self
                 .versions
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -1,4 +1,4 @@
-//! Follows the configuration, the list of backend servers, the reports of crashes
+//! Follows the configuration, the evacuated data centres, the list of backend servers, the reports of crashes
 //! and the limits of servers in the store.
 
 use std::sync::Arc;
@@ -6,9 +6,11 @@
 
 use poplar_base::log;
 use poplar_core::deployment::Server;
+use poplar_core::id::Name;
+use poplar_core::sorted::SortedVec;
 use poplar_platform::configuration;
 use poplar_platform::mirror::Mirror;
-use poplar_platform::rows::Partition;
+use poplar_platform::rows::{Partition, Row};
 use poplar_platform::servers;
 use poplar_platform::store::{OPERATOR_TABLE, SERVERS_TABLE};
 
@@ -39,13 +41,22 @@
 /// answer that keeps arriving is read to its end.
 const TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Follows the configuration until the process ends.
+/// Follows the configuration and the evacuated data centres until the process ends.
 pub async fn configuration(relay: Arc<Relay>) {
-    let mut watch = TableWatch::within("configuration", OPERATOR_TABLE, relay.settings.apply_time);
+    let settings = &relay.settings;
+    let evacuation_time = settings.evacuation_time.unwrap_or(settings.apply_time);
+    let time = settings.apply_time.min(evacuation_time);
+    let mut watch = TableWatch::within("configuration", OPERATOR_TABLE, time);
     let mut applied_version = 0;
     loop {
         let requested = Instant::now();
         if watch.update(&relay, &relay.configuration_read).await {
+            // A router with a configuration serves, so that this comes first.
+            relay.servers.set_evacuated(
+                evacuated_centres(&watch.mirror),
+                watch.mirror.version(),
+                Instant::now(),
+            );
             let mut rows = watch.mirror.rows();
             let row = rows.find(|row| *row.key == *configuration::KEY);
             if let Some(row) = row.filter(|row| row.version != applied_version) {
@@ -72,6 +83,15 @@
     }
 }
 
+/// The data centres whose evacuation the operator asks for, and the versions of the rows.
+fn evacuated_centres(mirror: &Mirror) -> SortedVec<Name, u64> {
+    let centre = |row: &Row| {
+        let centre = configuration::evacuated_centre(&row.key)?;
+        Some((Name::from(centre), row.version))
+    };
+    mirror.rows().filter_map(centre).collect()
+}
+
 /// Follows the list of backend servers until the process ends.
 pub async fn server_list(relay: Arc<Relay>) {
     let mut watch = TableWatch::within("servers", SERVERS_TABLE, relay.settings.drain_time);
--- a/crates/router/tests/relay/request_costs.rs
+++ b/crates/router/tests/relay/request_costs.rs
@@ -65,7 +65,11 @@
 }
 
 fn left_ms(servers: &Servers) -> u64 {
-    servers.own_work(Instant::now()).iter().map(|w| w.left_ms).sum()
+    servers
+        .own_work(Instant::now())
+        .iter()
+        .map(|w| w.left_ms)
+        .sum()
 }
 
 /// Guards against work that other routers count though it is done, or not though it is
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -128,14 +128,14 @@
         Self::open_with(store, "").await
     }
 
-    /// Starts a relay with these lines in its settings, too.
-    pub(crate) async fn open_with(store: SocketAddr, lines: &str) -> Self {
+    /// Starts a relay with these lines of settings, too, and waits until it is ready.
+    pub(crate) async fn open_with(store: SocketAddr, settings: &str) -> Self {
         let text = format!(
             "node_name=front-a-1\nip=127.0.0.1\nzone=a\nlisten.front=127.0.0.1:1\n\
              listen.ready=127.0.0.1:2\ninternal_ports=7340,7355\nplatform.address={store}\n\
              bounds.config_apply_ms=1500\n\
              bounds.grace_s=8\nbounds.retry_ratio=0.2\nbounds.retry_slack=56\n\
-             bounds.retry_window_s=10\n{lines}"
+             bounds.retry_window_s=10\n{settings}"
         );
         let settings = Settings::parse(&text).expect("settings");
         let relay = Relay::new(settings);
--- a/crates/router/tests/relay/site/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -137,6 +137,12 @@
         self.write_settings(RETRY_SLACK, &format!("{port},{port}"));
     }
 
+    /// Adds lines to the settings of the processes that start from now on.
+    pub(crate) fn add_settings(&self, lines: &str) {
+        let text = fs::read_to_string(&self.settings).expect("settings");
+        fs::write(&self.settings, text + lines).expect("the settings are written");
+    }
+
     fn write_settings(&self, retry_slack: u32, internal_ports: &str) {
         let Self { ip, store, .. } = self;
         let text = format!(
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -183,6 +183,13 @@
         self.set("servers", "", id, &entry(service, address).to_string());
     }
 
+    /// Registers a backend server in this data centre.
+    pub(crate) fn register_in(&self, centre: &str, id: &str, service: &str, at: SocketAddr) {
+        let mut entry = entry(service, at);
+        entry["zone"] = json!(centre);
+        self.set("servers", "", id, &entry.to_string());
+    }
+
     /// Registers a backend server with the time of its start.
     pub(crate) fn register_started(
         &self,
