Limit requests to cold servers over all routers

Engines crash if they get many requests while they are cold, and neither the fields `cold_per_s` and `cold_start_s` of a service nor `cold_remaining_ms` of a registration nor the header X-Poplarreel-Cold-Ms were read.

The schedule of permits of server_limit divides the rate of a cold server over all routers without messages. Its permits expire after 0.3 s, since the bound is on each second, and the rate is lowered where bounds.cold_excess and bounds.cold_slack ask for it. After the cold time the rate rises in three steps of a second. Datagrams carry what a server told a router in the optional list `cold`. The counting of permits moves to a file of its own without a change. Registrations that differ only in the time left are not logged as new.

Seen failing: without the share of routers, 4 simulated routers send 38 requests in a second where 17 are allowed; without the steps, without the check of the row's version and without the lower bound of the rate one test of core each fails. Without the limit 27 requests reach a cold server in a second where 12 are allowed; without the header in answers, 26 with the store out of reach. If the list in a datagram or the sign of a figure is ignored, the tests of messages and decoding fail.

All tests of core pass. 33 tests of the router (server_limits, server_notices, servers, stale_configuration, load_messages, evacuation, home_regions, cold_servers) pass in one run with three threads beside a load average of 80 to 125. The tests of decoding pass. The whole suite was not run, and the time of a choice was not measured.

--- a/crates/core/src/availability/mod.rs
+++ b/crates/core/src/availability/mod.rs
@@ -35,6 +35,8 @@
     Paused,
     /// The limit that it named allows no request now.
     Limited,
+    /// It is cold, or was a short time ago, and gets no request now.
+    Cold,
     /// Its data centre was evacuated and gets only a part of the requests.
     Returning,
     /// It was ejected for failures.
@@ -43,12 +45,13 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Draining,
         Self::Evacuated,
         Self::Leaving,
         Self::Paused,
         Self::Limited,
+        Self::Cold,
         Self::Returning,
         Self::Ejected,
     ];
@@ -61,6 +64,7 @@
             Self::Leaving => "leaving",
             Self::Paused => "paused",
             Self::Limited => "limited",
+            Self::Cold => "cold",
             Self::Returning => "returning",
             Self::Ejected => "ejected",
         }
@@ -110,6 +114,8 @@
     pub draw: f64,
     /// What its limit allows.
     pub limit: Allowance,
+    /// What it gets while it is cold.
+    pub cold: Allowance,
     /// Its health.
     pub health: HealthState,
 }
--- a/crates/core/src/availability/notices.rs
+++ b/crates/core/src/availability/notices.rs
@@ -190,6 +190,9 @@
         if signals.limit == Allowance::Exhausted {
             return closed(Reason::Limited, None);
         }
+        if signals.cold == Allowance::Exhausted {
+            return closed(Reason::Cold, None);
+        }
         if !signals.intake.includes(signals.draw) {
             last_resort = last_resort.or(Some(Reason::Returning));
         }
--- a/crates/core/src/deployment/mod.rs
+++ b/crates/core/src/deployment/mod.rs
@@ -7,10 +7,11 @@
 
 use std::time::Duration;
 
+use crate::cold::ColdLimit;
 use crate::id::Name;
 use crate::sorted::SortedVec;
 
-pub use servers::{Server, ServerList};
+pub use servers::{ColdNotice, Server, ServerList};
 
 /// Kind of a route's requests; it decides whether they may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -105,6 +106,8 @@
     pub engine: Option<Engine>,
     /// Most connections that one backend server accepts from all routers.
     pub max_connections: u32,
+    /// What its servers take while they are cold; `None` if they never are.
+    pub cold: Option<ColdLimit>,
 }
 
 /// A workspace.
--- a/crates/core/src/deployment/servers.rs
+++ b/crates/core/src/deployment/servers.rs
@@ -37,6 +37,32 @@
     pub started_ms: u64,
     /// Most requests that it runs at once.
     pub slots: u32,
+    /// What its registration says of its being cold.
+    pub cold: ColdNotice,
+}
+
+/// What a registration says of whether the server is cold.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ColdNotice {
+    /// How long it stays cold; `None` if that is not stated.
+    pub left: Option<Duration>,
+    /// Version of the registration, which tells apart statements of the same time.
+    pub row: u64,
+}
+
+impl Server {
+    /// Whether another registration says the same, but for how long the server stays cold,
+    /// which changes all the time.
+    pub fn has_same_entry(&self, other: &Self) -> bool {
+        let entry = |s: &Self| (s.address, s.ready, s.started_ms, s.slots);
+        let names = [
+            (&self.id, &other.id),
+            (&self.service, &other.service),
+            (&self.centre, &other.centre),
+            (&self.software, &other.software),
+        ];
+        entry(self) == entry(other) && names.iter().all(|(own, other)| own == other)
+    }
 }
 
 /// The list of backend servers as this router knows it.
--- a/crates/core/src/server_limit/mod.rs
+++ b/crates/core/src/server_limit/mod.rs
@@ -15,19 +15,24 @@
 //! duplicates one.
 
 mod clock;
+mod counter;
 pub mod schedule;
 
-use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use crate::id::Name;
 use crate::sorted::SortedVec;
 use clock::SharedClock;
-use schedule::Permit;
+use counter::{Counter, Shares, contains};
 
 /// Slots after which a permit expires.
 pub const PERMIT_SLOTS: u64 = 20;
+/// Slots after which a permit of a cold server expires. What is left of one second adds
+/// to the requests of the next.
+const COLD_PERMIT_SLOTS: u64 = 6;
+/// The same as a time.
+pub const COLD_PERMIT_TIME: Duration = Duration::from_millis(300);
 /// Slots that a router yields ahead, in which several messages may be lost.
 const YIELD_SLOTS: u64 = 20;
 /// Time without a request for a service after which its permits are yielded.
@@ -94,10 +99,7 @@
     sends: u32,
     /// Whether the report is to be stored for routers that get no messages.
     unstored: bool,
-    /// Last slot whose permits have been counted.
-    counted: u64,
-    /// Slots of the permits that were not used yet.
-    permits: VecDeque<u64>,
+    counter: Counter,
 }
 
 /// The limits that one router knows of, and its permits.
@@ -108,6 +110,8 @@
     routers: Option<Vec<IpAddr>>,
     clock: SharedClock,
     entries: SortedVec<Name, Entry>,
+    /// Permits of cold servers, with the start times of their processes.
+    cold: SortedVec<Name, (u64, Counter)>,
     /// Slots that other routers have yielded.
     yields: SortedVec<(Name, IpAddr), (u64, u64)>,
     /// Slots that this router has yielded, by service.
@@ -126,6 +130,7 @@
             routers: None,
             clock: SharedClock::default(),
             entries: SortedVec::new(),
+            cold: SortedVec::new(),
             yields: SortedVec::new(),
             own_yields: SortedVec::new(),
             requested: SortedVec::new(),
@@ -197,12 +202,14 @@
                 report: report.clone(),
                 sends: 0,
                 unstored: false,
-                counted,
-                permits: VecDeque::new(),
+                counter: Counter {
+                    counted,
+                    ..Counter::default()
+                },
             });
         if entry.report.process != report.process || entry.report.rate.is_none() {
-            entry.permits.clear();
-            entry.counted = entry.counted.max(counted);
+            entry.counter.permits.clear();
+            entry.counter.counted = entry.counter.counted.max(counted);
         }
         entry.report = report;
         if announced {
@@ -241,40 +248,74 @@
         let Some(entry) = self.entries.get_mut(server) else {
             return Allowance::Unlimited;
         };
-        if entry.counted > slot + PERMIT_SLOTS {
-            // The shared clock was set back.
-            entry.counted = slot;
-            entry.permits.clear();
-        }
-        let oldest = slot.saturating_sub(PERMIT_SLOTS);
         let own_yield = self.own_yields.get(service).copied();
-        for slot in (entry.counted + 1).max(oldest)..=slot {
-            if own_yield.is_some_and(|range| contains(range, slot)) {
-                continue;
-            }
-            for permit in schedule::permits(server, rate.max(MIN_RATE), slot) {
-                let has_yielded = |router: &IpAddr| {
-                    let range = self.yields.get(&(service.clone(), *router));
-                    range.is_some_and(|range| contains(*range, slot))
-                };
-                if is_first(&permit, self.own, routers, has_yielded) {
-                    entry.permits.push_back(slot);
-                }
-            }
-        }
-        entry.counted = entry.counted.max(slot);
-        entry.permits.retain(|permit| *permit >= oldest);
-        if entry.permits.is_empty() {
-            Allowance::Exhausted
+        let yields = &self.yields;
+        let shares = Shares {
+            own: self.own,
+            routers,
+            own_yield,
+            has_yielded: |router: &IpAddr, slot| has_yielded(yields, service, *router, slot),
+        };
+        let rate = rate.max(MIN_RATE);
+        let counter = &mut entry.counter;
+        if counter.count(server, rate, slot, PERMIT_SLOTS, &shares) {
+            Allowance::Permit
         } else {
+            Allowance::Exhausted
+        }
+    }
+
+    /// Whether a server's process that is or was cold, and gets `rate` requests a second
+    /// from all routers, takes a request for `service` at `now`. Its permits don't pile up
+    /// for longer than [`COLD_PERMIT_TIME`].
+    pub fn cold_allowance(
+        &mut self,
+        server: &Name,
+        process: u64,
+        rate: f64,
+        service: &Name,
+        now: Instant,
+    ) -> Allowance {
+        let (Some(slot), Some(routers)) = (self.clock.slot(now), &self.routers) else {
+            return Allowance::Exhausted;
+        };
+        let new = || {
+            let counted = slot;
+            let counter = Counter {
+                counted,
+                ..Counter::default()
+            };
+            (process, counter)
+        };
+        let entry = self.cold.get_or_insert_with(server.clone(), new);
+        if entry.0 != process {
+            *entry = new();
+        }
+        let yields = &self.yields;
+        let shares = Shares {
+            own: self.own,
+            routers,
+            own_yield: self.own_yields.get(service).copied(),
+            has_yielded: |router: &IpAddr, slot| has_yielded(yields, service, *router, slot),
+        };
+        let rate = rate.max(MIN_RATE);
+        if entry
+            .1
+            .count(server, rate, slot, COLD_PERMIT_SLOTS, &shares)
+        {
             Allowance::Permit
+        } else {
+            Allowance::Exhausted
         }
     }
 
     /// Uses a permit of a server.
     pub fn take_permit(&mut self, server: &str) {
         if let Some(entry) = self.entries.get_mut(server) {
-            entry.permits.pop_front();
+            entry.counter.permits.pop_front();
+        }
+        if let Some((_, counter)) = self.cold.get_mut(server) {
+            counter.permits.pop_front();
         }
     }
 
@@ -377,6 +418,7 @@
 
     /// Forgets limits of servers that are no longer listed.
     pub fn expire(&mut self, is_listed: impl Fn(&str) -> bool, now: Instant) {
+        self.cold.retain(|server, _| is_listed(server));
         self.entries
             .retain(|server, e| is_listed(server) || now < e.report.at + EXPIRY);
     }
@@ -395,20 +437,13 @@
     }
 }
 
-fn contains((from, until): (u64, u64), slot: u64) -> bool {
-    from <= slot && slot <= until
-}
-
-/// Whether a permit is this router's: all routers before it have yielded it.
-fn is_first(
-    permit: &Permit,
-    own: IpAddr,
-    routers: &[IpAddr],
-    has_yielded: impl Fn(&IpAddr) -> bool,
+/// Whether a router has yielded the permits of a slot.
+fn has_yielded(
+    yields: &SortedVec<(Name, IpAddr), (u64, u64)>,
+    service: &Name,
+    router: IpAddr,
+    slot: u64,
 ) -> bool {
-    let own_rank = permit.rank(own);
-    let mut before = routers
-        .iter()
-        .filter(|router| permit.rank(**router) > own_rank);
-    before.all(has_yielded)
+    let range = yields.get(&(service.clone(), router));
+    range.is_some_and(|range| contains(*range, slot))
 }
--- a/crates/core/tests/availability.rs
+++ b/crates/core/tests/availability.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use poplar_core::availability::{Availability, Heard, MAX_PAUSE, News, Notices, Reason, Signals};
-use poplar_core::deployment::{Server, ServerList};
+use poplar_core::deployment::{ColdNotice, Server, ServerList};
 use poplar_core::evacuation::Intake;
 use poplar_core::id::Name;
 use poplar_core::route::server::HealthState;
@@ -19,6 +19,7 @@
     intake: Intake::Full,
     draw: 0.0,
     limit: Allowance::Unlimited,
+    cold: Allowance::Unlimited,
     health: HealthState::Healthy,
 };
 const LEAVING: Heard = Heard {
@@ -173,6 +174,7 @@
         ready,
         started_ms: process,
         slots: 8,
+        cold: ColdNotice::default(),
     }
 }
 
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use poplar_core::deployment::{Server, ServerList};
+use poplar_core::deployment::{ColdNotice, Server, ServerList};
 
 fn server(id: &str, ready: bool) -> Server {
     Server {
@@ -14,6 +14,7 @@
         ready,
         started_ms: 1,
         slots: 8,
+        cold: ColdNotice::default(),
     }
 }
 
--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -353,6 +353,7 @@
                 in_flight.log_invalid("server-load");
             }
             in_flight.record_limit(response.limit, now);
+            in_flight.record_cold(response.cold, now);
             let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE;
             in_flight.record_notices(response.leaving, response.pause, is_refusal, now);
         }
--- a/crates/router/src/relay/gossip.rs
+++ b/crates/router/src/relay/gossip.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
+use poplar_core::cold;
 use poplar_core::id::Name;
 use poplar_core::poison::Report;
 use poplar_core::software::Begun;
@@ -87,6 +88,8 @@
     /// Servers that told the sender that they leave, with the start times of their
     /// processes in Unix milliseconds.
     pub leaving: Vec<(Name, u64)>,
+    /// Servers that stated to the sender that they are cold.
+    pub cold: Vec<cold::Report>,
 }
 
 impl LoadMessage {
@@ -123,6 +126,23 @@
     /// neither send nor read it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     ahead: Vec<(Name, u64, u64)>,
+    /// Cold servers, the start times of their processes, and the milliseconds for which
+    /// they stay cold. Builds that don't know it neither send nor read it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    cold: Vec<(Name, u64, u64)>,
+}
+
+fn encode_cold(report: cold::Report) -> (Name, u64, u64) {
+    let left_ms = report.left.as_millis() as u64;
+    (report.server, report.process, left_ms)
+}
+
+fn decode_cold((server, process, left_ms): (Name, u64, u64)) -> cold::Report {
+    cold::Report {
+        server,
+        process,
+        left: Duration::from_millis(left_ms),
+    }
 }
 
 impl LoadMessageWire {
@@ -139,6 +159,7 @@
             limits: LimitNewsWire::encode(message.limits, now),
             streams: StreamsWire::encode(message.streams),
             leaving: message.leaving,
+            cold: message.cold.into_iter().map(encode_cold).collect(),
         }
     }
 
@@ -166,6 +187,7 @@
             limits: self.limits.decode(now),
             streams: self.streams.decode(now),
             leaving: self.leaving,
+            cold: self.cold.into_iter().map(decode_cold).collect(),
         }
     }
 }
@@ -250,6 +272,7 @@
         limits: relay.servers.take_limit_news(now),
         streams: clock.map_or_else(Vec::new, |clock| relay.streams.take_unannounced(clock)),
         leaving: relay.servers.take_leaving_reports(),
+        cold: relay.servers.take_cold_reports(now),
         ..LoadMessage::default()
     }
 }
@@ -288,6 +311,9 @@
                 let leaving = std::mem::take(&mut message.leaving);
                 relay.streams.merge(std::mem::take(&mut message.streams));
                 relay.servers.merge_leaving_reports(leaving, now);
+                relay
+                    .servers
+                    .merge_cold_reports(std::mem::take(&mut message.cold), now);
                 relay.servers.record_peer_message(from.ip(), message, now);
                 relay.crashes.merge(reports, Source::Peer, now);
                 relay.servers.merge_limit_news(from.ip(), limits);
--- a/crates/router/src/relay/identity.rs
+++ b/crates/router/src/relay/identity.rs
@@ -5,7 +5,7 @@
 //! connections of a process that was killed like those of one that has nothing more to
 //! send. Engines state the start time of their process when they are asked.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, Uri, header};
@@ -46,9 +46,9 @@
 }
 
 /// Asks the server behind an open connection which process it is.
-async fn ask(sender: &mut SendRequest<Full<Bytes>>, server: &Server) -> Identity {
+async fn ask(relay: &Relay, sender: &mut SendRequest<Full<Bytes>>, server: &Server) -> Identity {
     let read = timeout(ASK_TIMEOUT, read_report(sender, server)).await;
-    let Some((status, body)) = read.ok().flatten() else {
+    let Some((status, cold, body)) = read.ok().flatten() else {
         return Identity::Unknown;
     };
     match status {
@@ -59,17 +59,22 @@
         _ => return Identity::Unstated,
     }
     match report::started_ms(&body) {
-        Ok(Some(started_ms)) if started_ms == server.started_ms => Identity::Listed,
+        Ok(Some(started_ms)) if started_ms == server.started_ms => {
+            if let Some(left) = cold {
+                relay.servers.record_cold(server, left, Instant::now());
+            }
+            Identity::Listed
+        }
         Ok(Some(started_ms)) => Identity::Other(started_ms),
         Ok(None) | Err(_) => Identity::Unstated,
     }
 }
 
-/// The status and the body of a server's report, if it answers.
+/// The status and the body of a server's report, if it answers, and how long it stays cold.
 async fn read_report(
     sender: &mut SendRequest<Full<Bytes>>,
     server: &Server,
-) -> Option<(StatusCode, Bytes)> {
+) -> Option<(StatusCode, Option<Duration>, Bytes)> {
     let mut request = Request::new(Full::default());
     *request.uri_mut() = Uri::from_static(report::PATH);
     let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
@@ -78,15 +83,16 @@
     request.headers_mut().insert(name, id);
     let response = upstream::send(sender, request, ASK_TIMEOUT).await.ok()?;
     let (head, body) = response.into_parts();
+    let cold = headers::cold_time(&head.headers);
     let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?;
-    Some((head.status, body.to_bytes()))
+    Some((head.status, cold, body.to_bytes()))
 }
 
 /// Asks on a connection of its own which process of a server answers.
 pub async fn current(relay: &Relay, server: &Server, request: &Name) -> Identity {
     // The question holds nothing of the request, which may be confined to regions.
     match relay.paths.connect(server, request, None).await {
-        Ok((_connection, mut sender)) => ask(&mut sender, server).await,
+        Ok((_connection, mut sender)) => ask(relay, &mut sender, server).await,
         Err(ConnectError::Refused) => Identity::Ended,
         Err(ConnectError::NoAnswer) => Identity::Unknown,
     }
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -90,6 +90,7 @@
             metrics::gauge!("poplar_servers_left_out", "reason" => reason.label())
                 .set(count as f64);
         }
+        metrics::gauge!("poplar_servers_cold").set(relay.servers.cold_count(now) as f64);
         let (evacuated, returning) = relay.servers.evacuated_counts(now);
         metrics::gauge!("poplar_centres_evacuated").set(evacuated as f64);
         metrics::gauge!("poplar_centres_returning").set(returning as f64);
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -102,6 +102,7 @@
         Reason::Limited => "servers limited",
         Reason::Paused => "servers paused",
         Reason::Leaving => "servers leaving",
+        Reason::Cold => "servers cold",
         Reason::Evacuated => "data centre evacuated",
         Reason::Draining | Reason::Returning | Reason::Ejected => "no server",
     }
--- a/crates/router/src/relay/servers/availability.rs
+++ b/crates/router/src/relay/servers/availability.rs
@@ -6,12 +6,13 @@
 use poplar_base::log;
 use poplar_core::availability::{Availability, Heard, Notices, Reason, Signals};
 use poplar_core::deployment::Server;
-use poplar_core::evacuation::Intake;
+use poplar_core::evacuation::{Evacuations, Intake};
 use poplar_core::id::Name;
 use poplar_core::route::server::HealthState;
-use poplar_core::server_limit::Limits;
+use poplar_core::server_limit::{Allowance, Limits};
 use poplar_platform::headers::{LeavingNotice, PauseNotice};
 
+use super::cold::Cold;
 use super::{InFlight, Servers, State, Trackers, limits};
 use crate::sync::lock;
 
@@ -19,20 +20,46 @@
 /// left out.
 pub(super) const NO_REQUEST: f64 = 1.0;
 
-/// Whether a server gets requests now, with the intake of its data centre and the
-/// request's draw for it.
+/// What a server gets at its place and in its state.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Intakes {
+    centre: Intake,
+    /// The request's draw for it.
+    draw: f64,
+    cold: Allowance,
+}
+
+impl Intakes {
+    /// Those of a server for a request with this draw.
+    pub(super) fn of(
+        (evacuations, cold): (&Evacuations, &Cold),
+        limits: &mut Limits,
+        server: &Server,
+        draw: f64,
+        now: Instant,
+    ) -> Self {
+        Self {
+            centre: evacuations.intake(&server.centre, now),
+            draw,
+            cold: cold.allowance(limits, server, now),
+        }
+    }
+}
+
+/// Whether a server gets requests now.
 pub(super) fn availability(
     limits: &mut Limits,
     health: &Trackers,
     notices: &Notices,
     server: &Server,
-    (intake, draw): (Intake, f64),
+    intakes: Intakes,
     now: Instant,
 ) -> Availability {
     let signals = Signals {
         ready: server.ready,
-        intake,
-        draw,
+        intake: intakes.centre,
+        draw: intakes.draw,
+        cold: intakes.cold,
         limit: limits::allowance(limits, server, now),
         health: health_state(health, server, now),
     };
@@ -62,16 +89,17 @@
             limits,
             notices,
             evacuations,
+            cold,
             ..
         } = &mut *state;
         let mut listed = list.of_service(&server.service, now);
         let Some(listed) = listed.find(|s| s.id == server.id) else {
             return false;
         };
-        let place = (evacuations.intake(&listed.centre, now), NO_REQUEST);
+        let intakes = Intakes::of((evacuations, cold), limits, listed, NO_REQUEST, now);
         // Its permit was taken when it was chosen.
         !matches!(
-            availability(limits, health, notices, listed, place, now),
+            availability(limits, health, notices, listed, intakes, now),
             Availability::Closed {
                 reason: Reason::Draining | Reason::Evacuated | Reason::Leaving | Reason::Paused,
                 ..
@@ -112,11 +140,12 @@
             limits,
             notices,
             evacuations,
+            cold,
             ..
         } = &mut *state;
         let reasons = list.all().map(|s| {
-            let place = (evacuations.intake(&s.centre, now), NO_REQUEST);
-            availability(limits, health, notices, s, place, now).reason()
+            let intakes = Intakes::of((evacuations, cold), limits, s, NO_REQUEST, now);
+            availability(limits, health, notices, s, intakes, now).reason()
         });
         let reasons: Vec<Reason> = reasons.flatten().collect();
         let count = |reason| reasons.iter().filter(|r| **r == reason).count();
--- a/crates/router/src/relay/servers/choice.rs
+++ b/crates/router/src/relay/servers/choice.rs
@@ -12,7 +12,7 @@
 use poplar_core::evacuation;
 use poplar_core::id::Name;
 
-use super::availability::{availability, health_state};
+use super::availability::{Intakes, availability, health_state};
 use super::pace::{Progress, ServicePace, micros};
 use super::{InFlight, Requirement, ServerState, Servers, State, Unavailable, limits, memory};
 use crate::sync::lock;
@@ -87,6 +87,7 @@
             notices,
             ended,
             evacuations,
+            cold,
             ..
         } = &mut *state;
         let need = memory::need(query, &demand);
@@ -103,8 +104,8 @@
         let mut candidates = Vec::with_capacity(listed.len());
         let mut closed = Vec::new();
         for server in &listed {
-            let place = (evacuations.intake(&server.centre, now), draw);
-            let availability = availability(limits, health, notices, server, place, now);
+            let intakes = Intakes::of((evacuations, cold), limits, server, draw, now);
+            let availability = availability(limits, health, notices, server, intakes, now);
             if let Availability::Closed { reason, wait } = availability {
                 closed.push((*server, reason, wait));
                 continue;
--- a/crates/router/src/relay/servers/limits.rs
+++ b/crates/router/src/relay/servers/limits.rs
@@ -14,6 +14,9 @@
 use super::{InFlight, Servers, State, Unavailable};
 use crate::sync::lock;
 
+/// When clients should retry if all servers are cold: about the time between two permits
+/// of one of them.
+const COLD_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// When clients should retry if all servers are in evacuated data centres: an
 /// evacuation lasts until the operator ends it.
 const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -45,7 +48,13 @@
     let ends = closed
         .iter()
         .filter_map(|(_, r, wait)| Some(((*wait)?, *r)));
-    if let Some((wait, reason)) = ends.chain(permit).min() {
+    let is_cold = closed.iter().any(|(_, r, _)| *r == Reason::Cold);
+    // Drawn so that the clients don't return at once.
+    let cold = is_cold.then(|| {
+        let wait = COLD_RETRY_AFTER.mul_f64(0.5 + rand::random::<f64>());
+        (wait, Reason::Cold)
+    });
+    if let Some((wait, reason)) = ends.chain(permit).chain(cold).min() {
         let wait = Some(wait);
         return Unavailable::Closed { reason, wait };
     }
@@ -83,8 +92,11 @@
     /// What the next message to the other routers says of limits.
     pub fn take_limit_news(&self, now: Instant) -> LimitNews {
         let mut state = lock(&self.state);
-        let State { list, limits, .. } = &mut *state;
-        let is_limited = |s: &&Server| limits.rate(&s.id, s.started_ms).is_some();
+        let State {
+            list, limits, cold, ..
+        } = &mut *state;
+        let is_limited =
+            |s: &&Server| limits.rate(&s.id, s.started_ms).is_some() || cold.rate(s, now).is_some();
         let mut services: Vec<Name> = list
             .all()
             .filter(is_limited)
--- a/crates/router/src/relay/servers/mod.rs
+++ b/crates/router/src/relay/servers/mod.rs
@@ -8,6 +8,7 @@
 
 mod availability;
 mod choice;
+mod cold;
 mod evacuation;
 pub mod limits;
 mod memory;
@@ -21,6 +22,7 @@
 
 use poplar_base::log;
 use poplar_core::availability::{Notices, Reason};
+use poplar_core::cold::Excess;
 use poplar_core::deployment::{Server, ServerList};
 use poplar_core::engine_memory::{Account, Reservation};
 use poplar_core::evacuation::Evacuations;
@@ -32,6 +34,7 @@
 use poplar_platform::headers::ServerLoad;
 
 pub use choice::Demand;
+use cold::Cold;
 use pace::{Progress, ServicePace};
 use peers::Peers;
 use requirement::Ended;
@@ -108,6 +111,8 @@
     ended: Ended,
     /// Data centres that the operator has evacuated.
     evacuations: Evacuations,
+    /// Servers that are cold, and what they take.
+    cold: Cold,
 }
 
 /// Why no server was chosen.
@@ -211,6 +216,7 @@
             notices: Notices::new(drain_time),
             ended: Ended::default(),
             evacuations: Evacuations::default(),
+            cold: Cold::new(Excess::default()),
         };
         Arc::new(Self {
             state: Mutex::new(state),
@@ -256,8 +262,10 @@
             holders,
             paces,
             ended,
+            cold,
             ..
         } = &mut *state;
+        let is_first = !list.is_known();
         let previous: Vec<Server> = list.all().cloned().collect();
         if !list.update(servers, version, now) {
             return Vec::new();
@@ -268,6 +276,9 @@
             let names = services.get_or_insert_with(server.service.clone(), Vec::new);
             names.push(server.id.clone());
             let started_ms = server.started_ms;
+            let known = states.get(&*server.id);
+            let is_started = known.is_none_or(|known| known.started_ms != started_ms);
+            cold.record_entry(server, is_started && !is_first, now);
             let state = states.get_or_insert_with(server.id.clone(), || ServerState {
                 started_ms,
                 ..ServerState::default()
@@ -279,7 +290,7 @@
                 state.memory.forget_peers();
                 restarted.push(server);
             }
-            if !previous.contains(server) {
+            if !previous.iter().any(|p| p.has_same_entry(server)) {
                 log::info("server listed")
                     .with("server", &server.id)
                     .with("address", server.address)
@@ -298,6 +309,7 @@
             }
         }
         ended.expire(list);
+        cold.expire(|id| list.all().any(|s| *s.id == *id));
         states.retain(|id, state| state.requests > 0 || list.all().any(|s| s.id == *id));
         paces.retain(|service, _| services.contains(service));
         for (service, names) in services.iter() {
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -110,9 +110,11 @@
         let incarnation = rand::random();
         let limits = retry_limits(&settings);
         let budgets = Budgets::new(store.clone(), settings.ip, incarnation);
+        let servers = Servers::new(settings.centre.clone(), settings.ip, settings.drain_time);
+        servers.set_cold_excess(settings.cold_excess);
         let paths = Paths::new(settings.ip, settings.internal_ports.0, budgets.clone());
         Arc::new(Self {
-            servers: Servers::new(settings.centre.clone(), settings.ip, settings.drain_time),
+            servers,
             costs: Costs::default(),
             paths: paths.clone(),
             budgets,
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use poplar_base::log;
-use poplar_core::deployment::Server;
+use poplar_core::deployment::{Deployment, Server};
 use poplar_core::id::Name;
 use poplar_core::sorted::SortedVec;
 use poplar_platform::configuration;
@@ -64,6 +64,7 @@
                 match configuration::parse(&row.value) {
                     Ok(deployment) => {
                         let version = deployment.version;
+                        set_cold_limits(&relay, &deployment);
                         if relay.apply(deployment) {
                             log::info("configuration in force")
                                 .with("version", version)
@@ -83,6 +84,18 @@
     }
 }
 
+/// Sets what cold servers take by a configuration, unless it is older than the one in
+/// force. A router with a configuration serves, so that this comes first.
+fn set_cold_limits(relay: &Relay, deployment: &Deployment) {
+    let current = relay.deployment();
+    if current.is_some_and(|current| deployment.version <= current.version) {
+        return;
+    }
+    let services = deployment.services.iter();
+    let limits = services.filter_map(|(name, service)| Some((name.clone(), service.cold?)));
+    relay.servers.set_cold_limits(limits, Instant::now());
+}
+
 /// The data centres whose evacuation the operator asks for, and the versions of the rows.
 fn evacuated_centres(mirror: &Mirror) -> SortedVec<Name, u64> {
     let centre = |row: &Row| {
--- a/crates/router/tests/relay/crash_reports.rs
+++ b/crates/router/tests/relay/crash_reports.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use poplar_core::deployment::Server;
+use poplar_core::deployment::{ColdNotice, Server};
 use poplar_core::poison::{CrashId, EXPIRY, Features, Fingerprint, Report, Sighting};
 use poplar_core::retry::Failure;
 use poplar_platform::rows::{Row, Write};
@@ -45,6 +45,7 @@
         ready: true,
         started_ms: 1_760_000_000_000,
         slots: 8,
+        cold: ColdNotice::default(),
     };
     for n in requests {
         let listing = Listing::Restarted;
--- a/crates/router/tests/relay/engine_memory.rs
+++ b/crates/router/tests/relay/engine_memory.rs
@@ -9,7 +9,7 @@
 use http::header::RETRY_AFTER;
 use http_body_util::{BodyExt, Full};
 use poplar_core::affinity::Query;
-use poplar_core::deployment::Server;
+use poplar_core::deployment::{ColdNotice, Server};
 use poplar_router::relay::gossip::{LoadMessage, ServerWork};
 use poplar_router::relay::servers::{Demand, InFlight, Requirement, Servers, Unavailable};
 
@@ -120,6 +120,7 @@
         software: "v1".into(),
         ready: true,
         started_ms: 1,
+        cold: ColdNotice::default(),
         slots: 8,
     };
     servers.update((0..count).map(server).collect(), 1, now);
--- a/crates/router/tests/relay/home_regions.rs
+++ b/crates/router/tests/relay/home_regions.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use poplar_core::deployment::Server;
+use poplar_core::deployment::{ColdNotice, Server};
 use poplar_core::id::Name;
 use poplar_router::relay::paths::tunnel::{self, TunnelError};
 use serde_json::{Value, json};
@@ -166,6 +166,7 @@
         ready: true,
         started_ms: 5,
         slots: 8,
+        cold: ColdNotice::default(),
     };
     let south: [Name; 1] = ["south".into()];
     let confined = tunnel::open(at.ip(), at, &server, Some(&south)).await;
--- a/crates/router/tests/relay/load_messages.rs
+++ b/crates/router/tests/relay/load_messages.rs
@@ -1,7 +1,8 @@
 //! Datagrams of load between routers of this build and of the ones before.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use poplar_core::cold::Report;
 use poplar_router::relay::gossip::{LoadMessage, ServerWork, encode_in_time, period};
 use poplar_router::relay::servers::MESSAGE_LIFETIME;
 
@@ -75,3 +76,26 @@
     let same = encode_in_time(full.clone(), 200, now);
     assert_eq!(same, full.encode(now));
 }
+
+/// Guards against cold servers that are lost on the way between routers, and against a
+/// field that builds before this one do not expect where there are none.
+#[test]
+fn cold_servers_are_an_optional_part_of_a_message() {
+    let now = Instant::now();
+    let sent = LoadMessage {
+        cold: vec![Report {
+            server: "i-1".into(),
+            process: 7,
+            left: Duration::from_millis(2_900),
+        }],
+        ..message(work(0, 0))
+    };
+    let datagram = sent.clone().encode(now);
+    let value: serde_json::Value = serde_json::from_slice(&datagram).expect("valid JSON");
+    assert_eq!(value["cold"], serde_json::json!([["i-1", 7, 2_900]]));
+    assert_eq!(value["work"], serde_json::json!([["i-1", 2, 900]]));
+    assert_eq!(LoadMessage::decode(&datagram, now).expect("valid"), sent);
+    let without = message(work(0, 0)).encode(now);
+    let value: serde_json::Value = serde_json::from_slice(&without).expect("valid JSON");
+    assert!(value.get("cold").is_none());
+}
--- a/crates/router/tests/relay/request_costs.rs
+++ b/crates/router/tests/relay/request_costs.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use poplar_core::affinity::Query;
-use poplar_core::deployment::Server;
+use poplar_core::deployment::{ColdNotice, Server};
 use poplar_platform::headers::ServerLoad;
 use poplar_router::relay::gossip::{LoadMessage, ServerWork};
 use poplar_router::relay::servers::{Demand, InFlight, Requirement, Servers};
@@ -24,6 +24,7 @@
         software: "v1".into(),
         ready: true,
         started_ms: 1,
+        cold: ColdNotice::default(),
         slots: 8,
     };
     let servers = Servers::new("a".into(), Ipv4Addr::LOCALHOST.into(), DRAIN_TIME);
--- a/crates/router/tests/relay/servers.rs
+++ b/crates/router/tests/relay/servers.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use poplar_core::affinity::{Query, home_server};
-use poplar_core::deployment::Server;
+use poplar_core::deployment::{ColdNotice, Server};
 use poplar_core::id::Name;
 use poplar_router::relay::servers::{Demand, InFlight, Listing, Requirement, Servers};
 
@@ -25,6 +25,7 @@
         ready: true,
         started_ms,
         slots: 8,
+        cold: ColdNotice::default(),
     }
 }
 
--- a/crates/router/tests/relay/site/limited.rs
+++ b/crates/router/tests/relay/site/limited.rs
@@ -27,6 +27,8 @@
 pub(crate) struct LimitedServer {
     limit: Mutex<Option<f64>>,
     leaving: Mutex<bool>,
+    /// Milliseconds for which it stays cold, as its answers say.
+    cold: Mutex<Option<u64>>,
     /// The header with which requests are turned away, if they are.
     pause: Mutex<Option<String>>,
     status: StatusCode,
@@ -42,6 +44,7 @@
         let server = Arc::new(Self {
             limit: Mutex::default(),
             leaving: Mutex::default(),
+            cold: Mutex::default(),
             pause: Mutex::default(),
             address: Mutex::default(),
             status,
@@ -60,6 +63,23 @@
         store.register_started(id, "plain", address.expect("it serves"), started_ms);
     }
 
+    /// Registers it, as ready, with a process that stays cold for this time.
+    pub(crate) fn register_cold(&self, id: &str, started_ms: u64, cold_ms: u64, store: &Store) {
+        let address = *self.address.lock().expect("no panic");
+        store.register_cold(
+            id,
+            "plain",
+            address.expect("it serves"),
+            started_ms,
+            cold_ms,
+        );
+    }
+
+    /// Has it say in all its answers how long it stays cold.
+    pub(crate) fn set_cold(&self, cold_ms: Option<u64>) {
+        *self.cold.lock().expect("no panic") = cold_ms;
+    }
+
     /// Has it say in all its answers that it leaves.
     pub(crate) fn set_leaving(&self, leaving: bool) {
         *self.leaving.lock().expect("no panic") = leaving;
@@ -144,6 +164,9 @@
         if *self.leaving.lock().expect("no panic") {
             headers.insert("server-leaving", "1".parse().ok()?);
         }
+        if let Some(cold_ms) = *self.cold.lock().expect("no panic") {
+            headers.insert("x-poplarreel-cold-ms", cold_ms.into());
+        }
         if let Some(limit) = *self.limit.lock().expect("no panic") {
             headers.insert("server-limit", limit.to_string().parse().ok()?);
         }
--- a/crates/router/tests/relay/site/store.rs
+++ b/crates/router/tests/relay/site/store.rs
@@ -190,6 +190,21 @@
         self.set("servers", "", id, &entry.to_string());
     }
 
+    /// Registers a backend server that stays cold for this time.
+    pub(crate) fn register_cold(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        started_ms: u64,
+        cold_ms: u64,
+    ) {
+        let mut entry = entry(service, address);
+        entry["born"] = json!(started_ms);
+        entry["cold_remaining_ms"] = json!(cold_ms);
+        self.set("servers", "", id, &entry.to_string());
+    }
+
     /// Registers a backend server with the time of its start.
     pub(crate) fn register_started(
         &self,
