--- a/crates/router/tests/relay/site/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -184,9 +184,14 @@
         self.lives.begin();
     }
 
+    /// The id of the process that runs.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.as_ref().expect("a process runs").id()
+    }
+
     /// The most memory that the process has used so far.
     pub(crate) fn peak_memory_kb(&self) -> u64 {
-        let id = self.child.as_ref().expect("a process runs").id();
+        let id = self.id();
         let status = fs::read_to_string(format!("/proc/{id}/status")).expect("a status");
         let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
         let number = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
