Bound what clients occupy at a host that names its limits

Connections were accepted without a bound, and bodies were collected with the buffers in which their pieces arrived. Clients that finish nothing could thus take all memory and all descriptors of a host.

Bodies are now copied into one buffer, reserve their memory from a share of limits.memory_mb first, and those without progress are ended as not run for another one. A declared length beyond the limit is refused at once. Connections have a bound from limits.memory_mb and limits.max_fds; an idle one or one with an incomplete head is closed for a new one. The readiness and metrics listeners have 16 connections each. Answers count until the client has taken them. Buffers of a connection are allocated with its first byte.

Settings without memory_mb and max_fds bound nothing, as before, except that the declared length is checked first.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod bill;
 pub mod budget;
 pub mod claim;
+pub mod client_limits;
 pub mod cold;
 pub mod completion;
 pub mod config;
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -8,13 +8,11 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header, response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use poplar_base::log;
-use poplar_core::deployment::{Deployment, Limits, Workspace};
+use poplar_core::deployment::{Deployment, Workspace};
 use poplar_core::retry::Failure;
 use poplar_platform::headers::{self, RequestHead};
-use tokio::time::timeout;
 
 use crate::relay::budgets::{Reservation, ReserveError};
 use crate::relay::exchange::Exchange;
@@ -122,7 +120,8 @@
     arrived: Instant,
 ) -> Result<Response<Body>, Refusal> {
     let deployment = deployment.ok_or(Refusal::not_run("no configuration", UNREADY_RETRY_AFTER))?;
-    let body = read_body(body, &deployment.limits).await?;
+    let memory = &relay.body_memory;
+    let body = memory.read(body, &parts, &deployment.limits).await?;
     let mut request = identify(&deployment, parts, body, head, arrived)?;
     let kind = request.route.kind;
     let takes = |stop: Stop| stop.takes(kind, request.deadline, Instant::now());
@@ -141,24 +140,6 @@
     }
 }
 
-/// Reads the body of a request within the limits of size and time.
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
-    let collected = timeout(
-        limits.receive_timeout,
-        Limited::new(body, limits.max_body).collect(),
-    )
-    .await;
-    let refusal = |status, reason| Err(Refusal::new(status, reason));
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(why)) if why.is::<LengthLimitError>() => {
-            refusal(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
-        }
-        Ok(Err(_)) => refusal(StatusCode::BAD_REQUEST, "body broke off"),
-        Err(_) => refusal(StatusCode::REQUEST_TIMEOUT, "body too slow"),
-    }
-}
-
 /// Finds a request's route, workspace, service and deadline.
 fn identify(
     deployment: &Deployment,
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -4,18 +4,20 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use crate::relay::connections::{ClientAddress, ClientStream, Connections, Place, ServedBody};
 use crate::relay::handler;
 use crate::relay::refusal::{self, Body};
 use crate::relay::state::Relay;
@@ -24,6 +26,13 @@
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
 /// Longest idle time of a connection until there is a configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest time for a request head until there is a configuration.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often connections are checked for clients that take too long.
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Most connections for readiness checks, and for readers of the metrics, if the host
+/// names limits. The load balancer checks once a second.
+const FEW_CONNECTIONS: usize = 16;
 /// The smallest limit of a request head in bytes that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 /// Pause after a failed accept, so that the loop does not spin while the
@@ -37,17 +46,21 @@
         let relay = relay.clone();
         move |request| handler::serve(relay.clone(), request)
     };
+    let state = relay.clone();
     let limits = move || {
-        let deployment = relay.deployment();
+        let deployment = state.deployment();
         deployment.map_or((DEFAULT_MAX_HEAD_BYTES, DEFAULT_IDLE_TIMEOUT), |s| {
             (s.limits.max_head, s.limits.idle_timeout)
         })
     };
-    accept(listener, serve, limits, stop).await;
+    let clients = relay.callers.clone();
+    tokio::spawn(close_overdue(clients.clone(), relay, stop.clone()));
+    accept(listener, serve, limits, clients, stop).await;
 }
 
 /// Answers the readiness checks of the load balancer.
 pub async fn serve_readiness(listener: TcpListener, relay: Arc<Relay>, stop: CancellationToken) {
+    let clients = open_few("readiness", &relay, &stop);
     let serve = move |_| {
         let status = if relay.is_ready() {
             StatusCode::OK
@@ -62,6 +75,7 @@
         listener,
         serve,
         || (DEFAULT_MAX_HEAD_BYTES, DEFAULT_IDLE_TIMEOUT),
+        clients,
         stop,
     )
     .await;
@@ -74,8 +88,9 @@
     recorder: PrometheusHandle,
     stop: CancellationToken,
 ) {
+    let clients = open_few("metrics", &relay, &stop);
     let serve = move |_| {
-        let now = std::time::Instant::now();
+        let now = Instant::now();
         metrics::gauge!("poplar_requests_open").set(relay.open_requests() as f64);
         metrics::gauge!("poplar_requests_at_servers")
             .set(f64::from(relay.servers.in_flight_count()));
@@ -123,15 +138,42 @@
         listener,
         serve,
         || (DEFAULT_MAX_HEAD_BYTES, DEFAULT_IDLE_TIMEOUT),
+        clients,
         stop,
     )
     .await;
 }
 
+/// The connections at a listener that needs only a few.
+fn open_few(
+    listener: &'static str,
+    relay: &Arc<Relay>,
+    stop: &CancellationToken,
+) -> Arc<Connections> {
+    let limit = relay.callers.is_limited().then_some(FEW_CONNECTIONS);
+    let clients = Connections::open(listener, limit);
+    tokio::spawn(close_overdue(clients.clone(), relay.clone(), stop.clone()));
+    clients
+}
+
+/// Closes connections of clients that take too long, if the host names limits.
+async fn close_overdue(clients: Arc<Connections>, relay: Arc<Relay>, stop: CancellationToken) {
+    if !clients.is_limited() {
+        return;
+    }
+    while timeout(CHECK_PERIOD, stop.cancelled()).await.is_err() {
+        let deployment = relay.deployment();
+        let head_timeout = deployment.map_or(DEFAULT_HEAD_TIMEOUT, |d| d.limits.receive_timeout);
+        let is_full = relay.response_memory.is_nearly_full();
+        clients.close_overdue(head_timeout, is_full, Instant::now());
+    }
+}
+
 async fn accept<F>(
     listener: TcpListener,
     serve: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     limits: impl Fn() -> (usize, Duration),
+    clients: Arc<Connections>,
     stop: CancellationToken,
 ) where
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -142,32 +184,71 @@
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, from)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        let Some(place) = clients.admit(from.ip(), Instant::now()) else {
+            drop(stream);
+            // Connections that are to be closed close meanwhile.
+            tokio::task::yield_now().await;
+            continue;
+        };
         // Without this, a small event would wait until more bytes are written.
         let _ = stream.set_nodelay(true);
-        let (head, idle) = limits();
-        let serve = serve.clone();
-        let service = service_fn(move |request| {
-            let answer = serve(request);
-            async { Ok::<_, Infallible>(answer.await) }
-        });
-        // In hyper, the time-out for reading a head also applies to idle
-        // connections.
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(idle)
-            .max_buf_size(head.max(MIN_HEAD_BYTES))
-            .serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
+        let (watcher, stop) = (graceful.watcher(), stop.clone());
+        let (serve, (head, idle)) = (serve.clone(), limits());
         tokio::spawn(async move {
-            // An error means that the caller closed the connection; it is
-            // ignored.
-            let _ = connection.await;
+            // The buffers of a connection are allocated when its first byte comes.
+            let begun = timeout(idle, stream.readable());
+            tokio::select! {
+                begun = begun => if !matches!(begun, Ok(Ok(()))) { return },
+                () = place.client.close.cancelled() => return,
+                () = stop.cancelled() => return,
+            }
+            let connection = connect(stream, &place, serve, head, idle);
+            tokio::select! {
+                // An error means that the caller closed the connection; it is
+                // ignored.
+                _ = watcher.watch(connection) => {}
+                () = place.client.close.cancelled() => {}
+            }
         });
     }
     drop(listener);
     graceful.shutdown().await;
 }
+
+/// The connection of a client, whose requests are answered by `serve`.
+fn connect<F>(
+    stream: TcpStream,
+    place: &Place,
+    serve: impl Fn(Request<Incoming>) -> F + Send + 'static,
+    head: usize,
+    idle: Duration,
+) -> impl GracefulConnection<Error = hyper::Error>
+where
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let client = place.client.clone();
+    let stream = ClientStream {
+        stream,
+        client: client.clone(),
+    };
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let serving = client.begin_request();
+        let address = ClientAddress(client.address());
+        request.extensions_mut().insert(address);
+        let answer = serve(request);
+        async {
+            let answer = answer.await;
+            Ok::<_, Infallible>(answer.map(|body| ServedBody { body, serving }))
+        }
+    });
+    // In hyper, the time-out for reading a head also applies to idle connections.
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(head.max(MIN_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service)
+}
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -11,6 +11,7 @@
 
 mod age;
 pub mod budgets;
+pub mod connections;
 pub mod costs;
 pub mod crashes;
 pub mod exchange;
@@ -20,6 +21,7 @@
 pub mod lifecycle;
 pub mod limits;
 pub mod listeners;
+pub mod memory;
 pub mod paths;
 pub mod refusal;
 pub mod request;
--- a/crates/router/src/relay/response_memory.rs
+++ b/crates/router/src/relay/response_memory.rs
@@ -14,7 +14,8 @@
 
 /// Largest body, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
-/// Most bytes of all that is kept: about a fifth of the memory of the smallest host.
+/// Most bytes of all that is kept, unless the host has less memory: about a fifth of the
+/// memory of the smallest host.
 const MAX_TOTAL_BYTES: usize = 24 << 20;
 /// Size up to which a body or an event is kept also if all together are too large, so
 /// that ordinary answers don't fail because of a few that have no end. A thousand of
@@ -22,8 +23,11 @@
 const SMALL_BYTES: usize = 16 << 10;
 
 /// Memory of all that is kept.
-#[derive(Debug, Default)]
-pub struct ResponseMemory(AtomicUsize);
+#[derive(Debug)]
+pub struct ResponseMemory {
+    kept: AtomicUsize,
+    limit: usize,
+}
 
 /// What one answer keeps, which counts until this is dropped.
 #[derive(Debug)]
@@ -32,29 +36,54 @@
     counted: usize,
 }
 
+/// A complete body, which counts until the client has taken it.
+struct Kept {
+    bytes: BytesMut,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for Kept {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Share {
     /// Records that the answer keeps this many bytes now; false if there is no room
     /// for them.
     #[must_use]
     pub fn set(&mut self, bytes: usize) -> bool {
-        let total = &self.memory.0;
+        let total = &self.memory.kept;
         if bytes >= self.counted {
             total.fetch_add(bytes - self.counted, Ordering::AcqRel);
         } else {
             total.fetch_sub(self.counted - bytes, Ordering::AcqRel);
         }
         self.counted = bytes;
-        bytes <= SMALL_BYTES || total.load(Ordering::Acquire) <= MAX_TOTAL_BYTES
+        bytes <= SMALL_BYTES || total.load(Ordering::Acquire) <= self.memory.limit
     }
 }
 
 impl Drop for Share {
     fn drop(&mut self) {
-        self.memory.0.fetch_sub(self.counted, Ordering::AcqRel);
+        self.memory.kept.fetch_sub(self.counted, Ordering::AcqRel);
     }
 }
 
 impl ResponseMemory {
+    /// Memory of so many bytes; `None` if the host names no limit.
+    pub fn open(limit: Option<usize>) -> Arc<Self> {
+        Arc::new(Self {
+            kept: AtomicUsize::new(0),
+            limit: limit.map_or(MAX_TOTAL_BYTES, |limit| limit.min(MAX_TOTAL_BYTES)),
+        })
+    }
+
+    /// Whether more than three quarters are in use.
+    pub fn is_nearly_full(&self) -> bool {
+        self.kept.load(Ordering::Acquire) > self.limit / 4 * 3
+    }
+
     /// The share of an answer, which keeps nothing yet.
     pub fn share(self: &Arc<Self>) -> Share {
         Share {
@@ -80,6 +109,12 @@
                 }
             }
         }
-        Ok(bytes.freeze())
+        if bytes.is_empty() {
+            return Ok(Bytes::new());
+        }
+        Ok(Bytes::from_owner(Kept {
+            bytes,
+            _share: share,
+        }))
     }
 }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
+use poplar_core::client_limits::ClientShares;
 use poplar_core::deployment::Deployment;
 use poplar_core::id::{Incarnation, Name};
 use poplar_core::retry::share::{SharedBudget, Shares};
@@ -12,8 +13,10 @@
 use tokio::sync::Notify;
 
 use crate::relay::budgets::Budgets;
+use crate::relay::connections::Connections;
 use crate::relay::costs::Costs;
 use crate::relay::crashes::Crashes;
+use crate::relay::memory::BodyMemory;
 use crate::relay::paths::Paths;
 use crate::relay::response_memory::ResponseMemory;
 use crate::relay::servers::Servers;
@@ -54,6 +57,10 @@
     pub limits_read: LastRead,
     /// Memory of responses that are not forwarded yet.
     pub response_memory: Arc<ResponseMemory>,
+    /// Memory of the bodies of requests.
+    pub body_memory: Arc<BodyMemory>,
+    /// Connections of callers.
+    pub callers: Arc<Connections>,
     retry_limits: RwLock<SharedBudget>,
     retry_shares: Mutex<Shares>,
     stop: Mutex<Option<Stop>>,
@@ -109,6 +116,7 @@
         let store = Store::open(settings.store);
         let incarnation = rand::random();
         let limits = retry_limits(&settings);
+        let shares = ClientShares::new(settings.host.memory, settings.host.descriptors);
         let budgets = Budgets::new(store.clone(), settings.ip, incarnation);
         let servers = Servers::new(settings.centre.clone(), settings.ip, settings.drain_time);
         servers.set_cold_excess(settings.cold_excess);
@@ -125,7 +133,9 @@
             server_list_read: LastRead::default(),
             crash_reports_read: LastRead::default(),
             limits_read: LastRead::default(),
-            response_memory: Arc::default(),
+            response_memory: ResponseMemory::open(shares.responses),
+            body_memory: BodyMemory::open(shares.bodies),
+            callers: Connections::open("callers", shares.connections),
             retry_limits: RwLock::new(limits),
             retry_shares: Mutex::new(Shares::new(Instant::now())),
             stop: Mutex::default(),
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -13,8 +13,9 @@
 //! 8. the burn counts.
 //!
 //! On the users' platform the locks are those of the configuration, the state of
-//! the servers, the costs of requests, the paths to servers, the state of the budgets, the crashes, the streams and the retry shares. There,
-//! none is taken while another is held.
+//! the servers, the costs of requests, the paths to servers, the state of the budgets,
+//! the crashes, the streams, the retry shares, the connections of clients, each of these
+//! connections, and the bodies that are read. There, none is taken while another is held.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
