Keep descriptors for servers and tunnels, and describe the limits for clients

Half of the descriptors were for callers, whose requests have as many connections to servers, so that 256 tunnels could exceed the rest on a host with 3,075. Callers and servers have three eighths each now, tunnels an eighth. While all connections are taken, bodies without progress are ended. A request that arrives as the stop begins is read first.

--- a/crates/core/src/client_limits/mod.rs
+++ b/crates/core/src/client_limits/mod.rs
@@ -24,6 +24,8 @@
 const CONNECTION_BYTES: f64 = 44.0 * 1024.0;
 /// The least number of connections of callers, however small the host is.
 const MIN_CONNECTIONS: usize = 32;
+/// The least number of tunnels.
+const MIN_TUNNELS: usize = 8;
 /// Time between two log lines with the same reason.
 const LOG_PERIOD: Duration = Duration::from_secs(1);
 
@@ -36,27 +38,33 @@
     pub responses: Option<usize>,
     /// Connections of callers.
     pub connections: Option<usize>,
+    /// Connections to servers for other routers.
+    pub tunnels: Option<usize>,
 }
 
 impl ClientShares {
     /// Divides the memory in bytes and the file descriptors of a host.
     ///
     /// The rest of the memory is left for the process itself, the store, and messages
-    /// between routers. Half of the descriptors that are not for files are left for
-    /// servers, other routers, the store and the other listeners.
+    /// between routers. Of the descriptors that are not for files, three eighths are for
+    /// callers, as many for the servers of their requests, and an eighth for tunnels, of
+    /// which each has two. The rest is left for the store, other routers and the other
+    /// listeners.
     pub fn new(memory: Option<u64>, descriptors: Option<u64>) -> Self {
         let part = |ratio: f64| memory.map(|memory| (memory as f64 * ratio) as usize);
         let by_memory = part(CONNECTION_MEMORY).map(|bytes| bytes as f64 / CONNECTION_BYTES);
-        let by_descriptors = descriptors.map(|count| count.saturating_sub(FILE_DESCRIPTORS) / 2);
+        let sockets = descriptors.map(|count| count.saturating_sub(FILE_DESCRIPTORS));
+        let sockets = sockets.map(|count| usize::try_from(count).unwrap_or(usize::MAX));
         let connections = [
             by_memory.map(|count| count as usize),
-            by_descriptors.map(|count| usize::try_from(count).unwrap_or(usize::MAX)),
+            sockets.map(|count| count / 8 * 3),
         ];
         let connections = connections.into_iter().flatten().min();
         Self {
             bodies: part(BODY_MEMORY),
             responses: part(RESPONSE_MEMORY),
             connections: connections.map(|count| count.max(MIN_CONNECTIONS)),
+            tunnels: sockets.map(|count| (count / 16).max(MIN_TUNNELS)),
         }
     }
 }
--- a/crates/router/src/relay/connections.rs
+++ b/crates/router/src/relay/connections.rs
@@ -86,6 +86,11 @@
         lock(&self.open).len()
     }
 
+    /// Whether as many are open as may be.
+    pub fn is_full(&self) -> bool {
+        self.limit.is_some_and(|limit| self.count() >= limit)
+    }
+
     /// Whether there is a limit.
     pub fn is_limited(&self) -> bool {
         self.limit.is_some()
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -30,6 +30,8 @@
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// How often connections are checked for clients that take too long.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Most bodies without progress that one check ends if no connection is left.
+const MAX_ENDED: usize = 16;
 /// Most connections for readiness checks, and for readers of the metrics, if the host
 /// names limits. The load balancer checks once a second.
 const FEW_CONNECTIONS: usize = 16;
@@ -92,6 +94,8 @@
     let serve = move |_| {
         let now = Instant::now();
         metrics::gauge!("poplar_requests_open").set(relay.open_requests() as f64);
+        metrics::gauge!("poplar_client_connections").set(relay.callers.count() as f64);
+        metrics::gauge!("poplar_client_body_bytes").set(relay.body_memory.used() as f64);
         metrics::gauge!("poplar_requests_at_servers")
             .set(f64::from(relay.servers.in_flight_count()));
         metrics::gauge!("poplar_crash_requests").set(relay.crashes.suspected_requests() as f64);
@@ -165,7 +169,13 @@
         let deployment = relay.deployment();
         let head_timeout = deployment.map_or(DEFAULT_HEAD_TIMEOUT, |d| d.limits.receive_timeout);
         let is_full = relay.response_memory.is_nearly_full();
-        clients.close_overdue(head_timeout, is_full, Instant::now());
+        let now = Instant::now();
+        clients.close_overdue(head_timeout, is_full, now);
+        // Requests whose bodies stop halfway keep their connections, too.
+        let mut ends = if clients.is_full() { MAX_ENDED } else { 0 };
+        while ends > 0 && relay.body_memory.end_slowest(now) {
+            ends -= 1;
+        }
     }
 }
 
@@ -202,6 +212,8 @@
             // The buffers of a connection are allocated when its first byte comes.
             let begun = timeout(idle, stream.readable());
             tokio::select! {
+                // A request that has arrived is served also if the stop begins now.
+                biased;
                 begun = begun => if !matches!(begun, Ok(Ok(()))) { return },
                 () = place.client.close.cancelled() => return,
                 () = stop.cancelled() => return,
--- a/crates/router/src/relay/paths/tunnel.rs
+++ b/crates/router/src/relay/paths/tunnel.rs
@@ -173,7 +173,8 @@
         // Other routers ask another one.
         Err(why) => return log::error("tunnels disabled").reason(why).write(),
     };
-    let places = Arc::new(Semaphore::new(MAX_TUNNELS));
+    let most = relay.shares.tunnels.unwrap_or(MAX_TUNNELS);
+    let places = Arc::new(Semaphore::new(most.min(MAX_TUNNELS)));
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -57,6 +57,8 @@
     pub limits_read: LastRead,
     /// Memory of responses that are not forwarded yet.
     pub response_memory: Arc<ResponseMemory>,
+    /// What clients may occupy.
+    pub shares: ClientShares,
     /// Memory of the bodies of requests.
     pub body_memory: Arc<BodyMemory>,
     /// Connections of callers.
@@ -136,6 +138,7 @@
             response_memory: ResponseMemory::open(shares.responses),
             body_memory: BodyMemory::open(shares.bodies),
             callers: Connections::open("callers", shares.connections),
+            shares,
             retry_limits: RwLock::new(limits),
             retry_shares: Mutex::new(Shares::new(Instant::now())),
             stop: Mutex::default(),
