Refuse at a host what its link can't carry, and don't blame its delays on others

Cause: the load balancer hashes by client, so that the clients of one workspace meet at one host of 10 Mbit/s, which gets some 200 of the fleet's 460 requests a second. Connections to servers then take longer than their time-out; the host took that for a lost path to the servers and sent each request by way of other routers, over the same link.

A host now estimates the wait on its link from the settings and refuses what is beyond 150 ms when the head is read, the workspace that fills the host first. While it refuses or even its fastest connections are slow, time-outs count neither against paths nor against servers. While it refuses much, it reports itself not ready. Route and key are looked up before the body is read.

Tests seen failing: without the check of own delays the path counts as lost (a_host_that_is_late_...); with no stated link nothing is refused.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod availability;
 pub mod bill;
 pub mod budget;
+pub mod capacity;
 pub mod claim;
 pub mod client_limits;
 pub mod cold;
--- a/crates/router/src/relay/exchange/connect.rs
+++ b/crates/router/src/relay/exchange/connect.rs
@@ -86,8 +86,11 @@
                     .crashes
                     .record_dead_server(&in_flight.server, Evidence::Refused, now);
             }
-            for _ in 0..CONNECT_FAILURE_WEIGHT {
-                in_flight.record_outcome(false, now);
+            // A time-out of a host that is itself late says nothing of the server.
+            if why == ConnectError::Refused || !self.relay.capacity.is_late(now) {
+                for _ in 0..CONNECT_FAILURE_WEIGHT {
+                    in_flight.record_outcome(false, now);
+                }
             }
             Failure::Connect
         })
--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -30,10 +30,12 @@
 pub use self::silence::CHECK_INTERVAL;
 
 use crate::relay::budgets::{Reservation, format_lender};
+use crate::relay::capacity::PACKET_BYTES;
 use crate::relay::crashes::Evidence;
 use crate::relay::refusal::Refusal;
 use crate::relay::request::{CRASHES_SERVERS, ClientRequest, format_resource};
 use crate::relay::servers::{Demand, InFlight, Requirement, Unavailable};
+use crate::relay::sse::Event;
 use crate::relay::state::{OpenRequest, Relay};
 use crate::relay::upstream::{self, Connection, Framing};
 
@@ -94,6 +96,8 @@
     pub last_event: Option<u64>,
     /// Output tokens forwarded so far.
     output: u64,
+    /// Bytes of the answer forwarded so far, with the headers of packets.
+    answer_bytes: usize,
     /// A server's error response, which is forwarded if no other server
     /// succeeds.
     pub fallback: Option<(response::Parts, Bytes)>,
@@ -129,6 +133,7 @@
             reserved: None,
             sent: Arc::default(),
             output: 0,
+            answer_bytes: 0,
             fallback: None,
             first_event: None,
             framing: Framing::None,
@@ -166,9 +171,15 @@
         self.relay.streams.record_whole(began);
     }
 
+    /// Records that this many bytes of an answer are forwarded in one piece.
+    pub fn record_bytes(&mut self, bytes: usize) {
+        self.answer_bytes += bytes + PACKET_BYTES;
+    }
+
     /// Records that an event was forwarded.
-    pub fn record_event(&mut self, number: Option<u64>) {
-        self.last_event = number.or(self.last_event);
+    pub fn record_event(&mut self, event: &Event) {
+        self.record_bytes(event.bytes.len());
+        self.last_event = event.number.or(self.last_event);
         self.output += self.request.stride;
         if let Some((_, heard)) = &mut self.awaited {
             *heard = Instant::now();
@@ -471,6 +482,10 @@
         {
             self.suspect(&server, Failure::Timeout, now);
         }
+        if self.answer_bytes > 0 {
+            let route = &self.request.route.name;
+            self.relay.capacity.record_answer(route, self.answer_bytes);
+        }
         let took = self.request.arrived.elapsed();
         let first = self.first_event.unwrap_or_else(Instant::now);
         let first = first.saturating_duration_since(self.request.arrived);
--- a/crates/router/src/relay/handler.rs
+++ b/crates/router/src/relay/handler.rs
@@ -10,11 +10,13 @@
 use http::{Request, Response, StatusCode, header, response};
 use hyper::body::Incoming;
 use poplar_base::log;
-use poplar_core::deployment::{Deployment, Workspace};
+use poplar_core::deployment::{Deployment, Route, Workspace};
+use poplar_core::id::Name;
 use poplar_core::retry::Failure;
 use poplar_platform::headers::{self, RequestHead};
 
 use crate::relay::budgets::{Reservation, ReserveError};
+use crate::relay::capacity;
 use crate::relay::exchange::Exchange;
 use crate::relay::refusal::{self, Body, Refusal};
 use crate::relay::request::{self, ClientRequest, Identity};
@@ -84,8 +86,9 @@
         refusal.response(id.as_deref())
     });
     // After a chunked body the connection is not reused: the sender may have
-    // framed the bytes that follow in another way.
-    if chunked || relay.is_stopping() {
+    // framed the bytes that follow in another way. On an overloaded host, the next request
+    // would fill the link even if it is refused.
+    if chunked || relay.is_stopping() || relay.capacity.is_overloaded(Instant::now()) {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -120,9 +123,18 @@
     arrived: Instant,
 ) -> Result<Response<Body>, Refusal> {
     let deployment = deployment.ok_or(Refusal::not_run("no configuration", UNREADY_RETRY_AFTER))?;
+    let target = match match_route(&deployment, &parts, &head)
+        .and_then(|target| admit(relay, target, &body, arrived))
+    {
+        Ok(target) => target,
+        Err(refusal) => {
+            capacity::drain(body);
+            return Err(refusal);
+        }
+    };
     let memory = &relay.body_memory;
     let body = memory.read(body, &parts, &deployment.limits).await?;
-    let mut request = identify(&deployment, parts, body, head, arrived)?;
+    let mut request = identify(target, parts, body, head, arrived);
     let kind = request.route.kind;
     let takes = |stop: Stop| stop.takes(kind, request.deadline, Instant::now());
     if !relay.stop().is_none_or(takes) {
@@ -140,46 +152,88 @@
     }
 }
 
-/// Finds a request's route, workspace, service and deadline.
-fn identify(
-    deployment: &Deployment,
-    parts: http::request::Parts,
-    body: Bytes,
-    head: RequestHead,
+/// Passes a request on if this host has the capacity for it.
+fn admit(
+    relay: &Relay,
+    target: Target,
+    body: &Incoming,
     arrived: Instant,
-) -> Result<ClientRequest, Refusal> {
+) -> Result<Target, Refusal> {
+    let workspace = target.workspace.as_ref().map(|w| &w.name);
+    let route = &target.route.name;
+    let admitted = relay.capacity.admit(route, workspace, body, arrived);
+    admitted.map(|()| target)
+}
+
+/// Where a request is sent, as its head tells.
+#[derive(Debug)]
+struct Target {
+    route: Route,
+    workspace: Option<Workspace>,
+    service: Name,
+    /// Output tokens in one event.
+    stride: u32,
+}
+
+/// Finds a request's route, workspace and service.
+fn match_route(
+    deployment: &Deployment,
+    parts: &http::request::Parts,
+    head: &RequestHead,
+) -> Result<Target, Refusal> {
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
     let host = host.to_ascii_lowercase();
     let route = deployment.route(&host, parts.uri.path());
     let route = route.ok_or(Refusal::by_configuration(StatusCode::NOT_FOUND, "no route"))?;
-    let workspace = find_workspace(deployment, &head, route.allow_anonymous)?;
+    let workspace = find_workspace(deployment, head, route.allow_anonymous)?;
     let service = route.pick_service(rand::random());
     let service = service.ok_or(Refusal::by_configuration(
         StatusCode::NOT_FOUND,
         "no service",
     ))?;
     let known = deployment.services.get(&**service);
-    let stride = known.and_then(|s| s.engine).map_or(1, |e| e.stride);
+    Ok(Target {
+        stride: known.and_then(|s| s.engine).map_or(1, |e| e.stride),
+        service: service.clone(),
+        route: route.clone(),
+        workspace,
+    })
+}
+
+/// The request with its features and deadline.
+fn identify(
+    target: Target,
+    parts: http::request::Parts,
+    body: Bytes,
+    head: RequestHead,
+    arrived: Instant,
+) -> ClientRequest {
+    let Target {
+        route,
+        workspace,
+        service,
+        stride,
+    } = target;
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let features = request::features(&Identity {
         method: &parts.method,
         uri: &parts.uri,
         workspace: workspace.as_ref(),
         route: &route.name,
-        service,
+        service: &service,
         prompt: &head.prompt_parts,
         shared: head.shared_parts(),
         body: &body,
     });
-    Ok(ClientRequest {
+    ClientRequest {
         features,
         software: None,
         on_trial: false,
         stride: u64::from(stride),
-        service: service.clone(),
-        route: route.clone(),
+        service,
+        route,
         head,
         method: parts.method,
         uri: parts.uri,
@@ -188,7 +242,7 @@
         workspace,
         arrived,
         deadline: arrived + timeout,
-    })
+    }
 }
 
 fn find_workspace(
@@ -268,6 +322,7 @@
         {
             Ok(bytes) => {
                 exchange.record_answer(response.head.status);
+                exchange.record_bytes(bytes.len());
                 let failed = response.head.status.is_server_error();
                 let now = Instant::now();
                 response.in_flight.record_outcome(!failed, now);
--- a/crates/router/src/relay/lifecycle.rs
+++ b/crates/router/src/relay/lifecycle.rs
@@ -15,7 +15,7 @@
 use crate::metrics;
 use crate::relay::paths::tunnel;
 use crate::relay::state::Relay;
-use crate::relay::{crashes, gossip, limits, listeners, streams, watch};
+use crate::relay::{capacity, crashes, gossip, limits, listeners, streams, watch};
 
 /// Port of the metrics page. The deploy file names the same port.
 pub const METRICS_PORT: u16 = 9464;
@@ -67,6 +67,7 @@
     tokio::spawn(limits::run(relay.clone()));
     tokio::spawn(streams::table::run(relay.clone()));
     tokio::spawn(gossip::run(relay.clone()));
+    tokio::spawn(capacity::watch_timers(relay.capacity.clone()));
     tokio::spawn(tunnel::run(relay.clone()));
     let leases = SocketAddr::new(relay.settings.ip, relay.settings.internal_ports.1);
     match tokio::net::UdpSocket::bind(leases).await {
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -104,6 +104,9 @@
         let (own, most) = relay.servers.held_tokens(now);
         metrics::gauge!("poplar_engine_memory_own_tokens").set(own as f64);
         metrics::gauge!("poplar_engine_memory_most_tokens").set(most as f64);
+        let (wait, factor) = relay.capacity.figures();
+        metrics::gauge!("poplar_host_wait_seconds").set(wait);
+        metrics::gauge!("poplar_host_capacity_factor").set(factor);
         metrics::gauge!("poplar_paths_lost").set(relay.paths.lost_count() as f64);
         for (reason, count) in relay.servers.left_out(now) {
             metrics::gauge!("poplar_servers_left_out", "reason" => reason.label())
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -2,15 +2,17 @@
 //! whose bodies it does not interpret, to the backend servers that the
 //! operator's routes name.
 //!
-//! [`handler`] matches a request with its route and reserves its tokens in the
+//! [`handler`] matches a request with its route, checks that this host has the
+//! [`capacity`] for it, and reserves its tokens in the
 //! workspace's [`budgets`]; one that crashes servers is refused, see [`crashes`].
-//! [`exchange`] chooses a server among [`servers`], by the [`costs`] learned; they may have named [`limits`],
+//! [`exchange`] chooses a server among [`servers`] by the [`costs`] learned, which may have named [`limits`],
 //! sends the request and retries it where the route allows that. Responses of
 //! engines are forwarded event by event in [`stream`]. The formats of the platform
 //! are decoded by `poplar_platform`.
 
 mod age;
 pub mod budgets;
+pub mod capacity;
 pub mod connections;
 pub mod costs;
 pub mod crashes;
--- a/crates/router/src/relay/paths/mod.rs
+++ b/crates/router/src/relay/paths/mod.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpStream;
 
 use crate::relay::budgets::Budgets;
+use crate::relay::capacity::HostCapacity;
 use crate::relay::state::format_age;
 use crate::relay::upstream::{self, ConnectError, Connection};
 use crate::sync::lock;
@@ -65,16 +66,24 @@
     port: u16,
     /// Knows the other live routers.
     budgets: Arc<Budgets>,
+    /// Knows whether this host itself is late.
+    capacity: Arc<HostCapacity>,
     state: Mutex<State>,
 }
 
 impl Paths {
     /// The paths from the host at `address`; other routers are asked at `port`.
-    pub fn new(address: IpAddr, port: u16, budgets: Arc<Budgets>) -> Arc<Self> {
+    pub fn new(
+        address: IpAddr,
+        port: u16,
+        budgets: Arc<Budgets>,
+        capacity: Arc<HostCapacity>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             address,
             port,
             budgets,
+            capacity,
             state: Mutex::default(),
         })
     }
@@ -105,6 +114,10 @@
                 Err(why) => {
                     self.log_failed(server, request, why);
                     refused = why == ConnectError::Refused;
+                    // Another router would be reached over the same full link.
+                    if !refused && self.capacity.is_late(Instant::now()) {
+                        return Err(ConnectError::NoAnswer);
+                    }
                 }
             }
         }
@@ -134,8 +147,21 @@
     /// # Errors
     /// [`ConnectError`]
     async fn dial(&self, server: &Server) -> Result<TcpStream, ConnectError> {
+        let began = Instant::now();
         let dialled = upstream::dial(self.address, server.address).await;
         let now = Instant::now();
+        match &dialled {
+            Ok(_) => {
+                let delay = now.saturating_duration_since(began);
+                self.capacity.record_connection(delay, now);
+            }
+            Err(ConnectError::NoAnswer) => self.capacity.record_timeout(now),
+            Err(ConnectError::Refused) => {}
+        }
+        // A time-out of a host that is itself late says nothing of the path.
+        if matches!(dialled, Err(ConnectError::NoAnswer)) && self.capacity.is_late(now) {
+            return dialled;
+        }
         let mut state = lock(&self.state);
         let path = state
             .services
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::relay::budgets::Budgets;
+use crate::relay::capacity::HostCapacity;
 use crate::relay::connections::Connections;
 use crate::relay::costs::Costs;
 use crate::relay::crashes::Crashes;
@@ -40,6 +41,8 @@
     pub costs: Costs,
     /// The paths to them.
     pub paths: Arc<Paths>,
+    /// What this host carries.
+    pub capacity: Arc<HostCapacity>,
     /// Prepaid budgets of the workspaces.
     pub budgets: Arc<Budgets>,
     /// Requests that were on servers when these crashed.
@@ -122,11 +125,14 @@
         let budgets = Budgets::new(store.clone(), settings.ip, incarnation);
         let servers = Servers::new(settings.centre.clone(), settings.ip, settings.drain_time);
         servers.set_cold_excess(settings.cold_excess);
-        let paths = Paths::new(settings.ip, settings.internal_ports.0, budgets.clone());
+        let capacity = HostCapacity::new(settings.host.link);
+        let port = settings.internal_ports.0;
+        let paths = Paths::new(settings.ip, port, budgets.clone(), capacity.clone());
         Arc::new(Self {
             servers,
             costs: Costs::default(),
             paths: paths.clone(),
+            capacity,
             budgets,
             crashes: Crashes::open(Incarnation::new(&settings.name, incarnation), paths),
             streams: StreamVersions::open(),
@@ -231,7 +237,8 @@
     /// Whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
         let loaded = self.deployment().is_some() && self.servers.is_loaded();
-        loaded && self.budgets.is_ready() && !self.is_stopping()
+        let overloaded = self.capacity.is_overloaded(Instant::now());
+        loaded && self.budgets.is_ready() && !self.is_stopping() && !overloaded
     }
 
     /// Begins a planned stop.
--- a/crates/router/src/relay/stream/mod.rs
+++ b/crates/router/src/relay/stream/mod.rs
@@ -240,7 +240,7 @@
             self.engine.record_event(now);
             let server = &self.engine.in_flight.server;
             self.exchange.record_begun(server, now);
-            self.exchange.record_event(first.number);
+            self.exchange.record_event(&first);
             return Ok(Some(first.bytes));
         }
         if self.ended {
@@ -250,7 +250,7 @@
             let failure = match self.next_event().await {
                 Ok(Some(event)) => match event.order_after(self.exchange.last_event) {
                     Order::Next => {
-                        self.exchange.record_event(event.number);
+                        self.exchange.record_event(&event);
                         let now = Instant::now();
                         if self.engine.record_event(now) {
                             self.exchange.record_progress(now);
--- a/crates/router/tests/relay/main.rs
+++ b/crates/router/tests/relay/main.rs
@@ -14,6 +14,7 @@
 mod events;
 mod fleet_size;
 mod home_regions;
+mod host_capacity;
 mod load_messages;
 mod lost_paths;
 mod mirror;
--- a/crates/router/tests/relay/site/mod.rs
+++ b/crates/router/tests/relay/site/mod.rs
@@ -38,6 +38,7 @@
 use poplar_core::id::Incarnation;
 use poplar_platform::settings::Settings;
 use poplar_router::relay::budgets::Budgets;
+use poplar_router::relay::capacity::HostCapacity;
 use poplar_router::relay::crashes::Crashes;
 use poplar_router::relay::paths::Paths;
 use poplar_router::relay::state::Relay;
@@ -189,7 +190,10 @@
     let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
     let store = poplar_platform::store::Store::open(SocketAddr::new(here, 0));
     let budgets = Budgets::new(store, here, 1);
-    Crashes::open(Incarnation::new(name, 1), Paths::new(here, 0, budgets))
+    Crashes::open(
+        Incarnation::new(name, 1),
+        Paths::new(here, 0, budgets, HostCapacity::new(None)),
+    )
 }
 
 /// A store whose configuration has one route of each kind, and no servers yet.
--- a/crates/router/tests/relay/site/process.rs
+++ b/crates/router/tests/relay/site/process.rs
@@ -1,6 +1,7 @@
 //! A router as a process of its own, at a loopback address of its own.
 
 use std::fs::{self, File};
+use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -131,6 +132,15 @@
         self.write_settings(retry_slack, INTERNAL_PORTS);
     }
 
+    /// States the bandwidth of the host's link in the settings file.
+    pub(crate) fn state_link(&self, mbps: f64) {
+        let mut file = File::options()
+            .append(true)
+            .open(&self.settings)
+            .expect("the settings open");
+        writeln!(file, "limits.link_mbps={mbps}").expect("the settings are written");
+    }
+
     /// Gives the router a port for datagrams that the others don't send to, so
     /// that it neither gets theirs nor reaches them.
     pub(crate) fn isolate_datagrams(&self, port: u16) {
