--- a/crates/router/src/relay/servers/pace.rs
+++ b/crates/router/src/relay/servers/pace.rs
@@ -5,13 +5,14 @@
 
 use poplar_core::completion::Outlook;
 use poplar_core::cost::{Work, output_left, prefill_ms, step_ms};
+use poplar_core::deployment::Server;
 use poplar_core::pace::Common;
 
 use super::peers::PeerWork;
-use super::{InFlight, ServerState};
+use super::{InFlight, ServerState, State};
 use crate::sync::lock;
 
-/// Events that are timed together, since those of one step of an engine may arrive in
+/// Least number of events that are timed together, since those of one step of an engine may arrive in
 /// one packet.
 const GROUP: u32 = 8;
 /// Weight of a time to the first event: the request may have waited in the server's
@@ -95,6 +96,16 @@
     }
 }
 
+/// How long a part of a request took.
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    took: Duration,
+    /// What was expected, in milliseconds.
+    expected: f64,
+    /// How much it tells of the server.
+    weight: f64,
+}
+
 /// How a request gets on at its server.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -128,6 +139,40 @@
             ..Self::default()
         }
     }
+
+    /// Work left of the output, in microseconds.
+    fn output_left_us(&self, slots: u32) -> u64 {
+        let left = Work {
+            output_tokens: output_left(self.work.output_tokens, self.output),
+            ..Work::default()
+        };
+        micros(left.share_ms(slots))
+    }
+
+    /// What an event that came `now` tells of the server, at which one takes
+    /// `event_ms`: the first one for itself, later ones in groups.
+    fn sample(&mut self, event_ms: f64, waited: bool, now: Instant) -> Option<Sample> {
+        let Some((began, events)) = self.group else {
+            self.group = Some((now, 0));
+            let tokens = self.ahead? + self.work.prompt_tokens;
+            let expected = prefill_ms(tokens) + event_ms;
+            return (expected >= MIN_FIRST_MS).then_some(Sample {
+                took: now.saturating_duration_since(self.sent?),
+                expected,
+                weight: FIRST_WEIGHT,
+            });
+        };
+        if !waited || events + 1 < GROUP {
+            self.group = Some((began, events + 1));
+            return None;
+        }
+        self.group = Some((now, 0));
+        Some(Sample {
+            took: now.saturating_duration_since(began),
+            expected: f64::from(events + 1) * event_ms,
+            weight: 1.0,
+        })
+    }
 }
 
 /// Microseconds in a number of milliseconds.
@@ -141,20 +186,16 @@
         self.progress.sent = Some(now);
     }
 
-    /// Records that an event with `stride` output tokens came.
-    pub fn record_event(&mut self, stride: u64, now: Instant) {
+    /// Records that an event with `stride` output tokens came. `waited` tells whether it
+    /// was not there yet: times from and to others are those of the client.
+    pub fn record_event(&mut self, stride: u64, waited: bool, now: Instant) {
         if self.prompt_id.is_some() || self.prefill_tokens > 0 {
             self.record_first_token();
         }
         let slots = self.server.slots;
         let progress = &mut self.progress;
-        let is_first = progress.group.is_none();
         progress.output += stride;
-        let left = Work {
-            output_tokens: output_left(progress.work.output_tokens, progress.output),
-            ..Work::default()
-        };
-        let left_us = micros(left.share_ms(slots));
+        let left_us = progress.output_left_us(slots);
         let servers = self.servers.clone();
         let mut state = lock(&servers.state);
         let Some(known) = state.states.get_mut(&*self.server.id) else {
@@ -163,58 +204,41 @@
         known.left_us = known.left_us.saturating_sub(progress.left_us) + left_us;
         progress.left_us = left_us;
         let running = known.load.map_or(0, |l| l.running).max(known.requests);
-        let step = step_ms(running, slots);
-        let (began, events) = progress.group.unwrap_or((now, 0));
-        let (since, expected, weight) = if is_first {
-            let tokens = progress
-                .ahead
-                .map(|ahead| ahead + progress.work.prompt_tokens);
-            let expected = tokens.map(|tokens| prefill_ms(tokens) + stride as f64 * step);
-            let expected = expected.filter(|expected| *expected >= MIN_FIRST_MS);
-            (progress.sent, expected, FIRST_WEIGHT)
-        } else {
-            let expected = f64::from(GROUP) * stride as f64 * step;
-            (Some(began), (events + 1 == GROUP).then_some(expected), 1.0)
-        };
-        progress.group = if is_first || events + 1 == GROUP {
-            Some((now, 0))
-        } else {
-            Some((began, events + 1))
-        };
-        if let (Some(since), Some(expected)) = (since, expected) {
-            let took = now.saturating_duration_since(since);
-            state.record_pace(&self.server, took, expected, weight, now);
+        let event_ms = stride as f64 * step_ms(running, slots);
+        if let Some(sample) = progress.sample(event_ms, waited, now) {
+            state.record_pace(&self.server, sample, now);
         }
     }
 
     /// Records that the server answered a call completely.
     pub fn record_call(&mut self, now: Instant) -> Option<Duration> {
         let took = now.saturating_duration_since(self.progress.sent?);
-        let expected = self.progress.work.call_ms;
+        let sample = Sample {
+            took,
+            expected: self.progress.work.call_ms,
+            weight: CALL_WEIGHT,
+        };
         let mut state = lock(&self.servers.state);
-        state.record_pace(&self.server, took, expected, CALL_WEIGHT, now);
+        state.record_pace(&self.server, sample, now);
         Some(took)
     }
 }
 
-impl super::State {
-    fn record_pace(
-        &mut self,
-        server: &poplar_core::deployment::Server,
-        took: Duration,
-        expected: f64,
-        weight: f64,
-        now: Instant,
-    ) {
+impl State {
+    fn record_pace(&mut self, server: &Server, sample: Sample, now: Instant) {
         if !self.is_current(server) {
             return;
         }
         let Some(known) = self.states.get_mut(&*server.id) else {
             return;
         };
-        let service = self
-            .paces
-            .get_or_insert_with(server.service.clone(), ServicePace::default);
+        let service = server.service.clone();
+        let service = self.paces.get_or_insert_with(service, ServicePace::default);
+        let Sample {
+            took,
+            expected,
+            weight,
+        } = sample;
         let common = &mut service.common;
         known.pace.record(common, took, expected, weight, now);
     }
--- a/crates/router/src/relay/stream/mod.rs
+++ b/crates/router/src/relay/stream/mod.rs
@@ -34,6 +34,10 @@
 /// counts as one that does not crash it.
 const PROGRESS_TIME: Duration = Duration::from_secs(1);
 
+/// Wait for an event from which on it counts as one that was not there yet, as it is if
+/// the client takes events more slowly than the engine sends them.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
 /// Why a stream is broken off whose engine answers its resumption with an error.
 const RESUME_REFUSED: &str = "the engine refused to resume the stream";
 
@@ -119,11 +123,14 @@
             return Err(Failure::Timeout);
         }
         let until = tokio::time::Instant::now() + event_timeout;
+        let asked = Instant::now();
         loop {
             if let Some(event) = self.parser.next_event() {
                 // What is left is less than before.
                 let _ = self.memory.set(self.parser.kept());
-                self.in_flight.record_event(self.stride, Instant::now());
+                let now = Instant::now();
+                let waited = now >= asked + MIN_WAIT;
+                self.in_flight.record_event(self.stride, waited, now);
                 self.in_flight.record_output(self.stride);
                 return Ok(Some(event));
             }
--- a/crates/router/tests/relay/request_costs.rs
+++ b/crates/router/tests/relay/request_costs.rs
@@ -85,11 +85,11 @@
     state_figure(&request, now);
     // 10 ms of prompt, and an eighth of 200 steps of 5.2 ms.
     assert_eq!(left_ms(&servers), 140);
-    request.record_event(STRIDE, now);
+    request.record_event(STRIDE, true, now);
     assert_eq!(left_ms(&servers), 127);
-    (0..19).for_each(|_| request.record_event(STRIDE, now));
+    (0..19).for_each(|_| request.record_event(STRIDE, true, now));
     assert_eq!(left_ms(&servers), 65);
-    (0..60).for_each(|_| request.record_event(STRIDE, now));
+    (0..60).for_each(|_| request.record_event(STRIDE, true, now));
     // It is longer than expected, so that a quarter of that counts as left.
     assert_eq!(left_ms(&servers), 33);
     let other = choose(&servers, "e-1", now);
@@ -154,7 +154,7 @@
             state_figure(&request, now);
             for event in 0..9 {
                 let at = now + MS * (round * 1_000 + event * gap);
-                request.record_event(STRIDE, at);
+                request.record_event(STRIDE, true, at);
             }
         }
     }
@@ -166,3 +166,22 @@
     assert!((2.0..3.2).contains(&ratio), "{ratio}");
     assert!(request.progress.completion_ms.is_some());
 }
+
+/// Guards against a server that counts as slow since clients read its events slowly.
+#[test]
+fn events_that_a_client_keeps_waiting_are_not_timed() {
+    let now = Instant::now();
+    let servers = servers(now);
+    for round in 0..12u32 {
+        for (not, waited) in [("e-1", false), ("e-0", true)] {
+            let mut request = choose(&servers, not, now);
+            for event in 0..17 {
+                let gap = if waited { 20 } else { 400 };
+                let at = now + MS * (round * 10_000 + event * gap);
+                request.record_event(STRIDE, waited, at);
+            }
+        }
+    }
+    let read_slowly = choose(&servers, "e-1", now).progress.pace;
+    assert!(read_slowly > 0.9, "{read_slowly}");
+}
