poplar-ctl verify: check a configuration before it is sent

Cause: a route that never matches, a key of two workspaces or a timeout below the target latency showed only when callers were refused. verify lists such findings in sentences and, with the store's address, what the file changes; it ends with 0, 1 for findings, 2 for what can't be read (new: Failure::Unreadable).

--- a/crates/base/src/args.rs
+++ b/crates/base/src/args.rs
@@ -24,6 +24,8 @@
     Usage(String),
     /// The work of the program failed.
     Failed(String),
+    /// What the program is to work on can't be read.
+    Unreadable(String),
 }
 
 impl Failure {
@@ -36,13 +38,18 @@
     pub fn failed(reason: impl Into<String>) -> Report<Self> {
         Report::new(Self::Failed(reason.into()))
     }
+
+    /// Returns a report of input that can't be read.
+    pub fn unreadable(reason: impl Into<String>) -> Report<Self> {
+        Report::new(Self::Unreadable(reason.into()))
+    }
 }
 
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Usage(reason) => write!(f, "usage: {reason}"),
-            Self::Failed(reason) => f.write_str(reason),
+            Self::Failed(reason) | Self::Unreadable(reason) => f.write_str(reason),
         }
     }
 }
@@ -167,7 +174,7 @@
     };
     eprintln!("{report:#}");
     match report.current_context() {
-        Failure::Usage(_) => ExitCode::from(EXIT_USAGE),
+        Failure::Usage(_) | Failure::Unreadable(_) => ExitCode::from(EXIT_USAGE),
         Failure::Failed(_) => ExitCode::from(EXIT_FAILURE),
     }
 }
--- a/crates/ctl/src/config_diff.rs
+++ b/crates/ctl/src/config_diff.rs
@@ -37,7 +37,7 @@
 }
 
 /// Names and formatted values of the fields of a class or workspace.
-type Fields = Vec<(&'static str, String)>;
+pub(crate) type Fields = Vec<(&'static str, String)>;
 
 /// Lists the changes from `before` to `after`, sorted by name, classes first.
 pub fn diff(before: &Config, after: &Config) -> Vec<Change> {
@@ -56,7 +56,8 @@
     changes
 }
 
-fn compare_entries(
+/// Lists the changes of entries that are sorted by name.
+pub(crate) fn compare_entries(
     kind: &'static str,
     before: &[(Name, Fields)],
     after: &[(Name, Fields)],
--- a/crates/ctl/src/dispatch.rs
+++ b/crates/ctl/src/dispatch.rs
@@ -5,12 +5,13 @@
 use poplar_base::args::{self, Command, Failure, Invocation, Matches, Outcome};
 use poplar_base::settings;
 use poplar_core::config::{Config, hash_key};
+use poplar_platform::store::Store;
 
 use crate::classes;
 use crate::command::{apply, budget, drain, recovery};
-use crate::open::{failure_report, open};
+use crate::open::{failure_report, open, read_platform};
 use crate::output::Output;
-use crate::query::{bills, budgets, config, explain, routers};
+use crate::query::{bills, budgets, config, explain, routers, verify};
 
 /// Default of `--wait`.
 const DEFAULT_WAIT: Duration = Duration::from_secs(4);
@@ -34,6 +35,9 @@
 
 Queries:
     check FILE              list every fault of a classes file
+    verify FILE             check a configuration of the users' platform before it
+                            is sent; with an address, compare it with the one in
+                            force
     show                    the configuration in the table
     diff FILE               what apply would change
     budget list             every budget
@@ -93,12 +97,30 @@
     check_options(matches, &words)?;
     match words[..] {
         ["check", file] => Ok(config::check(&read_classes(file)?)),
+        ["verify", file] => verify_file(matches, file).await,
         ["secret"] => hash_secret(),
         [] => Err(Failure::usage("no command; try poplar-ctl --help")),
         _ => run_on_fleet(matches, &words).await,
     }
 }
 
+/// Checks a configuration, by itself or against what is in force.
+async fn verify_file(matches: &Matches, file: &str) -> Outcome<Output> {
+    let content = std::fs::read(file);
+    let content = content.map_err(|e| Failure::unreadable(format!("can't read {file}: {e}")))?;
+    let names_store = ["platform", "settings"]
+        .iter()
+        .any(|o| matches.opt_present(o));
+    if !names_store {
+        return verify::verify(&content, None);
+    }
+    let unknown = || Failure::Unreadable("the address of the platform is not known".to_owned());
+    let platform = read_platform(matches);
+    let (address, timeout) = platform.map_err(|why| why.change_context(unknown()))?;
+    let in_force = verify::read_in_force(&Store::open(address), timeout).await?;
+    verify::verify(&content, Some(&in_force))
+}
+
 /// Runs a command that needs the fleet.
 async fn run_on_fleet(matches: &Matches, words: &[&str]) -> Outcome<Output> {
     if !is_command(words) {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod classes;
 pub mod command;
 pub mod config_diff;
+pub mod deployment_diff;
 mod dispatch;
 pub mod error;
 pub mod fleet;
--- a/crates/ctl/src/open.rs
+++ b/crates/ctl/src/open.rs
@@ -19,18 +19,27 @@
 /// # Errors
 /// [`Failure::Usage`] if neither or both are given, else the faults of the file.
 pub fn open(matches: &Matches) -> Outcome<Fleet> {
+    let (address, timeout) = read_platform(matches)?;
+    Ok(Fleet::open(address, timeout))
+}
+
+/// Reads the platform's address and the timeout of a call from `--platform` or the
+/// settings file.
+///
+/// # Errors
+/// [`Failure::Usage`] if neither or both are given, else the faults of the file.
+pub fn read_platform(matches: &Matches) -> Outcome<(SocketAddr, Duration)> {
     let option: Option<SocketAddr> = args::parse_option(matches, "platform", "IP:PORT")?;
-    let (address, timeout) = match (option, matches.opt_str("settings")) {
-        (Some(address), None) => (address, DEFAULT_TIMEOUT),
+    match (option, matches.opt_str("settings")) {
+        (Some(address), None) => Ok((address, DEFAULT_TIMEOUT)),
         (None, Some(file)) => {
-            read_platform_section(&file).map_err(|faults| failure_report(faults.into()))?
+            read_platform_section(&file).map_err(|faults| failure_report(faults.into()))
         }
         _ => {
             let reason = "either --platform IP:PORT or --settings FILE is needed";
-            return Err(Failure::usage(reason));
+            Err(Failure::usage(reason))
         }
-    };
-    Ok(Fleet::open(address, timeout))
+    }
 }
 
 /// Reads the platform's address and timeout from a settings file.
--- a/crates/ctl/src/query/mod.rs
+++ b/crates/ctl/src/query/mod.rs
@@ -5,3 +5,4 @@
 pub mod config;
 pub mod explain;
 pub mod routers;
+pub mod verify;
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -7,3 +7,4 @@
 mod common;
 mod page;
 mod query;
+mod verify;
