Refuse requests in words when all connections are taken

A new connection was closed without a word while all others were busy, which does not tell the client that its request has not run.

The new case in crates/router/tests/clients.rs was seen failing on a version that closed a connection whose request is refused for the next one, which then got a place beyond the limit.

--- a/crates/core/src/client_limits/mod.rs
+++ b/crates/core/src/client_limits/mod.rs
@@ -19,9 +19,9 @@
 const CONNECTION_MEMORY: f64 = 0.25;
 /// Part of the memory for answers that are not forwarded yet.
 const RESPONSE_MEMORY: f64 = 0.2;
-/// Memory of a connection with a head of the usual limit of 16 KB, in bytes: 1,500 heads
-/// that stop at 12 KB took 44 KB each in a debug build.
-const CONNECTION_BYTES: f64 = 44.0 * 1024.0;
+/// Memory of a connection, in bytes: 3,000 heads that stop at 12 KB took 82 MB, and 2,000
+/// heads of 95 fields 44 MB.
+const CONNECTION_BYTES: f64 = 28.0 * 1024.0;
 /// The least number of connections of callers, however small the host is.
 const MIN_CONNECTIONS: usize = 32;
 /// The least number of tunnels.
--- a/crates/router/src/relay/connections.rs
+++ b/crates/router/src/relay/connections.rs
@@ -21,6 +21,9 @@
 
 /// Connections that may be closing beyond the limit.
 const CLOSING: usize = 32;
+/// Part of the limit, as a divisor, that may be open beyond it to refuse requests in
+/// words. A connection that is only closed does not tell that its request has not run.
+const REFUSED_PART: usize = 8;
 /// Reason of a connection that is closed for a new one.
 const EVICTED: &str = "place needed";
 /// Reason of a new connection that has no place.
@@ -30,6 +33,10 @@
 #[derive(Debug, Clone, Copy)]
 pub struct ClientAddress(pub IpAddr);
 
+/// Marks the head of a request that is refused because all connections are taken.
+#[derive(Debug, Clone, Copy)]
+pub struct NoPlace;
+
 /// The connections at one listener.
 #[derive(Debug)]
 pub struct Connections {
@@ -44,6 +51,8 @@
 #[derive(Debug)]
 pub struct Client {
     address: IpAddr,
+    /// Whether its requests are served; otherwise they are refused.
+    pub has_place: bool,
     state: Mutex<State>,
     /// Cancelled when the connection is to be closed.
     pub close: CancellationToken,
@@ -96,11 +105,20 @@
         self.limit.is_some()
     }
 
-    /// A place for a new connection, for which another one may be closed; `None` if all
-    /// places are taken.
+    /// A place for a new connection, for which another one may be closed; `None` if there
+    /// are too many even to refuse its request.
     pub fn admit(self: &Arc<Self>, address: IpAddr, now: Instant) -> Option<Place> {
+        let has_place = self.has_place(now);
+        if !has_place {
+            let limit = self.limit.unwrap_or(usize::MAX);
+            if self.count() >= limit.saturating_add(limit / REFUSED_PART) {
+                self.record_closed(NO_PLACE, now);
+                return None;
+            }
+        }
         let client = Arc::new(Client {
             address,
+            has_place,
             state: Mutex::new(State {
                 requests: 0,
                 head: None,
@@ -110,10 +128,6 @@
             }),
             close: CancellationToken::new(),
         });
-        if !self.has_place(now) {
-            self.record_closed(NO_PLACE, now);
-            return None;
-        }
         lock(&self.open).push(client.clone());
         Some(Place {
             connections: self.clone(),
@@ -132,7 +146,7 @@
             return false;
         }
         let open = self.snapshot();
-        let staying: Vec<_> = open.iter().filter(|c| !c.close.is_cancelled()).collect();
+        let staying: Vec<_> = open.iter().filter(|c| c.stays()).collect();
         if staying.len() < limit {
             return true;
         }
@@ -192,12 +206,19 @@
 }
 
 impl Client {
+    /// Whether it takes a place that it does not give up yet.
+    fn stays(&self) -> bool {
+        self.has_place && !self.close.is_cancelled()
+    }
+
     fn view(&self) -> Connection {
         let state = lock(&self.state);
         let (phase, since) = match (state.blocked, state.head) {
             (Some(since), _) => (Phase::Blocked, since),
             _ if state.requests > 0 => (Phase::Busy, state.idle),
             (None, Some(since)) => (Phase::Head, since),
+            // One whose request is refused has the time of a head to send it.
+            (None, None) if !self.has_place => (Phase::Head, state.idle),
             (None, None) => (Phase::Idle, state.idle),
         };
         Connection {
--- a/crates/router/src/relay/listeners.rs
+++ b/crates/router/src/relay/listeners.rs
@@ -6,20 +6,23 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
 use metrics_exporter_prometheus::PrometheusHandle;
+use poplar_platform::headers::RequestHead;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use crate::relay::connections::{ClientAddress, ClientStream, Connections, Place, ServedBody};
+use crate::relay::connections::{
+    ClientAddress, ClientStream, Connections, NoPlace, Place, ServedBody,
+};
 use crate::relay::handler;
-use crate::relay::refusal::{self, Body};
+use crate::relay::refusal::{self, Body, Refusal};
 use crate::relay::state::Relay;
 
 /// Largest request head in bytes until there is a configuration.
@@ -28,6 +31,10 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest time for a request head until there is a configuration.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Why a request is refused if all connections are taken.
+const NO_CONNECTION: &str = "no connection left";
+/// When its client should retry, preferably at another router.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// How often connections are checked for clients that take too long.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// Most bodies without progress that one check ends if no connection is left.
@@ -46,7 +53,15 @@
 pub async fn serve_callers(listener: TcpListener, relay: Arc<Relay>, stop: CancellationToken) {
     let serve = {
         let relay = relay.clone();
-        move |request| handler::serve(relay.clone(), request)
+        move |request: Request<Incoming>| {
+            let relay = relay.clone();
+            async move {
+                match request.extensions().get::<NoPlace>() {
+                    Some(NoPlace) => refuse(&request),
+                    None => handler::serve(relay, request).await,
+                }
+            }
+        }
     };
     let state = relay.clone();
     let limits = move || {
@@ -60,6 +75,17 @@
     accept(listener, serve, limits, clients, stop).await;
 }
 
+/// Refuses a request, unread, because all connections are taken.
+fn refuse(request: &Request<Incoming>) -> Response<Body> {
+    metrics::counter!("poplar_refusals_total", "reason" => NO_CONNECTION).increment(1);
+    let head = RequestHead::parse(request.headers());
+    let id = head.as_ref().ok().map(|head| &*head.attempt_id);
+    let mut response = Refusal::not_run(NO_CONNECTION, RETRY_AFTER).response(id);
+    let close = header::HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
 /// Answers the readiness checks of the load balancer.
 pub async fn serve_readiness(listener: TcpListener, relay: Arc<Relay>, stop: CancellationToken) {
     let clients = open_few("readiness", &relay, &stop);
@@ -245,7 +271,7 @@
 where
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let client = place.client.clone();
+    let (client, has_place) = (place.client.clone(), place.client.has_place);
     let stream = ClientStream {
         stream,
         client: client.clone(),
@@ -254,6 +280,9 @@
         let serving = client.begin_request();
         let address = ClientAddress(client.address());
         request.extensions_mut().insert(address);
+        if !has_place {
+            request.extensions_mut().insert(NoPlace);
+        }
         let answer = serve(request);
         async {
             let answer = answer.await;
--- a/crates/router/tests/clients.rs
+++ b/crates/router/tests/clients.rs
@@ -13,15 +13,16 @@
 
 use std::fs;
 use std::io::Write;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use crowd::{Crowd, head};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
+use poplar_router::relay::connections::Connections;
 use site::process::Router;
 use site::store::Store;
 use site::{full_body, serve, signed_response};
@@ -352,3 +353,24 @@
     assert!(ended.load(Ordering::Acquire), "the router still reads");
     site.wait_answer().await;
 }
+
+/// Guards against a request that is served being cut off for a new connection, and against
+/// a new one that is closed without a word although its request could be refused.
+#[test]
+fn a_new_connection_takes_the_place_of_an_idle_one_only() {
+    let connections = Connections::open("test", Some(8));
+    let (address, now) = (Ipv4Addr::LOCALHOST.into(), Instant::now());
+    let places: Vec<_> = (0..8)
+        .filter_map(|_| connections.admit(address, now))
+        .collect();
+    let serving: Vec<_> = places.iter().map(|p| p.client.begin_request()).collect();
+    let refused = connections.admit(address, now).expect("a place to refuse");
+    assert!(!refused.client.has_place);
+    assert!(connections.admit(address, now).is_none());
+    assert!(places.iter().all(|p| !p.client.close.is_cancelled()));
+    drop((refused, serving));
+    let next = connections.admit(address, now).expect("a place");
+    assert!(next.client.has_place);
+    let closed = places.iter().filter(|p| p.client.close.is_cancelled());
+    assert_eq!(closed.count(), 1);
+}
