--- a/crates/core/src/availability/mod.rs
+++ b/crates/core/src/availability/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Several things can speak against it: the server is registered as draining, its
 //! data centre is evacuated, it said in an answer that it leaves or wants no requests
-//! for a time, a limit that it named allows none, or it was ejected for failures.
-//! [`Availability`] is the answer for all of them.
+//! for a time, a limit that it named allows none, it is cold, or it was ejected for
+//! failures. [`Availability`] is the answer for all of them.
 //!
 //! What a server says in answers to this router binds this router, whatever the
 //! list of servers shows: the list may be older or out of reach. [`Notices`] keeps
--- a/crates/core/src/server_limit/mod.rs
+++ b/crates/core/src/server_limit/mod.rs
@@ -13,6 +13,8 @@
 //! router in the order of each permit may use it, provided that all routers
 //! before it have yielded. A lost message therefore loses permits and never
 //! duplicates one.
+//!
+//! Cold servers, see [`crate::cold`], get permits of a rate of their own in the same way.
 
 mod clock;
 mod counter;
