--- a/crates/router/tests/relay/engine_memory.rs
+++ b/crates/router/tests/relay/engine_memory.rs
@@ -30,6 +30,8 @@
 /// Longest time until a request that can't be served is refused, on a busy machine.
 const REFUSAL_TIME: Duration = Duration::from_millis(700);
 const CAPACITY: u64 = 100_000;
+/// Identity of a shared prompt.
+const SHARED: u64 = 7;
 /// Address of the router whose servers a test chooses.
 const HERE: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 5));
 
@@ -54,12 +56,24 @@
 /// Sends a request and waits for its complete answer; returns its status, and whether it
 /// says when to try again.
 async fn ask(router: SocketAddr, id: String, tokens: &str) -> (u16, bool) {
+    ask_hinted(
+        router,
+        id,
+        tokens,
+        tokens.split(',').next_back().expect("a number"),
+    )
+    .await
+}
+
+/// The same with this hint of the output's length.
+async fn ask_hinted(router: SocketAddr, id: String, tokens: &str, hint: &str) -> (u16, bool) {
     let mut sender = connect(router).await.expect("a connection");
     let request = Request::post("/stream/x")
         .header("host", "site.example")
         .header(KEY.0, KEY.1)
         .header(ID, id)
         .header("x-poplarreel-token-counts", tokens)
+        .header("x-poplarreel-length-hint", hint)
         .body(Full::from("a body"));
     let answer = sender.send_request(request.expect("a request")).await;
     let (head, body) = answer.expect("an answer").into_parts();
@@ -91,8 +105,11 @@
     assert_eq!(runs(&engines), [2, 2]);
     engines.iter().for_each(|engine| engine.set_silent(false));
     join_all(placed).await;
-    tokio::spawn(ask(relay.address, "d".to_owned(), HALF));
+    // Nothing is expected of its output, so that each event counts when it comes.
+    tokio::spawn(ask_hinted(relay.address, "d".to_owned(), HALF, "0"));
     tokio::time::sleep(SENT_TIME).await;
+    let (held, _) = relay.state.servers.held_tokens(Instant::now());
+    assert!((30_001..33_000).contains(&held), "{held}");
     assert_eq!(runs(&engines).iter().sum::<usize>(), 2 * ENGINES + 1);
 }
 
@@ -110,8 +127,7 @@
     assert_eq!(runs(&engines).iter().sum::<usize>(), 6);
 }
 
-fn open_servers(count: usize, now: Instant) -> Arc<Servers> {
-    let servers = Servers::new("a".into(), HERE, Duration::from_secs(2));
+fn list(count: usize, started_ms: u64) -> Vec<Server> {
     let server = |n: usize| Server {
         id: format!("engine-{n:02}").into(),
         service: "engines".into(),
@@ -119,11 +135,16 @@
         centre: "a".into(),
         software: "v1".into(),
         ready: true,
-        started_ms: 1,
+        started_ms,
         cold: ColdNotice::default(),
         slots: 8,
     };
-    servers.update((0..count).map(server).collect(), 1, now);
+    (0..count).map(server).collect()
+}
+
+fn open_servers(count: usize, now: Instant) -> Arc<Servers> {
+    let servers = Servers::new("a".into(), HERE, Duration::from_secs(2));
+    servers.update(list(count, 1), 1, now);
     servers
 }
 
@@ -132,10 +153,21 @@
     prompt: u64,
     kv_capacity: u64,
     now: Instant,
+) -> Result<InFlight, Unavailable> {
+    choose_shared(servers, prompt, 0, kv_capacity, now)
+}
+
+/// Chooses a server for a request of whose prompt this many tokens are shared.
+fn choose_shared(
+    servers: &Arc<Servers>,
+    prompt: u64,
+    shared_tokens: u64,
+    kv_capacity: u64,
+    now: Instant,
 ) -> Result<InFlight, Unavailable> {
     let query = Query {
-        prompt_id: 0,
-        shared_tokens: 0,
+        prompt_id: SHARED,
+        shared_tokens,
         tried: &[],
         random: 0.0,
     };
@@ -190,6 +222,36 @@
     assert!(fits(now + Duration::from_secs(13)));
 }
 
+/// Guards against an engine that gets no requests after it started again because of what
+/// the process before it held.
+#[test]
+fn an_engine_that_started_again_has_room() {
+    let now = Instant::now();
+    let servers = open_servers(1, now);
+    let peer = Ipv4Addr::new(10, 0, 0, 1).into();
+    servers.record_peer_message(peer, message(95_000, 3), now);
+    let fits = || choose(&servers, 20_000, CAPACITY, now).is_ok();
+    assert!(!fits());
+    servers.update(list(1, 2), 2, now);
+    assert!(fits());
+}
+
+/// Guards against a shared prompt that each router counts, so that an engine that holds
+/// it once looks full, and against one that none counts.
+#[test]
+fn the_router_with_the_lowest_address_counts_a_shared_prompt() {
+    let now = Instant::now();
+    for (last, expected) in [(1, 1_000), (9, 14_000)] {
+        let servers = open_servers(1, now);
+        let placed = choose_shared(&servers, 14_000, 13_000, CAPACITY, now);
+        let mut announcement = message(2_000, 1);
+        announcement.holders = vec![(SHARED, "engine-00".into())];
+        servers.record_peer_message(Ipv4Addr::new(10, 0, 0, last).into(), announcement, now);
+        assert_eq!(servers.own_work(now)[0].held_tokens, expected);
+        drop(placed);
+    }
+}
+
 /// Guards against a choice and messages that change where engines have no limit of
 /// memory: as many requests as come are placed, and as evenly.
 #[test]
