--- a/crates/router/src/relay/exchange/mod.rs
+++ b/crates/router/src/relay/exchange/mod.rs
@@ -5,6 +5,7 @@
 //! reservation up to date and logs the outcome when it is dropped.
 
 mod body;
+mod choice;
 mod connect;
 mod cost;
 mod silence;
@@ -18,7 +19,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use poplar_base::log;
-use poplar_core::affinity::Query;
 use poplar_core::deployment::Server;
 use poplar_core::id::Name;
 use poplar_core::retry::{Failure, Refusal as ServerRefusal};
@@ -34,7 +34,7 @@
 use crate::relay::crashes::Evidence;
 use crate::relay::refusal::Refusal;
 use crate::relay::request::{CRASHES_SERVERS, ClientRequest, format_resource};
-use crate::relay::servers::{Demand, InFlight, Requirement, Unavailable};
+use crate::relay::servers::InFlight;
 use crate::relay::sse::Event;
 use crate::relay::state::{OpenRequest, Relay};
 use crate::relay::upstream::{self, Connection, Framing};
@@ -221,51 +221,6 @@
         }
     }
 
-    fn choose(&self, now: Instant) -> Result<InFlight, Unavailable> {
-        let shared = self.request.head.shared_parts().0;
-        let shared_tokens = shared.iter().map(|part| part.tokens).sum();
-        let query = Query {
-            prompt_id: shared.last().map_or(0, |part| part.id),
-            shared_tokens,
-            tried: &self.tried,
-            random: rand::random(),
-        };
-        let last_event = self.last_event.unwrap_or(0);
-        let demand = Demand {
-            output_hint: self.request.head.output_hint,
-            done_tokens: last_event.saturating_mul(self.request.stride),
-            kv_capacity: self.relay.kv_capacity(&self.request.service),
-            ..self.relay.costs.demand(&self.request, self.output)
-        };
-        let software = &self.request.software;
-        let home = self.request.home();
-        let regions = &self.relay.settings.regions;
-        let requirement = Requirement {
-            home: (!home.is_anywhere()).then_some((home, regions)),
-            versions: software.as_ref().map(std::slice::from_ref),
-            as_listed: self.depends_on_version(),
-        };
-        let (servers, service) = (&self.relay.servers, &self.request.service);
-        let in_flight = servers.choose(service, requirement, &query, demand, now)?;
-        log::info("server chosen")
-            .request(&self.request.head.attempt_id)
-            .with("server", &in_flight.server.id)
-            .with("software", &in_flight.server.software)
-            .with("started_ms", in_flight.server.started_ms)
-            .with("home", in_flight.is_home)
-            .with("ahead", in_flight.work_ahead as u64)
-            .with("shared", shared_tokens)
-            .with("prompt", demand.prompt_tokens)
-            .with("output", demand.likely_output)
-            .with("pace", format_args!("{:.2}", in_flight.progress.pace))
-            .with(
-                "predicted_ms",
-                in_flight.progress.completion_ms.unwrap_or_default() as u64,
-            )
-            .write();
-        Ok(in_flight)
-    }
-
     async fn attempt(&mut self, mut in_flight: InFlight) -> Result<ServerResponse, Failure> {
         self.sends += 1;
         self.last_server = Some(in_flight.server.id.clone());
