Late timers alone don't excuse time-outs of connections

A host that has lost its path to the servers may be short of processor time, too, and must still ask other routers.

--- a/crates/core/src/capacity/congestion.rs
+++ b/crates/core/src/capacity/congestion.rs
@@ -102,15 +102,17 @@
         let connections = std::mem::take(&mut self.connections);
         let timers = std::mem::take(&mut self.timers);
         let timeouts = std::mem::take(&mut self.timeouts);
-        let is_late =
-            connections.exceeds(SLOW_CONNECTION, MIN_CONNECTIONS) || timers.exceeds(LATE_TIMER, 1);
+        let is_slow = connections.exceeds(SLOW_CONNECTION, MIN_CONNECTIONS);
         let none_in_time = timeouts >= MIN_CONNECTIONS
             && connections
                 .least
                 .is_none_or(|least| least >= SLOW_CONNECTION);
-        if is_late {
+        // Late timers alone don't explain why connections time out: a host that has lost
+        // its path to the servers may be short of processor time, too.
+        if is_slow {
             self.seen = Some(now);
         }
+        let is_late = is_slow || timers.exceeds(LATE_TIMER, 1);
         if is_late || none_in_time {
             self.factor = (self.factor * DECREASE).max(MIN_FACTOR);
         } else if connections.count > 0 || timeouts == 0 {
