--- a/crates/core/src/capacity/congestion.rs
+++ b/crates/core/src/capacity/congestion.rs
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Part of the capacity to use, from [`MIN_FACTOR`] to 1.
+    /// Part of the capacity to use, at most 1.
     pub fn factor(&self) -> f64 {
         self.factor
     }
