--- a/crates/router/tests/relay/cold_servers.rs
+++ b/crates/router/tests/relay/cold_servers.rs
@@ -58,7 +58,7 @@
 /// and against load that does not return to it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cold_server_gets_no_more_than_its_rate() {
-    let site = open(360).await;
+    let site = open(144).await;
     site.load_all(&["/read/x", "/once/x"], PAUSE);
     site.servers[0].register_cold("plain-0", 2, 3_000, &site.store);
     site.servers[1].register_cold("plain-1", 2, COLD_MS, &site.store);
@@ -83,7 +83,7 @@
 /// requests that wait because all servers are cold.
 #[tokio::test(flavor = "multi_thread")]
 async fn routers_without_the_store_keep_to_the_rate_of_cold_servers() {
-    let site = open(361).await;
+    let site = open(145).await;
     site.store.set_down(true);
     for server in &site.servers {
         server.set_cold(Some(COLD_MS));
--- a/crates/router/tests/relay/evacuation.rs
+++ b/crates/router/tests/relay/evacuation.rs
@@ -199,7 +199,7 @@
     let stores = [cut_store, store.open().await];
     let mut routers = Vec::new();
     for (n, store) in stores.into_iter().enumerate() {
-        let mut router = Router::new(address(350, n), store, &folder);
+        let mut router = Router::new(address(143, n), store, &folder);
         router.start();
         wait_until(router.callers(), "/read/x", |seen| {
             seen == Seen::Answer(200, true)
--- a/crates/router/tests/relay/home_regions.rs
+++ b/crates/router/tests/relay/home_regions.rs
@@ -102,7 +102,7 @@
 ) -> (Router, ServerPath) {
     let view = Ipv4Addr::new(127, 254, 253, 1 + n as u8).into();
     let path = ServerPath::open(SocketAddr::new(view, far.port()), far).await;
-    let mut router = Router::new(address(351, n), store.open_view(view).await, folder);
+    let mut router = Router::new(address(142, n), store.open_view(view).await, folder);
     router.add_settings(&format!("{SETTINGS}region={region}\n"));
     router.start();
     let is_served = |seen| seen == Seen::Answer(200, true);
