Limit the log line of a full host by the shared limiter

relay::capacity kept the time of its last line and a count by itself; client_limits::LogPace does the same, with the same period of 1 s.

--- a/crates/router/src/relay/capacity.rs
+++ b/crates/router/src/relay/capacity.rs
@@ -7,6 +7,7 @@
 use hyper::body::{Body as _, Incoming};
 use poplar_base::log;
 use poplar_core::capacity::{Capacity, Transfer, Verdict};
+use poplar_core::client_limits::LogPace;
 use poplar_core::id::Name;
 use poplar_core::sorted::SortedVec;
 use tokio::time::timeout;
@@ -27,8 +28,6 @@
 const MEAN_WEIGHT: f64 = 0.05;
 /// Bytes of headers of the packet in which an event is sent.
 pub const PACKET_BYTES: usize = 60;
-/// Least time between two log lines about a full host.
-const LOG_PERIOD: Duration = Duration::from_secs(1);
 /// Most routes whose answers are known. One more removes all.
 const MAX_ROUTES: usize = 4_096;
 /// Time between two checks whether timers fire in time.
@@ -43,9 +42,8 @@
     capacity: Capacity,
     /// Mean bytes of an answer, by route.
     answers: SortedVec<Name, f64>,
-    /// When the last line about a full host was logged, and the refusals since then.
-    logged: Option<Instant>,
-    refused: u64,
+    /// Limits the lines about a full host.
+    log: LogPace,
 }
 
 /// What this host carries.
@@ -58,8 +56,7 @@
         Arc::new(Self(Mutex::new(State {
             capacity: Capacity::new(link, Instant::now()),
             answers: SortedVec::new(),
-            logged: None,
-            refused: 0,
+            log: LogPace::default(),
         })))
     }
 
@@ -86,14 +83,12 @@
         let Verdict::Refused { wait, dominant } = verdict else {
             return Ok(());
         };
-        state.refused += 1;
-        if state.logged.is_none_or(|at| now >= at + LOG_PERIOD) {
-            state.logged = Some(now);
+        if let Some(refused) = state.log.record(now) {
             log::warn("host full")
                 .with("wait_ms", wait.as_millis())
                 .with("factor", state.capacity.congestion.factor())
                 .with("dominant", dominant)
-                .with("refused", std::mem::take(&mut state.refused))
+                .with("refused", refused)
                 .write();
         }
         let (least, most) = RETRY_AFTER;
