Add review case 6: a budget is spent again after a drill of the store

Tried: three routers of the release build between stand-ins; one tenant uses up 300,000 prepaid tokens, the store comes back from a copy 4 s old, and 12 s later the routers are restarted in turn, as planned.

--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,243 @@
+//! Runs one case of the review: `standin CASE RECORD`. The environment variable `TROUBLE`
+//! with the value 0 leaves the disruption out.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+
+mod http;
+mod json;
+mod router;
+mod server;
+mod site;
+mod store;
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use server::{Brittle, Plan, STRIDE};
+use site::{Record, Site, Tenant, ask_plain, configuration};
+
+/// How long the store is away in a drill, and how old the copy is.
+const AWAY: Duration = Duration::from_millis(1000);
+const COPY_AGE: Duration = Duration::from_secs(4);
+
+fn seconds(seconds: f64) {
+    thread::sleep(Duration::from_secs_f64(seconds));
+}
+
+/// Nine engines and four plain servers, as at the sheet of the light scenes.
+fn usual_servers() -> Vec<Plan> {
+    let engine = |n| Plan {
+        id: format!("engine-{n}"),
+        service: "engines",
+        is_engine: true,
+        slots: 64,
+        queue: 192,
+        work: Duration::from_millis(8),
+        retry_after: None,
+    };
+    let plain = |n| Plan {
+        id: format!("gateway-{n}"),
+        service: "gateway",
+        is_engine: false,
+        slots: 6,
+        queue: 24,
+        work: Duration::from_millis(60),
+        retry_after: None,
+    };
+    (1..=9).map(engine).chain((1..=4).map(plain)).collect()
+}
+
+/// The store is away for a moment and comes back from a copy some seconds old. `copied`
+/// is when the copy was taken.
+fn drill(site: &Site, copied: Instant, copy: u64) {
+    thread::sleep(COPY_AGE.saturating_sub(copied.elapsed() + AWAY));
+    let lost = site.store.version() - copy;
+    site.record.say(&format!("the store goes away; it will lose {lost} versions"));
+    site.store.go_away();
+    thread::sleep(AWAY);
+    site.store.come_back();
+    let age = copied.elapsed().as_millis();
+    site.record.say(&format!("the store is back from a copy {age} ms old"));
+}
+
+/// A budget is prepaid once. The store loses what was drawn from it in a drill, and the
+/// routers are restarted in turn, as planned, when all has been calm for a while.
+fn budget_after_drill(record: Record, trouble: bool) -> Option<bool> {
+    const PREPAID: u64 = 300_000;
+    const SIZE: (u64, u64) = (1000, 200);
+    let tenants = [Tenant { name: "acme", keys: vec!["key-acme"], prepaid: PREPAID }];
+    let config = configuration(7, &tenants, &[]);
+    let mut site = Site::open(usual_servers(), 3, &config, record.clone(), |_, _, _, _| None)?;
+    seconds(3.0);
+    let traffic = site.send_streams("key-acme", 40, SIZE);
+    seconds(3.0);
+    let (copied, copy) = (Instant::now(), site.store.copy());
+    if trouble {
+        drill(&site, copied, copy);
+        // The operator writes again what it wrote.
+        site.store.put("op", "config", &config);
+    } else {
+        thread::sleep(COPY_AGE);
+    }
+    seconds(12.0);
+    let restarted = Instant::now();
+    if !site.restart_in_turn() {
+        return None;
+    }
+    seconds(12.0);
+    traffic.end();
+    site.note_arrivals();
+    let (sent, served) = traffic.count(restarted, 200);
+    record.say(&format!("from the first restart on: {served} of {sent} streams served"));
+    let mut consumed = 0;
+    let mut whole = 0;
+    for (_, seen, events) in &*traffic.seen.lock().expect("no panic") {
+        // Only what clients got as a whole counts here.
+        if seen.is_success() {
+            whole += 1;
+            consumed += SIZE.0 + events * STRIDE;
+        }
+    }
+    record.say(&format!("{whole} streams came whole: {consumed} tokens of {PREPAID} prepaid"));
+    // The case says nothing if the budget was not nearly used up.
+    (consumed > PREPAID * 8 / 10).then_some(consumed > PREPAID)
+}
+
+/// A configuration is in force within `config_apply_ms` also after a drill.
+fn configuration_after_drill(record: Record, trouble: bool) -> Option<bool> {
+    const APPLY: Duration = Duration::from_millis(2000);
+    const CONTACT: Duration = Duration::from_millis(3000);
+    let tenant = |keys| Tenant { name: "acme", keys, prepaid: 50_000_000 };
+    let before = configuration(7, &[tenant(vec!["key-acme", "key-lost"])], &["old"]);
+    let after = configuration(9, &[tenant(vec!["key-acme"])], &["new"]);
+    let site = Site::open(usual_servers(), 3, &before, record.clone(), |_, _, _, _| None)?;
+    seconds(3.0);
+    let traffic = site.send_streams("key-acme", 40, (1000, 200));
+    seconds(6.0);
+    let (copied, copy) = (Instant::now(), site.store.copy());
+    if trouble {
+        drill(&site, copied, copy);
+        site.store.put("op", "config", &before);
+    } else {
+        thread::sleep(COPY_AGE);
+    }
+    // The store is stable again, and all machines are in touch.
+    thread::sleep(CONTACT + Duration::from_millis(1000));
+    let row = site.store.put("op", "config", &after);
+    let acknowledged = Instant::now();
+    record.say(&format!("the operator's version 9 is acknowledged, row {row}"));
+    thread::sleep(APPLY);
+    let (mut asked, mut wrong) = (0, 0);
+    for round in 0..24 {
+        for router in &site.routers {
+            let at = router.callers();
+            for (path, key, allowed) in [
+                ("/new/x", "key-acme", true),
+                ("/old/x", "key-acme", false),
+                ("/status/x", "key-lost", false),
+            ] {
+                let id = format!("check-{round}-{}-{}", at.ip(), &path[1..4]);
+                let sent = acknowledged.elapsed().as_millis();
+                let seen = ask_plain(at, path, &id, key);
+                // A refusal with 503 is handled as no version allows or forbids.
+                let is_wrong = match allowed {
+                    true => matches!(seen.status, 401 | 403 | 404),
+                    false => seen.status == 200,
+                };
+                asked += 1;
+                wrong += usize::from(is_wrong);
+                record.note(&format!(
+                    "{id} sent {sent} ms after version 9, {path} with {key}: {}{}",
+                    seen.text(),
+                    if is_wrong { ", as only version 7 allows" } else { "" }
+                ));
+            }
+        }
+        seconds(0.5);
+    }
+    traffic.end();
+    site.note_arrivals();
+    record.say(&format!("{wrong} of {asked} requests were handled as only version 7 allows"));
+    Some(wrong > 0)
+}
+
+/// Servers of a service are brittle for a time, while callers need most of what they can do.
+fn brittle_servers(record: Record, trouble: bool) -> Option<bool> {
+    const SERVERS: usize = 4;
+    const PER_S: u64 = 380;
+    let brittle = Brittle {
+        most: 10,
+        queue: 4,
+        after: Duration::from_millis(3000),
+        back: Duration::from_millis(3000),
+    };
+    let tenants = [Tenant { name: "acme", keys: vec!["key-acme"], prepaid: 1_000_000 }];
+    let config = configuration(7, &tenants, &[]);
+    let site = Site::open(usual_servers(), 3, &config, record.clone(), |_, _, _, _| None)?;
+    let gateways: Vec<_> = site.servers.iter().filter(|s| s.plan.service == "gateway").collect();
+    for server in &gateways {
+        server.recover(&site.store, brittle.back);
+    }
+    seconds(3.0);
+    let traffic = site.send_plain("/push/", "key-acme", PER_S);
+    seconds(3.0);
+    if trouble {
+        record.say("the plain servers are brittle from now on");
+        gateways.iter().for_each(|s| s.set_brittle(Some(brittle)));
+    }
+    seconds(20.0);
+    gateways.iter().for_each(|s| s.set_brittle(None));
+    traffic.end();
+    site.note_arrivals();
+    let mut falls = 0;
+    for server in &gateways {
+        let arrivals = server.arrivals();
+        let rejected = arrivals.iter().filter(|a| !a.ran).count();
+        record.say(&format!(
+            "{}: {} requests reached it, {rejected} were turned away; it fell over {} times with {} requests",
+            server.plan.id,
+            arrivals.len(),
+            server.falls().len(),
+            server.cut()
+        ));
+        falls += server.falls().len();
+    }
+    let began = Instant::now() - Duration::from_secs(3600);
+    for status in [200, 502, 503, 504] {
+        let (sent, with) = traffic.count(began, status);
+        record.say(&format!("{with} of {sent} requests were answered with {status}"));
+    }
+    let allowed = 2.0 + SERVERS as f64 / 10.0;
+    record.say(&format!("the servers fell over {falls} times; {allowed} are allowed"));
+    Some(falls as f64 > allowed)
+}
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(case), Some(path)) = (arguments.next(), arguments.next()) else {
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let Ok(record) = Record::open(Path::new(&path)) else {
+        return ExitCode::from(2);
+    };
+    record.say(&format!("case {case}, disruption: {trouble}"));
+    let broken = match case.as_str() {
+        "budget-after-drill" => budget_after_drill(record.clone(), trouble),
+        "configuration-after-drill" => configuration_after_drill(record.clone(), trouble),
+        "brittle-servers" => brittle_servers(record.clone(), trouble),
+        _ => None,
+    };
+    match broken {
+        Some(true) => record.say("the rule was broken"),
+        Some(false) => record.say("the rule held"),
+        None => record.say("the case couldn't run"),
+    }
+    ExitCode::from(match broken {
+        Some(true) => 1,
+        Some(false) => 0,
+        None => 2,
+    })
+}
--- /dev/null
+++ b/review/standin-2/store.rs
@@ -0,0 +1,313 @@
+//! A stand-in for the platform's store: rows, transactions and the change feed.
+//!
+//! In a drill it is away for a moment and comes back from a copy: what was written since
+//! is gone, and versions go on from those of the copy.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::{self, Request};
+use crate::json::{self, Json, number, object, text};
+
+/// Time of a transaction and of a read.
+const TRANSACTION: Duration = Duration::from_millis(3);
+const READ: Duration = Duration::from_millis(1);
+/// How long the feed has changes.
+const HISTORY: Duration = Duration::from_secs(20);
+/// Most rows in one answer.
+const PAGE: usize = 500;
+
+type Key = (String, String, String);
+
+#[derive(Debug, Clone, Default)]
+struct Tables {
+    rows: BTreeMap<Key, (u64, String)>,
+    version: u64,
+    /// Changes with their versions and times; `None` if the row was removed.
+    history: Vec<(u64, Instant, Key, Option<String>)>,
+    /// The feed has the changes after this version.
+    history_start: u64,
+}
+
+impl Tables {
+    fn put(&mut self, key: Key, value: String) {
+        self.rows.insert(key.clone(), (self.version, value.clone()));
+        let change = (self.version, Instant::now(), key, Some(value));
+        self.history.push(change);
+    }
+
+    fn remove(&mut self, key: Key) {
+        self.rows.remove(&key);
+        self.history.push((self.version, Instant::now(), key, None));
+    }
+
+    fn forget(&mut self) {
+        let is_old = |(_, at, ..): &(u64, Instant, Key, Option<String>)| at.elapsed() > HISTORY;
+        while self.history.first().is_some_and(is_old) {
+            self.history_start = self.history.remove(0).0;
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    tables: Tables,
+    copy: Option<Tables>,
+    era: u64,
+    is_away: bool,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Store {
+    state: Mutex<State>,
+    changed: Condvar,
+    began: Instant,
+    pub address: SocketAddr,
+}
+
+fn key_of(value: &Json) -> Key {
+    let part = |name: &str| value.get(name).text().to_owned();
+    (part("table"), part("part"), part("key"))
+}
+
+fn row(key: &Key, version: u64, value: Option<&str>) -> Json {
+    object(vec![
+        ("table", text(&key.0)),
+        ("part", text(&key.1)),
+        ("key", text(&key.2)),
+        ("value", value.map_or(Json::Null, text)),
+        ("ver", number(version as f64)),
+    ])
+}
+
+impl Store {
+    /// Starts to serve on a free port.
+    pub fn open() -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let store = Arc::new(Self {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            began: Instant::now(),
+            address: listener.local_addr()?,
+        });
+        let served = store.clone();
+        http::serve(listener, move |request, stream| served.handle(request, stream, None));
+        Ok(store)
+    }
+
+    /// Serves on another port with the addresses of servers replaced: `moved` has the
+    /// addresses and what the callers of that port get instead.
+    pub fn open_view(
+        self: &Arc<Self>,
+        moved: Vec<(SocketAddr, SocketAddr)>,
+    ) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let store = self.clone();
+        http::serve(listener, move |request, stream| {
+            store.handle(request, stream, Some(&moved))
+        });
+        Ok(address)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panic")
+    }
+
+    /// Writes a row as the operator or a server does; returns its version.
+    pub fn put(&self, table: &str, key: &str, value: &Json) -> u64 {
+        let mut state = self.lock();
+        state.tables.version += 1;
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        let value = json::base64(value.to_string().as_bytes());
+        state.tables.put(key, value);
+        self.changed.notify_all();
+        state.tables.version
+    }
+
+    /// The newest version.
+    pub fn version(&self) -> u64 {
+        self.lock().tables.version
+    }
+
+    /// The value of a row that the system wrote.
+    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<Json> {
+        let state = self.lock();
+        let key = (table.to_owned(), part.to_owned(), key.to_owned());
+        let (_, value) = state.tables.rows.get(&key)?;
+        Json::parse(&String::from_utf8(json::from_base64(value)).ok()?)
+    }
+
+    /// Takes the copy from which the store comes back.
+    pub fn copy(&self) -> u64 {
+        let mut state = self.lock();
+        state.copy = Some(state.tables.clone());
+        state.tables.version
+    }
+
+    /// Closes connections without an answer from now on.
+    pub fn go_away(&self) {
+        self.lock().is_away = true;
+        self.changed.notify_all();
+    }
+
+    /// Comes back from the copy.
+    pub fn come_back(&self) {
+        let mut state = self.lock();
+        if let Some(copy) = state.copy.take() {
+            state.tables = copy;
+            state.era += 1;
+        }
+        state.is_away = false;
+    }
+
+    pub fn is_away(&self) -> bool {
+        self.lock().is_away
+    }
+
+    fn handle(
+        &self,
+        request: &Request,
+        stream: &mut TcpStream,
+        moved: Option<&Vec<(SocketAddr, SocketAddr)>>,
+    ) -> std::io::Result<bool> {
+        if self.is_away() {
+            return Ok(false);
+        }
+        let answered = match request.path() {
+            "/api/rows-get" => {
+                thread::sleep(READ);
+                Some(self.read(request))
+            }
+            "/api/rows-feed" => self.feed(request),
+            "/api/rows-tx" => {
+                thread::sleep(TRANSACTION);
+                self.transact(request)
+            }
+            _ => Some((404, object(vec![]))),
+        };
+        let Some((status, mut answer)) = answered.filter(|_| !self.is_away()) else {
+            return Ok(false);
+        };
+        if let Some(moved) = moved {
+            move_servers(&mut answer, moved);
+        }
+        let headers = [
+            ("content-type", "application/json".to_owned()),
+            ("store-era", self.lock().era.to_string()),
+        ];
+        http::answer(stream, status, &headers, answer.to_string().as_bytes())?;
+        Ok(true)
+    }
+
+    fn finish(&self, rows: Vec<Json>, has_more: bool, version: u64) -> Json {
+        object(vec![
+            ("rows", Json::List(rows)),
+            ("has_more", Json::Bool(has_more)),
+            ("ver", number(version as f64)),
+            ("now_ms", number(self.began.elapsed().as_millis() as f64)),
+        ])
+    }
+
+    fn read(&self, request: &Request) -> (u16, Json) {
+        let state = self.lock();
+        let (table, part) = (request.query("table"), request.query("part"));
+        let (from, to) = (request.query("from"), request.query("to"));
+        let limit = request.query("limit").parse().unwrap_or(PAGE).min(PAGE);
+        let is_asked = |(key, _): &(&Key, &(u64, String))| {
+            let is_in = key.0 == table && key.1 == part;
+            is_in && key.2 >= from && (to.is_empty() || key.2 < to)
+        };
+        let rows = state.tables.rows.iter().filter(is_asked);
+        let rows = rows.map(|(key, (version, value))| row(key, *version, Some(value)));
+        let mut rows: Vec<Json> = rows.collect();
+        let has_more = rows.len() > limit;
+        rows.truncate(limit);
+        (200, self.finish(rows, has_more, state.tables.version))
+    }
+
+    fn feed(&self, request: &Request) -> Option<(u16, Json)> {
+        let table = request.query("table");
+        let after: u64 = request.query("after").parse().unwrap_or(0);
+        let wait: u64 = request.query("wait_ms").parse().unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait.min(30_000));
+        let mut state = self.lock();
+        loop {
+            if state.is_away {
+                return None;
+            }
+            state.tables.forget();
+            let tables = &state.tables;
+            if after < tables.history_start || after > tables.version {
+                return Some((410, object(vec![])));
+            }
+            let changes = tables.history.iter();
+            let changes = changes.filter(|(version, _, key, _)| *version > after && key.0 == table);
+            let rows = changes.map(|(version, _, key, value)| {
+                let mut row = row(key, *version, value.as_deref());
+                if let Json::Object(fields) = &mut row {
+                    fields.push(("deleted".to_owned(), Json::Bool(value.is_none())));
+                }
+                row
+            });
+            let rows: Vec<Json> = rows.collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !rows.is_empty() || left.is_zero() {
+                return Some((200, self.finish(rows, false, tables.version)));
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            state = waited.expect("no panic").0;
+        }
+    }
+
+    fn transact(&self, request: &Request) -> Option<(u16, Json)> {
+        let wire = Json::parse(std::str::from_utf8(&request.body).ok()?)?;
+        let mut state = self.lock();
+        let tables = &mut state.tables;
+        let checks = wire.get("expected_rev").list();
+        let version_of = |tables: &Tables, key: &Key| tables.rows.get(key).map_or(0, |row| row.0);
+        let holds = |check: &Json| {
+            version_of(tables, &key_of(check)) as f64 == check.get("ver").number()
+        };
+        if !checks.iter().all(holds) {
+            let found = checks.iter().map(key_of);
+            let found = found.filter_map(|key| {
+                let (version, value) = tables.rows.get(&key)?;
+                Some(row(&key, *version, Some(value)))
+            });
+            let rows: Vec<Json> = found.collect();
+            return Some((412, self.finish(rows, false, tables.version)));
+        }
+        tables.version += 1;
+        for put in wire.get("put").list() {
+            tables.put(key_of(put), put.get("value").text().to_owned());
+        }
+        for removed in wire.get("remove").list() {
+            tables.remove(key_of(removed));
+        }
+        let answer = self.finish(Vec::new(), false, tables.version);
+        self.changed.notify_all();
+        Some((200, answer))
+    }
+}
+
+/// Replaces the addresses in the entries of servers.
+fn move_servers(answer: &mut Json, moved: &[(SocketAddr, SocketAddr)]) {
+    let Json::Object(fields) = answer else { return };
+    let rows = fields.iter_mut().find(|(name, _)| name == "rows");
+    let Some((_, Json::List(rows))) = rows else { return };
+    for row in rows.iter_mut().filter(|row| row.get("table").text() == "servers") {
+        let Json::Object(fields) = row else { continue };
+        let value = fields.iter_mut().find(|(name, _)| name == "value");
+        let Some((_, Json::Text(value))) = value else { continue };
+        let mut entry = String::from_utf8(json::from_base64(value)).unwrap_or_default();
+        for (from, to) in moved {
+            entry = entry.replace(&format!("\"{from}\""), &format!("\"{to}\""));
+        }
+        *value = json::base64(entry.as_bytes());
+    }
+}
