Add review case 8: budgets of machines that are lost for good are lost

Tried: three routers, one tenant with 2,000,000 prepaid tokens; all machines lose power for good, and three are added at new addresses.

--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -9,7 +9,6 @@
 /// A request that a stand-in received.
 #[derive(Debug, Clone, Default)]
 pub struct Request {
-    pub method: String,
     /// Path and query.
     pub target: String,
     /// Names are in lower case.
@@ -35,7 +34,9 @@
     pub fn query(&self, name: &str) -> String {
         let query = self.target.split_once('?').map_or("", |(_, query)| query);
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        let value = pairs.find(|(n, _)| *n == name).map_or("", |(_, value)| value);
+        let value = pairs
+            .find(|(n, _)| *n == name)
+            .map_or("", |(_, value)| value);
         let (mut out, mut rest) = (Vec::new(), value.as_bytes());
         while let Some((first, tail)) = rest.split_first() {
             let code = tail.get(..2).filter(|_| *first == b'%');
@@ -97,8 +98,7 @@
     };
     let mut words = first.split(' ');
     let mut request = Request {
-        method: words.next().unwrap_or_default().to_owned(),
-        target: words.next().unwrap_or_default().to_owned(),
+        target: words.nth(1).unwrap_or_default().to_owned(),
         headers,
         body: Vec::new(),
     };
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -70,7 +70,11 @@
 /// An object of these fields.
 pub fn object(fields: Vec<(&str, Json)>) -> Json {
     let fields = fields.into_iter();
-    Json::Object(fields.map(|(name, value)| (name.to_owned(), value)).collect())
+    Json::Object(
+        fields
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect(),
+    )
 }
 
 fn write_text(f: &mut fmt::Formatter<'_>, text: &str) -> fmt::Result {
@@ -236,21 +240,11 @@
         }
         for place in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * place)) as usize & 63];
-            out.push(if place <= chunk.len() { digit.into() } else { '=' });
-        }
-    }
-    out
-}
-
-/// Decodes base64; invalid characters are left out.
-pub fn from_base64(text: &str) -> Vec<u8> {
-    let (mut out, mut word, mut bits) = (Vec::new(), 0u32, 0);
-    for digit in text.bytes().filter_map(|b| DIGITS.iter().position(|d| *d == b)) {
-        word = word << 6 | digit as u32;
-        bits += 6;
-        if bits >= 8 {
-            bits -= 8;
-            out.push((word >> bits) as u8);
+            out.push(if place <= chunk.len() {
+                digit.into()
+            } else {
+                '='
+            });
         }
     }
     out
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -35,7 +35,6 @@
         slots: 64,
         queue: 192,
         work: Duration::from_millis(8),
-        retry_after: None,
     };
     let plain = |n| Plan {
         id: format!("gateway-{n}"),
@@ -44,7 +43,6 @@
         slots: 6,
         queue: 24,
         work: Duration::from_millis(60),
-        retry_after: None,
     };
     (1..=9).map(engine).chain((1..=4).map(plain)).collect()
 }
@@ -54,12 +52,15 @@
 fn drill(site: &Site, copied: Instant, copy: u64) {
     thread::sleep(COPY_AGE.saturating_sub(copied.elapsed() + AWAY));
     let lost = site.store.version() - copy;
-    site.record.say(&format!("the store goes away; it will lose {lost} versions"));
+    site.record.say(&format!(
+        "the store goes away; it will lose {lost} versions"
+    ));
     site.store.go_away();
     thread::sleep(AWAY);
     site.store.come_back();
     let age = copied.elapsed().as_millis();
-    site.record.say(&format!("the store is back from a copy {age} ms old"));
+    site.record
+        .say(&format!("the store is back from a copy {age} ms old"));
 }
 
 /// A budget is prepaid once. The store loses what was drawn from it in a drill, and the
@@ -67,9 +68,13 @@
 fn budget_after_drill(record: Record, trouble: bool) -> Option<bool> {
     const PREPAID: u64 = 300_000;
     const SIZE: (u64, u64) = (1000, 200);
-    let tenants = [Tenant { name: "acme", keys: vec!["key-acme"], prepaid: PREPAID }];
+    let tenants = [Tenant {
+        name: "acme",
+        keys: vec!["key-acme"],
+        prepaid: PREPAID,
+    }];
     let config = configuration(7, &tenants, &[]);
-    let mut site = Site::open(usual_servers(), 3, &config, record.clone(), |_, _, _, _| None)?;
+    let mut site = Site::open(usual_servers(), (3, 0), &config, record.clone())?;
     seconds(3.0);
     let traffic = site.send_streams("key-acme", 40, SIZE);
     seconds(3.0);
@@ -90,7 +95,9 @@
     traffic.end();
     site.note_arrivals();
     let (sent, served) = traffic.count(restarted, 200);
-    record.say(&format!("from the first restart on: {served} of {sent} streams served"));
+    record.say(&format!(
+        "from the first restart on: {served} of {sent} streams served"
+    ));
     let mut consumed = 0;
     let mut whole = 0;
     for (_, seen, events) in &*traffic.seen.lock().expect("no panic") {
@@ -100,7 +107,9 @@
             consumed += SIZE.0 + events * STRIDE;
         }
     }
-    record.say(&format!("{whole} streams came whole: {consumed} tokens of {PREPAID} prepaid"));
+    record.say(&format!(
+        "{whole} streams came whole: {consumed} tokens of {PREPAID} prepaid"
+    ));
     // The case says nothing if the budget was not nearly used up.
     (consumed > PREPAID * 8 / 10).then_some(consumed > PREPAID)
 }
@@ -109,10 +118,14 @@
 fn configuration_after_drill(record: Record, trouble: bool) -> Option<bool> {
     const APPLY: Duration = Duration::from_millis(2000);
     const CONTACT: Duration = Duration::from_millis(3000);
-    let tenant = |keys| Tenant { name: "acme", keys, prepaid: 50_000_000 };
+    let tenant = |keys| Tenant {
+        name: "acme",
+        keys,
+        prepaid: 50_000_000,
+    };
     let before = configuration(7, &[tenant(vec!["key-acme", "key-lost"])], &["old"]);
     let after = configuration(9, &[tenant(vec!["key-acme"])], &["new"]);
-    let site = Site::open(usual_servers(), 3, &before, record.clone(), |_, _, _, _| None)?;
+    let site = Site::open(usual_servers(), (3, 0), &before, record.clone())?;
     seconds(3.0);
     let traffic = site.send_streams("key-acme", 40, (1000, 200));
     seconds(6.0);
@@ -127,7 +140,9 @@
     thread::sleep(CONTACT + Duration::from_millis(1000));
     let row = site.store.put("op", "config", &after);
     let acknowledged = Instant::now();
-    record.say(&format!("the operator's version 9 is acknowledged, row {row}"));
+    record.say(&format!(
+        "the operator's version 9 is acknowledged, row {row}"
+    ));
     thread::sleep(APPLY);
     let (mut asked, mut wrong) = (0, 0);
     for round in 0..24 {
@@ -151,7 +166,11 @@
                 record.note(&format!(
                     "{id} sent {sent} ms after version 9, {path} with {key}: {}{}",
                     seen.text(),
-                    if is_wrong { ", as only version 7 allows" } else { "" }
+                    if is_wrong {
+                        ", as only version 7 allows"
+                    } else {
+                        ""
+                    }
                 ));
             }
         }
@@ -159,10 +178,74 @@
     }
     traffic.end();
     site.note_arrivals();
-    record.say(&format!("{wrong} of {asked} requests were handled as only version 7 allows"));
+    record.say(&format!(
+        "{wrong} of {asked} requests were handled as only version 7 allows"
+    ));
     Some(wrong > 0)
 }
 
+/// All machines are lost for good, and as many are added at new addresses. Without the
+/// trouble, the same machines come back.
+fn machines_replaced(record: Record, trouble: bool) -> Option<bool> {
+    const PREPAID: u64 = 2_000_000;
+    const SIZE: (u64, u64) = (1000, 200);
+    const ROUTERS: usize = 3;
+    const RECOVERY: f64 = 12.0;
+    let tenants = [Tenant {
+        name: "acme",
+        keys: vec!["key-acme"],
+        prepaid: PREPAID,
+    }];
+    let config = configuration(7, &tenants, &[]);
+    let mut site = Site::open(usual_servers(), (ROUTERS, ROUTERS), &config, record.clone())?;
+    seconds(3.0);
+    let began = Instant::now();
+    let traffic = site.send_streams("key-acme", 20, SIZE);
+    seconds(10.0);
+    let (sent, served) = traffic.count(began, 200);
+    record.say(&format!(
+        "before the loss: {served} of {sent} ended streams were served"
+    ));
+    let was_served = served * 4 >= sent;
+    record.say("all machines lose power");
+    site.routers[..ROUTERS]
+        .iter_mut()
+        .for_each(router::Router::kill);
+    seconds(2.0);
+    let added = if trouble {
+        ROUTERS..2 * ROUTERS
+    } else {
+        0..ROUTERS
+    };
+    for router in &mut site.routers[added] {
+        router.start().ok()?;
+        record.say(&format!("a machine starts at {}", router.ip));
+    }
+    seconds(1.5);
+    if !site.wait_ready(ROUTERS) {
+        return None;
+    }
+    record.say("all are ready");
+    let back = Instant::now();
+    seconds(RECOVERY + 30.0);
+    traffic.end();
+    site.note_arrivals();
+    let from = back + Duration::from_secs_f64(RECOVERY);
+    let (sent, served) = traffic.count(from, 200);
+    let (_, refused) = traffic.count(from, 503);
+    let (_, spent) = traffic.count(from, 402);
+    record.say(&format!(
+        "later than {RECOVERY} s after that: {served} of {sent} streams served, {refused} \
+         refused with 503, {spent} with 402"
+    ));
+    let (_, whole) = traffic.count(began, 200);
+    let consumed = whole as u64 * (SIZE.0 + SIZE.1);
+    record.say(&format!(
+        "{whole} streams came whole: {consumed} tokens of {PREPAID} prepaid"
+    ));
+    was_served.then_some(served * 4 < sent)
+}
+
 /// Servers of a service are brittle for a time, while callers need most of what they can do.
 fn brittle_servers(record: Record, trouble: bool) -> Option<bool> {
     const SERVERS: usize = 4;
@@ -173,10 +256,18 @@
         after: Duration::from_millis(3000),
         back: Duration::from_millis(3000),
     };
-    let tenants = [Tenant { name: "acme", keys: vec!["key-acme"], prepaid: 1_000_000 }];
+    let tenants = [Tenant {
+        name: "acme",
+        keys: vec!["key-acme"],
+        prepaid: 1_000_000,
+    }];
     let config = configuration(7, &tenants, &[]);
-    let site = Site::open(usual_servers(), 3, &config, record.clone(), |_, _, _, _| None)?;
-    let gateways: Vec<_> = site.servers.iter().filter(|s| s.plan.service == "gateway").collect();
+    let site = Site::open(usual_servers(), (3, 0), &config, record.clone())?;
+    let gateways: Vec<_> = site
+        .servers
+        .iter()
+        .filter(|s| s.plan.service == "gateway")
+        .collect();
     for server in &gateways {
         server.recover(&site.store, brittle.back);
     }
@@ -207,13 +298,81 @@
     let began = Instant::now() - Duration::from_secs(3600);
     for status in [200, 502, 503, 504] {
         let (sent, with) = traffic.count(began, status);
-        record.say(&format!("{with} of {sent} requests were answered with {status}"));
+        record.say(&format!(
+            "{with} of {sent} requests were answered with {status}"
+        ));
     }
     let allowed = 2.0 + SERVERS as f64 / 10.0;
-    record.say(&format!("the servers fell over {falls} times; {allowed} are allowed"));
+    record.say(&format!(
+        "the servers fell over {falls} times; {allowed} are allowed"
+    ));
     Some(falls as f64 > allowed)
 }
 
+/// Resident memory of a process in KB.
+fn memory_kb(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    number.unwrap_or(0)
+}
+
+/// A router serves for long while nobody fetches its metrics. Without the trouble they are
+/// fetched every five seconds, as while an incident is examined.
+fn long_service(record: Record, trouble: bool) -> Option<bool> {
+    const MEMORY_MB: u64 = 88;
+    const CLIENTS: usize = 700;
+    const FETCH: Duration = Duration::from_secs(5);
+    const LENGTH: Duration = Duration::from_secs(114);
+    let tenants = [Tenant {
+        name: "acme",
+        keys: vec!["key-acme"],
+        prepaid: 1_000_000,
+    }];
+    let config = configuration(7, &tenants, &["idle"]);
+    let mut site = Site::open(usual_servers(), (1, 0), &config, record.clone())?;
+    let (process, at) = (site.routers[0].id()?, site.routers[0].callers());
+    record.say(&format!(
+        "before the first request: {} KB",
+        memory_kb(process)
+    ));
+    let load = site::Load::open(at, "/idle/x", "key-acme", CLIENTS);
+    let began = Instant::now();
+    let (mut fetched, mut said) = (began, began);
+    let mut is_ended = false;
+    while began.elapsed() < LENGTH && !is_ended {
+        seconds(0.25);
+        let memory = memory_kb(process);
+        is_ended = memory == 0;
+        if memory > MEMORY_MB << 10 {
+            record.say(&format!(
+                "{memory} KB are over {MEMORY_MB} MB: the platform kills it"
+            ));
+            site.routers[0].kill();
+            is_ended = true;
+        }
+        if !trouble && fetched.elapsed() >= FETCH {
+            fetched = Instant::now();
+            let metrics = std::net::SocketAddr::new(at.ip(), 9464);
+            let seen = http::ask(metrics, "GET", "/metrics", &[], b"", Duration::from_secs(2));
+            if !seen.is_success() {
+                return None;
+            }
+        }
+        if said.elapsed() >= FETCH || is_ended {
+            said = Instant::now();
+            let (answered, refused) = load.answered();
+            record.say(&format!(
+                "{memory} KB; {answered} requests sent, {refused} refused as not run"
+            ));
+        }
+    }
+    load.end();
+    // The case says nothing if the router did not get through enough requests.
+    let (answered, _) = load.answered();
+    (is_ended || !trouble || answered > 4_500_000).then_some(is_ended)
+}
+
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
     let (Some(case), Some(path)) = (arguments.next(), arguments.next()) else {
@@ -227,6 +386,8 @@
     let broken = match case.as_str() {
         "budget-after-drill" => budget_after_drill(record.clone(), trouble),
         "configuration-after-drill" => configuration_after_drill(record.clone(), trouble),
+        "long-service" => long_service(record.clone(), trouble),
+        "machines-replaced" => machines_replaced(record.clone(), trouble),
         "brittle-servers" => brittle_servers(record.clone(), trouble),
         _ => None,
     };
--- a/review/standin-2/router.rs
+++ b/review/standin-2/router.rs
@@ -1,15 +1,10 @@
-//! Routers as processes of their own, started as the deploy file says, and paths between
-//! them and servers that can be cut.
+//! Routers as processes of their own, started as the deploy file says.
 
 use std::fs::{self, File};
-use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::os::fd::FromRawFd;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,10 +15,6 @@
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
-    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-    fn bind(socket: i32, address: *const u8, length: u32) -> i32;
-    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
-    fn close(socket: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
 }
 
@@ -31,7 +22,12 @@
 fn command() -> Option<Vec<String>> {
     let text = fs::read_to_string("deploy/system.toml").ok()?;
     let line = text.lines().find_map(|line| line.strip_prefix("run = "))?;
-    Some(line.trim_matches('"').split(' ').map(str::to_owned).collect())
+    Some(
+        line.trim_matches('"')
+            .split(' ')
+            .map(str::to_owned)
+            .collect(),
+    )
 }
 
 /// Time in which a router stops before it is killed.
@@ -80,7 +76,7 @@
              zones.depot-north=waiharakeke\nlisten.front={ip}:{CALLERS_PORT}\n\
              listen.ready={ip}:{READY_PORT}\ninternal_ports=7340,7355\nbootstrap=false\n\
              tolerance_member=false\nlimits.cpu_share=0.25\nlimits.cores=1\n\
-             limits.memory_mb=110\nlimits.max_fds=4100\nlimits.link_mbps=1000.0\n\
+             limits.memory_mb=88\nlimits.max_fds=4100\nlimits.link_mbps=1000.0\n\
              limits.disk_mb=0\ndiscovery=platform\nentry=vip\nheartbeat_ms=1200\n\
              contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform\n\
              fault_tolerance.machines=1\nbounds.seed_lag_s=3\nbounds.reuse_s=2\n\
@@ -113,7 +109,10 @@
         let mut command = Command::new(&self.command[0]);
         command.args(&self.command[1..]);
         command.env_clear().env("POPLARREEL_BOOT", &self.settings);
-        command.stdin(Stdio::null()).stderr(Stdio::null()).stdout(log);
+        command
+            .stdin(Stdio::null())
+            .stderr(Stdio::null())
+            .stdout(log);
         // SAFETY: the call between fork and exec takes no memory and no lock. It ends the
         // router if this process is killed.
         unsafe {
@@ -126,6 +125,11 @@
         Ok(())
     }
 
+    /// The id of its process.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     pub fn signal(&self, signal: i32) {
         if let Some(child) = &self.child {
             // SAFETY: a call without pointers; the process is a child that was not
@@ -152,14 +156,8 @@
         false
     }
 
-    /// What its processes have logged.
-    pub fn log_text(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
-}
-
-impl Drop for Router {
-    fn drop(&mut self) {
+    /// Kills its process.
+    pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -167,115 +165,8 @@
     }
 }
 
-fn socket_address(address: SocketAddr) -> [u8; 16] {
-    let mut bytes = [0; 16];
-    bytes[..2].copy_from_slice(&2u16.to_ne_bytes());
-    bytes[2..4].copy_from_slice(&address.port().to_be_bytes());
-    if let IpAddr::V4(ip) = address.ip() {
-        bytes[4..8].copy_from_slice(&ip.octets());
-    }
-    bytes
-}
-
-/// Connects from an address of this machine's loopback network.
-fn connect_from(from: IpAddr, to: SocketAddr) -> Option<TcpStream> {
-    let (local, remote) = (socket_address(SocketAddr::new(from, 0)), socket_address(to));
-    // SAFETY: the addresses are valid for the calls and have the length of an IPv4
-    // socket address; the descriptor is owned by the stream, or closed here.
-    unsafe {
-        let fd = socket(2, 1, 0);
-        if fd < 0 {
-            return None;
-        }
-        if bind(fd, local.as_ptr(), 16) != 0 || connect(fd, remote.as_ptr(), 16) != 0 {
-            close(fd);
-            return None;
-        }
-        Some(TcpStream::from_raw_fd(fd))
-    }
-}
-
-/// The path of one machine to one server: a proxy that forwards bytes from the machine's
-/// address, and refuses connections while it is cut.
-pub struct ServerPath {
-    pub near: SocketAddr,
-    is_cut: Arc<AtomicBool>,
-    listener: Mutex<Option<Arc<AtomicBool>>>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
-    from: IpAddr,
-    far: SocketAddr,
-}
-
-impl ServerPath {
-    /// A path from `from` to the server at `far`.
-    pub fn open(from: IpAddr, far: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let path = Self {
-            near: listener.local_addr()?,
-            is_cut: Arc::default(),
-            listener: Mutex::new(None),
-            open: Arc::default(),
-            from,
-            far,
-        };
-        path.accept(listener)?;
-        Ok(path)
-    }
-
-    fn accept(&self, listener: TcpListener) -> std::io::Result<()> {
-        listener.set_nonblocking(true)?;
-        let ended = Arc::new(AtomicBool::new(false));
-        *self.listener.lock().expect("no panic") = Some(ended.clone());
-        let (open, from, far) = (self.open.clone(), self.from, self.far);
-        thread::spawn(move || {
-            while !ended.load(Ordering::Acquire) {
-                let Ok((near, _)) = listener.accept() else {
-                    thread::sleep(Duration::from_millis(1));
-                    continue;
-                };
-                let _ = near.set_nonblocking(false);
-                let Some(server) = connect_from(from, far) else {
-                    continue;
-                };
-                let _ = (near.set_nodelay(true), server.set_nodelay(true));
-                let mut known = open.lock().expect("no panic");
-                let pairs = [(&near, &server), (&server, &near)];
-                for (from, to) in pairs {
-                    if let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) {
-                        thread::spawn(move || forward(from, to));
-                    }
-                }
-                known.push(near);
-                known.push(server);
-            }
-        });
-        Ok(())
-    }
-
-    /// Refuses connections from now on, and ends those that are open.
-    pub fn cut(&self) {
-        self.is_cut.store(true, Ordering::Release);
-        if let Some(ended) = self.listener.lock().expect("no panic").take() {
-            ended.store(true, Ordering::Release);
-        }
-        for stream in self.open.lock().expect("no panic").drain(..) {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-        }
-    }
-
-    /// Forwards again.
-    pub fn heal(&self) -> std::io::Result<()> {
-        let listener = TcpListener::bind(self.near)?;
-        self.accept(listener)
-    }
-}
-
-fn forward(mut from: TcpStream, mut to: TcpStream) {
-    let mut bytes = [0; 16 << 10];
-    while let Ok(length) = from.read(&mut bytes) {
-        if length == 0 || to.write_all(&bytes[..length]).is_err() {
-            break;
-        }
+impl Drop for Router {
+    fn drop(&mut self) {
+        self.kill();
     }
-    let _ = to.shutdown(std::net::Shutdown::Write);
 }
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -29,8 +29,6 @@
     pub queue: u64,
     /// Time of a call, or between two events.
     pub work: Duration,
-    /// What it asks for, in seconds, when it turns a request away.
-    pub retry_after: Option<u64>,
 }
 
 /// How brittle a server is.
@@ -175,7 +173,8 @@
         if rejected > brittle.most && !self.is_down.swap(true, Ordering::AcqRel) {
             self.falls.lock().expect("no panic").push(now);
             let work = self.work.lock().expect("no panic");
-            self.cut.fetch_add(work.running + work.waiting, Ordering::AcqRel);
+            self.cut
+                .fetch_add(work.running + work.waiting, Ordering::AcqRel);
         }
     }
 
@@ -244,7 +243,7 @@
         self.arrivals.lock().expect("no panic").clone()
     }
 
-    fn record(&self, request: &Request, id: &str, machine: IpAddr, ran: bool) {
+    fn record(&self, id: &str, machine: IpAddr, ran: bool) {
         self.arrivals.lock().expect("no panic").push(Arrival {
             at: Instant::now(),
             machine,
@@ -280,7 +279,7 @@
             return Ok(true);
         }
         let slot = self.take_slot();
-        self.record(request, id, machine, slot.is_some());
+        self.record(id, machine, slot.is_some());
         let load = {
             let work = self.work.lock().expect("no panic");
             let figures = format!("{},{},{}", work.running, work.waiting, self.plan.slots);
@@ -292,9 +291,6 @@
         }
         let Some(_slot) = slot else {
             headers.push(not_run);
-            if let Some(seconds) = self.plan.retry_after {
-                headers.push(("retry-after", seconds.to_string()));
-            }
             self.fall_if_due();
             if self.is_down() {
                 return Ok(false);
@@ -302,7 +298,10 @@
             http::answer(stream, 503, &headers, b"")?;
             return Ok(true);
         };
-        headers.push(("x-poplarreel-response-seal", format!("{}.{id}", self.plan.id)));
+        headers.push((
+            "x-poplarreel-response-seal",
+            format!("{}.{id}", self.plan.id),
+        ));
         if self.plan.is_engine {
             return self.stream(request, stream, &headers);
         }
@@ -332,7 +331,9 @@
             head.push_str(&format!("{name}: {value}\r\n"));
         }
         stream.write_all(format!("{head}\r\n").as_bytes())?;
-        let last = request.header("last-event-id").and_then(|id| id.parse().ok());
+        let last = request
+            .header("last-event-id")
+            .and_then(|id| id.parse().ok());
         for n in last.unwrap_or(0) + 1..=events {
             thread::sleep(self.plan.work);
             let event = format!("id: {n}\ndata: {} {n}\n\n", self.plan.id);
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -81,15 +81,23 @@
         route("push", "unsafe", "gateway", 1, 1500),
         route("status", "safe", "gateway", 2, 1500),
     ];
-    routes.extend(more.iter().map(|name| route(name, "safe", "gateway", 2, 1500)));
+    routes.extend(more.iter().map(|name| {
+        let service = if *name == "idle" { "spare" } else { "gateway" };
+        route(name, "safe", service, 2, 1500)
+    }));
     let engine = object(vec![
         ("slots", number(64)),
         ("kv_capacity", number(446_388)),
         ("stride", number(STRIDE as f64)),
     ]);
     let services = vec![
-        object(vec![("name", text("engines")), ("max_conns", number(370)), ("engine", engine)]),
+        object(vec![
+            ("name", text("engines")),
+            ("max_conns", number(370)),
+            ("engine", engine),
+        ]),
         object(vec![("name", text("gateway")), ("max_conns", number(110))]),
+        object(vec![("name", text("spare")), ("max_conns", number(110))]),
     ];
     let tenants = tenants.iter().map(|tenant| {
         let keys = tenant.keys.iter().map(|key| text(key)).collect();
@@ -152,8 +160,13 @@
         balancer
     }
 
-    fn all_in(&self) -> bool {
-        self.0.iter().all(|(.., is_in)| is_in.load(Ordering::Acquire))
+    /// Whether this many routers get connections.
+    fn are_in(&self, count: usize) -> bool {
+        let is_in = self
+            .0
+            .iter()
+            .filter(|(.., is_in)| is_in.load(Ordering::Acquire));
+        is_in.count() == count
     }
 
     /// The router that gets connection number `n`; any if none is in.
@@ -169,32 +182,36 @@
 
 impl Site {
     /// Starts the store, the servers and this many routers with a configuration, and waits
-    /// until all are ready. `view` may give a router another store address.
+    /// until all are ready. As many as `spares` more are not started yet.
     pub fn open(
         plans: Vec<Plan>,
-        routers: u8,
+        (routers, spares): (usize, usize),
         configuration: &Json,
         record: Record,
-        view: impl Fn(usize, std::net::IpAddr, &Arc<Store>, &[Arc<Server>]) -> Option<std::net::SocketAddr>,
     ) -> Option<Self> {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let store = Store::open().ok()?;
         store.put("op", "config", configuration);
-        let servers: Vec<_> = plans.into_iter().filter_map(|p| Server::open(p).ok()).collect();
+        let servers: Vec<_> = plans
+            .into_iter()
+            .filter_map(|p| Server::open(p).ok())
+            .collect();
         for server in &servers {
             server.beat(&store);
         }
         let mut processes = Vec::new();
-        for (number, ip) in router::addresses(routers)?.into_iter().enumerate() {
-            let at = view(number, ip, &store, &servers).unwrap_or(store.address);
-            let mut router = Router::new(ip, number + 1, at, &folder)?;
-            router.start().ok()?;
+        let addresses = router::addresses((routers + spares) as u8)?;
+        for (number, ip) in addresses.into_iter().enumerate() {
+            let mut router = Router::new(ip, number + 1, store.address, &folder)?;
+            if number < routers {
+                router.start().ok()?;
+            }
             processes.push(router);
         }
         let balancer = Balancer::open(&processes);
         let began = Instant::now();
-        while !balancer.all_in() {
+        while !balancer.are_in(routers) {
             if began.elapsed() > START_LIMIT {
                 return None;
             }
@@ -231,27 +248,44 @@
     pub fn restart_in_turn(&mut self) -> bool {
         for number in 0..self.routers.len() {
             let router = &mut self.routers[number];
-            self.record.say(&format!("SIGTERM to router {}", number + 1));
+            self.record
+                .say(&format!("SIGTERM to router {}", number + 1));
             router.signal(TERM);
             let ended = router.wait_end();
-            self.record.say(&format!("router {} has ended by itself: {ended}", number + 1));
+            self.record.say(&format!(
+                "router {} has ended by itself: {ended}",
+                number + 1
+            ));
             if router.start().is_err() {
                 return false;
             }
             let until = Instant::now() + START_LIMIT;
             thread::sleep(Duration::from_millis(1500));
-            while !self.balancer.all_in() && Instant::now() < until {
+            while !self.balancer.are_in(self.routers.len()) && Instant::now() < until {
                 thread::sleep(Duration::from_millis(50));
             }
         }
         true
     }
 
+    /// Waits until this many routers get connections.
+    pub fn wait_ready(&self, count: usize) -> bool {
+        let until = Instant::now() + START_LIMIT;
+        while !self.balancer.are_in(count) {
+            if Instant::now() > until {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        true
+    }
+
     /// Sends streams for a tenant's key, `per_s` a second, until the result is told to
     /// stop.
     pub fn send_streams(&self, key: &'static str, per_s: u64, size: (u64, u64)) -> Traffic {
         let traffic = Traffic::default();
-        let (shared, balancer, record) = (traffic.clone(), self.balancer.clone(), self.record.clone());
+        let (shared, balancer, record) =
+            (traffic.clone(), self.balancer.clone(), self.record.clone());
         thread::spawn(move || {
             while !shared.is_ended.load(Ordering::Acquire) {
                 let n = shared.sent.fetch_add(1, Ordering::AcqRel);
@@ -268,7 +302,10 @@
                         size.0,
                         seen.text()
                     ));
-                    one.seen.lock().expect("no panic").push((sent, seen, events));
+                    one.seen
+                        .lock()
+                        .expect("no panic")
+                        .push((sent, seen, events));
                 });
                 thread::sleep(Duration::from_micros(1_000_000 / per_s));
             }
@@ -357,7 +394,10 @@
         ("x-poplarreel-deadline-ms", "8000".to_owned()),
         ("x-poplarreel-model", "m".to_owned()),
         ("x-poplarreel-token-counts", format!("{prompt},{output}")),
-        ("x-poplarreel-prompt-prefix", format!("{:x}:{prompt}", fingerprint(id))),
+        (
+            "x-poplarreel-prompt-prefix",
+            format!("{:x}:{prompt}", fingerprint(id)),
+        ),
         ("api-key", key.to_owned()),
     ];
     http::ask(at, "POST", "/plan/compose", &headers, b"a scene", PATIENCE)
@@ -382,5 +422,82 @@
 pub fn count_events(body: &[u8]) -> u64 {
     let text = String::from_utf8_lossy(body);
     let whole = text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
-    whole.split("\n\n").filter(|e| e.starts_with("id: ")).count() as u64
+    whole
+        .split("\n\n")
+        .filter(|e| e.starts_with("id: "))
+        .count() as u64
+}
+
+/// Many requests over kept connections, one at a time on each, of which only the answers
+/// are counted.
+pub struct Load {
+    counts: Arc<(AtomicU64, AtomicU64)>,
+    is_ended: Arc<AtomicBool>,
+}
+
+impl Load {
+    /// Sends requests over this many connections.
+    pub fn open(at: std::net::SocketAddr, path: &str, key: &str, connections: usize) -> Self {
+        let load = Self {
+            counts: Arc::default(),
+            is_ended: Arc::default(),
+        };
+        for connection in 0..connections {
+            let (counts, is_ended) = (load.counts.clone(), load.is_ended.clone());
+            let text = format!(
+                "GET {path} HTTP/1.1\r\nhost: site.example\r\napi-key: {key}\r\n\
+                 x-poplarreel-attempt-id: load-{connection}-"
+            );
+            let small = thread::Builder::new().stack_size(64 << 10);
+            let _ = small.spawn(move || {
+                while !is_ended.load(Ordering::Acquire) {
+                    if send_on(at, &text, &counts, &is_ended).is_err() {
+                        thread::sleep(Duration::from_millis(50));
+                    }
+                }
+            });
+        }
+        load
+    }
+
+    /// How many were answered, and how many of these with 503.
+    pub fn answered(&self) -> (u64, u64) {
+        let (all, refused) = &*self.counts;
+        (all.load(Ordering::Acquire), refused.load(Ordering::Acquire))
+    }
+
+    pub fn end(&self) {
+        self.is_ended.store(true, Ordering::Release);
+    }
+}
+
+/// Sends requests on one connection until it is closed.
+fn send_on(
+    at: std::net::SocketAddr,
+    text: &str,
+    (all, refused): &(AtomicU64, AtomicU64),
+    is_ended: &AtomicBool,
+) -> std::io::Result<()> {
+    use std::io::Read;
+    let mut stream = std::net::TcpStream::connect(at)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    let mut bytes = [0; 4096];
+    while !is_ended.load(Ordering::Acquire) {
+        let n = all.fetch_add(1, Ordering::AcqRel);
+        stream.write_all(format!("{text}{n}\r\n\r\n").as_bytes())?;
+        // The answer is short and comes in one piece.
+        let length = stream.read(&mut bytes)?;
+        if length == 0 {
+            return Ok(());
+        }
+        let answer = &bytes[..length];
+        if answer.starts_with(b"HTTP/1.1 503") {
+            refused.fetch_add(1, Ordering::AcqRel);
+        }
+        if answer.windows(17).any(|w| w == b"connection: close") {
+            return Ok(());
+        }
+    }
+    Ok(())
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -95,23 +95,10 @@
             address: listener.local_addr()?,
         });
         let served = store.clone();
-        http::serve(listener, move |request, stream| served.handle(request, stream, None));
-        Ok(store)
-    }
-
-    /// Serves on another port with the addresses of servers replaced: `moved` has the
-    /// addresses and what the callers of that port get instead.
-    pub fn open_view(
-        self: &Arc<Self>,
-        moved: Vec<(SocketAddr, SocketAddr)>,
-    ) -> std::io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        let store = self.clone();
         http::serve(listener, move |request, stream| {
-            store.handle(request, stream, Some(&moved))
+            served.handle(request, stream)
         });
-        Ok(address)
+        Ok(store)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -134,14 +121,6 @@
         self.lock().tables.version
     }
 
-    /// The value of a row that the system wrote.
-    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<Json> {
-        let state = self.lock();
-        let key = (table.to_owned(), part.to_owned(), key.to_owned());
-        let (_, value) = state.tables.rows.get(&key)?;
-        Json::parse(&String::from_utf8(json::from_base64(value)).ok()?)
-    }
-
     /// Takes the copy from which the store comes back.
     pub fn copy(&self) -> u64 {
         let mut state = self.lock();
@@ -169,12 +148,7 @@
         self.lock().is_away
     }
 
-    fn handle(
-        &self,
-        request: &Request,
-        stream: &mut TcpStream,
-        moved: Option<&Vec<(SocketAddr, SocketAddr)>>,
-    ) -> std::io::Result<bool> {
+    fn handle(&self, request: &Request, stream: &mut TcpStream) -> std::io::Result<bool> {
         if self.is_away() {
             return Ok(false);
         }
@@ -190,12 +164,9 @@
             }
             _ => Some((404, object(vec![]))),
         };
-        let Some((status, mut answer)) = answered.filter(|_| !self.is_away()) else {
+        let Some((status, answer)) = answered.filter(|_| !self.is_away()) else {
             return Ok(false);
         };
-        if let Some(moved) = moved {
-            move_servers(&mut answer, moved);
-        }
         let headers = [
             ("content-type", "application/json".to_owned()),
             ("store-era", self.lock().era.to_string()),
@@ -270,9 +241,8 @@
         let tables = &mut state.tables;
         let checks = wire.get("expected_rev").list();
         let version_of = |tables: &Tables, key: &Key| tables.rows.get(key).map_or(0, |row| row.0);
-        let holds = |check: &Json| {
-            version_of(tables, &key_of(check)) as f64 == check.get("ver").number()
-        };
+        let holds =
+            |check: &Json| version_of(tables, &key_of(check)) as f64 == check.get("ver").number();
         if !checks.iter().all(holds) {
             let found = checks.iter().map(key_of);
             let found = found.filter_map(|key| {
@@ -294,20 +264,3 @@
         Some((200, answer))
     }
 }
-
-/// Replaces the addresses in the entries of servers.
-fn move_servers(answer: &mut Json, moved: &[(SocketAddr, SocketAddr)]) {
-    let Json::Object(fields) = answer else { return };
-    let rows = fields.iter_mut().find(|(name, _)| name == "rows");
-    let Some((_, Json::List(rows))) = rows else { return };
-    for row in rows.iter_mut().filter(|row| row.get("table").text() == "servers") {
-        let Json::Object(fields) = row else { continue };
-        let value = fields.iter_mut().find(|(name, _)| name == "value");
-        let Some((_, Json::Text(value))) = value else { continue };
-        let mut entry = String::from_utf8(json::from_base64(value)).unwrap_or_default();
-        for (from, to) in moved {
-            entry = entry.replace(&format!("\"{from}\""), &format!("\"{to}\""));
-        }
-        *value = json::base64(entry.as_bytes());
-    }
-}
