Add review case 10: a crowd of clients takes a router over its memory

Tried: one router with 110 MB; 2,000 clients whose requests are legal in size stop just short of the end of their bodies, beside ten ordinary requests a second.

--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -182,10 +182,12 @@
 
 impl Site {
     /// Starts the store, the servers and this many routers with a configuration, and waits
-    /// until all are ready. As many as `spares` more are not started yet.
+    /// until all are ready. As many as `spares` more are not started yet. Each machine has
+    /// this much memory.
     pub fn open(
         plans: Vec<Plan>,
         (routers, spares): (usize, usize),
+        memory_mb: u64,
         configuration: &Json,
         record: Record,
     ) -> Option<Self> {
@@ -203,7 +205,7 @@
         let mut processes = Vec::new();
         let addresses = router::addresses((routers + spares) as u8)?;
         for (number, ip) in addresses.into_iter().enumerate() {
-            let mut router = Router::new(ip, number + 1, store.address, &folder)?;
+            let mut router = Router::new(ip, number + 1, store.address, memory_mb, &folder)?;
             if number < routers {
                 router.start().ok()?;
             }
