Add review case 6: one announced body closes a router for good

Tried: one client sends each of three routers one request that announces 1 TB and ten bytes of it, is answered 413 and leaves.

--- a/review/standin-2/crowd.rs
+++ b/review/standin-2/crowd.rs
@@ -106,3 +106,23 @@
         self.0.is_ended.store(true, Ordering::Release);
     }
 }
+
+/// Announces a body of this length, sends some bytes of it, and leaves; returns what was
+/// answered.
+pub fn announce(at: SocketAddr, key: &str, id: &str, length: u64) -> String {
+    let send = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(1))?;
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        let head = format!(
+            "POST /push/{id} HTTP/1.1\r\nhost: site.example\r\napi-key: {key}\r\n\
+             x-poplarreel-attempt-id: {id}\r\nx-poplarreel-deadline-ms: 1500\r\n\
+             content-length: {length}\r\n\r\nsome bytes"
+        );
+        stream.write_all(head.as_bytes())?;
+        let mut bytes = [0; 1024];
+        let read = stream.read(&mut bytes)?;
+        let answer = String::from_utf8_lossy(&bytes[..read]).into_owned();
+        Ok(answer.lines().next().unwrap_or("closed").to_owned())
+    };
+    send().unwrap_or_else(|why| why.to_string())
+}
