Show that one announced body takes routers out of service

A client announces a body of 64 GiB to each of three routers. It is answered 413, and from then on each router refuses every request with 503 "host full".

--- /dev/null
+++ b/review/standin-3/cases/mod.rs
@@ -0,0 +1,22 @@
+//! The cases. Each returns whether the rule held.
+
+mod brittle;
+mod deadly_part;
+mod long_body;
+mod long_ids;
+
+use std::io;
+
+use crate::record::Record;
+
+/// Runs a case.
+pub fn run(name: &str, record: Record, trouble: bool) -> io::Result<bool> {
+    match name {
+        "brittle" => brittle::run(record, trouble),
+        "long-ids" => long_ids::run(record, trouble),
+        "long-body" => long_body::run(record, trouble),
+        "deadly-part-burst" => deadly_part::run(record, trouble, deadly_part::Kind::Burst),
+        "deadly-part-moved" => deadly_part::run(record, trouble, deadly_part::Kind::Moved),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
