Show that a request without token counts passes by a prepaid budget

A client leaves X-Poplarreel-Token-Counts out; the router reserves nothing, so that the tenant gets whatever it asks for.

--- a/review/standin-3/cases/mod.rs
+++ b/review/standin-3/cases/mod.rs
@@ -4,6 +4,7 @@
 mod deadly_part;
 mod long_body;
 mod long_ids;
+mod no_counts;
 
 use std::io;
 
@@ -14,6 +15,7 @@
     match name {
         "brittle" => brittle::run(record, trouble),
         "long-ids" => long_ids::run(record, trouble),
+        "no-counts" => no_counts::run(record, trouble),
         "long-body" => long_body::run(record, trouble),
         "deadly-part-burst" => deadly_part::run(record, trouble, deadly_part::Kind::Burst),
         "deadly-part-moved" => deadly_part::run(record, trouble, deadly_part::Kind::Moved),
