--- a/review/standin-3/cases/long_body.rs
+++ b/review/standin-3/cases/long_body.rs
@@ -21,7 +21,8 @@
 const GAP: Duration = Duration::from_millis(500);
 const DEADLINE: Duration = Duration::from_millis(1500);
 
-fn configuration() -> String {
+/// A route to a plain service, and two tenants.
+pub fn configuration() -> String {
     "{\"version\":7,\"routes\":[{\"name\":\"r-push\",\"host\":\"ficu95.example\",\
      \"path_prefix\":\"/puxa403/\",\"kind\":\"unsafe\",\"timeout_ms\":1500,\
      \"target_latency_ms\":300,\"priority\":1,\"service\":\"gateway\",\"max_attempts\":1}],\
@@ -35,7 +36,7 @@
 
 /// An ordinary request: the client tries up to three routers within its deadline, as the
 /// answers tell it to.
-fn is_served(site: &Site, first: usize) -> bool {
+pub fn is_served(site: &Site, first: usize) -> bool {
     let until = Instant::now() + DEADLINE;
     for attempt in 0..3 {
         let left = until.saturating_duration_since(Instant::now());
@@ -87,10 +88,9 @@
     )
 }
 
-/// Runs the case; returns whether ordinary clients are served afterwards.
-pub fn run(record: Record, trouble: bool) -> io::Result<bool> {
-    let mut site = Site::open(record, &configuration())?;
-    let plan = Plan {
+/// A plain server as on the sheet.
+pub fn plan() -> Plan {
+    Plan {
         service: "gateway".into(),
         slots: 6,
         queue: 24,
@@ -100,8 +100,13 @@
         deadly: None,
         down: Duration::from_secs(2),
         brittle: None,
-    };
-    site.add_servers(4, &plan)?;
+    }
+}
+
+/// Runs the case; returns whether ordinary clients are served afterwards.
+pub fn run(record: Record, trouble: bool) -> io::Result<bool> {
+    let mut site = Site::open(record, &configuration())?;
+    site.add_servers(4, &plan())?;
     site.start_routers(3)?;
     let (sent, served) = send_ordinary(&site, Duration::from_secs(5));
     site.record.say(format!(
--- a/review/standin-3/cases/long_ids.rs
+++ b/review/standin-3/cases/long_ids.rs
@@ -20,7 +20,8 @@
 const THREADS: usize = 16;
 const DEADLINE: Duration = Duration::from_secs(8);
 
-fn configuration() -> String {
+/// A resumable route to engines, and a tenant without a budget.
+pub fn configuration() -> String {
     "{\"version\":7,\"routes\":[{\"name\":\"r-plan\",\"host\":\"ficu95.example\",\
      \"path_prefix\":\"/lohu930/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\
      \"target_latency_ms\":800,\"priority\":1,\"service\":\"pool\",\"max_attempts\":2,\
--- a/review/standin-3/cases/mod.rs
+++ b/review/standin-3/cases/mod.rs
@@ -1,10 +1,12 @@
 //! The cases. Each returns whether the rule held.
 
 mod brittle;
+mod crowd;
 mod deadly_part;
 mod long_body;
 mod long_ids;
 mod no_counts;
+mod stalled_crowd;
 
 use std::io;
 
@@ -14,8 +16,10 @@
 pub fn run(name: &str, record: Record, trouble: bool) -> io::Result<bool> {
     match name {
         "brittle" => brittle::run(record, trouble),
+        "crowd" => crowd::run(record, trouble),
         "long-ids" => long_ids::run(record, trouble),
         "no-counts" => no_counts::run(record, trouble),
+        "stalled-crowd" => stalled_crowd::run(record, trouble),
         "long-body" => long_body::run(record, trouble),
         "deadly-part-burst" => deadly_part::run(record, trouble, deadly_part::Kind::Burst),
         "deadly-part-moved" => deadly_part::run(record, trouble, deadly_part::Kind::Moved),
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -23,6 +23,8 @@
 const METRICS_PORT: u16 = 9464;
 /// Memory of a router's machine, in MB.
 pub const MEMORY_MB: u64 = 110;
+/// Descriptors of a router's machine, unless a case lowers them.
+const MAX_FDS: u32 = 4100;
 /// The host of all routes.
 pub const HOST: &str = "ficu95.example";
 /// Wait for the routers to be ready.
@@ -107,6 +109,8 @@
     pub brittle_since: Arc<Mutex<Option<Instant>>>,
     /// The routers.
     pub routers: Vec<Router>,
+    /// Descriptors of each router's machine.
+    pub max_fds: u32,
     engines: Vec<Arc<Engine>>,
     block: String,
     folder: PathBuf,
@@ -139,6 +143,7 @@
             seen: Arc::default(),
             brittle_since: Arc::default(),
             routers: Vec::new(),
+            max_fds: MAX_FDS,
             engines: Vec::new(),
             block,
             folder,
@@ -198,7 +203,7 @@
              listen.ready={ip}:{READY_PORT}\nlisten.control={ip}:8229\n\
              internal_ports=7340,7355\nseeds={ip}:8229\nbootstrap=true\n\
              tolerance_member=false\nlimits.cpu_share=0.25\nlimits.cores=1\n\
-             limits.memory_mb={MEMORY_MB}\nlimits.max_fds=4100\nlimits.link_mbps=1000.0\n\
+             limits.memory_mb={MEMORY_MB}\nlimits.max_fds={}\nlimits.link_mbps=1000.0\n\
              limits.disk_mb=0\ndiscovery=platform\nentry=vip\nheartbeat_ms=1200\n\
              contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform\n\
              bounds.seed_lag_s=3\nbounds.reuse_s=2\nbounds.contact_ms=3000\n\
@@ -212,7 +217,7 @@
              platform.reads_per_s=2000\nplatform.tx_ms=3.0\n\
              platform.part_writes_per_s=300\nplatform.row_bytes=65536\n\
              platform.across=true\nplatform.history_s=20\n",
-            self.store.address
+            self.max_fds, self.store.address
         )
     }
 
