--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -95,7 +95,9 @@
     process: AtomicU64,
     is_up: AtomicBool,
     born: AtomicU64,
-    connections: Mutex<Vec<TcpStream>>,
+    /// Open connections by their numbers.
+    connections: Mutex<Vec<(u64, TcpStream)>>,
+    accepted: AtomicU64,
     load: Mutex<Load>,
     /// Since when it is brittle.
     brittle_since: Arc<Mutex<Option<Instant>>>,
@@ -129,6 +131,7 @@
             is_up: AtomicBool::new(true),
             born: AtomicU64::new(unix_ms()),
             connections: Mutex::default(),
+            accepted: AtomicU64::new(0),
             load: Mutex::default(),
             brittle_since: brittle_since.clone(),
         });
@@ -178,7 +181,7 @@
             let now = Instant::now();
             self.seen.lock().unwrap().crashes.push((now, self.number));
             self.record.line(format!("server {} crashes", self.id()));
-            for stream in self.connections.lock().unwrap().drain(..) {
+            for (_, stream) in self.connections.lock().unwrap().drain(..) {
                 let _ = stream.shutdown(Shutdown::Both);
             }
         }
@@ -226,13 +229,8 @@
         let (Ok(mut to), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else {
             return;
         };
-        {
-            let mut connections = self.connections.lock().unwrap();
-            if connections.len() > 256 {
-                connections.drain(..128);
-            }
-            connections.push(kept);
-        }
+        let number = self.accepted.fetch_add(1, Ordering::SeqCst);
+        self.connections.lock().unwrap().push((number, kept));
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_request(&mut reader) {
             if !self.lives(process) || !self.answer(&request, from, &mut to, process) {
@@ -240,6 +238,8 @@
             }
         }
         let _ = to.shutdown(Shutdown::Both);
+        let mut connections = self.connections.lock().unwrap();
+        connections.retain(|(other, _)| *other != number);
     }
 
     fn lives(&self, process: u64) -> bool {
