--- a/review/standin-3/cases/deadly_part.rs
+++ b/review/standin-3/cases/deadly_part.rs
@@ -25,6 +25,8 @@
 pub enum Kind {
     /// Many requests with it come at the same moment, and some time later a few.
     Burst,
+    /// A few have it, after many parts that all requests share.
+    Far,
     /// A few have it, and the operator moves their route to another service.
     Moved,
 }
@@ -34,6 +36,7 @@
     fn at_once(self) -> usize {
         match self {
             Self::Burst => 48,
+            Self::Far => 0,
             Self::Moved => 8,
         }
     }
@@ -41,7 +44,7 @@
     /// Time between two requests with the part.
     fn gap(self) -> Duration {
         match self {
-            Self::Burst => Duration::from_millis(500),
+            Self::Burst | Self::Far => Duration::from_millis(500),
             Self::Moved => Duration::from_millis(125),
         }
     }
@@ -49,13 +52,15 @@
     fn time(self) -> Duration {
         match self {
             Self::Burst => Duration::from_secs(50),
-            Self::Moved => Duration::from_secs(40),
+            Self::Far | Self::Moved => Duration::from_secs(40),
         }
     }
 }
 
 /// Pause after the requests that come at the same moment, if many do.
 const QUIET: Duration = Duration::from_secs(8);
+/// Parts before it in long prompts.
+const MANY: usize = 1060;
 /// When the operator moves the route.
 const MOVED_AFTER: Duration = Duration::from_secs(15);
 /// Time between two sound requests.
@@ -77,13 +82,13 @@
 }
 
 /// Sends a request whose prompt has this part.
-fn send(site: &Site, router: usize, mark: &str, part: &str) -> bool {
+fn send(site: &Site, router: usize, mark: &str, part: &str, before: &str) -> bool {
     let id = site.next_id(mark);
     let number = &id[1..];
     let body = format!("prompt {number}");
     let more = format!(
         "X-Poplarreel-Model: m\r\nX-Poplarreel-Token-Counts: 1460,80\r\n\
-         X-Poplarreel-Prompt-Prefix: 5c1e07a2:800,{part}:410,e44{number}:250\r\n\
+         X-Poplarreel-Prompt-Prefix: 5c1e07a2:800,{before}{part}:410,e44{number}:250\r\n\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
@@ -109,6 +114,7 @@
     };
     match kind {
         Kind::Burst => site.add_servers(24, &plan)?,
+        Kind::Far => site.add_servers(12, &plan)?,
         Kind::Moved => {
             site.add_servers(9, &plan)?;
             let service = "second".into();
@@ -118,6 +124,12 @@
     site.start_routers(4)?;
     let site = site;
     let (sound, served) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let many = (0..MANY).map(|n| format!("{:x}:1,", 0x1000 + n));
+    let before: String = match kind {
+        Kind::Far => many.collect(),
+        _ => String::new(),
+    };
+    let before = before.as_str();
     let until = Instant::now() + CALM + kind.time();
     thread::scope(|scope| {
         let (site, sound, served) = (&site, &sound, &served);
@@ -129,7 +141,10 @@
                 scope.spawn(move || {
                     let part = ["b1", "b2", "b3"][n % 3];
                     sound.fetch_add(1, Ordering::SeqCst);
-                    served.fetch_add(usize::from(send(site, n, "c", part)), Ordering::SeqCst);
+                    served.fetch_add(
+                        usize::from(send(site, n, "c", part, before)),
+                        Ordering::SeqCst,
+                    );
                 });
                 thread::sleep(SOUND_GAP);
             }
@@ -138,7 +153,7 @@
         site.record.say("requests with the part begin");
         let began = Instant::now();
         for n in 0..kind.at_once() {
-            scope.spawn(move || send(site, n, "d", PART));
+            scope.spawn(move || send(site, n, "d", PART, before));
         }
         if kind == Kind::Burst {
             thread::sleep(QUIET);
@@ -155,7 +170,7 @@
                 site.record
                     .say("the operator moves the route to the other service");
             }
-            scope.spawn(move || send(site, n, "d", PART));
+            scope.spawn(move || send(site, n, "d", PART, before));
             thread::sleep(kind.gap());
         }
     });
--- a/review/standin-3/cases/mod.rs
+++ b/review/standin-3/cases/mod.rs
@@ -22,6 +22,7 @@
         "stalled-crowd" => stalled_crowd::run(record, trouble),
         "long-body" => long_body::run(record, trouble),
         "deadly-part-burst" => deadly_part::run(record, trouble, deadly_part::Kind::Burst),
+        "deadly-part-far" => deadly_part::run(record, trouble, deadly_part::Kind::Far),
         "deadly-part-moved" => deadly_part::run(record, trouble, deadly_part::Kind::Moved),
         _ => Err(io::Error::other("no such case")),
     }
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -65,14 +65,14 @@
         child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
-    /// Memory of its process in bytes.
+    /// Memory that its process has for itself in bytes, without the pages of its program.
     pub fn memory(&self) -> u64 {
         let Some(child) = &self.child else {
             return 0;
         };
         let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
         let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"));
         let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
         kilobytes.unwrap_or(0) * 1024
     }
