Show that token counts whose sum wraps pass by a prepaid budget

Cause: reserve() in crates/router/src/relay/handler.rs adds the stated prompt and output tokens without a check. In the build of the deploy file the sum wraps, so that a client which states the largest number as its most output tokens reserves, and is settled for, one token less than its prompt.

--- a/review/standin-3/cases/no_counts.rs
+++ b/review/standin-3/cases/no_counts.rs
@@ -1,5 +1,5 @@
-//! A client leaves the token counts out of its requests. Its tenant gets no more than it
-//! has prepaid.
+//! A client leaves the token counts out of its requests, or states no limit for the output
+//! but the largest number. Its tenant gets no more than it has prepaid.
 
 use std::io;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -12,15 +12,55 @@
 
 /// Tokens that the tenant has prepaid.
 const PREPAID: u64 = 8_000;
-/// Tokens of each prompt, in two parts.
-const PROMPT: u64 = 1_000;
-/// Events of each answer, and tokens in one.
-const EVENTS: u32 = 16;
+/// Tokens in an event.
 const STRIDE: u64 = 5;
 const TIME: Duration = Duration::from_secs(40);
 const GAP: Duration = Duration::from_millis(200);
 const DEADLINE: Duration = Duration::from_secs(8);
 
+/// What the client's requests are like.
+#[derive(Debug, Clone, Copy)]
+pub struct Requests {
+    /// Tokens of each prompt, in two parts.
+    prompt: u64,
+    /// Events of each answer, and the pause between them.
+    events: u32,
+    pause: Duration,
+    /// The most output tokens as stated; without it, no token counts are sent.
+    stated: Option<u64>,
+}
+
+/// Requests without token counts.
+pub const WITHOUT_COUNTS: Requests = Requests {
+    prompt: 1_000,
+    events: 16,
+    pause: Duration::from_millis(20),
+    stated: None,
+};
+
+/// Requests that state the largest number as their most output tokens.
+pub const WITHOUT_LIMIT: Requests = Requests {
+    prompt: 200,
+    events: 160,
+    pause: Duration::from_millis(4),
+    stated: Some(u64::MAX),
+};
+
+impl Requests {
+    /// The header with the token counts; the true ones unless there is trouble.
+    fn counts(&self, trouble: bool) -> String {
+        let true_output = u64::from(self.events) * STRIDE;
+        let output = if trouble {
+            self.stated
+        } else {
+            Some(true_output)
+        };
+        output.map_or(String::new(), |output| {
+            format!("X-Poplarreel-Token-Counts: {},{output}\r\n", self.prompt)
+        })
+    }
+}
+
 fn configuration() -> String {
     format!(
         "{{\"version\":7,\"routes\":[{{\"name\":\"r-plan\",\"host\":\"ficu95.example\",\
@@ -37,15 +77,15 @@
 }
 
 /// Runs the case; returns whether the tenant got no more than it has prepaid.
-pub fn run(record: Record, trouble: bool) -> io::Result<bool> {
+pub fn run(record: Record, trouble: bool, requests: Requests) -> io::Result<bool> {
     let mut site = Site::open(record, &configuration())?;
     let plan = Plan {
         service: "pool".into(),
         slots: 64,
         queue: 192,
         first: Duration::from_millis(100),
-        events: EVENTS,
-        pause: Duration::from_millis(20),
+        events: requests.events,
+        pause: requests.pause,
         deadly: None,
         down: Duration::from_secs(2),
         brittle: None,
@@ -64,16 +104,12 @@
             }
             scope.spawn(move || {
                 let id = site.next_id("a");
-                let counts = match trouble {
-                    true => String::new(),
-                    false => format!(
-                        "X-Poplarreel-Token-Counts: {PROMPT},{}\r\n",
-                        u64::from(EVENTS) * STRIDE
-                    ),
-                };
+                let counts = requests.counts(trouble);
                 let more = format!(
                     "X-Poplarreel-Model: m\r\n{counts}X-Poplarreel-Prompt-Prefix: \
-                     5c1e07a2:800,e4{id}:200\r\nContent-Length: 6\r\n\r\nprompt"
+                     5c1e07a2:{},e4{id}:{}\r\nContent-Length: 6\r\n\r\nprompt",
+                    requests.prompt * 4 / 5,
+                    requests.prompt / 5
                 );
                 let line = format!("POST /lohu930/{id}");
                 let head = site.head(&line, &id, "key-other", DEADLINE, &more);
@@ -96,8 +132,8 @@
         "{served} of {} requests served: {} tokens in, {output} tokens out delivered, {PREPAID} \
          prepaid",
         sent.load(Ordering::SeqCst),
-        served * PROMPT
+        served * requests.prompt
     ));
     // The output alone, whatever an engine takes for the prompt.
-    Ok(output <= PREPAID && (trouble || served * PROMPT + output <= PREPAID))
+    Ok(output <= PREPAID && (trouble || served * requests.prompt + output <= PREPAID))
 }
